Play entry VMs on engines that work in passes, in the project's own bench

The project's bench had engines that batch continuously and VMs that read load reports; it could not run these decisions at all, and nothing showed how they do on engines of other figures.

Ruled out: a second scheduler driver for the new engines (the present one runs both; what differs is the engine, the group, and who tells loads); the stand-in engines of the soak (real time, a minute a figure).

Change: engine_model/pass_model.py, an engine that works in passes by its stated figures; bench engines, parts and groups on it; VMs that tell each other loads and look at silent attempts as entry VMs do; callers with targets, pauses and patience; four fleets, two of them unlike any that runs today, under seven load patterns, against two baselines (make bench-entry). The entry's policies and the choice of what to tell other VMs moved below decisions/, unchanged.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)/src
 
 .PHONY: install demo check lint types test format clean capacity capacity-agents capacity-entries docs
-.PHONY: fuzz soak bench soak-claims measure-claims
+.PHONY: fuzz soak bench bench-entry soak-claims measure-claims
 
 install: $(VENV)/.installed
 
@@ -74,6 +74,10 @@
 bench: install
 	$(BIN)/python -m quetzaldeck.bench --report bench/report.json --table docs/design/bench.md
 
+# Entry VMs on four fleets under seven load patterns; about six minutes.
+bench-entry: install
+	$(BIN)/python -m quetzaldeck.bench.entry_main
+
 format: install
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
--- /dev/null
+++ b/src/quetzaldeck/bench/attempt_watch.py
@@ -0,0 +1,66 @@
+"""Looks at attempts that say nothing, as an entry VM does."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions import AttemptFault
+from quetzaldeck.decisions.retries.silence import (
+    LOOK_AGAIN_MS,
+    SilenceVerdict,
+    first_byte_bound_ms,
+    gap_bound_ms,
+)
+
+if TYPE_CHECKING:
+    from quetzaldeck.bench.bench_attempt import BenchAttempt
+    from quetzaldeck.bench.event_queue import EventQueue
+
+MIN_LOOK_MS = 0.001
+"""What is due sooner is due: a rounding error would be waited for without an end."""
+
+
+class AttemptWatch:
+    """Asks the scheduler whether a silent attempt is left for another upstream.
+
+    :param attempt: the attempt, sent now
+    """
+
+    def __init__(self, attempt: BenchAttempt, events: EventQueue) -> None:
+        self._attempt = attempt
+        self._events = events
+        self._heard_ms = events.now_ms
+        self._has_begun = False
+
+    def begin(self) -> None:
+        """Look for the first time when the first token is overdue."""
+        self._events.after(self._bound_ms(), self._look)
+
+    def note_heard(self) -> None:
+        """Take that a token came."""
+        self._has_begun = True
+        self._heard_ms = self._events.now_ms
+
+    def _bound_ms(self) -> float:
+        call = self._attempt.call
+        if not self._has_begun:
+            return first_byte_bound_ms(call.target_ms)
+        return gap_bound_ms(call.max_gap_ms) or call.deadline_ms
+
+    def _look(self) -> None:
+        attempt = self._attempt
+        if not attempt.vm.is_running(attempt) or not attempt.call.is_repeatable:
+            return
+        silent_ms = self._events.now_ms - self._heard_ms
+        left_ms = self._bound_ms() - silent_ms
+        if left_ms >= MIN_LOOK_MS:
+            self._events.after(left_ms, self._look)
+            return
+        judge = attempt.vm.scheduler.judge_silence
+        if judge(attempt.attempt_id, silent_ms) is SilenceVerdict.LEFT:
+            attempt.vm.leave_attempt(attempt, AttemptFault.SILENT)
+        else:
+            self._events.after(LOOK_AGAIN_MS, self._look)
+
+
+__all__ = ("MIN_LOOK_MS", "AttemptWatch")
--- a/src/quetzaldeck/bench/bench_attempt.py
+++ b/src/quetzaldeck/bench/bench_attempt.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from quetzaldeck.bench.attempt_watch import AttemptWatch
     from quetzaldeck.bench.bench_group import BenchGroup
     from quetzaldeck.bench.bench_vm import BenchVm
     from quetzaldeck.bench.call import Call
+    from quetzaldeck.bench.spread_read import SpreadRead
     from quetzaldeck.decisions import Dispatch
 
 
@@ -17,6 +19,9 @@
     :param n_delivered: tokens that the caller has from earlier attempts
     """
 
+    # has_begun: an event was written, so that the request runs; group: the engines that
+    # set memory aside; spread: the engines that read a part each.
+
     def __init__(
         self, vm: BenchVm, call: Call, dispatch: Dispatch, n_delivered: int = 0
     ) -> None:
@@ -25,7 +30,10 @@
         self.dispatch = dispatch
         self.n_delivered = n_delivered
         self.is_silent = False
+        self.has_begun = False
         self.group: BenchGroup | None = None
+        self.spread: SpreadRead | None = None
+        self.watch: AttemptWatch | None = None
 
     @property
     def attempt_id(self) -> str:
--- a/src/quetzaldeck/bench/bench_engine.py
+++ b/src/quetzaldeck/bench/bench_engine.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.bench.bench_upstream import BenchUpstream
+from quetzaldeck.bench.model_engine import ModelEngine
 from quetzaldeck.decisions import LoadReport
 from quetzaldeck.decisions.placement import CacheEvent, CacheEvents
 from quetzaldeck.engine_model import EngineModel, Sequence
@@ -15,7 +15,6 @@
     from collections.abc import Callable
 
     from quetzaldeck.bench.bench_attempt import BenchAttempt
-    from quetzaldeck.bench.bench_group import BenchGroup
     from quetzaldeck.bench.event_queue import EventQueue
     from quetzaldeck.bench.scenario import FleetShape
     from quetzaldeck.bundle import UpstreamSpec
@@ -23,7 +22,7 @@
     from quetzaldeck.engine_model import Step
 
 
-class BenchEngine(BenchUpstream):
+class BenchEngine(ModelEngine):
     """Steps the model while it has work and passes tokens to the VMs."""
 
     def __init__(
@@ -33,9 +32,7 @@
         self._model = EngineModel(shape.engine)
         self._is_stepping = False
         self._cache_log = CacheEventLog()
-        self._groups: dict[str, BenchGroup] = {}
         self._parts: dict[str, Callable[[], None]] = {}
-        self.busy_ms = 0.0
 
     @property
     def n_kv_tokens_used(self) -> int:
@@ -59,17 +56,6 @@
             ),
         )
 
-    def reserve(self, group: BenchGroup, n_tokens: int) -> bool:
-        """:returns: whether the group's memory is set aside"""
-        self._groups[group.reservation_id] = group
-        return self._model.reserve(group.reservation_id, n_tokens)
-
-    def release(self, reservation_id: str) -> None:
-        """Give back what a group holds."""
-        if self._groups.pop(reservation_id, None) is not None:
-            self._model.release(reservation_id)
-            self._step()
-
     def prefill(self, part: Sequence, on_done: Callable[[], None]) -> None:
         """Prefill a part of a group's prompt."""
         self._parts[part.sequence_id] = on_done
@@ -116,10 +102,14 @@
         self._is_stepping = False
         self._cache_log = CacheEventLog()
         self._parts.clear()
-        groups = list(self._groups.values())
-        self._groups.clear()
-        for group in groups:
-            group.note_broken(self)
+        self._break_groups()
+
+    def _reserve(self, reservation_id: str, n_tokens: int) -> bool:
+        return self._model.reserve(reservation_id, n_tokens)
+
+    def _release(self, reservation_id: str) -> None:
+        self._model.release(reservation_id)
+        self._step()
 
     def _step(self) -> None:
         """Start a step unless one runs; its tokens appear when it ends."""
--- a/src/quetzaldeck/bench/bench_vm.py
+++ b/src/quetzaldeck/bench/bench_vm.py
@@ -7,10 +7,15 @@
 
 import xxhash
 
+from quetzaldeck.bench.attempt_watch import MIN_LOOK_MS, AttemptWatch
 from quetzaldeck.bench.bench_attempt import BenchAttempt
 from quetzaldeck.bench.bench_engine import BenchEngine
-from quetzaldeck.bench.bench_group import BenchGroup
 from quetzaldeck.bench.call_result import Outcome
+from quetzaldeck.bench.model_engine import ModelEngine
+from quetzaldeck.bench.pass_engine import PassEngine
+from quetzaldeck.bench.prefill_group import PrefillGroup
+from quetzaldeck.bench.spread_group import SpreadGroup
+from quetzaldeck.bench.spread_read import SpreadRead
 from quetzaldeck.bench.submission import Submission
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch, Request
 from quetzaldeck.decisions.placement import CacheCursor
@@ -23,8 +28,9 @@
     from quetzaldeck.bench.call import Call
     from quetzaldeck.bench.event_queue import EventQueue
     from quetzaldeck.bench.submission import CallState
-    from quetzaldeck.decisions import Scheduler
-    from quetzaldeck.decisions.groups import GroupPlan
+    from quetzaldeck.decisions import LoadReport, Scheduler
+    from quetzaldeck.decisions.groups import GroupBounds, GroupPlan
+    from quetzaldeck.decisions.peer_load import UpstreamShare
 
     EndHandler = Callable[[CallState, Outcome, Failure | None], None]
 
@@ -35,6 +41,8 @@
     """Feeds a scheduler as the gateway's tasks do and carries out its decisions.
 
     :param on_end: told how each submission ended for its caller
+    :param groups: how memory is set aside for prompts above one engine's
+    :param watches_silence: whether silent attempts are left as an entry VM leaves them
     """
 
     def __init__(
@@ -47,6 +55,8 @@
         *,
         latency_ms: float,
         on_end: EndHandler,
+        groups: GroupBounds,
+        watches_silence: bool = False,
     ) -> None:
         self.name = name
         self.availability_zone = availability_zone
@@ -56,6 +66,8 @@
         self._events = events
         self._latency_ms = latency_ms
         self._on_end = on_end
+        self._groups = groups
+        self._watches_silence = watches_silence
         self._open: dict[str, Submission] = {}
         self._cache_cursors: dict[str, CacheCursor] = {}
         self._is_polling = False
@@ -79,6 +91,9 @@
             prefix_hashes=call.hash_prefixes(),
             fingerprint=_fingerprint(call),
             is_repeatable=call.is_repeatable,
+            target_ms=call.target_ms,
+            max_gap_ms=call.max_gap_ms,
+            patience_ms=call.patience_ms,
         )
         failure = self.scheduler.submit(request)
         submission = Submission(state, request)
@@ -89,8 +104,27 @@
         self._events.at(request.deadline_ms, lambda: self._expire(submission))
         if call.gone_after_ms is not None:
             self._events.after(call.gone_after_ms, lambda: self._leave(submission))
+        if call.patience_ms:
+            self._events.after(call.patience_ms, lambda: self._hang_up(submission))
         self.poll()
 
+    def list_shares(self) -> list[tuple[str, UpstreamShare]]:
+        """:returns: what of this VM is at each upstream"""
+        return [(u.spec.name, u.own_share()) for u in self.scheduler.upstreams]
+
+    def observe_load(self, report: LoadReport) -> None:
+        """Let the load that an answer tells travel to the VM."""
+        observe = self.scheduler.fleet.observe_load
+        self._events.after(self._latency_ms, lambda: observe(report))
+
+    def is_running(self, attempt: BenchAttempt) -> bool:
+        """:returns: whether the attempt is the one that its caller waits for"""
+        return self._is_current(attempt) is not None
+
+    def leave_attempt(self, attempt: BenchAttempt, fault: AttemptFault) -> None:
+        """Give an attempt up that may have run."""
+        self._take_fault(attempt, fault, has_reached=True)
+
     def poll(self) -> None:
         """Carry out what the scheduler decides; come back while requests wait."""
         if self.is_down:
@@ -160,6 +194,10 @@
         attempt = BenchAttempt(self, call, dispatch, submission.n_delivered)
         submission.attempt = attempt
         submission.state.upstreams += dispatch.upstreams
+        if self._watches_silence:
+            attempt.watch = AttemptWatch(attempt, self._events)
+            attempt.watch.begin()
+        attempt.spread = self._spread(attempt)
         if dispatch.plan is not None:
             self._start_group(attempt, dispatch.plan)
             return
@@ -167,16 +205,35 @@
         self._events.after(self._latency_ms, lambda: self._arrive(upstream, attempt))
 
     def _start_group(self, attempt: BenchAttempt, plan: GroupPlan) -> None:
-        engines = [self._upstreams[name] for name in plan.upstreams]
-        attempt.group = BenchGroup(
+        upstreams = [self._upstreams[name] for name in plan.upstreams]
+        kind = SpreadGroup if attempt.spread is not None else PrefillGroup
+        attempt.group = kind(
             attempt,
-            [engine for engine in engines if isinstance(engine, BenchEngine)],
+            [upstream for upstream in upstreams if isinstance(upstream, ModelEngine)],
             plan,
             self._events,
             latency_ms=self._latency_ms,
+            bounds=self._groups,
         )
         self._events.after(self._latency_ms, attempt.group.begin)
 
+    def _spread(self, attempt: BenchAttempt) -> SpreadRead | None:
+        """:returns: the parts of a prompt that engines read beside the one asked"""
+        dispatch = attempt.dispatch
+        names = (*reversed(dispatch.upstreams), *dispatch.helpers)
+        engines = [self._upstreams[name] for name in names]
+        readers = [engine for engine in engines if isinstance(engine, PassEngine)]
+        if len(readers) <= 1:
+            return None
+        plan = dispatch.plan
+        return SpreadRead(
+            attempt,
+            readers,
+            self._events,
+            latency_ms=self._latency_ms,
+            n_reserved_tokens=0 if plan is None else sum(plan.reserved_tokens),
+        )
+
     def _arrive(self, upstream: BenchUpstream, attempt: BenchAttempt) -> None:
         if self._is_current(attempt) is not None:
             upstream.arrive(attempt)
@@ -195,9 +252,10 @@
             self._take_cache_events(attempt)
             self.scheduler.note_first_token(attempt.attempt_id)
         submission.n_delivered += 1
+        if attempt.watch is not None:
+            attempt.watch.note_heard()
         state = submission.state
-        if state.first_token_ms is None:
-            state.first_token_ms = self._events.now_ms
+        state.note_token(self._events.now_ms)
         if not is_last:
             return
         if attempt.group is not None:
@@ -260,6 +318,18 @@
             self._close(submission, Failure(Reason.CALLER_GONE, Ran.UNKNOWN))
             self.poll()
 
+    def _hang_up(self, submission: Submission) -> None:
+        """Let a caller leave that has heard nothing for longer than it bears."""
+        state = submission.state
+        heard_ms = max(state.heard_ms, submission.request.arrived_ms)
+        left_ms = heard_ms + state.call.patience_ms - self._events.now_ms
+        if submission.request.request_id not in self._open:
+            return
+        if left_ms >= MIN_LOOK_MS:
+            self._events.after(left_ms, lambda: self._hang_up(submission))
+        else:
+            self._leave(submission)
+
     def _close(self, submission: Submission, failure: Failure | None) -> None:
         del self._open[submission.request.request_id]
         self.scheduler.withdraw(submission.request.request_id)
--- a/src/quetzaldeck/bench/call.py
+++ b/src/quetzaldeck/bench/call.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from quetzaldeck.decisions.patience import patience_ms
 from quetzaldeck.decisions.prefix import PREFIX_TOKENS
 
 
@@ -17,6 +18,9 @@
     :param max_output_tokens: bound of the answer that the caller names
     :param n_output_tokens: length of the answer; 0: up to the bound
     :param deadline_ms: time that the caller gives one submission
+    :param target_ms: time to the first token after which the answer is late; 0: none
+    :param max_gap_ms: pause between two tokens after which it is late; 0: none. A
+        caller that states one hangs up when it hears nothing for several times as long.
     :param prefix_id: calls with the same id share their first ``n_prefix_tokens``
     :param vm: index of the VM that it is sent to; ``None``: any
     :param max_resends: how often the caller comes back after a refusal that says
@@ -39,6 +43,8 @@
     priority: int = 5
     weight: float = 1.0
     deadline_ms: float = 30_000.0
+    target_ms: float = 0.0
+    max_gap_ms: float = 0.0
     prefix_id: str = ""
     n_prefix_tokens: int = 0
     is_repeatable: bool = True
@@ -53,6 +59,11 @@
         """:returns: length of the whole answer"""
         return self.n_output_tokens or self.max_output_tokens
 
+    @property
+    def patience_ms(self) -> float:
+        """:returns: silence after which the caller hangs up; 0: it does not"""
+        return patience_ms(self.target_ms, self.max_gap_ms) if self.max_gap_ms else 0.0
+
     def hash_prefixes(self) -> tuple[int, ...]:
         """:returns: one hash for each prefix length that the prompt has"""
         return tuple(
--- a/src/quetzaldeck/bench/call_result.py
+++ b/src/quetzaldeck/bench/call_result.py
@@ -27,6 +27,7 @@
         its deadline
     :param ttft_ms: from the first submission to the first token
     :param total_ms: from the first submission to the end
+    :param longest_gap_ms: longest pause between two tokens
     :param reason: reason of the last refusal or failure
     :param ran: what the last refusal or failure said of its execution
     :param n_executions: attempts that an upstream began to run
@@ -47,6 +48,19 @@
     retry_after_ms: float | None = None
     upstreams: tuple[str, ...] = ()
     submitted_ms: tuple[float, ...] = ()
+    longest_gap_ms: float = 0.0
+
+    @property
+    def is_in_time(self) -> bool:
+        """:returns: whether the whole answer came, in the times that the caller wants
+
+        A call that states no time is in time if it is answered.
+        """
+        if self.outcome is not Outcome.ANSWERED or self.ttft_ms is None:
+            return False
+        target_ms, gap_ms = self.call.target_ms, self.call.max_gap_ms
+        has_begun_in_time = not target_ms or self.ttft_ms <= target_ms
+        return has_begun_in_time and (not gap_ms or self.longest_gap_ms <= gap_ms)
 
     @property
     def waited_ms(self) -> float:
--- /dev/null
+++ b/src/quetzaldeck/bench/entry_mixture.py
@@ -0,0 +1,176 @@
+"""Calls as an entry VM's callers send them: by kind, with targets, in bursts.
+
+Grounds for the figures: three kinds of prompt, about 5,000, 45,000 and 130,000 tokens
+long, of which the first makes nine in ten of all, and look-ups and bookings at a desk.
+Lengths of one kind vary by a factor of two or more either way, so they are drawn from a
+log-normal distribution with a bound. Each kind states when its first token is wanted
+and which pauses its caller bears.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import NamedTuple
+
+from quetzaldeck.bench.call import Call
+from quetzaldeck.bench.scenario import MODEL, SERVICE
+
+MS_PER_SECOND = 1_000.0
+
+
+class CallKind(NamedTuple):
+    """One kind of call.
+
+    :param per_second: calls that arrive; what all others arrive at is relative to it
+    :param n_tokens: mean length of the prompt; 0 for a plain call
+    :param spread: standard deviation of the logarithm of the length
+    :param n_output_tokens: mean length of the answer
+    :param is_repeatable: whether it may run more than once
+    """
+
+    name: str
+    per_second: float
+    target_ms: float
+    deadline_ms: float
+    n_tokens: float = 0.0
+    spread: float = 0.0
+    max_tokens: int = 1
+    n_output_tokens: float = 1.0
+    max_gap_ms: float = 0.0
+    is_repeatable: bool = True
+
+
+PLAN = CallKind("plan", 15.0, 300.0, 10_000.0, 5_000, 0.9, 24_000, 1_360, 250.0)
+REVIEW = CallKind("review", 0.8, 1_500.0, 10_000.0, 45_000, 0.5, 110_000, 820, 600.0)
+HISTORY = CallKind(
+    "history", 0.7, 3_000.0, 15_000.0, 130_000, 0.55, 600_000, 680, 1_000.0
+)
+BOOKING = CallKind("booking", 1.5, 125.0, 1_000.0, is_repeatable=False)
+LOOK_UP = CallKind("look-up", 1.5, 125.0, 1_000.0)
+KINDS = (PLAN, REVIEW, HISTORY, BOOKING, LOOK_UP)
+
+ANSWER_SPREAD = 0.6
+"""Standard deviation of the logarithm of an answer's length."""
+
+N_CUSTOMERS = 10
+LARGE_CUSTOMERS = 3
+"""The first customers send half of all calls."""
+
+
+class Burst(NamedTuple):
+    """A time in which a kind of call arrives more or less often.
+
+    :param factor: times the usual rate
+    """
+
+    kind: str
+    from_ms: float
+    until_ms: float
+    factor: float
+
+
+class EntryMixture(NamedTuple):
+    """A load of an entry VM's calls.
+
+    :param scale: times the rates of the kinds
+    :param hot_share: part of the calls that the first customer sends, on top of its own
+    :param leaving_share: part of the callers that leave, at a random time within the
+        target of their call
+    """
+
+    duration_ms: float
+    scale: float = 1.0
+    kinds: tuple[CallKind, ...] = KINDS
+    bursts: tuple[Burst, ...] = ()
+    hot_share: float = 0.0
+    leaving_share: float = 0.0
+    random_state: int = 1
+
+    def draw_calls(self) -> tuple[Call, ...]:
+        """:returns: the calls in order of time; the same for the same seed"""
+        random_state = random.Random(self.random_state)
+        calls = [
+            self._draw_call(f"{kind.name}/{n}", kind, at_ms, random_state)
+            for kind in self.kinds
+            for n, at_ms in enumerate(self._draw_arrivals(kind, random_state))
+        ]
+        return tuple(sorted(calls, key=_arrival))
+
+    def _draw_arrivals(
+        self, kind: CallKind, random_state: random.Random
+    ) -> list[float]:
+        """Thin arrivals at the highest rate: bursts need not be handled one by one."""
+        bursts = [burst for burst in self.bursts if burst.kind == kind.name]
+        highest = max([1.0, *(burst.factor for burst in bursts)])
+        rate = kind.per_second * self.scale * highest
+        arrivals: list[float] = []
+        at_ms = 0.0
+        while True:
+            at_ms += random_state.expovariate(rate) * MS_PER_SECOND
+            if at_ms >= self.duration_ms:
+                return arrivals
+            if random_state.random() < _factor_at(bursts, at_ms) / highest:
+                arrivals.append(at_ms)
+
+    def _draw_call(
+        self, call_id: str, kind: CallKind, at_ms: float, random_state: random.Random
+    ) -> Call:
+        is_leaving = random_state.random() < self.leaving_share
+        gone_after_ms = random_state.uniform(0.0, kind.target_ms)
+        call = Call(
+            call_id,
+            at_ms,
+            self._draw_customer(random_state),
+            deadline_ms=kind.deadline_ms,
+            target_ms=kind.target_ms,
+            is_repeatable=kind.is_repeatable,
+            max_resends=1,
+            gone_after_ms=gone_after_ms if is_leaving else None,
+        )
+        if not kind.n_tokens:
+            return call._replace(service=SERVICE)
+        n_tokens = _draw_length(kind.n_tokens, kind.spread, random_state)
+        n_answer_tokens = _draw_length(
+            kind.n_output_tokens, ANSWER_SPREAD, random_state
+        )
+        return call._replace(
+            model=MODEL,
+            n_prompt_tokens=min(n_tokens, kind.max_tokens),
+            max_output_tokens=n_answer_tokens,
+            max_gap_ms=kind.max_gap_ms,
+        )
+
+    def _draw_customer(self, random_state: random.Random) -> str:
+        if random_state.random() < self.hot_share:
+            return "customer-0"
+        n_from = LARGE_CUSTOMERS if random_state.random() < 0.5 else N_CUSTOMERS
+        return f"customer-{random_state.randrange(n_from)}"
+
+
+def _draw_length(mean: float, spread: float, random_state: random.Random) -> int:
+    """:returns: a log-normal length with this mean"""
+    mu = math.log(mean) - spread * spread / 2
+    return max(1, round(random_state.lognormvariate(mu, spread)))
+
+
+def _factor_at(bursts: list[Burst], at_ms: float) -> float:
+    factors = [b.factor for b in bursts if b.from_ms <= at_ms < b.until_ms]
+    return math.prod(factors)
+
+
+def _arrival(call: Call) -> float:
+    return call.at_ms
+
+
+__all__ = (
+    "BOOKING",
+    "HISTORY",
+    "KINDS",
+    "LOOK_UP",
+    "PLAN",
+    "REVIEW",
+    "Burst",
+    "CallKind",
+    "EntryMixture",
+)
--- /dev/null
+++ b/src/quetzaldeck/bench/entry_suite.py
@@ -0,0 +1,126 @@
+"""The runs of ``make bench-entry``: entry VMs against baselines, pattern by pattern."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from quetzaldeck.bench.call_result import Outcome
+from quetzaldeck.bench.entry_loads import FLEETS, list_scenarios
+from quetzaldeck.bench.entry_mixture import KINDS
+from quetzaldeck.bench.run import run_scenario
+from quetzaldeck.bench.tails import Tails, compute_tails
+from quetzaldeck.decisions.policies import ENTRY_POLICIES, Policies
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzaldeck.bench.call_result import CallResult
+    from quetzaldeck.bench.run_result import RunResult
+
+POLICIES = {
+    "least busy, whole prompts": Policies("fifo", "few_choices", "bounds", "none"),
+    "least busy, parts on all": Policies("fifo", "first_token", "bounds", "none"),
+    "entry": ENTRY_POLICIES,
+}
+"""What entry VMs are compared with: one replica for each prompt, and long prompts in
+parts on whatever engine is least busy, both without a bound on what is admitted."""
+
+
+class KindSummary(NamedTuple):
+    """What the callers of one kind received.
+
+    :param n: calls whose callers did not leave early
+    :param n_in_time: answered whole, with first token and pauses as wanted
+    :param first_ms: time to the first token, of those that got one
+    """
+
+    n: int
+    n_in_time: int
+    n_answered: int
+    n_refused: int
+    first_ms: Tails
+
+
+class EntryRun(NamedTuple):
+    """One load pattern on one fleet under one policy.
+
+    :param n_silent: callers that hung up after hearing nothing for too long
+    :param n_dishonest: calls lost, doubled, or refused as not run though they ran
+    :param n_kv_tokens_left: memory that engines still hold at the end
+    """
+
+    fleet: str
+    pattern: str
+    policy: str
+    kinds: dict[str, KindSummary]
+    n_silent: int
+    n_dishonest: int
+    n_kv_tokens_left: int
+
+    @property
+    def share_in_time(self) -> float:
+        """:returns: mean over the kinds of the share of calls answered in time"""
+        shares = [k.n_in_time / k.n for k in self.kinds.values() if k.n]
+        return sum(shares) / len(shares) if shares else 0.0
+
+
+def run_entry_suite(
+    *, random_state: int = 1, report: Callable[[EntryRun], None] | None = None
+) -> tuple[EntryRun, ...]:
+    """:returns: a run of every pattern on every fleet under every policy
+
+    :param report: is given each run as it ends
+    """
+    runs = []
+    for fleet in FLEETS:
+        for scenario in list_scenarios(fleet, random_state):
+            for name, policies in POLICIES.items():
+                result = run_scenario(scenario, policies)
+                run = summarise_entry(fleet.name, name, result)
+                runs.append(run)
+                if report is not None:
+                    report(run)
+    return tuple(runs)
+
+
+def summarise_entry(fleet: str, policy: str, result: RunResult) -> EntryRun:
+    """:returns: what callers received in a run"""
+    stayed = [item for item in result.calls if item.call.gone_after_ms is None]
+    return EntryRun(
+        fleet,
+        result.scenario.name,
+        policy,
+        {
+            kind.name: _summarise_kind([i for i in stayed if _is_of(i, kind.name)])
+            for kind in KINDS
+        },
+        sum(item.outcome is Outcome.GONE for item in stayed),
+        sum(
+            item.outcome is Outcome.LOST or item.is_doubled or item.is_false_refusal
+            for item in result.calls
+        ),
+        result.n_kv_tokens_left,
+    )
+
+
+def _is_of(item: CallResult, kind: str) -> bool:
+    return item.call.call_id.startswith(f"{kind}/")
+
+
+def _summarise_kind(items: list[CallResult]) -> KindSummary:
+    return KindSummary(
+        len(items),
+        sum(item.is_in_time for item in items),
+        sum(item.outcome is Outcome.ANSWERED for item in items),
+        sum(item.outcome is Outcome.REFUSED for item in items),
+        compute_tails(i.ttft_ms for i in items if i.ttft_ms is not None),
+    )
+
+
+__all__ = (
+    "POLICIES",
+    "EntryRun",
+    "KindSummary",
+    "run_entry_suite",
+    "summarise_entry",
+)
--- /dev/null
+++ b/src/quetzaldeck/bench/load_sharing.py
@@ -0,0 +1,54 @@
+"""VMs of the bench that tell each other what of theirs is at each upstream."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.load_changes import LoadChanges
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzaldeck.bench.bench_vm import BenchVm
+    from quetzaldeck.bench.event_queue import EventQueue
+    from quetzaldeck.decisions.peer_load import UpstreamShare
+
+TELL_INTERVAL_MS = 20.0
+"""Time between two looks at what has changed, as in an entry VM."""
+
+
+class LoadSharing:
+    """Lets every VM tell all others what has changed of its load.
+
+    :param latency_ms: one way between two VMs
+    """
+
+    def __init__(
+        self, vms: Sequence[BenchVm], events: EventQueue, *, latency_ms: float
+    ) -> None:
+        self._vms = vms
+        self._events = events
+        self._latency_ms = latency_ms
+        self._changes = {vm.name: LoadChanges() for vm in vms}
+
+    def begin(self) -> None:
+        """Tell now, and go on."""
+        now_ms = self._events.now_ms
+        for vm in self._vms:
+            if not vm.is_down:
+                changed = self._changes[vm.name].take(vm.list_shares(), now_ms)
+                if changed:
+                    deliver = partial(self._deliver, vm, changed)
+                    self._events.after(self._latency_ms, deliver)
+        self._events.after(TELL_INTERVAL_MS, self.begin)
+
+    def _deliver(
+        self, teller: BenchVm, shares: list[tuple[str, UpstreamShare]]
+    ) -> None:
+        for vm in self._vms:
+            if vm is not teller and not vm.is_down:
+                vm.scheduler.fleet.observe_peer(teller.name, shares)
+
+
+__all__ = ("TELL_INTERVAL_MS", "LoadSharing")
--- /dev/null
+++ b/src/quetzaldeck/bench/pass_engine.py
@@ -0,0 +1,178 @@
+"""An engine of the bench that works in passes, on the bench's clock."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from quetzaldeck.bench.model_engine import ModelEngine
+from quetzaldeck.decisions import AttemptFault, LoadReport
+from quetzaldeck.engine_model import PassModel, PassWork
+
+if TYPE_CHECKING:
+    from quetzaldeck.bench.bench_attempt import BenchAttempt
+    from quetzaldeck.bench.event_queue import EventQueue
+    from quetzaldeck.bench.scenario import FleetShape
+    from quetzaldeck.bench.spread_read import SpreadRead
+    from quetzaldeck.bundle import UpstreamSpec
+    from quetzaldeck.bundle.engine_figures import EngineFigures
+    from quetzaldeck.engine_model import Pass
+
+MAX_WAITING_PER_SLOT = 2
+"""Requests that wait at an engine for each of its slots before it refuses the next."""
+
+
+class PassEngine(ModelEngine):
+    """Runs passes while it has work; its load travels with each answer's first event.
+
+    A request runs from its first event on: what an engine gives up before has not run.
+    """
+
+    def __init__(
+        self, spec: UpstreamSpec, shape: FleetShape, events: EventQueue
+    ) -> None:
+        super().__init__(spec, shape, events)
+        assert spec.figures is not None
+        self._figures = spec.figures
+        self._model = PassModel(spec.figures)
+        self._is_working = False
+        self._parts: dict[str, SpreadRead] = {}
+
+    @property
+    def figures(self) -> EngineFigures:
+        """:returns: its speed and size, as its operator states them"""
+        return self._figures
+
+    @property
+    def n_kv_tokens_used(self) -> int:
+        """:returns: memory held now"""
+        return self._model.n_kv_tokens_used
+
+    @property
+    def may_help(self) -> bool:
+        """:returns: whether it takes one more part that another engine answers"""
+        return not self.is_down and self._model.n_parts < self._figures.n_slots
+
+    def arrive(self, attempt: BenchAttempt) -> None:
+        """Take an attempt whose bytes arrive now."""
+        if self.is_down:
+            attempt.vm.fail(attempt, AttemptFault.CONNECT, has_reached=False)
+            return
+        n_most = self._figures.n_slots * (1 + MAX_WAITING_PER_SLOT)
+        if self._model.n_running + self._model.n_waiting >= n_most:
+            attempt.vm.fail(attempt, AttemptFault.OVERLOADED, has_reached=False)
+            return
+        self._attempts[attempt.attempt_id] = attempt
+        self._begin(attempt)
+
+    def report(self) -> LoadReport:
+        """:returns: the load at this moment, as an answer tells it"""
+        now_ms = round(self._events.now_ms)
+        n_running, n_waiting = self._model.n_running, self._model.n_waiting
+        return LoadReport(
+            self.spec.name, self.incarnation, now_ms, 0.0, n_running, n_waiting, 0, 0
+        )
+
+    def read_part(self, spread: SpreadRead, work: PassWork) -> None:
+        """Read a part of a prompt."""
+        self._parts[work.work_id] = spread
+        self._model.submit(work)
+        self._work()
+
+    def drop_part(self, work_id: str) -> None:
+        """Leave a part unread."""
+        if self._parts.pop(work_id, None) is not None:
+            self._model.cancel(work_id)
+
+    def answer_spread(self, attempt: BenchAttempt) -> None:
+        """Begin to write: every part of the prompt is read."""
+        if self._attempts.get(attempt.attempt_id) is not attempt:
+            return
+        is_last = self._model.note_parts_read(attempt.attempt_id)
+        self._emit(attempt, is_last=is_last)
+        self._work()
+
+    def n_events(self, attempt: BenchAttempt) -> int:
+        """:returns: events that an attempt has yet to write"""
+        n_events = math.ceil(attempt.call.n_answer_tokens / self._figures.stride)
+        return max(1, n_events - attempt.n_delivered)
+
+    def _begin(self, attempt: BenchAttempt) -> None:
+        if attempt.spread is not None:
+            attempt.spread.begin()
+            return
+        call = attempt.call
+        work = PassWork(
+            attempt.attempt_id,
+            n_read_tokens=call.n_prompt_tokens,
+            read_ms=self._figures.read_ms(call.n_prompt_tokens),
+            n_events=self.n_events(attempt),
+            n_context_tokens=call.n_prompt_tokens,
+            n_kv_tokens=call.n_prompt_tokens + call.n_answer_tokens,
+            priority=attempt.dispatch.rank,
+        )
+        self._model.submit(work)
+        self._work()
+
+    def _end(self, attempt_id: str) -> None:
+        spread = self._parts.pop(attempt_id, None)
+        if spread is not None:
+            spread.drop()
+        self._model.cancel(attempt_id)
+
+    def _clear(self) -> None:
+        self._model = PassModel(self._figures)
+        self._is_working = False
+        spreads = list(self._parts.values())
+        self._parts.clear()
+        for spread in spreads:
+            spread.note_broken(self)
+        self._break_groups()
+
+    def _reserve(self, reservation_id: str, n_tokens: int) -> bool:
+        return self._model.reserve(reservation_id, n_tokens)
+
+    def _release(self, reservation_id: str) -> None:
+        self._model.release(reservation_id)
+        self._work()
+
+    def _work(self) -> None:
+        """Start a pass unless one runs; its events appear when it ends."""
+        if self._is_working or self._model.is_idle:
+            return
+        done = self._model.run_pass()
+        if not done.duration_ms:
+            return
+        self._is_working = True
+        duration_ms = done.duration_ms * self.slow_factor
+        self.busy_ms += duration_ms
+        incarnation = self.incarnation
+        self._events.after(duration_ms, lambda: self._finish(done, incarnation))
+
+    def _finish(self, done: Pass, incarnation: str) -> None:
+        if self.is_down or incarnation != self.incarnation:
+            return
+        self._is_working = False
+        for work_id in done.read:
+            spread = self._parts.pop(work_id, None)
+            if spread is not None:
+                spread.note_read()
+        finished = set(done.finished)
+        for attempt_id in done.written:
+            attempt = self._attempts.get(attempt_id)
+            if attempt is not None:
+                self._emit(attempt, is_last=attempt_id in finished)
+        self._work()
+
+    def _emit(self, attempt: BenchAttempt, *, is_last: bool) -> None:
+        if not attempt.has_begun:
+            attempt.has_begun = True
+            attempt.vm.note_execution(attempt)
+            attempt.vm.observe_load(self.report())
+        if is_last:
+            del self._attempts[attempt.attempt_id]
+        if not attempt.is_silent:
+            attempt.vm.receive(attempt, is_last=is_last)
+
+
+__all__ = ("PassEngine",)
--- a/src/quetzaldeck/bench/run.py
+++ b/src/quetzaldeck/bench/run.py
@@ -12,6 +12,9 @@
 from quetzaldeck.bench.call_result import CallResult, Outcome
 from quetzaldeck.bench.event_queue import EventQueue
 from quetzaldeck.bench.fault import FaultKind
+from quetzaldeck.bench.load_sharing import LoadSharing
+from quetzaldeck.bench.model_engine import ModelEngine
+from quetzaldeck.bench.pass_engine import PassEngine
 from quetzaldeck.bench.probed_admission import ProbedAdmission
 from quetzaldeck.bench.run_result import RunResult
 from quetzaldeck.bench.submission import CallState
@@ -22,6 +25,7 @@
     from quetzaldeck.bench.bench_upstream import BenchUpstream
     from quetzaldeck.bench.fault import Fault
     from quetzaldeck.bench.scenario import Scenario
+    from quetzaldeck.bundle import UpstreamSpec
     from quetzaldeck.decisions import LoadReport
     from quetzaldeck.decisions.limits import UsageNews
     from quetzaldeck.decisions.poison import CrashSighting
@@ -47,12 +51,10 @@
         self._results: dict[str, CallResult] = {}
         self._states = {call.call_id: CallState(call) for call in scenario.calls}
         self._leaving: set[str] = set()
-        self._has_reports = True
+        self._has_reports = scenario.shape.figures is None
         bundle = scenario.build_bundle()
-        self._upstreams: dict[str, BenchUpstream] = {
-            spec.name: (BenchEngine if spec.kind == "engine" else BenchService)(
-                spec, scenario.shape, self._events
-            )
+        self._upstreams = {
+            spec.name: _kind_of(spec)(spec, scenario.shape, self._events)
             for spec in bundle.upstreams
         }
         self._vms = [self._build_vm(index) for index in range(scenario.shape.n_vms)]
@@ -70,6 +72,9 @@
                 self._events.at(fault.until_ms, partial(self._end, fault))
         end_ms = self._end_ms()
         self._report()
+        if self._scenario.shape.figures is not None:
+            latency_ms = self._scenario.shape.latency_ms
+            LoadSharing(self._vms, self._events, latency_ms=latency_ms).begin()
         last_ms = max((call.at_ms for call in self._scenario.calls), default=0.0)
         self._events.run(last_ms)
         utilisation = self._utilisation(last_ms)
@@ -109,6 +114,7 @@
             clock=self._events.clock,
             random_state=random.Random(self._scenario.random_state * 1_000 + index),
             availability_zone=zone,
+            groups=shape.groups,
         )
         return BenchVm(
             f"vm-{index}",
@@ -118,6 +124,8 @@
             self._events,
             latency_ms=shape.latency_ms,
             on_end=self._take_end,
+            groups=shape.groups,
+            watches_silence=shape.figures is not None,
         )
 
     def _send(self, state: CallState) -> None:
@@ -169,6 +177,7 @@
             submitted_ms=tuple(state.submitted_ms),
             retry_after_ms=None if failure is None else failure.retry_after_ms,
             upstreams=state.upstreams,
+            longest_gap_ms=state.longest_gap_ms,
         )
 
     def _report(self) -> None:
@@ -244,8 +253,8 @@
             case FaultKind.SILENT:
                 pass
 
-    def _list_engines(self) -> list[BenchEngine]:
-        return [u for u in self._upstreams.values() if isinstance(u, BenchEngine)]
+    def _list_engines(self) -> list[ModelEngine]:
+        return [u for u in self._upstreams.values() if isinstance(u, ModelEngine)]
 
     def _list_vms(self, zone: str) -> list[BenchVm]:
         return [vm for vm in self._vms if vm.availability_zone == zone]
@@ -261,4 +270,10 @@
         return sum(engine.busy_ms for engine in engines) / (len(engines) * now_ms)
 
 
+def _kind_of(spec: UpstreamSpec) -> type[BenchUpstream]:
+    if spec.kind == "service":
+        return BenchService
+    return BenchEngine if spec.figures is None else PassEngine
+
+
 __all__ = ("run_scenario",)
--- a/src/quetzaldeck/bench/scenario.py
+++ b/src/quetzaldeck/bench/scenario.py
@@ -15,6 +15,8 @@
     UpstreamSpec,
     Weights,
 )
+from quetzaldeck.bundle.engine_figures import EngineFigures
+from quetzaldeck.decisions.groups import GroupBounds
 from quetzaldeck.engine_model import EngineProfile
 
 MODEL = "plan-writer"
@@ -36,6 +38,10 @@
     :param latency_ms: one way between a VM and an upstream
     :param news_lag_ms: time in which news of one VM reach the others
     :param idle_ms: how long a VM waits on a silent connection
+    :param figures: speed and size of engines that work in passes and read prompts in
+        parts, as on the users' platform; they send no reports, VMs tell each other
+        their loads. ``None``: engines that batch continuously, by ``engine``
+    :param groups: how memory is set aside for prompts above one engine's
     """
 
     n_vms: int = 7
@@ -50,6 +56,13 @@
     news_lag_ms: float = 400.0
     idle_ms: float = 3_000.0
     zones: tuple[str, ...] = ZONES
+    figures: EngineFigures | None = None
+    groups: GroupBounds = GroupBounds()
+
+    @property
+    def kv_tokens(self) -> int:
+        """:returns: memory of an engine"""
+        return self.figures.kv_tokens if self.figures else self.engine.kv_tokens
 
 
 class Scenario(NamedTuple):
@@ -82,7 +95,9 @@
                 f"http://127.0.0.1:{10_000 + index}",
                 availability_zone=zones[index % len(zones)],
                 models=(MODEL,),
-                kv_tokens=shape.engine.kv_tokens,
+                kv_tokens=shape.kv_tokens,
+                max_requests=shape.figures.n_slots if shape.figures else 0,
+                figures=shape.figures,
             )
             for index in range(shape.n_engines)
         )
--- a/src/quetzaldeck/bench/submission.py
+++ b/src/quetzaldeck/bench/submission.py
@@ -16,6 +16,8 @@
     def __init__(self, call: Call) -> None:
         self.call = call
         self.first_token_ms: float | None = None
+        self.heard_ms = 0.0
+        self.longest_gap_ms = 0.0
         self.n_executions = 0
         self.submitted_ms: list[float] = []
         self.upstreams: tuple[str, ...] = ()
@@ -25,6 +27,14 @@
         """:returns: first submission and resends so far"""
         return len(self.submitted_ms)
 
+    def note_token(self, now_ms: float) -> None:
+        """Take a token that the caller hears."""
+        if self.first_token_ms is None:
+            self.first_token_ms = now_ms
+        else:
+            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - self.heard_ms)
+        self.heard_ms = now_ms
+
 
 class Submission:
     """One submission of a call to one VM."""
--- a/src/quetzaldeck/decisions/policies.py
+++ b/src/quetzaldeck/decisions/policies.py
@@ -6,6 +6,7 @@
 
 from quetzaldeck.config.option import Option
 from quetzaldeck.decisions.admission import admission_policies
+from quetzaldeck.decisions.groups import GroupBounds
 from quetzaldeck.decisions.head_of_line import head_of_line_policies
 from quetzaldeck.decisions.placement import placement_policies
 from quetzaldeck.decisions.queueing import queue_policies
@@ -15,7 +16,6 @@
     import random
 
     from quetzaldeck.clock import Clock
-    from quetzaldeck.decisions.groups import GroupBounds
     from quetzaldeck.decisions.retries import ArrivalBudget
 
 
@@ -31,6 +31,13 @@
 BASELINE_ROUND_ROBIN = Policies("fifo", "round_robin", "bounds", "none")
 BASELINE_LEAST_REPORTED = Policies("fifo", "least_reported", "bounds", "none")
 
+ENTRY_POLICIES = Policies("fair", "first_token", "predicted_wait", "reading_lane")
+"""What decides on an entry VM, whose engines state their speed and read in parts."""
+
+ENTRY_GROUPS = GroupBounds(prefers_zone=False, min_members=6, max_wait_ms=300.0)
+"""Orders cost little, and memory that is refused costs a caller of a long prompt its
+answer. Waiting for one member is left for other members that have room."""
+
 
 def build_scheduler(
     policies: Policies,
@@ -63,6 +70,8 @@
 __all__ = (
     "BASELINE_LEAST_REPORTED",
     "BASELINE_ROUND_ROBIN",
+    "ENTRY_GROUPS",
+    "ENTRY_POLICIES",
     "Policies",
     "build_scheduler",
 )
--- a/src/quetzaldeck/engine_model/__init__.py
+++ b/src/quetzaldeck/engine_model/__init__.py
@@ -1,9 +1,19 @@
-"""Cost model of a model engine, shared by the stand-in and the bench."""
+"""Cost models of a model engine: continuous batching, and work in passes."""
 
 from __future__ import annotations
 
 from quetzaldeck.engine_model.engine import EngineModel, Step
+from quetzaldeck.engine_model.pass_model import Pass, PassModel
+from quetzaldeck.engine_model.pass_work import PassWork
 from quetzaldeck.engine_model.profile import EngineProfile
 from quetzaldeck.engine_model.sequence import Sequence
 
-__all__ = ("EngineModel", "EngineProfile", "Sequence", "Step")
+__all__ = (
+    "EngineModel",
+    "EngineProfile",
+    "Pass",
+    "PassModel",
+    "PassWork",
+    "Sequence",
+    "Step",
+)
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from quetzaldeck.decisions.load_changes import LoadChanges
 from quetzaldeck.decisions.poison import CrashSighting
-from quetzaldeck.entry.peers.load_changes import LoadChanges
 from quetzaldeck.entry.peers.messages import (
     CrashNews,
     PeerNews,
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -9,8 +9,11 @@
 import aiohttp
 
 from quetzaldeck.belief import FleetBelief
-from quetzaldeck.decisions.groups import GroupBounds
-from quetzaldeck.decisions.policies import Policies, build_scheduler
+from quetzaldeck.decisions.policies import (
+    ENTRY_GROUPS,
+    ENTRY_POLICIES,
+    build_scheduler,
+)
 from quetzaldeck.decisions.retries import ArrivalBudget
 from quetzaldeck.entry.belief_sources import BeliefSources
 from quetzaldeck.entry.belief_task import BeliefTask
@@ -30,12 +33,6 @@
     from quetzaldeck.entry.peers import BeliefFeed
     from quetzaldeck.entry.settings import EntrySettings
 
-ENTRY_POLICIES = Policies("fair", "first_token", "predicted_wait", "reading_lane")
-
-ENTRY_GROUPS = GroupBounds(prefers_zone=False, min_members=6, max_wait_ms=300.0)
-"""Orders cost little, and memory that is refused costs a caller of a long prompt its
-answer. Waiting for one member is left for other members that have room."""
-
 
 class EntrySession(SessionBase[EntryState]):
     """Builds the scheduler from the settings and runs the VM's tasks."""
--- a/tests/entry/peers/test_peer_task.py
+++ b/tests/entry/peers/test_peer_task.py
@@ -14,9 +14,9 @@
 from tests.support.platform.site import PLAN_PATH, run_site
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
+from quetzaldeck.decisions.load_changes import REPEAT_MS, LoadChanges
 from quetzaldeck.decisions.peer_load import UpstreamShare
 from quetzaldeck.entry.peers import PeerTable, PeerTask
-from quetzaldeck.entry.peers.load_changes import REPEAT_MS, LoadChanges
 from quetzaldeck.entry.peers.messages import (
     PeerNews,
     build_load_news,
--- a/tests/support/builders.py
+++ b/tests/support/builders.py
@@ -9,7 +9,7 @@
 from quetzaldeck.bundle.engine_figures import EngineFigures
 from quetzaldeck.decisions import Dispatch, LoadReport, Request, Scheduler
 from quetzaldeck.decisions.placement import FewChoices
-from quetzaldeck.decisions.policies import Policies, build_scheduler
+from quetzaldeck.decisions.policies import ENTRY_POLICIES, build_scheduler
 from quetzaldeck.decisions.queueing import FifoQueue
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
@@ -82,7 +82,6 @@
     return scheduler
 
 
-ENTRY_POLICIES = Policies("fair", "first_token", "predicted_wait", "reading_lane")
 FEW_SLOTS = EngineFigures(n_slots=4, kv_tokens=120_000, tokens_per_ms=90.0)
 """Engines that are full sooner than those of the users' sites."""
 
