Ask engines how fast they work, and leave slow ones out

A prompt is read in parts by up to seventeen engines and its first token follows the last part: one slow reader makes each late. VMs judge speed by first tokens of requests that one engine served alone; engines that read parts give none, and the engine that answered got the blame.

Ruled out: learning it from how long prompts in parts took (nearly all engines read parts of nearly all long prompts, so nothing tells them apart); every VM asking every engine (7 to 84 questions an engine and second, each paid for).

Change: one VM asks each engine for its pace once a second, chosen by rendezvous among the VMs of its zone, and tells the others of slow ones; what is older than 3.5 s is forgotten. Slow engines, a third of a pool at most, are left out of answers, parts and groups. The choice of the VM moved out of membership/, which the entry does not load.

--- a/src/quetzaldeck/agent/load_plan.py
+++ b/src/quetzaldeck/agent/load_plan.py
@@ -22,7 +22,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from quetzaldeck.membership.rendezvous import choose_owner
+from quetzaldeck.rendezvous import choose_owner
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/quetzaldeck/bench/run.py
+++ b/src/quetzaldeck/bench/run.py
@@ -31,6 +31,9 @@
     from quetzaldeck.decisions.poison import CrashSighting
     from quetzaldeck.outcomes import Failure
 
+PACE_INTERVAL_MS = 1_000.0
+"""Time between two questions for the pace of an engine."""
+
 
 def run_scenario(scenario: Scenario, policies: Policies | None = None) -> RunResult:
     """Run a scenario to its end; the same arguments give the same result.
@@ -75,6 +78,7 @@
         if self._scenario.shape.figures is not None:
             latency_ms = self._scenario.shape.latency_ms
             LoadSharing(self._vms, self._events, latency_ms=latency_ms).begin()
+            self._ask_paces()
         last_ms = max((call.at_ms for call in self._scenario.calls), default=0.0)
         self._events.run(last_ms)
         utilisation = self._utilisation(last_ms)
@@ -189,6 +193,22 @@
         self._spread_news()
         self._events.after(shape.report_interval_ms, self._report)
 
+    def _ask_paces(self) -> None:
+        """Read the pace of every engine now; the VMs know it one lag later."""
+        paces = [
+            (engine.spec.name, engine.slow_factor)
+            for engine in self._list_engines()
+            if not engine.is_down
+        ]
+        lag_ms = self._scenario.shape.report_lag_ms
+        self._events.after(lag_ms, partial(self._take_paces, paces))
+        self._events.after(PACE_INTERVAL_MS, self._ask_paces)
+
+    def _take_paces(self, paces: list[tuple[str, float]]) -> None:
+        for vm in self._vms:
+            if not vm.is_down:
+                vm.scheduler.fleet.observe_paces(paces)
+
     def _spread_news(self) -> None:
         """Let each VM tell the others what it saw of crashes and what it uses."""
         for vm in self._vms:
--- a/src/quetzaldeck/claims/groups.py
+++ b/src/quetzaldeck/claims/groups.py
@@ -11,7 +11,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.membership.rendezvous import rank_members
+from quetzaldeck.rendezvous import rank_members
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -72,6 +72,14 @@
                 state.peers.take(vm, share, now_ms)
         self._waiting.note_room()
 
+    def observe_paces(self, paces: Iterable[tuple[str, float]]) -> None:
+        """Take how fast engines say that they are."""
+        now_ms = self._clock.now_ms()
+        for name, pace in paces:
+            state = self._table.get(name)
+            if state is not None:
+                state.pace.note(pace, now_ms)
+
     def observe_cache(self, events: CacheEvents) -> None:
         """Take events of an engine's prefix cache."""
         self._policy.note_cache_events(events)
--- /dev/null
+++ b/src/quetzaldeck/decisions/pace_watch.py
@@ -0,0 +1,73 @@
+"""Which VM asks which engine for its pace, and what the others are told.
+
+Load pattern: hundreds of VMs before hundreds of engines. If each VM asked each engine
+once a second, an engine would be asked as often as there are VMs, and each question is
+paid for. So each engine is asked by one VM: all VMs rank those that they know of by a
+hash with the engine's name, and agree without a message. VMs of the engine's own zone
+go first, as bytes between zones are paid for.
+
+Where views differ for a while an engine is asked twice, or by nobody until a VM that
+has died is forgotten; then nothing is known of its pace, and it counts as usual.
+
+Only engines that are slow are told of, once a second while they are, and once when they
+are not any more: at several hundred engines the others would be most of what is told.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.health.pace import SLOW_PACE
+from quetzaldeck.rendezvous import choose_owner
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+MAX_ASKED = 16
+"""Engines that one VM asks at a time. A VM that has lost sight of all others would ask
+every engine there is."""
+
+
+class PaceWatch:
+    """The questions that fall to one VM.
+
+    :param own: this VM's address
+    """
+
+    def __init__(self, own: str) -> None:
+        self._own = own
+        self._told: set[str] = set()
+
+    def choose_asked(
+        self,
+        engines: Mapping[str, str],
+        zone_vms: Mapping[str, Sequence[str]],
+    ) -> list[str]:
+        """:returns: the engines that this VM asks now
+
+        :param engines: availability zone by name of the engine
+        :param zone_vms: addresses of all known VMs, this one among them, by zone
+        """
+        everyone = [vm for vms in zone_vms.values() for vm in vms]
+        owned = [
+            name
+            for name, zone in engines.items()
+            if choose_owner(name, zone_vms.get(zone) or everyone) == self._own
+        ]
+        return sorted(owned)[:MAX_ASKED]
+
+    def choose_told(self, paces: Iterable[tuple[str, float]]) -> dict[str, float]:
+        """:returns: of what was just asked, what the other VMs are told"""
+        told: dict[str, float] = {}
+        for name, pace in paces:
+            is_slow = pace >= SLOW_PACE
+            if is_slow or name in self._told:
+                told[name] = pace
+            if is_slow:
+                self._told.add(name)
+            else:
+                self._told.discard(name)
+        return told
+
+
+__all__ = ("MAX_ASKED", "PaceWatch")
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -11,6 +11,7 @@
 
 from quetzaldeck.decisions.groups import GroupPlanner
 from quetzaldeck.decisions.health import list_usable
+from quetzaldeck.decisions.health.pace import list_fast
 from quetzaldeck.decisions.health.partial import list_sound
 from quetzaldeck.decisions.memory import InFlight
 from quetzaldeck.decisions.placement.apart import SuspectPlaces
@@ -212,7 +213,8 @@
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, avoided, now_ms)
         if self._plans.is_needed(request, pool):
-            lane = self._head_of_line.restrict_helpers(request, pool, now_ms)
+            fast = list_fast(pool, pool, now_ms)
+            lane = self._head_of_line.restrict_helpers(request, fast, now_ms)
             plan = self._plans.plan(request, lane, now_ms, avoided)
             plan = plan or self._plans.plan(request, pool, now_ms, avoided)
             if plan is not None:
@@ -229,7 +231,8 @@
         avoided: Sequence[str],
         now_ms: float,
     ) -> tuple[str, ...]:
-        lane = self._head_of_line.restrict_helpers(request, pool, now_ms)
+        fast = list_fast(pool, pool, now_ms)
+        lane = self._head_of_line.restrict_helpers(request, fast, now_ms)
         fresh = [state for state in lane if state.spec.name not in avoided]
         return self._policy.choose_helpers(request, chosen, fresh, now_ms)
 
@@ -284,6 +287,7 @@
         if not candidates:
             return None
         candidates = list_sound(candidates, pool, now_ms)
+        candidates = list_fast(candidates, pool, now_ms)
         fresh = [state for state in candidates if state.spec.name not in avoided]
         return self._head_of_line.restrict(request, fresh or candidates, now_ms)
 
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -6,6 +6,7 @@
 
 from quetzaldeck.decisions.health import UpstreamHealth, rate_latency
 from quetzaldeck.decisions.health.outcomes import OutcomeCount, Outcomes
+from quetzaldeck.decisions.health.pace import Pace
 from quetzaldeck.decisions.memory import InFlight, MemoryLedger
 from quetzaldeck.decisions.peer_load import PeerLoad, UpstreamShare
 
@@ -35,6 +36,7 @@
         self.ledger = MemoryLedger()
         self.peers = PeerLoad()
         self.outcomes = OutcomeCount()
+        self.pace = Pace()
 
     @property
     def incarnation(self) -> str:
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -93,6 +93,14 @@
             failing.update(find_failing(pool, now_ms))
         return failing
 
+    def find_slow(self, now_ms: float) -> dict[str, float]:
+        """:returns: engines that say that they are slow, with their pace"""
+        return {
+            name: state.pace.at(now_ms)
+            for name, state in self._states.items()
+            if state.pace.is_slow(now_ms)
+        }
+
     def longest_unread_ms(self, names: Iterable[str], now_ms: float) -> float:
         """:returns: time that the busiest of some engines needs for its prompts"""
         states = (self.get(name) for name in names)
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -35,6 +35,7 @@
     :param vm: id of the sender and of its run: a VM that starts again is another one
     :param availability_zone: the sender's; ``""`` in news of loads and crashes
     :param known: by availability zone, addresses that the sender heard lately
+    :param paces: by name, engines that are slow, or were when they were told of last
     """
 
     vm: str
@@ -42,6 +43,7 @@
     known: dict[str, tuple[str, ...]] = {}
     loads: tuple[LoadNews, ...] = ()
     crashes: tuple[CrashNews, ...] = ()
+    paces: dict[str, float] = {}
 
 
 N_DIGITS = 2
--- a/src/quetzaldeck/entry/peers/table.py
+++ b/src/quetzaldeck/entry/peers/table.py
@@ -42,6 +42,13 @@
         """:returns: VMs that were heard or heard of lately"""
         return tuple(self._heard_ms.keys() | self._told_ms.keys())
 
+    def list_by_zone(self) -> dict[str, list[str]]:
+        """:returns: the VMs by availability zone, ``""`` for those of an unknown one"""
+        zones: dict[str, list[str]] = {}
+        for address in self.addresses:
+            zones.setdefault(self._zones.get(address, ""), []).append(address)
+        return zones
+
     def list_zone(self, availability_zone: str) -> tuple[str, ...]:
         """:returns: the VMs of one availability zone"""
         return tuple(
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -17,11 +17,15 @@
     encode_news,
     read_load_news,
 )
-from quetzaldeck.gateway.messages import ObserveCrashes, ObservePeerLoad
+from quetzaldeck.gateway.messages import (
+    ObserveCrashes,
+    ObservePaces,
+    ObservePeerLoad,
+)
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from quetzaldeck.decisions.peer_load import UpstreamShare
     from quetzaldeck.entry.peers.table import PeerTable
@@ -87,6 +91,13 @@
             return
         await asyncio.sleep(TICK_MS / 1_000)
 
+    def tell_paces(self, paces: Mapping[str, float]) -> None:
+        """Tell all other VMs how fast some engines are."""
+        names = sorted(paces)
+        for begin in range(0, len(names), N_LOADS):
+            part = {name: paces[name] for name in names[begin : begin + N_LOADS]}
+            self._send_all(PeerNews(self._vm, paces=part))
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a datagram; one that is none of ours changes nothing."""
         try:
@@ -113,6 +124,8 @@
                 for c in news.crashes
             )
             self._state.dispatch.send(ObserveCrashes(crashes))
+        if news.paces:
+            self._state.dispatch.send(ObservePaces(tuple(news.paces.items())))
 
     def error_received(self, exc: Exception) -> None:
         """Note that a VM does not listen; it may come back, or will be forgotten."""
@@ -143,9 +156,7 @@
 
     def _tell(self, now_ms: float) -> None:
         for news in self._list_news(now_ms):
-            data = encode_news(news)
-            for address in self._table.addresses:
-                self._send(data, address)
+            self._send_all(news)
 
     def _list_news(self, now_ms: float) -> Iterator[PeerNews]:
         shares = self._state.dispatch.list_shares()
@@ -161,6 +172,11 @@
         for begin in range(0, len(loads), N_LOADS):
             yield PeerNews(self._vm, loads=tuple(loads[begin : begin + N_LOADS]))
 
+    def _send_all(self, news: PeerNews) -> None:
+        data = encode_news(news)
+        for address in self._table.addresses:
+            self._send(data, address)
+
     def _send(self, data: bytes, address: str) -> None:
         if self._transport is not None:
             self._transport.sendto(data, (address, self._port))
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -17,13 +17,19 @@
 from quetzaldeck.decisions.retries import ArrivalBudget
 from quetzaldeck.entry.belief_sources import BeliefSources
 from quetzaldeck.entry.belief_task import BeliefTask
+from quetzaldeck.entry.pace_task import PaceTask
 from quetzaldeck.entry.peers import PeerTable, PeerTask
 from quetzaldeck.entry.state import EntryState, build_belief_bounds
 from quetzaldeck.entry.upstream_client import UpstreamClient
 from quetzaldeck.gateway.dispatch_task import DispatchTask
 from quetzaldeck.gateway.session_base import SessionBase
 from quetzaldeck.http import parse_listen_address
-from quetzaldeck.platform import CALL_ID, PlatformStore, ReplicaOrders
+from quetzaldeck.platform import (
+    CALL_ID,
+    PlatformStore,
+    ReplicaOrders,
+    ReplicaReports,
+)
 from quetzaldeck.tasks import run_tasks
 from quetzaldeck.telemetry import log_event
 
@@ -78,19 +84,29 @@
             group_bounds=ENTRY_GROUPS,
         )
         self._table = self._build_table()
+        peer_task = self._build_peer_task(self._table)
         if self._settings.peer_port:
-            await self._stack.enter_async_context(run_tasks(self._run_peers()))
+            run = peer_task.run(self._own_host)
+            await self._stack.enter_async_context(run_tasks(run))
         store = PlatformStore(client, self._settings.store_address)
         peers = await self._stack.enter_async_context(aiohttp.ClientSession())
         self._sources = BeliefSources(
             self._state, store, peers, self._table, own=self._own_host
         )
         belief = BeliefTask(self._state, self._sources)
+        paces = PaceTask(
+            self._state,
+            ReplicaReports(upstreams),
+            self._table,
+            peer_task.tell_paces,
+            own=self._own_host,
+        )
         await self._stack.enter_async_context(
             run_tasks(
                 dispatch.run(),
                 belief.run(),
                 belief.run_expiry(),
+                paces.run(),
                 self._state.releases.run(),
             )
         )
@@ -109,12 +125,9 @@
         random_state = self.state.random_state
         return PeerTable(self._own_host, seeds, random_state=random_state)
 
-    async def _run_peers(self) -> None:
-        assert self._table is not None
+    def _build_peer_task(self, table: PeerTable) -> PeerTask:
         vm = f"{self._settings.vm}/{uuid.uuid4().hex[:8]}"
-        port = self._settings.peer_port
-        task = PeerTask(self.state, self._table, vm=vm, port=port)
-        await task.run(self._own_host)
+        return PeerTask(self.state, table, vm=vm, port=self._settings.peer_port)
 
     def _build_scheduler(self) -> Scheduler:
         bounds = self._settings.bounds
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -19,6 +19,7 @@
     ObserveCache,
     ObserveCrashes,
     ObserveLoad,
+    ObservePaces,
     ObservePeerLoad,
     ObserveUsage,
     Submit,
@@ -153,7 +154,7 @@
                 self._scheduler.apply_bundle(message.bundle)
             case Observe():
                 self._observe(message)
-            case ObserveLoad() | ObservePeerLoad():
+            case ObserveLoad() | ObservePeerLoad() | ObservePaces():
                 self._take_load(message)
             case ObserveCache() | ObserveCrashes() | ObserveUsage():
                 self._take_news(message)
@@ -174,13 +175,15 @@
                 )
                 _reply(message.reply, verdict)
 
-    def _take_load(self, message: ObserveLoad | ObservePeerLoad) -> None:
+    def _take_load(self, message: ObserveLoad | ObservePeerLoad | ObservePaces) -> None:
         """Take what an upstream or another VM tells of load."""
         match message:
             case ObserveLoad():
                 self._scheduler.fleet.observe_load(message.report)
             case ObservePeerLoad():
                 self._scheduler.fleet.observe_peer(message.vm, message.shares)
+            case ObservePaces():
+                self._scheduler.fleet.observe_paces(message.paces)
 
     def _take_news(self, message: ObserveCache | ObserveCrashes | ObserveUsage) -> None:
         """Take what engines and other VMs tell."""
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -83,6 +83,12 @@
     shares: tuple[tuple[str, UpstreamShare], ...]
 
 
+class ObservePaces(NamedTuple):
+    """How many times longer than stated the work of some engines takes."""
+
+    paces: tuple[tuple[str, float], ...]
+
+
 class ObserveUsage(NamedTuple):
     """Another VM's usage of a customer's limits."""
 
@@ -112,6 +118,7 @@
     | ApplyBundle
     | Observe
     | ObserveLoad
+    | ObservePaces
     | ObservePeerLoad
     | ObserveCache
     | ObserveCrashes
@@ -129,6 +136,7 @@
     "ObserveCache",
     "ObserveCrashes",
     "ObserveLoad",
+    "ObservePaces",
     "ObservePeerLoad",
     "ObserveUsage",
     "Submit",
--- a/src/quetzaldeck/membership/__init__.py
+++ b/src/quetzaldeck/membership/__init__.py
@@ -31,10 +31,10 @@
 from __future__ import annotations
 
 from quetzaldeck.membership.membership import Membership
-from quetzaldeck.membership.rendezvous import choose_owner, rank_members
 from quetzaldeck.membership.settings import MembershipSettings
 from quetzaldeck.membership.update import MemberUpdate
 from quetzaldeck.membership.view import Member, MembershipView, MemberState
+from quetzaldeck.rendezvous import choose_owner, rank_members
 
 __all__ = (
     "Member",
--- a/src/quetzaldeck/platform/__init__.py
+++ b/src/quetzaldeck/platform/__init__.py
@@ -10,12 +10,14 @@
     read_call_head,
 )
 from quetzaldeck.platform.orders import ReplicaOrders
+from quetzaldeck.platform.reports import ReplicaReports
 from quetzaldeck.platform.store import PlatformStore
 
 __all__ = (
     "CALL_ID",
     "PlatformStore",
     "ReplicaOrders",
+    "ReplicaReports",
     "build_answer_headers",
     "build_request_headers",
     "read_answer_head",
--- /dev/null
+++ b/src/quetzaldeck/platform/reports.py
@@ -0,0 +1,71 @@
+"""What engines report of themselves when they are asked."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from multidict import CIMultiDict
+
+from quetzaldeck.decisions import AttemptFault
+from quetzaldeck.platform.headers import EXPECTED_REPLICA
+from quetzaldeck.upstreams import UpstreamError
+from quetzaldeck.upstreams.http import translate_faults
+
+if TYPE_CHECKING:
+    from quetzaldeck.entry.upstream_client import UpstreamClient
+    from quetzaldeck.routing import Replica
+
+REPORT_TIMEOUT_MS = 500.0
+"""For an answer that is due in a few milliseconds and needs no slot; less than the time
+between two questions, so that questions do not pile up at an engine that hangs."""
+
+OK_STATUS = 200
+
+
+class _Report(msgspec.Struct, frozen=True):
+    pace: float | None = None
+    """How many times longer than stated its work takes; not every engine tells it."""
+
+
+class ReplicaReports:
+    """Asks engines for reports.
+
+    :param client: the connections to upstreams
+    """
+
+    def __init__(self, client: UpstreamClient) -> None:
+        self._client = client
+
+    async def read_pace(self, replica: Replica) -> float | None:
+        """Ask an engine how fast it works.
+
+        :returns: how many times longer than stated its work takes; ``None`` if it does
+            not say so
+        :raises UpstreamError: if it did not answer as it must
+        """
+        name = replica.replica_id
+        headers = CIMultiDict({EXPECTED_REPLICA: name})
+        async with (
+            translate_faults(name),
+            asyncio.timeout(REPORT_TIMEOUT_MS / 1_000),
+        ):
+            response = await self._client.send(
+                replica.address, "GET", "/report", headers, None
+            )
+            async with response:
+                body = await response.read()
+        if response.status != OK_STATUS:
+            raise _fault(name, f"status {response.status} for a report")
+        try:
+            return msgspec.json.decode(body, type=_Report).pace
+        except msgspec.DecodeError as error:
+            raise _fault(name, f"report: {error}") from error
+
+
+def _fault(name: str, detail: str) -> UpstreamError:
+    return UpstreamError(AttemptFault.BAD_ANSWER, f"{name}: {detail}", upstream=name)
+
+
+__all__ = ("ReplicaReports",)
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -46,6 +46,12 @@
             ["upstream"],
             registry=registry,
         )
+        self.pace_questions = Counter(
+            "quetzaldeck_pace_questions",
+            "Questions to engines for their pace, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
         self.reservations = Counter(
             "quetzaldeck_reservations",
             "Reservations by outcome",
--- /dev/null
+++ b/tests/decisions/test_pace_watch.py
@@ -0,0 +1,54 @@
+"""Each engine is asked for its pace by one VM, whatever the number of VMs."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from quetzaldeck.decisions.pace_watch import MAX_ASKED, PaceWatch
+
+ZONES = {"a": ["10.1.0.1", "10.1.0.2"], "b": ["10.2.0.1", "10.2.0.2", "10.2.0.3"]}
+ENGINES = {f"engine-{n}": "ab"[n % 2] for n in range(30)}
+
+
+def count_asked(zones: dict[str, list[str]]) -> Counter[str]:
+    """:returns: how many VMs ask each engine"""
+    vms = [vm for members in zones.values() for vm in members]
+    asked = [PaceWatch(vm).choose_asked(ENGINES, zones) for vm in vms]
+    return Counter(name for names in asked for name in names)
+
+
+def test_each_engine_is_asked_by_one_vm_of_its_zone() -> None:
+    assert set(count_asked(ZONES).values()) == {1}
+    assert len(count_asked(ZONES)) == len(ENGINES)
+    for vm in ZONES["a"]:
+        asked = PaceWatch(vm).choose_asked(ENGINES, ZONES)
+        assert {ENGINES[name] for name in asked} == {"a"}
+
+
+def test_engines_of_a_zone_without_vms_are_asked_from_others() -> None:
+    """The VMs of a zone lose power; its engines go on."""
+    zones = {"b": ZONES["b"]}
+    assert set(count_asked(zones).values()) == {1}
+    assert len(count_asked(zones)) == len(ENGINES)
+
+
+def test_vm_that_goes_moves_only_its_own_engines() -> None:
+    before = {vm: set(PaceWatch(vm).choose_asked(ENGINES, ZONES)) for vm in ZONES["b"]}
+    smaller = {**ZONES, "b": ZONES["b"][:2]}
+    for vm in smaller["b"]:
+        after = set(PaceWatch(vm).choose_asked(ENGINES, smaller))
+        assert before[vm] <= after
+
+
+def test_vm_that_sees_no_other_asks_a_bounded_number() -> None:
+    asked = PaceWatch("10.1.0.1").choose_asked(ENGINES, {"a": ["10.1.0.1"]})
+    assert len(asked) == MAX_ASKED
+
+
+def test_slow_engine_is_told_of_while_it_is_and_once_after() -> None:
+    watch = PaceWatch("10.1.0.1")
+    assert not watch.choose_told([("e0", 1.0), ("e1", 1.2)])
+    assert watch.choose_told([("e0", 5.0), ("e1", 1.0)]) == {"e0": 5.0}
+    assert watch.choose_told([("e0", 5.0)]) == {"e0": 5.0}
+    assert watch.choose_told([("e0", 1.0)]) == {"e0": 1.0}
+    assert not watch.choose_told([("e0", 1.0)])
--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import struct
 from typing import TYPE_CHECKING, NamedTuple
@@ -108,6 +109,10 @@
         self.arrivals: list[Arrival] = []
         self.n_connections = 0
         self.n_closed = 0
+        self.n_reports = 0
+        self.pace = 1.0
+        self.report: bytes | None = None
+        self.is_silent_on_reports = False
         self.address = ""
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -141,6 +146,9 @@
         try:
             while True:
                 arrival = await read_arrival(reader)
+                if arrival.target == "/report":
+                    await self._report(arrival, connection)
+                    continue
                 self.arrivals.append(arrival)
                 await self.behave(arrival, connection)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -148,6 +156,15 @@
         finally:
             writer.close()
 
+    async def _report(self, arrival: Arrival, connection: Connection) -> None:
+        """Say how fast it is; it needs no slot, so ``behave`` has no part in it."""
+        self.n_reports += 1
+        if self.is_silent_on_reports:
+            await asyncio.sleep(3_600)
+        report = {"stage": "colocated", "queued": 0, "active": 0, "pace": self.pace}
+        body = json.dumps(report).encode() if self.report is None else self.report
+        await connection.answer(arrival, body=body)
+
 
 async def read_arrival(reader: asyncio.StreamReader) -> Arrival:
     """:returns: the next request on a connection"""
