Tell a large fleet of more work at once, and of less a moment later

With 84 VMs each change of a VM's load goes to 83 others: dispatch, first token, end and repeats of each request, about 25,000 datagrams a second by count of requests, for little over a request a second at each VM.

Ruled out: a longer pause before telling (a VM has few changes, hardly two fall into one pause); telling only some VMs (all place on the same engines). First try: all that is less waits up to 250 ms.

Change: more work, and the end of a part, is told at once; less of other kinds waits 4 ms for each VM above eight, 250 ms at most, and travels with the next news. Loads that hold are repeated each two seconds and forgotten after 4.5 s.

--- a/src/quetzaldeck/bench/load_sharing.py
+++ b/src/quetzaldeck/bench/load_sharing.py
@@ -37,7 +37,9 @@
         now_ms = self._events.now_ms
         for vm in self._vms:
             if not vm.is_down:
-                changed = self._changes[vm.name].take(vm.list_shares(), now_ms)
+                changed = self._changes[vm.name].take(
+                    vm.list_shares(), now_ms, len(self._vms) - 1
+                )
                 if changed:
                     deliver = partial(self._deliver, vm, changed)
                     self._events.after(self._latency_ms, deliver)
--- a/src/quetzaldeck/decisions/load_changes.py
+++ b/src/quetzaldeck/decisions/load_changes.py
@@ -1,4 +1,17 @@
-"""What has changed of this VM's load since the others were told."""
+"""What has changed of this VM's load, and which of it the others are told now.
+
+Load pattern: 84 VMs before 54 engines, each with little more than a request a second.
+What one VM tells goes to all others, so that four messages a request were some 30,000
+datagrams a second over the fleet: most of what all VMs did.
+
+More work at an upstream is told at once: whoever does not know of it places more there.
+So is the end of a part of a long prompt: an engine that seems to read one still is left
+out by the next, which is then read by fewer (histories took 540 ms in place of 380 to
+their first token). Less work of other kinds, and what came of requests, may wait for a
+moment and travel with the next news, the longer the more VMs there are to be told. An
+engine that seems to have a short prompt more to read for a quarter of a second is
+chosen as often as before.
+"""
 
 from __future__ import annotations
 
@@ -12,9 +25,20 @@
 IDLE = UpstreamShare()
 """What others believe of an upstream that they were told nothing of."""
 
-REPEAT_MS = 1_000.0
+REPEAT_MS = 2_000.0
 """Pause after which loads that did not change are told again; see ``FORGET_MS`` of the
-peer load, which allows for one lost message."""
+peer load, which allows for one lost message. Most answers of short prompts are over
+before it."""
+
+N_FEW_PEERS = 8
+"""Up to so many VMs are told everything at once: that costs little."""
+
+LAZY_MS_PER_PEER = 4.0
+"""Time for which less work may go untold, for each further VM that is to be told."""
+
+MAX_LAZY_MS = 250.0
+"""Longest time for that. A short prompt is read within it, and an answer takes several
+times as long."""
 
 
 class LoadChanges:
@@ -22,22 +46,60 @@
 
     def __init__(self) -> None:
         self._told: dict[str, tuple[float, UpstreamShare]] = {}
+        self._lazy_since_ms: float | None = None
+
+    @property
+    def has_untold(self) -> bool:
+        """:returns: whether something waits to be told"""
+        return self._lazy_since_ms is not None
 
     def take(
-        self, shares: Iterable[tuple[str, UpstreamShare]], now_ms: float
+        self,
+        shares: Iterable[tuple[str, UpstreamShare]],
+        now_ms: float,
+        n_peers: int = 1,
     ) -> list[tuple[str, UpstreamShare]]:
-        """:returns: upstreams of which the others should be told, with their loads"""
+        """Choose what is told now; what waited travels with what is urgent.
+
+        :param n_peers: VMs that are told
+        :returns: upstreams of which the others should be told, with their loads
+        """
+        changed, is_urgent = self._list_changed(shares, now_ms)
+        if not changed:
+            self._lazy_since_ms = None
+            return []
+        if self._lazy_since_ms is None:
+            self._lazy_since_ms = now_ms
+        waited_ms = now_ms - self._lazy_since_ms
+        if not is_urgent and waited_ms < lazy_ms(n_peers):
+            return []
+        self._lazy_since_ms = None
+        for upstream, share in changed:
+            self._told[upstream] = (now_ms, share)
+        return changed
+
+    def _list_changed(
+        self, shares: Iterable[tuple[str, UpstreamShare]], now_ms: float
+    ) -> tuple[list[tuple[str, UpstreamShare]], bool]:
         changed = []
+        is_urgent = False
         for upstream, share in shares:
-            told_ms, told = self._told.get(upstream, (0.0, None))
+            told_ms, told = self._told.get(upstream, (now_ms, IDLE))
             is_due = share.has_load and now_ms - told_ms >= REPEAT_MS
             if share == told and not is_due:
                 continue
-            if told is None and share == IDLE:
-                continue
-            self._told[upstream] = (now_ms, share)
             changed.append((upstream, share))
-        return changed
+            is_urgent = is_urgent or is_due or _is_urgent(share, told)
+        return changed, is_urgent
+
+
+def _is_urgent(share: UpstreamShare, told: UpstreamShare) -> bool:
+    return share.exceeds(told) or share.n_parts < told.n_parts
+
+
+def lazy_ms(n_peers: int) -> float:
+    """:returns: time for which less work may go untold"""
+    return min(MAX_LAZY_MS, max(0, n_peers - N_FEW_PEERS) * LAZY_MS_PER_PEER)
 
 
-__all__ = ("REPEAT_MS", "LoadChanges")
+__all__ = ("REPEAT_MS", "LoadChanges", "lazy_ms")
--- a/src/quetzaldeck/decisions/peer_load.py
+++ b/src/quetzaldeck/decisions/peer_load.py
@@ -17,9 +17,9 @@
 
 from quetzaldeck.decisions.health.outcomes import OutcomeCount, Outcomes
 
-FORGET_MS = 2_500.0
-"""Age at which what a VM told is forgotten: it repeats itself each second, and may lose
-a message."""
+FORGET_MS = 4_500.0
+"""Age at which what a VM told is forgotten: it repeats itself each two seconds, and may
+lose a message. What a VM that died had at upstreams counts for that long."""
 
 FORGET_OUTCOMES = 0.05
 """Requests that count for less than this are forgotten, with the VM that told them."""
@@ -46,6 +46,10 @@
         """:returns: whether anything of the VM is there now"""
         return any(self[:4])
 
+    def exceeds(self, other: UpstreamShare) -> bool:
+        """:returns: whether there is more work here in any respect than in ``other``"""
+        return any(own > told for own, told in zip(self[:4], other[:4], strict=True))
+
 
 class PeerLoad:
     """Shares of the other VMs in one upstream."""
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from quetzaldeck.decisions.load_changes import LoadChanges
+from quetzaldeck.decisions.load_changes import LoadChanges, lazy_ms
 from quetzaldeck.decisions.poison import CrashSighting
 from quetzaldeck.entry.peers.messages import (
     CrashNews,
@@ -83,9 +83,12 @@
             transport.close()
 
     async def _wait(self) -> None:
-        """Wait for news, or for the time to greet and to repeat."""
+        """Wait for news, or for the time to greet, to repeat and to tell old news."""
+        wait_ms = GREET_MS
+        if self._changes.has_untold:
+            wait_ms = min(wait_ms, lazy_ms(len(self._table)))
         try:
-            async with asyncio.timeout(GREET_MS / 1_000):
+            async with asyncio.timeout(wait_ms / 1_000):
                 await self._state.dispatch.wait_for_load_news()
         except TimeoutError:
             return
@@ -160,7 +163,8 @@
 
     def _list_news(self, now_ms: float) -> Iterator[PeerNews]:
         shares = self._state.dispatch.list_shares()
-        yield from self._pack_loads(self._changes.take(shares, now_ms))
+        n_peers = len(self._table)
+        yield from self._pack_loads(self._changes.take(shares, now_ms, n_peers))
         for sightings in self._state.dispatch.take_crash_news():
             crashes = tuple(CrashNews(*sighting) for sighting in sightings)
             yield PeerNews(self._vm, crashes=crashes)
