Log renewals of memory that get no answer

Cause: an engine that does not answer the renewal of a prompt's memory was passed over without a line; when the memory lapses two renewals later the engine cuts the request off, and nothing in the logs says why.

Ruled out: ending the attempt at once (two of three renewals may be lost by design).

Change: memory_not_renewed, with the reservation, the engine and the error. A test breaks off each second renewal; it fails without the line. A test of the lines for slow engines.

--- a/src/quetzaldeck/entry/memory.py
+++ b/src/quetzaldeck/entry/memory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from quetzaldeck.entry.send_terms import Helper
@@ -112,8 +111,22 @@
             members = zip(self._plan.upstreams, self._plan.reserved_tokens, strict=True)
             for name, n_tokens in members:
                 if self._reservation.has_asked(name):
-                    with suppress(UpstreamError):
-                        await self._ask(name, n_tokens)
+                    await self._renew_one(name, n_tokens)
+
+    async def _renew_one(self, name: str, n_tokens: int) -> None:
+        """Ask a member for more time; if it does not answer, the next round asks again.
+
+        The request goes on meanwhile: two of three renewals within a hold may be lost.
+        """
+        try:
+            await self._ask(name, n_tokens)
+        except UpstreamError as error:
+            log_event(
+                "memory_not_renewed",
+                reservation=self._reservation_id,
+                upstream=name,
+                error=error,
+            )
 
     async def _stop_renewing(self) -> None:
         if self._renewal is not None:
--- a/tests/entry/test_memory.py
+++ b/tests/entry/test_memory.py
@@ -12,8 +12,9 @@
 from quetzaldeck.entry.settings import EntryBounds
 
 if TYPE_CHECKING:
+    import pytest
     from tests.support.platform.replica import Arrival, Connection, StandInReplica
-    from tests.support.platform.site import Site
+    from tests.support.platform.site import Behave, Site
 
 HUGE = (500_000, 100)
 N_ENGINES = 6
@@ -160,3 +161,41 @@
         assert loop.time() - begun < 0.3
 
     run_site(test, engines=(build_engine(Memory()),) * 2)
+
+
+def test_lost_renewal_is_logged_and_asked_for_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Engines break off each second renewal; the caller's answer is not touched."""
+    events: list[str] = []
+    monkeypatch.setattr(
+        "quetzaldeck.entry.memory.log_event",
+        lambda event, **fields: events.append(event),
+    )
+    memory = Memory()
+    bounds = EntryBounds(free_ms=600)
+    n_broken = 0
+
+    async def test(site: Site) -> None:
+        answer = await site.call(PLAN_PATH, prompt=HUGE, deadline_ms=LONG_MS)
+        assert answer.status == 200
+        assert answer.is_whole
+        assert "memory_not_renewed" in events
+        assert events.count("memory_reserved") > N_ENGINES
+
+    def build_flaky() -> Behave:
+        behave = build_engine(memory, hold_s=0.8)
+
+        async def flaky(arrival: Arrival, connection: Connection) -> None:
+            nonlocal n_broken
+            is_renewal = arrival.target == "/order" and memory.n_orders > N_ENGINES
+            if is_renewal and json.loads(arrival.body)["op"] == "reserve":
+                n_broken += 1
+                if n_broken % 2:
+                    connection.reset()
+                    return
+            await behave(arrival, connection)
+
+        return flaky
+
+    run_site(test, engines=(build_flaky(),) * N_ENGINES, bounds=bounds)
--- a/tests/gateway/test_failing_upstreams.py
+++ b/tests/gateway/test_failing_upstreams.py
@@ -45,3 +45,24 @@
     clock.advance(2 * HALF_LIFE_MS)
     failing.look(clock.now_ms())
     assert lines[1:] == [("upstream_tried_again", {"upstream": "b"})]
+
+
+def test_line_says_when_an_engine_is_slow_and_when_it_is_at_speed_again(
+    clock: ManualClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(
+        "quetzaldeck.gateway.failing_upstreams.log_event",
+        lambda event, **fields: lines.append((event, fields)),
+    )
+    scheduler = make_entry_scheduler(clock, ("a", "b", "c"))
+    failing = FailingUpstreams(scheduler)
+    scheduler.fleet.observe_paces([("a", 1.0), ("b", 4.204)])
+    for _ in range(2):
+        failing.look(clock.now_ms())
+        clock.advance(LOOK_MS)
+    fields = {"level": "WARNING", "upstream": "b", "pace": 4.2}
+    assert lines == [("engine_slow", fields)]
+    scheduler.fleet.observe_paces([("b", 1.0)])
+    failing.look(clock.now_ms())
+    assert lines[1:] == [("engine_at_speed", {"upstream": "b"})]
