Let the soak mute replicas and slow engines down

Cause: the soak's replicas had a switch for taking requests without answering that no fault set, and nothing in it was slow, so that neither could be found wanting.

Mute replicas leave questions for their pace open as well.

--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -12,7 +12,7 @@
 from tests.soak.own.link import LinkMode
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
     from tests.soak.entry.world import SoakVm, SoakWorld
 
@@ -171,6 +171,25 @@
     setattr(replica, field, 0.0)
 
 
+@register
+async def mute_replica(world: SoakWorld) -> None:
+    """A replica takes requests and answers none; its health is not asked."""
+    replica = world.replicas[pick_replica(world)]
+    async with disturb(world, "mute_replica", ""):
+        replica.is_mute = True
+        await pause(world, 3.0)
+        replica.is_mute = False
+
+
+@register
+async def slow_engine(world: SoakWorld) -> None:
+    """An engine takes several times as long for everything, and says so."""
+    replica = world.replicas[pick_replica(world)]
+    replica.set_pace(5.0)
+    await pause(world, 4.0)
+    replica.set_pace(1.0)
+
+
 @register
 async def replace_replica(world: SoakWorld) -> None:
     """A replica says that it leaves, goes on for a while, and is gone."""
@@ -195,17 +214,20 @@
         await asyncio.sleep(0.1)
 
 
-async def inject_for(world: SoakWorld, duration_s: float) -> list[str]:
+async def inject_for(
+    world: SoakWorld, duration_s: float, kinds: Sequence[str]
+) -> list[str]:
     """Inject faults at random times; they overlap.
 
-    :returns: their names in order
+    :param kinds: names of the faults to choose from
+    :returns: names of those injected, in order
     """
     loop = asyncio.get_running_loop()
     until = loop.time() + duration_s
     names = []
     async with asyncio.TaskGroup() as group:
         while loop.time() < until:
-            name = world.random_state.choice(sorted(FAULTS))
+            name = world.random_state.choice(sorted(kinds))
             names.append(name)
             group.create_task(FAULTS[name](world))  # type: ignore[arg-type]
             await asyncio.sleep(world.random_state.expovariate(1 / 0.8))
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -36,11 +36,25 @@
         self.p_lost = 0.0
         self.p_extra = 0.0
         self.p_refused = 0.0
-        self.is_mute = False
+        self._slow_factor = 1.0
         self.held_until_ms: dict[str, float] = {}
         self._history = history
         self._random_state = random_state
 
+    @property
+    def is_mute(self) -> bool:
+        """:returns: whether it takes requests and questions, and answers none"""
+        return self.server.is_silent_on_reports
+
+    @is_mute.setter
+    def is_mute(self, is_mute: bool) -> None:
+        self.server.is_silent_on_reports = is_mute
+
+    def set_pace(self, pace: float) -> None:
+        """Take so many times as long, and say so when asked."""
+        self._slow_factor = pace
+        self.server.pace = pace
+
     def n_held(self) -> int:
         """:returns: reservations that have neither ended nor lapsed"""
         now = now_ms()
@@ -70,7 +84,7 @@
             await self._answer(arrival, connection)
 
     async def _answer(self, arrival: Arrival, connection: Connection) -> None:
-        await asyncio.sleep(WORK_MS / 1_000)
+        await asyncio.sleep(self._slow_factor * WORK_MS / 1_000)
         body = arrival.call_id.encode()
         head = build_head(arrival, 200, f"Content-Length: {len(body)}", SEAL)
         await connection.send(head + body)
@@ -82,7 +96,7 @@
     ) -> None:
         await connection.begin_stream(arrival)
         for number in range(first + 1, N_EVENTS + 1):
-            await asyncio.sleep(EVENT_MS / 1_000)
+            await asyncio.sleep(self._slow_factor * EVENT_MS / 1_000)
             await connection.send_chunk(event(number, arrival.call_id + "."))
         await connection.end_stream()
 
--- a/tests/soak/entry/run.py
+++ b/tests/soak/entry/run.py
@@ -6,13 +6,16 @@
 import tempfile
 from contextlib import suppress
 from pathlib import Path
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from tests.soak.entry.callers import Callers
 from tests.soak.entry.checks import check_history
-from tests.soak.entry.faults import inject_for
+from tests.soak.entry.faults import FAULTS, inject_for
 from tests.soak.entry.world import FREE_MS, SoakWorld
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 RATE_PER_S = 40.0
 MEMORY_SLACK_S = 1.0
 
@@ -34,9 +37,17 @@
 
 
 async def run_soak(
-    seed: int, *, duration_s: float, n_vms: int = 3, rate_per_s: float = RATE_PER_S
+    seed: int,
+    *,
+    duration_s: float,
+    n_vms: int = 3,
+    rate_per_s: float = RATE_PER_S,
+    kinds: Sequence[str] = tuple(FAULTS),
 ) -> SoakResult:
-    """Run VMs under faults, let them settle, and check what was seen."""
+    """Run VMs under faults, let them settle, and check what was seen.
+
+    :param kinds: names of the faults; other names make another run of the same seed
+    """
     with tempfile.TemporaryDirectory() as folder:
         world = SoakWorld(Path(folder), seed=seed, n_vms=n_vms)
         async with world, Callers(world) as callers:
@@ -45,7 +56,7 @@
             calling = asyncio.create_task(
                 callers.call_for(duration_s + 3.0, rate_per_s)
             )
-            faults = await inject_for(world, duration_s)
+            faults = await inject_for(world, duration_s, kinds)
             await calling
             await asyncio.sleep(FREE_MS / 1_000 + MEMORY_SLACK_S)
             n_held = sum(replica.n_held() for replica in world.replicas.values())
--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -153,6 +153,9 @@
                 await self.behave(arrival, connection)
         except (asyncio.IncompleteReadError, ConnectionError):
             self.n_closed += 1
+        except asyncio.CancelledError:
+            # The end of a test that left this request open; asyncio would print it.
+            return
         finally:
             writer.close()
 
