Split the bench's VM: what lies between it and the upstreams, and its requests

Sending attempts on their way and calling them off is the launcher's, building a request stands beside the submission that holds it.

--- a/src/quetzaldeck/bench/bench_vm.py
+++ b/src/quetzaldeck/bench/bench_vm.py
@@ -2,22 +2,15 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
-import xxhash
-
-from quetzaldeck.bench.attempt_watch import MIN_LOOK_MS, AttemptWatch
+from quetzaldeck.bench.attempt_launcher import AttemptLauncher
+from quetzaldeck.bench.attempt_watch import MIN_LOOK_MS
 from quetzaldeck.bench.bench_attempt import BenchAttempt
 from quetzaldeck.bench.bench_engine import BenchEngine
 from quetzaldeck.bench.call_result import Outcome
-from quetzaldeck.bench.model_engine import ModelEngine
-from quetzaldeck.bench.pass_engine import PassEngine
-from quetzaldeck.bench.prefill_group import PrefillGroup
-from quetzaldeck.bench.spread_group import SpreadGroup
-from quetzaldeck.bench.spread_read import SpreadRead
-from quetzaldeck.bench.submission import Submission
-from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch, Request
+from quetzaldeck.bench.submission import Submission, build_request
+from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
 from quetzaldeck.decisions.placement import CacheCursor
 from quetzaldeck.outcomes import Failure, Ran, Reason
 
@@ -25,11 +18,10 @@
     from collections.abc import Callable, Mapping
 
     from quetzaldeck.bench.bench_upstream import BenchUpstream
-    from quetzaldeck.bench.call import Call
     from quetzaldeck.bench.event_queue import EventQueue
     from quetzaldeck.bench.submission import CallState
     from quetzaldeck.decisions import LoadReport, Scheduler
-    from quetzaldeck.decisions.groups import GroupBounds, GroupPlan
+    from quetzaldeck.decisions.groups import GroupBounds
     from quetzaldeck.decisions.peer_load import UpstreamShare
 
     EndHandler = Callable[[CallState, Outcome, Failure | None], None]
@@ -66,8 +58,13 @@
         self._events = events
         self._latency_ms = latency_ms
         self._on_end = on_end
-        self._groups = groups
-        self._watches_silence = watches_silence
+        self._launcher = AttemptLauncher(
+            upstreams,
+            events,
+            latency_ms=latency_ms,
+            groups=groups,
+            watches_silence=watches_silence,
+        )
         self._open: dict[str, Submission] = {}
         self._cache_cursors: dict[str, CacheCursor] = {}
         self._is_polling = False
@@ -77,24 +74,7 @@
         call = state.call
         now_ms = self._events.now_ms
         state.submitted_ms.append(now_ms)
-        request = Request(
-            request_id=f"{call.call_id}/{state.n_submissions}",
-            customer=call.customer,
-            model=call.model,
-            service=call.service,
-            n_prompt_tokens=call.n_estimated_tokens or call.n_prompt_tokens,
-            max_output_tokens=call.max_output_tokens,
-            priority=call.priority,
-            weight=call.weight,
-            arrived_ms=now_ms,
-            deadline_ms=now_ms + call.deadline_ms,
-            prefix_hashes=call.hash_prefixes(),
-            fingerprint=_fingerprint(call),
-            is_repeatable=call.is_repeatable,
-            target_ms=call.target_ms,
-            max_gap_ms=call.max_gap_ms,
-            patience_ms=call.patience_ms,
-        )
+        request = build_request(state, now_ms)
         failure = self.scheduler.submit(request)
         submission = Submission(state, request)
         if failure is not None:
@@ -194,49 +174,7 @@
         attempt = BenchAttempt(self, call, dispatch, submission.n_delivered)
         submission.attempt = attempt
         submission.state.upstreams += dispatch.upstreams
-        if self._watches_silence:
-            attempt.watch = AttemptWatch(attempt, self._events)
-            attempt.watch.begin()
-        attempt.spread = self._spread(attempt)
-        if dispatch.plan is not None:
-            self._start_group(attempt, dispatch.plan)
-            return
-        upstream = self._upstreams[dispatch.upstreams[0]]
-        self._events.after(self._latency_ms, lambda: self._arrive(upstream, attempt))
-
-    def _start_group(self, attempt: BenchAttempt, plan: GroupPlan) -> None:
-        upstreams = [self._upstreams[name] for name in plan.upstreams]
-        kind = SpreadGroup if attempt.spread is not None else PrefillGroup
-        attempt.group = kind(
-            attempt,
-            [upstream for upstream in upstreams if isinstance(upstream, ModelEngine)],
-            plan,
-            self._events,
-            latency_ms=self._latency_ms,
-            bounds=self._groups,
-        )
-        self._events.after(self._latency_ms, attempt.group.begin)
-
-    def _spread(self, attempt: BenchAttempt) -> SpreadRead | None:
-        """:returns: the parts of a prompt that engines read beside the one asked"""
-        dispatch = attempt.dispatch
-        names = (*reversed(dispatch.upstreams), *dispatch.helpers)
-        engines = [self._upstreams[name] for name in names]
-        readers = [engine for engine in engines if isinstance(engine, PassEngine)]
-        if len(readers) <= 1:
-            return None
-        plan = dispatch.plan
-        return SpreadRead(
-            attempt,
-            readers,
-            self._events,
-            latency_ms=self._latency_ms,
-            n_reserved_tokens=0 if plan is None else sum(plan.reserved_tokens),
-        )
-
-    def _arrive(self, upstream: BenchUpstream, attempt: BenchAttempt) -> None:
-        if self._is_current(attempt) is not None:
-            upstream.arrive(attempt)
+        self._launcher.launch(attempt)
 
     def _is_current(self, attempt: BenchAttempt) -> Submission | None:
         submission = self._open.get(attempt.dispatch.request.request_id)
@@ -337,20 +275,8 @@
         self._on_end(submission.state, _outcome_of(submission, failure), failure)
 
     def _cancel(self, submission: Submission) -> None:
-        attempt = submission.attempt
-        if attempt is None:
-            return
-        if attempt.group is not None:
-            attempt.group.release()
-        for name in attempt.dispatch.upstreams:
-            upstream = self._upstreams[name]
-            cancel = partial(upstream.cancel, attempt.attempt_id)
-            self._events.after(self._latency_ms, cancel)
-
-
-def _fingerprint(call: Call) -> int:
-    name = call.fingerprint_id or call.call_id
-    return xxhash.xxh3_64_intdigest(name.encode())
+        if submission.attempt is not None:
+            self._launcher.cancel(submission.attempt)
 
 
 def _outcome_of(submission: Submission, failure: Failure | None) -> Outcome:
--- a/src/quetzaldeck/bench/submission.py
+++ b/src/quetzaldeck/bench/submission.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
+from quetzaldeck.decisions import Request
+
 if TYPE_CHECKING:
     from quetzaldeck.bench.bench_attempt import BenchAttempt
     from quetzaldeck.bench.call import Call
-    from quetzaldeck.decisions import Request
 
 
 class CallState:
@@ -51,4 +54,32 @@
         return bool(self.state.upstreams)
 
 
-__all__ = ("CallState", "Submission")
+def build_request(state: CallState, now_ms: float) -> Request:
+    """:returns: what the decision modules know of a call that arrives now"""
+    call = state.call
+    return Request(
+        request_id=f"{call.call_id}/{state.n_submissions}",
+        customer=call.customer,
+        model=call.model,
+        service=call.service,
+        n_prompt_tokens=call.n_estimated_tokens or call.n_prompt_tokens,
+        max_output_tokens=call.max_output_tokens,
+        priority=call.priority,
+        weight=call.weight,
+        arrived_ms=now_ms,
+        deadline_ms=now_ms + call.deadline_ms,
+        prefix_hashes=call.hash_prefixes(),
+        fingerprint=_fingerprint(call),
+        is_repeatable=call.is_repeatable,
+        target_ms=call.target_ms,
+        max_gap_ms=call.max_gap_ms,
+        patience_ms=call.patience_ms,
+    )
+
+
+def _fingerprint(call: Call) -> int:
+    name = call.fingerprint_id or call.call_id
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+__all__ = ("CallState", "Submission", "build_request")
