--- a/src/quetzaldeck/entry/pace_task.py
+++ b/src/quetzaldeck/entry/pace_task.py
@@ -20,8 +20,9 @@
     from quetzaldeck.routing import Replica
 
 ASK_INTERVAL_MS = 1_000.0
-"""Time between two questions to an engine: a slow engine is known within a second and a
-half, and a question costs a quarter of what a health check each 250 ms would."""
+"""Time between two questions to an engine: one that is slow is known within a second
+and a half, with the lag of what engines say. Each question is paid for, so that asking
+twice as often would cost twice as much for half a second."""
 
 
 class PaceTask:
