Bound what is read of an engine's report, and survive one that is nested

Cause, found in the last read: an engine that answers the question for its pace with a body without end filled the VM's memory, and one with deep nesting ended the task that asks (task_died): no VM would have known slow engines of that part of the fleet any more.

Ruled out: trusting the length header (an answer may have none).

Change: at most 64 KiB are read; nesting is an undecodable report like others. Two tests that failed before.

--- a/src/quetzaldeck/platform/reports.py
+++ b/src/quetzaldeck/platform/reports.py
@@ -14,6 +14,8 @@
 from quetzaldeck.upstreams.http import translate_faults
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.routing import Replica
 
@@ -21,6 +23,9 @@
 """For an answer that is due in a few milliseconds and needs no slot; less than the time
 between two questions, so that questions do not pile up at an engine that hangs."""
 
+MAX_REPORT_BYTES = 65_536
+"""Hundreds of times what a report has; an answer without end would fill the memory."""
+
 OK_STATUS = 200
 
 
@@ -55,15 +60,24 @@
                 replica.address, "GET", "/report", headers, None
             )
             async with response:
-                body = await response.read()
+                body = await _read_report(name, response)
         if response.status != OK_STATUS:
             raise _fault(name, f"status {response.status} for a report")
         try:
             return msgspec.json.decode(body, type=_Report).pace
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise _fault(name, f"report: {error}") from error
 
 
+async def _read_report(name: str, response: aiohttp.ClientResponse) -> bytes:
+    body = b""
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > MAX_REPORT_BYTES:
+            raise _fault(name, f"a report of over {MAX_REPORT_BYTES} bytes")
+    return body
+
+
 def _fault(name: str, detail: str) -> UpstreamError:
     return UpstreamError(AttemptFault.BAD_ANSWER, f"{name}: {detail}", upstream=name)
 
--- a/tests/entry/test_paces.py
+++ b/tests/entry/test_paces.py
@@ -53,7 +53,19 @@
     run_site(test, engines=(write,) * 3)
 
 
-@pytest.mark.parametrize("report", [b"", b"[]", b'{"pace": "fast"}', b"{}", b"\xff"])
+@pytest.mark.parametrize(
+    "report",
+    [
+        b"",
+        b"[]",
+        b'{"pace": "fast"}',
+        b"{}",
+        b"\xff",
+        b'{"x": ' + b"[" * 30_000,
+        b'{"pace": 5.0, "x": "' + b"x" * 70_000 + b'"}',
+    ],
+    ids=["empty", "list", "word", "nothing", "no text", "deep", "long"],
+)
 def test_report_that_says_nothing_of_the_pace_changes_nothing(report: bytes) -> None:
     async def test(site: Site) -> None:
         site.engines[0].report = report
