--- a/src/quetzaldeck/decisions/load_changes.py
+++ b/src/quetzaldeck/decisions/load_changes.py
@@ -1,7 +1,7 @@
 """What has changed of this VM's load, and which of it the others are told now.
 
 Load pattern: 84 VMs before 54 engines, each with little more than a request a second.
-What one VM tells goes to all others, so that four messages a request were some 30,000
+What one VM tells goes to all others, so that four messages a request were some 25,000
 datagrams a second over the fleet: most of what all VMs did.
 
 More work at an upstream is told at once: whoever does not know of it places more there.
--- a/tests/decisions/test_load_changes.py
+++ b/tests/decisions/test_load_changes.py
@@ -1,6 +1,6 @@
 """What a VM tells the others of its load, and when.
 
-Eighty-four VMs tell each other four things of each request: thirty thousand datagrams a
+Eighty-four VMs tell each other four things of each request: some 25,000 datagrams a
 second, which are most of what all of them do.
 """
 
