Take a replica's new start under its id, and entries of another writer

An entry with missing fields was taken for a replica (only service and address were asked for), one whose entry was overwritten stayed in use, and a nest of brackets in one value lost the whole reading (RecursionError).

Ruled out: requiring `born`.

Change: `Replica.started_ms`; belief ignores an older start's late entry; the scheduler drops load, ledger, peers' shares, outcomes, pace and verdicts of an earlier start, keeps the count of restarts, and ignores reports and peers' shares of another start; crashes name the start; memory is not renewed at a member that lost it; a report of another start tells no pace. Entries are decoded strictly (all fields of the page, IP number and port, ids that fit a header); one that cannot be read takes its replica out of use at once.

Minimal entries of tests are whole now.

Before: test_replica_that_started_again_serves_at_once fails (no `started_ms`), the others of test_wire fail likewise. Also mended: a VM that had just met another told it of all upstreams, idle ones too (`any` of a share is always true).

--- a/src/quetzaldeck/belief/change_log.py
+++ b/src/quetzaldeck/belief/change_log.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.belief.changes import ReplicaRead, ReplicaRemoved
+from quetzaldeck.belief.changes import ReplicaRead, ReplicaRemoved, Undecodable
 
 if TYPE_CHECKING:
     from quetzaldeck.belief.changes import Reading
@@ -40,6 +40,8 @@
                     replica_id = change.replica.replica_id
                 case ReplicaRemoved():
                     replica_id = change.replica_id
+                case Undecodable(replica_id=str(replica_id)):
+                    pass
                 case _:
                     continue
             self._revisions.pop(replica_id, None)
--- a/src/quetzaldeck/belief/changes.py
+++ b/src/quetzaldeck/belief/changes.py
@@ -26,14 +26,19 @@
 
 
 class Undecodable(NamedTuple):
-    """An entry cannot be understood; what was known of it stays.
+    """An entry cannot be understood.
+
+    What is known of the configuration stays; a replica with such an entry is gone.
 
     :param key: where it stands
     :param error: what is wrong with it
+    :param replica_id: the replica whose entry it should be; ``None``: it is another
+        kind of entry
     """
 
     key: str
     error: str
+    replica_id: str | None = None
 
 
 Change = ConfigurationRead | ReplicaRead | ReplicaRemoved | Undecodable
--- a/src/quetzaldeck/belief/fleet_belief.py
+++ b/src/quetzaldeck/belief/fleet_belief.py
@@ -10,6 +10,11 @@
 - Each reading has an age, counted by a clock that does not stand still when the VM
   does. Keys are believed while that age is under the bound.
 - A replica whose entry disappears is gone, but see :mod:`quetzaldeck.belief.lapses`.
+- An entry that cannot be understood names no replica: whoever wrote it, a request that
+  is sent there may reach something else. The one that had the entry is gone, without
+  the patience for lapses, since its entry did not lapse. Other entries hold.
+- A replica may start again under its id. What its former start wrote late is ignored:
+  that one may have said that it leaves.
 """
 
 from __future__ import annotations
@@ -147,8 +152,7 @@
             case ReplicaRemoved():
                 return self._remove(change.replica_id, now_ms)
             case Undecodable():
-                fields = {"key": change.key, "error": change.error}
-                return BeliefNote("entry_undecodable", fields, is_warning=True)
+                return self._take_undecodable(change)
 
     def _take_configuration(
         self, configuration: RoutingConfiguration
@@ -163,8 +167,23 @@
         fields["n_routes"] = len(configuration.routes)
         return BeliefNote("configuration_in_force", fields)
 
+    def _take_undecodable(self, change: Undecodable) -> BeliefNote:
+        fields = {"key": change.key, "error": change.error}
+        if change.replica_id is not None:
+            held = self._replicas.pop(change.replica_id, None)
+            self._lapses.note_returned(change.replica_id)
+            fields["replica_gone"] = "" if held is None else change.replica_id
+        return BeliefNote("entry_undecodable", fields, is_warning=True)
+
     def _take_replica(self, replica: Replica) -> BeliefNote | None:
         held = self._replicas.get(replica.replica_id)
+        if held is not None and _is_older(replica, held):
+            fields = {
+                "replica": replica.replica_id,
+                "started_ms": replica.started_ms,
+                "held_ms": held.started_ms,
+            }
+            return BeliefNote("replica_older", fields, is_warning=True)
         has_returned = self._lapses.note_returned(replica.replica_id)
         if held == replica and not has_returned:
             return None
@@ -175,6 +194,9 @@
             "address": replica.address,
             "leaving": replica.is_leaving,
         }
+        if held is not None and held.started_ms != replica.started_ms:
+            fields["started_ms"] = replica.started_ms
+            return BeliefNote("replica_restarted", fields)
         if has_returned:
             return BeliefNote("replica_returned", fields)
         event = "replica_added" if held is None else "replica_changed"
@@ -200,14 +222,10 @@
             for change in reading.changes
             if isinstance(change, ReplicaRead)
         }
-        unreadable = {
-            change.key for change in reading.changes if isinstance(change, Undecodable)
-        }
         return [
             self._remove(replica_id, now_ms)
             for replica_id in tuple(self._replicas)
             if replica_id not in present
-            and not any(key.endswith(replica_id) for key in unreadable)
         ]
 
     def _drop(self, replica_id: str, why: str) -> BeliefNote:
@@ -217,4 +235,9 @@
         return BeliefNote("replica_gone", fields)
 
 
+def _is_older(replica: Replica, held: Replica) -> bool:
+    """:returns: whether an entry is of an earlier start than the one held"""
+    return 0 < replica.started_ms < held.started_ms
+
+
 __all__ = ("FleetBelief",)
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -56,6 +56,15 @@
         self._monitor.note_alive()
         self._waiting.note_room()
 
+    def observe_incarnations(self, incarnations: Iterable[tuple[str, str]]) -> None:
+        """Take which of its starts each upstream says that this is."""
+        now_ms = self._clock.now_ms()
+        for name, incarnation in incarnations:
+            state = self._table.get(name)
+            if state is not None:
+                state.note_incarnation(incarnation, now_ms)
+        self._waiting.note_room()
+
     def observe_load(self, report: LoadReport) -> None:
         """Take the load that one upstream told with an answer."""
         self._table.observe((report,), self._clock.now_ms())
@@ -64,11 +73,15 @@
     def observe_peer(
         self, vm: str, shares: Iterable[tuple[str, UpstreamShare]]
     ) -> None:
-        """Take what another VM has at upstreams."""
+        """Take what another VM has at upstreams.
+
+        What it has at another start of an upstream than the one known here is nothing
+        to go by; after the next news of that start both VMs speak of the same.
+        """
         now_ms = self._clock.now_ms()
         for name, share in shares:
             state = self._table.get(name)
-            if state is not None:
+            if state is not None and not state.is_of_another_start(share.incarnation):
                 state.peers.take(vm, share, now_ms)
         self._waiting.note_room()
 
--- a/src/quetzaldeck/decisions/health/upstream_health.py
+++ b/src/quetzaldeck/decisions/health/upstream_health.py
@@ -161,6 +161,18 @@
         elif self._ejected is not None:
             self._hold_until_ms = now_ms
 
+    def start_anew(self, now_ms: float) -> None:
+        """Forget what was seen of an earlier start, but for how often it started."""
+        self._n_silent = 0
+        self._n_broken = 0
+        self._n_holds = 0
+        self._ejected = None
+        self._ms_per_token = None
+        self._n_latencies = 0
+        self._probe_id = ""
+        self._last_fault = None
+        self.note_restart(now_ms)
+
     def note_fault(
         self, attempt_id: str, fault: AttemptFault, now_ms: float
     ) -> HealthState | None:
--- a/src/quetzaldeck/decisions/memory/ledger.py
+++ b/src/quetzaldeck/decisions/memory/ledger.py
@@ -32,6 +32,7 @@
         self._since_report = _Sums()
         self._n_suspects = 0
         self._n_parts = 0
+        self._lost: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -100,7 +101,9 @@
         """
         attempt = self._attempts.pop(attempt_id, None)
         if attempt is None:
-            return False
+            was_lost = attempt_id in self._lost
+            self._lost.discard(attempt_id)
+            return was_lost
         self._total.subtract(attempt)
         self._n_suspects -= attempt.is_suspect
         self._n_parts -= attempt.is_part
@@ -109,6 +112,19 @@
             self._since_report.subtract(unreported)
         return True
 
+    def lose_all(self) -> None:
+        """Drop all attempts: the engine that held them has started again.
+
+        They end later, each by its own connection, and are released then as usual.
+        """
+        self._lost.update(self._attempts)
+        self._attempts.clear()
+        self._unreported.clear()
+        self._total = _Sums()
+        self._since_report = _Sums()
+        self._n_suspects = 0
+        self._n_parts = 0
+
     def mark_prefilled(self, attempt_id: str) -> None:
         """Note that the prompt of an attempt is prefilled."""
         attempt = self._attempts.get(attempt_id)
--- a/src/quetzaldeck/decisions/peer_load.py
+++ b/src/quetzaldeck/decisions/peer_load.py
@@ -33,6 +33,7 @@
     :param n_kv_tokens: memory that its requests take there
     :param n_parts: parts of prompts, among the requests, that others answer
     :param outcomes: what came of its requests there, as of the last outcome
+    :param incarnation: the start of the upstream that all this is of; ``""``: not told
     """
 
     n_requests: int = 0
@@ -40,12 +41,18 @@
     n_kv_tokens: int = 0
     n_parts: int = 0
     outcomes: Outcomes = Outcomes()
+    incarnation: str = ""
 
     @property
     def has_load(self) -> bool:
         """:returns: whether anything of the VM is there now"""
         return any(self[:4])
 
+    @property
+    def says_anything(self) -> bool:
+        """:returns: whether another VM learns anything from it"""
+        return self.has_load or self.outcomes.n_all > 0
+
     def exceeds(self, other: UpstreamShare) -> bool:
         """:returns: whether there is more work here in any respect than in ``other``"""
         return any(own > told for own, told in zip(self[:4], other[:4], strict=True))
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -24,6 +24,12 @@
 class UpstreamState:
     """Reported load plus this VM's own attempts since the report.
 
+    An upstream may start again under its name. It then runs, holds and knows nothing
+    of before: an engine that still seemed full, slow or dead would get no work though
+    it is idle, and one that seemed to hold a prompt would be named as a helper for it.
+    So all of that is dropped with the news of its start. The attempts that it had are
+    not ended here: their connections break, and tell whether an answer was complete.
+
     :param spec: the upstream's entry in the bundle
     """
 
@@ -37,11 +43,34 @@
         self.peers = PeerLoad()
         self.outcomes = OutcomeCount()
         self.pace = Pace()
+        self._incarnation = ""
 
     @property
     def incarnation(self) -> str:
-        """:returns: incarnation in the last report; ``""`` if there is none"""
-        return "" if self.report is None else self.report.incarnation
+        """:returns: its own word, else that of the last report; ``""``: none told"""
+        reported = "" if self.report is None else self.report.incarnation
+        return self._incarnation or reported
+
+    def note_incarnation(self, incarnation: str, now_ms: float) -> None:
+        """Take which of its starts this is; what came of another one is dropped.
+
+        :param incarnation: ``""`` if it does not tell
+        """
+        before = self._incarnation
+        self._incarnation = incarnation
+        if not before or before == incarnation:
+            return
+        self.report = None
+        self.reported_ms = 0.0
+        self.health.start_anew(now_ms)
+        self.ledger.lose_all()
+        self.peers = PeerLoad()
+        self.outcomes = OutcomeCount()
+        self.pace = Pace()
+
+    def is_of_another_start(self, incarnation: str) -> bool:
+        """:returns: whether news are of an earlier start, or of one not heard of yet"""
+        return bool(self._incarnation) and incarnation != self._incarnation
 
     @property
     def n_in_flight(self) -> int:
@@ -54,7 +83,9 @@
         return tuple(self.ledger)
 
     def observe(self, report: LoadReport, now_ms: float) -> None:
-        """Take a report if it is newer than the one held."""
+        """Take a report if it is newer than the one held, and of the same start."""
+        if self.is_of_another_start(report.incarnation):
+            return
         held = self.report
         measured_ms = now_ms - report.age_ms
         if held is not None and held.incarnation == report.incarnation:
@@ -97,6 +128,7 @@
             ledger.n_kv_tokens,
             ledger.n_parts,
             self.outcomes.last,
+            self._incarnation,
         )
 
     def outcomes_at(self, now_ms: float) -> Outcomes:
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -25,6 +25,7 @@
     from quetzaldeck.entry.call import Call
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
+    from quetzaldeck.routing import Replica
 
 
 class Answer(NamedTuple):
@@ -46,6 +47,12 @@
         self._ticket = ticket
         self._may_have_run = False
         self._members: frozenset[str] = frozenset()
+        self._incarnation = ""
+
+    @property
+    def incarnation(self) -> str:
+        """:returns: the start of the replica that was sent to last; ``""``: not told"""
+        return self._incarnation
 
     @property
     def may_have_run(self) -> bool:
@@ -125,11 +132,12 @@
             helpers,
             last_event_id,
         )
-        address = self._address_of(name)
+        replica = self._find_replica(name)
+        self._incarnation = replica.incarnation
         headers = build_request_headers(http_request.headers, terms)
         self._may_have_run = True
         return await self._state.upstreams.send(
-            address,
+            replica.address,
             http_request.method,
             http_request.raw_path,
             headers,
@@ -144,8 +152,8 @@
             if name in replicas
         )
 
-    def _address_of(self, name: str) -> str:
-        """:returns: address of a replica
+    def _find_replica(self, name: str) -> Replica:
+        """:returns: a replica that takes new work
 
         :raises UpstreamError: if it went while the dispatch was under way
         """
@@ -158,7 +166,7 @@
                 has_arrived=False,
                 upstream=name,
             )
-        return replica.address
+        return replica
 
     def _note_load(self, name: str, head: AnswerHead) -> None:
         if head.load is None:
@@ -166,7 +174,7 @@
         now_ms = self._state.clock.now_ms()
         report = LoadReport(
             name,
-            name,
+            self._incarnation or name,
             round(now_ms),
             0.0,
             head.load.n_running,
@@ -218,8 +226,11 @@
         """:returns: the replica to blame: a helper may have failed the one asked"""
         if not head.faulty_address:
             return name
-        for replica in self._state.belief.replicas.values():
-            if replica.address == head.faulty_address:
+        replicas = self._state.belief.replicas
+        service = replicas[name].service if name in replicas else ""
+        for replica in replicas.values():
+            # An entry of another service may name the same address.
+            if replica.service == service and replica.address == head.faulty_address:
                 return replica.replica_id
         return name
 
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -138,6 +138,7 @@
             may_have_run=error.has_reached,
             error=error,
         )
+        is_asked = error.upstream in ("", dispatch.upstreams[-1])
         end = AttemptEnd(
             dispatch.attempt_id,
             error.fault,
@@ -145,6 +146,7 @@
             has_reached=error.has_reached,
             has_arrived=error.has_arrived,
             upstream=error.upstream,
+            incarnation=self._runner.incarnation if is_asked else "",
         )
         await self._ticket.end_attempt(end)
 
--- a/src/quetzaldeck/entry/memory.py
+++ b/src/quetzaldeck/entry/memory.py
@@ -40,6 +40,7 @@
         self._reservation_id = dispatch.attempt_id.replace(",", "")
         self._hold_ms = state.settings.bounds.reservation_hold_ms
         self._unanswered: set[str] = set()
+        self._asked: dict[str, str] = {}
         self._renewal: asyncio.Task[None] | None = None
         self._reservation = GroupReservation(
             dispatch.plan,
@@ -83,6 +84,7 @@
         replica = self._state.belief.replicas.get(name)
         if replica is None or replica.is_leaving:
             return False
+        self._asked.setdefault(name, replica.incarnation)
         try:
             is_held = await self._state.orders.reserve(
                 replica, self._reservation_id, n_tokens, self._hold_ms
@@ -117,7 +119,12 @@
         """Ask a member for more time; if it does not answer, the next round asks again.
 
         The request goes on meanwhile: two of three renewals within a hold may be lost.
+        A member that has started again lost the memory with the prompt. Asked again it
+        would set memory aside anew, for a request that cannot use it.
         """
+        replica = self._state.belief.replicas.get(name)
+        if replica is not None and replica.incarnation != self._asked.get(name):
+            return
         try:
             await self._ask(name, n_tokens)
         except UpstreamError as error:
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -18,6 +18,7 @@
     n_parts: int = 0
     n_answered: float = 0.0
     n_failed: float = 0.0
+    incarnation: str = ""
 
 
 class CrashNews(msgspec.Struct, frozen=True, array_like=True):
@@ -75,6 +76,7 @@
         share.n_parts,
         round(share.outcomes.n_answered, N_DIGITS),
         round(share.outcomes.n_failed, N_DIGITS),
+        share.incarnation,
     )
 
 
@@ -86,6 +88,7 @@
         load.n_kv_tokens,
         load.n_parts,
         Outcomes(load.n_answered, load.n_failed),
+        load.incarnation,
     )
 
 
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -154,7 +154,9 @@
         """
         self._send(self._build_greeting(), address)
         shares = self._state.dispatch.list_shares()
-        for news in self._pack_loads([entry for entry in shares if any(entry[1])]):
+        for news in self._pack_loads(
+            [entry for entry in shares if entry[1].says_anything]
+        ):
             self._send(encode_news(news), address)
 
     def _tell(self, now_ms: float) -> None:
--- a/src/quetzaldeck/entry/pool.py
+++ b/src/quetzaldeck/entry/pool.py
@@ -40,6 +40,15 @@
     )
 
 
+def list_incarnations(belief: FleetBelief) -> tuple[tuple[str, str], ...]:
+    """:returns: by id, which of its starts each replica says that this is"""
+    return tuple(
+        (replica.replica_id, replica.incarnation)
+        for replica in belief.replicas.values()
+        if replica.incarnation
+    )
+
+
 def _build_spec(
     replica: Replica, configuration: RoutingConfiguration
 ) -> UpstreamSpec | None:
@@ -67,4 +76,4 @@
     )
 
 
-__all__ = ("build_bundle", "list_leaving")
+__all__ = ("build_bundle", "list_incarnations", "list_leaving")
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -8,11 +8,11 @@
 
 from quetzaldeck.belief import BeliefBounds
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.entry.pool import build_bundle, list_leaving
+from quetzaldeck.entry.pool import build_bundle, list_incarnations, list_leaving
 from quetzaldeck.entry.view import build_view
 from quetzaldeck.gateway.drain import Drain
 from quetzaldeck.gateway.in_flight import InFlightRequests
-from quetzaldeck.gateway.messages import ApplyBundle, Observe
+from quetzaldeck.gateway.messages import ApplyBundle, Observe, ObserveIncarnations
 from quetzaldeck.gateway.release_task import Release, ReleaseTask
 from quetzaldeck.gateway.settings import ShutdownSettings
 
@@ -128,6 +128,7 @@
         bundle = build_bundle(self.belief)
         if bundle is not None:
             self.dispatch.send(ApplyBundle(bundle))
+            self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
             self.dispatch.send(Observe((), list_leaving(self.belief)))
 
 
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -18,6 +18,7 @@
     Observe,
     ObserveCache,
     ObserveCrashes,
+    ObserveIncarnations,
     ObserveLoad,
     ObservePaces,
     ObservePeerLoad,
@@ -179,6 +180,8 @@
                 self._scheduler.apply_bundle(message.bundle)
             case Observe():
                 self._observe(message)
+            case ObserveIncarnations():
+                self._scheduler.fleet.observe_incarnations(message.incarnations)
             case ObserveLoad() | ObservePeerLoad() | ObservePaces():
                 self._take_load(message)
             case ObserveCache() | ObserveCrashes() | ObserveUsage():
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -70,6 +70,12 @@
     n_vms: int = 1
 
 
+class ObserveIncarnations(NamedTuple):
+    """By name, which of its starts each upstream says that this is."""
+
+    incarnations: tuple[tuple[str, str], ...]
+
+
 class ObserveLoad(NamedTuple):
     """Load that an upstream told with an answer."""
 
@@ -119,6 +125,7 @@
     | Observe
     | ObserveLoad
     | ObservePaces
+    | ObserveIncarnations
     | ObservePeerLoad
     | ObserveCache
     | ObserveCrashes
@@ -135,6 +142,7 @@
     "Observe",
     "ObserveCache",
     "ObserveCrashes",
+    "ObserveIncarnations",
     "ObserveLoad",
     "ObservePaces",
     "ObservePeerLoad",
--- a/src/quetzaldeck/platform/reports.py
+++ b/src/quetzaldeck/platform/reports.py
@@ -32,6 +32,8 @@
 class _Report(msgspec.Struct, frozen=True):
     pace: float | None = None
     """How many times longer than stated its work takes; not every engine tells it."""
+    born: int = 0
+    """When it started, in Unix milliseconds; not all engines tell it."""
 
 
 class ReplicaReports:
@@ -47,7 +49,7 @@
         """Ask an engine how fast it works.
 
         :returns: how many times longer than stated its work takes; ``None`` if it does
-            not say so
+            not say so, or has started again since its entry was read
         :raises UpstreamError: if it did not answer as it must
         """
         name = replica.replica_id
@@ -64,9 +66,11 @@
         if response.status != OK_STATUS:
             raise _fault(name, f"status {response.status} for a report")
         try:
-            return msgspec.json.decode(body, type=_Report).pace
+            report = msgspec.json.decode(body, type=_Report)
         except (msgspec.DecodeError, RecursionError) as error:
             raise _fault(name, f"report: {error}") from error
+        is_known_start = report.born in (0, replica.started_ms)
+        return report.pace if is_known_start else None
 
 
 async def _read_report(name: str, response: aiohttp.ClientResponse) -> bytes:
--- a/src/quetzaldeck/platform/store.py
+++ b/src/quetzaldeck/platform/store.py
@@ -138,8 +138,8 @@
             return ReplicaRemoved(replica_id)
         if is_replica:
             return ReplicaRead(decode_replica(replica_id, item.value))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Undecodable(item.key, str(error))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Undecodable(item.key, str(error), replica_id if is_replica else None)
     return None
 
 
--- a/tests/belief/test_fleet_belief.py
+++ b/tests/belief/test_fleet_belief.py
@@ -162,14 +162,52 @@
     assert take(belief, ReplicaRemoved("r1"), now_ms=1_000) == ["replica_gone"]
 
 
-def test_entry_that_cannot_be_read_changes_nothing() -> None:
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_replica_whose_entry_cannot_be_read_gets_no_work(*, is_complete: bool) -> None:
+    """Requests go on to a replica that says that it leaves.
+
+    Another writer puts bytes over its entry that nobody can read, the replica begins to
+    leave, and what was believed of it before would stay in force.
+    """
     belief = FleetBelief(BOUNDS)
-    take(belief, ReplicaRead(make_replica()))
-    change = Undecodable("servers/r1", "no address")
-    assert take(belief, change, is_complete=True) == ["entry_undecodable"]
+    others = ReplicaRead(make_replica("r2"))
+    take(belief, ReplicaRead(make_replica()), others, configure(1))
+    belief.note_trouble(9_900)
+    change = Undecodable("servers/r1", "no address", "r1")
+    events = take(belief, change, others, now_ms=10_000, is_complete=is_complete)
+    assert events == ["entry_undecodable"]
+    assert set(belief.replicas) == {"r2"}
+    assert not belief.n_lapsed
+    assert take(belief, ReplicaRead(make_replica())) == ["replica_added"]
+
+
+def test_configuration_that_cannot_be_read_leaves_the_one_in_force() -> None:
+    belief = FleetBelief(BOUNDS)
+    take(belief, configure(1), ReplicaRead(make_replica()))
+    change = Undecodable("op/config", "no version")
+    assert take(belief, change) == ["entry_undecodable"]
+    assert belief.configuration is not None
     assert set(belief.replicas) == {"r1"}
 
 
+def test_late_word_of_an_earlier_start_does_not_count() -> None:
+    """A replica that has just started gets no work, though it is well.
+
+    It said that it leaves, crashed, and started again under its id. What its former
+    start wrote last reaches the source after the entry of the new one.
+    """
+    belief = FleetBelief(BOUNDS)
+    first = make_replica()._replace(started_ms=1_000)
+    again = first._replace(started_ms=5_000)
+    assert take(belief, ReplicaRead(first)) == ["replica_added"]
+    assert take(belief, ReplicaRead(again)) == ["replica_restarted"]
+    late = first._replace(is_leaving=True)
+    assert take(belief, ReplicaRead(late)) == ["replica_older"]
+    assert belief.replicas["r1"] == again
+    leaving = again._replace(is_leaving=True)
+    assert take(belief, ReplicaRead(leaving)) == ["replica_changed"]
+
+
 @pytest.mark.parametrize("is_complete", [True, False])
 def test_reading_without_news_says_nothing(*, is_complete: bool) -> None:
     belief = FleetBelief(BOUNDS)
--- /dev/null
+++ b/tests/decisions/test_upstream_restart.py
@@ -0,0 +1,88 @@
+"""An upstream that starts again under its name: what was believed of it is dropped.
+
+Load pattern: an engine crashes with long prompts on board and is back a second later,
+empty. Each VM that still counts those prompts there leaves it out for as long as their
+callers wait, while the other engines are full.
+"""
+
+from __future__ import annotations
+
+from quetzaldeck.bundle.document import UpstreamSpec
+from quetzaldeck.decisions.decision import AttemptFault
+from quetzaldeck.decisions.health.outcomes import Outcomes
+from quetzaldeck.decisions.load_report import LoadReport
+from quetzaldeck.decisions.memory import InFlight
+from quetzaldeck.decisions.peer_load import UpstreamShare
+from quetzaldeck.decisions.upstream_state import UpstreamState
+
+FIRST = "1000"
+AGAIN = "2000"
+SPEC = UpstreamSpec("e0", "10.0.0.1:80", models=("plans",), kv_tokens=400_000)
+
+
+def make_busy() -> UpstreamState:
+    """:returns: an engine that looks full, slow, failing and dead"""
+    state = UpstreamState(SPEC)
+    state.note_incarnation(FIRST, 0.0)
+    state.add(InFlight("a1", "q1", 300_000, 300_000, 0.0, 300_000))
+    state.observe(LoadReport("e0", FIRST, 1, 0.0, 8, 4, 350_000, 0), 10.0)
+    share = UpstreamShare(3, 90_000, 90_000, 3, Outcomes(0.0, 4.0), FIRST)
+    state.peers.take("vm-b", share, 10.0)
+    state.outcomes.note(10.0, is_answered=False)
+    state.pace.note(5.0, 10.0)
+    state.health.note_fault("a0", AttemptFault.CONNECT, 10.0)
+    assert state.health.is_ejected
+    return state
+
+
+def test_nothing_of_the_earlier_start_counts() -> None:
+    state = make_busy()
+    state.note_incarnation(AGAIN, 100.0)
+    assert state.n_requests(100.0) == 0
+    assert state.n_kv_tokens_used(100.0) == 0
+    assert state.n_prefill_tokens() == 0
+    assert state.own_share() == UpstreamShare(incarnation=AGAIN)
+    assert not state.outcomes_at(100.0).n_all
+    assert not state.pace.is_slow(100.0)
+    assert not state.health.is_ejected
+
+
+def test_attempt_of_the_earlier_start_is_released_once() -> None:
+    """It ends by its own connection, after the news of the start."""
+    state = make_busy()
+    state.note_incarnation(AGAIN, 100.0)
+    state.mark_prefilled("a1")
+    assert state.discard("a1")
+    assert not state.discard("a1")
+    assert state.n_kv_tokens_used() == 0
+
+
+def test_late_report_of_the_earlier_start_is_ignored() -> None:
+    state = make_busy()
+    state.note_incarnation(AGAIN, 100.0)
+    state.observe(LoadReport("e0", FIRST, 99, 0.0, 8, 4, 350_000, 0), 120.0)
+    assert state.n_requests(120.0) == 0
+    state.observe(LoadReport("e0", AGAIN, 100, 0.0, 2, 0, 0, 0), 130.0)
+    assert state.n_requests(130.0) == 2
+
+
+def test_news_of_the_same_start_change_nothing() -> None:
+    state = make_busy()
+    state.note_incarnation(FIRST, 100.0)
+    assert state.health.is_ejected
+    assert state.n_kv_tokens_used() == 350_000
+
+
+def test_upstream_that_tells_no_start_takes_all_reports() -> None:
+    state = UpstreamState(SPEC)
+    state.note_incarnation("", 0.0)
+    state.observe(LoadReport("e0", "e0", 1, 0.0, 5, 0, 0, 0), 10.0)
+    assert state.n_requests(10.0) == 5
+    assert not state.is_of_another_start("")
+
+
+def test_engine_that_starts_over_and_over_is_left_alone() -> None:
+    state = UpstreamState(SPEC)
+    for n_start in range(4):
+        state.note_incarnation(str(1_000 + n_start), n_start * 2_000.0)
+    assert state.health.is_ejected
--- a/tests/entry/test_paces.py
+++ b/tests/entry/test_paces.py
@@ -8,7 +8,7 @@
 import pytest
 from tests.support.platform.fleet import run_fleet
 from tests.support.platform.replica import StandInReplica, event
-from tests.support.platform.site import ENGINES, PLAN_PATH, run_site
+from tests.support.platform.site import ENGINES, PLAN_PATH, build_entry, run_site
 
 from quetzaldeck.entry.pace_task import ASK_INTERVAL_MS
 
@@ -99,8 +99,8 @@
     async def test(fleet: EntryFleet) -> None:
         async with StandInReplica("slow", write) as engine:
             engine.pace = 4.0
-            entry = {"service": ENGINES, "address": engine.address, "zone": "a"}
-            fleet.store.put("servers/slow", {**entry, "state": "ready"})
+            entry = build_entry(ENGINES, engine.address)
+            fleet.store.put("servers/slow", entry)
             vms: tuple[EntryVm, ...] = tuple(fleet.vms.values())
             await fleet.wait(lambda: all("slow" in find_slow(vm.state) for vm in vms))
             n_before = engine.n_reports
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -10,8 +10,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from tests.support.platform.site import build_configuration
+from tests.support.platform.site import build_configuration, build_entry
 
+from quetzaldeck.belief import ReplicaRead, Undecodable
+from quetzaldeck.platform.store import _Item, _translate
 from quetzaldeck.platform.wire_configuration import decode_configuration
 from quetzaldeck.platform.wire_replica import decode_replica
 from quetzaldeck.routing import Replica, RequestKind, WeightedService
@@ -76,22 +78,91 @@
 @given(JSON)
 def test_any_json_is_decoded_or_refused(value: Any) -> None:
     data = msgspec.json.encode(value)
-    for decode in (decode_configuration, lambda d: decode_replica("r", d)):
-        with suppress(msgspec.DecodeError):
-            decode(data)
+    with suppress(msgspec.DecodeError):
+        decode_configuration(data)
+    with suppress(msgspec.DecodeError):
+        decode_replica("r", data)
+
+
+ENTRY = build_entry("plans", "10.0.0.1:80")
 
 
 def test_replica_is_translated() -> None:
-    entry = {
-        "service": "plans",
-        "address": "10.0.0.1:80",
-        "zone": "a",
-        "slots": 8,
-        "state": "draining",
-        "coldRemainingMs": 30.0,
-        "sequence": 4,
-    }
+    entry = {**ENTRY, "state": "draining", "coldRemainingMs": 30.0, "born": 1_700}
     replica = decode_replica("r1", msgspec.json.encode(entry))
     assert replica == Replica(
-        "r1", "plans", "10.0.0.1:80", "a", is_leaving=True, n_slots=8, cold_ms=30.0
+        "r1",
+        "plans",
+        "10.0.0.1:80",
+        "a",
+        is_leaving=True,
+        n_slots=8,
+        cold_ms=30.0,
+        started_ms=1_700,
     )
+
+
+def test_replica_need_not_tell_its_start() -> None:
+    replica = decode_replica("r1", msgspec.json.encode(ENTRY))
+    assert not replica.started_ms
+    assert not replica.incarnation
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY))
+def test_entry_without_a_field_names_no_replica(field: str) -> None:
+    entry = {name: value for name, value in ENTRY.items() if name != field}
+    with pytest.raises(msgspec.ValidationError, match=field):
+        decode_replica("r1", msgspec.json.encode(entry))
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"service": 7},
+        {"service": ""},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:\u0663"},
+        {"address": "host:80"},
+        {"address": "10.0.0.1:80/x"},
+        {"zone": None},
+        {"slots": 0},
+        {"slots": "8"},
+        {"state": "asleep"},
+        {"coldRemainingMs": -1},
+        {"sequence": 1.5},
+        {"born": 1.5},
+        {"born": "1700"},
+        {"born": None},
+        {"born": True},
+        {"born": -1},
+    ],
+)
+def test_entry_with_a_wrong_field_names_no_replica(wrong: dict[str, Any]) -> None:
+    (field,) = wrong
+    data = msgspec.json.encode({**ENTRY, **wrong})
+    with pytest.raises(msgspec.ValidationError, match=rf"\$\.{field}"):
+        decode_replica("r1", data)
+
+
+@pytest.mark.parametrize("replica_id", ["", "a b", "a\r\nX: 1", "\u00e9", "a" * 201])
+def test_id_that_no_header_can_hold_names_no_replica(replica_id: str) -> None:
+    with pytest.raises(msgspec.ValidationError, match="no id"):
+        decode_replica(replica_id, msgspec.json.encode(ENTRY))
+
+
+@given(st.binary(max_size=40) | st.just(b"[" * 100_000))
+def test_bytes_of_another_writer_take_nothing_from_other_entries(value: bytes) -> None:
+    """All callers are refused, though all replicas are well.
+
+    One entry of the list holds bytes that nobody can read; the whole list was dropped
+    for it, and with it every replica.
+    """
+    sound = _Item("servers/r1", value=msgspec.json.encode(ENTRY))
+    foreign = _Item("servers/r2", value=value)
+    changes = _translate((foreign, sound))
+    assert len(changes) == 2
+    assert isinstance(changes[0], Undecodable)
+    assert changes[0].replica_id == "r2"
+    assert changes[1] == ReplicaRead(decode_replica("r1", sound.value))
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -12,7 +12,12 @@
 from tests.soak.entry.history import History, now_ms
 from tests.soak.entry.replicas import SoakReplica
 from tests.soak.own.link import Link
-from tests.support.platform.site import DESK, ENGINES, build_configuration
+from tests.support.platform.site import (
+    DESK,
+    ENGINES,
+    build_configuration,
+    build_entry,
+)
 from tests.support.platform.store import CONFIGURATION_KEY, StandInStore
 from tests.system.program_process import ProgramProcess
 
@@ -122,13 +127,9 @@
 
     def register(self, replica_id: str, *, state: str = "ready") -> None:
         """Write a replica's entry; the address is its link's."""
-        entry = {
-            "service": self.services[replica_id],
-            "address": self.links[replica_id].address.removeprefix("http://"),
-            "zone": "a",
-            "slots": 16,
-            "state": state,
-        }
+        address = self.links[replica_id].address.removeprefix("http://")
+        service = self.services[replica_id]
+        entry = build_entry(service, address, slots=16, state=state)
         self.store.put(f"servers/{replica_id}", entry)
 
     def publish(self, **changes: Any) -> None:
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -8,7 +8,12 @@
 
 import uvloop
 from tests.ports import choose_port
-from tests.support.platform.site import DESK, ENGINES, build_configuration
+from tests.support.platform.site import (
+    DESK,
+    ENGINES,
+    build_configuration,
+    build_entry,
+)
 from tests.support.platform.store import CONFIGURATION_KEY, StandInStore
 
 from quetzaldeck.entry.peers import BeliefService
@@ -88,8 +93,8 @@
 
     def put_replica(self, name: str, service: str, *, state: str = "ready") -> None:
         """Write a replica's entry."""
-        entry = {"service": service, "address": "127.0.0.1:9", "zone": "a"}
-        self.store.put(f"servers/{name}", {**entry, "state": state})
+        entry = build_entry(service, "127.0.0.1:9", state=state)
+        self.store.put(f"servers/{name}", entry)
 
     async def start(self, host: str) -> EntryVm:
         """Start a VM, for the first time or again."""
--- a/tests/support/platform/site.py
+++ b/tests/support/platform/site.py
@@ -95,6 +95,21 @@
     }
 
 
+def build_entry(service: str, address: str, **changes: Any) -> dict[str, Any]:
+    """:returns: what a replica writes of itself"""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        **changes,
+    }
+
+
 class Answer(NamedTuple):
     """What a caller received.
 
@@ -171,13 +186,7 @@
         self, replica: StandInReplica, service: str, *, state: str = "ready"
     ) -> None:
         """Write a replica's entry."""
-        entry = {
-            "service": service,
-            "address": replica.address,
-            "zone": "a",
-            "slots": 8,
-            "state": state,
-        }
+        entry = build_entry(service, replica.address, state=state)
         self.store.put(f"servers/{replica.replica_id}", entry)
 
     async def call(
