Say from logs where callers lost, by route and moment (quetzaldeck logs losses)

A late first event and a late pause have different causes, and the moments tell which load was there. Change: request_answered states the targets of its route, request_failed the route; `logs losses` counts what callers received by route, and names the worst moments. The reading of log lines that `logs predictions` had is shared.

--- a/src/quetzaldeck/cli/log_commands.py
+++ b/src/quetzaldeck/cli/log_commands.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+from datetime import UTC, datetime
 from itertools import chain
 from typing import TYPE_CHECKING
 
 import click
 
+from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.telemetry.losses import (
+    IN_TIME,
+    count_outcomes,
+    find_moments,
+    read_outcomes,
+)
 from quetzaldeck.telemetry.predictions import compare_predictions
 
 if TYPE_CHECKING:
+    from collections import Counter
     from typing import TextIO
 
+    from quetzaldeck.telemetry.losses import Moment
+
 
 @click.group("logs")
 def logs_group() -> None:
@@ -37,4 +48,53 @@
         )
 
 
+@logs_group.command("losses")
+@click.argument("files", type=click.File(errors="replace"), nargs=-1, required=True)
+@click.option(
+    "--moment-ms",
+    type=click.FloatRange(min=1.0),
+    default=2_000.0,
+    show_default=True,
+    help="Length of the moments that are compared.",
+)
+@click.option(
+    "--n-moments",
+    type=click.IntRange(min=0),
+    default=6,
+    show_default=True,
+    help="How many of the worst are shown.",
+)
+def losses_command(
+    *, files: tuple[TextIO, ...], moment_ms: float, n_moments: int
+) -> None:
+    """Count what callers received, by route, and when most of them lost.
+
+    A caller that was refused and came back is counted each time.
+
+    Example: quetzaldeck logs losses entry-a.log entry-b.log
+    """
+    outcomes = read_outcomes(chain.from_iterable(files))
+    for route, counts in sorted(count_outcomes(outcomes).items()):
+        click.echo(_describe_route(route, counts))
+    for moment in find_moments(outcomes, moment_ms)[:n_moments]:
+        click.echo(_describe_moment(moment))
+
+
+def _describe_route(route: str, counts: Counter[str]) -> str:
+    total = counts.total()
+    in_time = counts[IN_TIME] / total
+    return f"{route or '-':20} {total:6d} {in_time:6.3f}  {_describe_counts(counts)}"
+
+
+def _describe_moment(moment: Moment) -> str:
+    began = datetime.fromtimestamp(moment.began_ms / MS_PER_SECOND, UTC)
+    n_lost = moment.n_lost.total()
+    counts = _describe_counts(moment.n_lost)
+    return f"{began:%H:%M:%S} {n_lost} of {moment.n_all}: {counts}"
+
+
+def _describe_counts(counts: Counter[str]) -> str:
+    return " ".join(f"{what}={count}" for what, count in counts.most_common())
+
+
 __all__ = ("logs_group",)
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -45,7 +45,7 @@
             with self._state.in_flight.track(request_id):
                 response = await self._serve(http_request, request_id, arrived_ms)
         except RequestError as error:
-            self._note_failure(error.failure, call_id, arrived_ms)
+            self._note_failure(error.failure, call_id, arrived_ms, error.route)
             if error.response is not None:
                 return error.response
             response = refusal_response(error.failure, call_id, CALL_ID)
@@ -74,16 +74,20 @@
         head = _read_head(http_request)
         view = await self._find_view(head)
         admitted = self._admit(view, http_request, head, arrived_ms)
-        body = await read_body(http_request, _caller_bounds(view))
-        call = Call(
-            request_id,
-            http_request,
-            head,
-            admitted,
-            body if http_request.body_exists else None,
-            arrived_ms,
-        )
-        return await self._run(call, view)
+        try:
+            body = await read_body(http_request, _caller_bounds(view))
+            call = Call(
+                request_id,
+                http_request,
+                head,
+                admitted,
+                body if http_request.body_exists else None,
+                arrived_ms,
+            )
+            return await self._run(call, view)
+        except RequestError as error:
+            error.route = admitted.route.name
+            raise
 
     async def _find_view(self, head: CallHead) -> RoutingView:
         """:returns: the configuration in force; a VM that starts waits for its first
@@ -181,18 +185,23 @@
             n_events=run.relay.n_events,
             n_prompt_tokens=_n_prompt_tokens(call),
             first_event_ms=first_ms,
+            target_ms=call.admitted.route.target_latency_ms,
             predicted_first_event_ms=run.predicted_first_event_ms,
             max_gap_ms=run.relay.max_gap_ms,
+            target_gap_ms=call.admitted.route.max_gap_ms,
             elapsed_ms=elapsed_ms,
         )
 
-    def _note_failure(self, failure: Failure, call_id: str, arrived_ms: float) -> None:
+    def _note_failure(
+        self, failure: Failure, call_id: str, arrived_ms: float, route: str = ""
+    ) -> None:
         labels = (failure.reason.value, failure.ran.value)
         self._state.metrics.failures.labels(*labels).inc()
         state = self._state
         log_event(
             "request_failed",
             request=call_id,
+            route=route,
             reason=failure.reason.value,
             ran=failure.ran.value,
             status=status_of(failure),
--- /dev/null
+++ b/src/quetzaldeck/telemetry/log_lines.py
@@ -0,0 +1,27 @@
+"""Reads lines that this software wrote to its log."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
+
+
+def read_events(lines: Iterable[str], *events: str) -> Iterator[dict[str, str]]:
+    """Read the lines of some events; other lines, also foreign ones, are passed over.
+
+    :returns: the fields of each, as they are written
+    """
+    wanted = {f"event={event}" for event in events}
+    for line in lines:
+        if any(event in line for event in wanted):
+            fields = dict(_FIELD.findall(line))
+            if fields.get("event") in events:
+                yield fields
+
+
+__all__ = ("read_events",)
--- a/src/quetzaldeck/telemetry/predictions.py
+++ b/src/quetzaldeck/telemetry/predictions.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import re
 import statistics
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions import classify_length
+from quetzaldeck.telemetry.log_lines import read_events
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-_FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
-_EVENT = "event=request_answered"
-
 P95 = 0.95
 
 
@@ -42,8 +39,7 @@
     Answers after several attempts are left out: their prediction is the last one's.
     """
     pairs: dict[str, list[tuple[float, float]]] = {}
-    for line in lines:
-        fields = dict(_FIELD.findall(line)) if _EVENT in line else {}
+    for fields in read_events(lines, "request_answered"):
         if fields.get("n_attempts") != "1":
             continue
         try:
