Let long prompts wait their turn while the lane has enough to read

Cause: in bursts of long prompts each VM sent what it got at once.

Hypothesis: begun by turns, the shorter ones first, most are in time, nothing is read in vain, and engines are free sooner.

Change: a long prompt begins only if what the lane has to read, itself included, takes up to 0.3 of its target, or the lane is nearly idle; the bound grows as it waits. VMs need no message more: the shorter a prompt, the sooner it finds room. Parts that are read for others are no longer counted as answers for which engines are kept: the more was read, the smaller the lane was.

Ruled out: fewer parts for each, alone; what stacks is the sum, not the parts.

--- a/src/quetzaldeck/decisions/head_of_line/api.py
+++ b/src/quetzaldeck/decisions/head_of_line/api.py
@@ -25,6 +25,15 @@
     def note_arrival(self, request: Request, now_ms: float) -> None:  # noqa: B027
         """Learn what kind of work arrives."""
 
+    def may_begin(
+        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
+    ) -> bool:
+        """:returns: whether a request may be placed now; if not, it waits
+
+        :param pool: engines that serve the model
+        """
+        return True
+
     @abstractmethod
     def restrict(
         self, request: Request, candidates: Sequence[UpstreamState], now_ms: float
--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -51,6 +51,10 @@
 """Engines among which a short request chooses. With one, all VMs would send what comes
 in the same instant to the same engine."""
 
+IDLE_SHARE = 0.25
+"""Part of the reading that the lane may have before it, up to which the longest prompt
+may begin, though by itself it takes longer than all may."""
+
 SHORT_RANK = 2
 LONG_RANK = 5
 
@@ -106,6 +110,25 @@
         if request.max_gap_ms:
             self._least_gap_ms = min(self._least_gap_ms, request.max_gap_ms)
 
+    def may_begin(
+        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
+    ) -> bool:
+        """:returns: whether the lane has room for a long prompt among its reads"""
+        figures = self._figures.get(request.model)
+        if figures is None or not self._is_long(request, figures):
+            return True
+        n_free = self._count_free(request, figures, pool, now_ms)
+        lane = [s for s in pool if self._position(request, s) < n_free]
+        if not lane:
+            return True
+        backlog_ms = sum(state.unread_ms(now_ms) for state in lane) / len(lane)
+        own_ms = figures.read_ms(request.n_prompt_tokens, n_parts=len(lane))
+        target_ms = request.target_ms or request.deadline_ms - now_ms
+        waited_ms = max(0.0, now_ms - request.arrived_ms)
+        limit_ms = target_ms * READ_SHARE_OF_TARGET * (1.0 + waited_ms / target_ms)
+        is_idle = backlog_ms <= limit_ms * IDLE_SHARE
+        return is_idle or backlog_ms + own_ms <= limit_ms
+
     def restrict(
         self, request: Request, candidates: Sequence[UpstreamState], now_ms: float
     ) -> Sequence[UpstreamState]:
@@ -174,7 +197,7 @@
         arrives while a prompt is read.
         """
         n_engines = len(self._positions.get(request.model, ()))
-        n_requests = sum(state.n_requests(now_ms) for state in pool)
+        n_requests = sum(state.n_answers(now_ms) for state in pool)
         n_kept = math.ceil(n_requests / (figures.n_slots * MAX_PACKED_SHARE))
         n_kept = max(n_kept, n_engines // MIN_KEPT_DIVISOR)
         return n_engines - min(n_kept, n_engines // 2)
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -113,6 +113,10 @@
         pool = self._table.list_serving(request)
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, (), now_ms) is not None
+        if not request.service and not self._head_of_line.may_begin(
+            request, pool, now_ms
+        ):
+            return False
         if (
             self._plans.is_needed(request, pool)
             and self._plans.plan(request, pool, now_ms) is not None
@@ -212,6 +216,8 @@
             return self._choose(request, pool, avoided, now_ms)
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, avoided, now_ms)
+        if not self._head_of_line.may_begin(request, pool, now_ms):
+            return None
         if self._plans.is_needed(request, pool):
             fast = list_fast(pool, pool, now_ms)
             lane = self._head_of_line.restrict_helpers(request, fast, now_ms)
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -164,6 +164,15 @@
         reported = self.report.n_running + self.report.n_waiting
         return max(known, reported + self.ledger.n_unreported)
 
+    def n_answers(self, now_ms: float) -> int:
+        """:returns: requests of all VMs that it answers, parts for others left out"""
+        n_requests = len(self.ledger) + self.peers.total(now_ms).n_requests
+        return n_requests - self.n_parts(now_ms)
+
+    def n_parts(self, now_ms: float) -> int:
+        """:returns: parts of prompts that it reads for others, those of all VMs"""
+        return self.ledger.n_parts + self.peers.total(now_ms).n_parts
+
     def may_help(self, now_ms: float) -> bool:
         """:returns: whether it takes one more part of a prompt that another answers
 
@@ -173,8 +182,7 @@
         figures = self.spec.figures
         if figures is None:
             return True
-        n_parts = self.ledger.n_parts + self.peers.total(now_ms).n_parts
-        return n_parts < figures.n_slots
+        return self.n_parts(now_ms) < figures.n_slots
 
     def slow_factor(self, peer_ms_per_token: float | None, now_ms: float) -> float:
         """:returns: 1 unless slow, else how many times slower than its peers"""
--- /dev/null
+++ b/tests/decisions/head_of_line/test_burst_of_long_prompts.py
@@ -0,0 +1,135 @@
+"""Long prompts that come in a burst: who begins, who waits.
+
+Load pattern: eleven prompts of 70,000 to 500,000 tokens come through different VMs
+within a fifth of a second, together eight seconds of reading for each of fourteen
+engines. Begun all at once, each is read a little in every pass: all end last, short
+answers on these engines stand still, and the ones of 70,000 tokens, which would take a
+sixth of a second, are late with the others.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import pytest
+
+from quetzaldeck.bundle import Bundle, UpstreamSpec
+from quetzaldeck.bundle.engine_figures import EngineFigures
+from quetzaldeck.decisions import Request
+from quetzaldeck.decisions.head_of_line import ReadingLane
+from quetzaldeck.decisions.memory import InFlight
+from quetzaldeck.decisions.tuning import tune
+from quetzaldeck.decisions.upstream_state import UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FIGURES = EngineFigures(8, 405_000, 154.0, pairs_ms_per_million=0.162)
+N_ENGINES = 14
+SHORT = 5_000
+SIZES = (70_000, 500_000, 190_000, 90_000, 240_000, 300_000, 110_000, 120_000)
+SIZES += (80_000, 460_000, 200_000)
+TARGET_MS = 4_000.0
+DEADLINE_MS = 15_000.0
+STEP_MS = 20.0
+
+
+class Begun(NamedTuple):
+    """A prompt that was begun, and when all of its parts are read."""
+
+    request: Request
+    began_ms: float
+    read_ms: float
+
+
+@pytest.fixture
+def lane() -> ReadingLane:
+    policy = ReadingLane()
+    policy.configure(make_bundle(), tune(make_bundle()))
+    return policy
+
+
+def make_bundle() -> Bundle:
+    specs = tuple(
+        UpstreamSpec(f"e{index}", "", models=("m",), kv_tokens=405_000, figures=FIGURES)
+        for index in range(N_ENGINES)
+    )
+    return Bundle(1, 1, upstreams=specs)
+
+
+def make_pool() -> list[UpstreamState]:
+    return [UpstreamState(spec) for spec in make_bundle().upstreams]
+
+
+def make(make_request: Callable[..., Request], n_tokens: int, **fields: Any) -> Request:
+    fields = {"deadline_ms": DEADLINE_MS, "target_ms": TARGET_MS, **fields}
+    return make_request(n_tokens, max_gap_ms=250.0, **fields)
+
+
+class Burst:
+    """Engines that read what they were sent one after the other."""
+
+    def __init__(self, lane: ReadingLane, pool: list[UpstreamState]) -> None:
+        self._lane = lane
+        self._pool = pool
+        self._free_ms = dict.fromkeys((state.spec.name for state in pool), 0.0)
+        self.begun: list[Begun] = []
+
+    def run(self, requests: list[Request]) -> None:
+        """Look for room again and again until all have begun or are out of time."""
+        waiting = list(requests)
+        now_ms = 0.0
+        while waiting and now_ms < DEADLINE_MS:
+            self._note_read(now_ms)
+            for request in list(waiting):
+                if self._lane.may_begin(request, self._pool, now_ms):
+                    waiting.remove(request)
+                    self._begin(request, now_ms)
+            now_ms += STEP_MS
+
+    def _begin(self, request: Request, now_ms: float) -> None:
+        readers = self._lane.restrict_helpers(request, self._pool, now_ms)
+        part_ms = FIGURES.read_ms(request.n_prompt_tokens, n_parts=len(readers))
+        n_part = round(part_ms * FIGURES.tokens_per_ms)
+        for state in readers:
+            name = state.spec.name
+            self._free_ms[name] = max(self._free_ms[name], now_ms) + part_ms
+            state.add(
+                InFlight(request.request_id, request.request_id, 0, n_part, now_ms)
+            )
+        read_ms = max(self._free_ms[state.spec.name] for state in readers)
+        self.begun.append(Begun(request, now_ms, read_ms))
+
+    def _note_read(self, now_ms: float) -> None:
+        for begun in self.begun:
+            if begun.read_ms <= now_ms:
+                for state in self._pool:
+                    state.mark_prefilled(begun.request.request_id)
+
+
+def test_prompt_that_waits_gets_its_turn_among_shorter_ones(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    """A prompt of 400,000 tokens waits until its caller leaves.
+
+    Shorter ones come all the time, each finds room before it does.
+    """
+    pool = make_pool()
+    long = make(make_request, 400_000)
+    now_ms = 0.0
+    while not lane.may_begin(long, pool, now_ms):
+        for state in pool:
+            state.discard(f"a{now_ms - 200.0}")
+            state.add(InFlight(f"a{now_ms}", "r", 0, 77_000, now_ms))
+        now_ms += 100.0
+        assert now_ms < DEADLINE_MS / 2
+
+
+def test_short_and_medium_prompts_never_wait_for_the_lane(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    pool = make_pool()
+    for state in pool:
+        state.add(InFlight("a", "r", 0, 1_500_000, 0.0))
+    for n_tokens in (SHORT, 45_000):
+        assert lane.may_begin(make(make_request, n_tokens), pool, 0.0)
