Count what an engine still has to read down by its stated speed

Cause: what was sent to be read counted whole until its first token.

Change: work is taken to be read one after the other at the stated speed; a quarter of what has no first token yet goes on counting, for an engine that is slow or writes as well. And parts that are read for others are not counted as requests that take a place: they take no slot.

Tests of peers' loads go through the state, as news do, for the backlog sees them there.

--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -82,7 +82,7 @@
         for name, share in shares:
             state = self._table.get(name)
             if state is not None and not state.is_of_another_start(share.incarnation):
-                state.peers.take(vm, share, now_ms)
+                state.take_peer_share(vm, share, now_ms)
         self._waiting.note_room()
 
     def observe_paces(self, paces: Iterable[tuple[str, float]]) -> None:
--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -214,7 +214,7 @@
         fitting = [
             state
             for state in pool
-            if state.n_requests(now_ms) < max_requests
+            if state.n_answers(now_ms) < max_requests
             and state.unread_ms(now_ms) <= MAX_PACKED_UNREAD_MS
         ]
         fitting.sort(key=lambda state: -self._position(request, state))
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -9,6 +9,7 @@
 from quetzaldeck.decisions.health.pace import Pace
 from quetzaldeck.decisions.memory import InFlight, MemoryLedger
 from quetzaldeck.decisions.peer_load import PeerLoad, UpstreamShare
+from quetzaldeck.decisions.reading_backlog import ReadingBacklog
 
 if TYPE_CHECKING:
     from quetzaldeck.bundle.document import UpstreamSpec
@@ -44,6 +45,7 @@
         self.outcomes = OutcomeCount()
         self.pace = Pace()
         self._incarnation = ""
+        self._backlog = ReadingBacklog()
 
     @property
     def incarnation(self) -> str:
@@ -67,6 +69,7 @@
         self.peers = PeerLoad()
         self.outcomes = OutcomeCount()
         self.pace = Pace()
+        self._backlog = ReadingBacklog()
 
     def is_of_another_start(self, incarnation: str) -> bool:
         """:returns: whether news are of an earlier start, or of one not heard of yet"""
@@ -107,6 +110,19 @@
         :raises ValueError: if the attempt is accounted for already
         """
         self.ledger.reserve(attempt)
+        self._note_sent(attempt.n_prefill_tokens, attempt.started_ms)
+
+    def take_peer_share(self, vm: str, share: UpstreamShare, now_ms: float) -> None:
+        """Take what another VM has here."""
+        n_before = self.peers.total(now_ms).n_prefill_tokens
+        self.peers.take(vm, share, now_ms)
+        n_sent = self.peers.total(now_ms).n_prefill_tokens - n_before
+        self._note_sent(max(0, n_sent), now_ms)
+
+    def _note_sent(self, n_tokens: int, now_ms: float) -> None:
+        figures = self.spec.figures
+        if figures is not None and n_tokens:
+            self._backlog.add(n_tokens / figures.tokens_per_ms, now_ms)
 
     def mark_prefilled(self, attempt_id: str) -> None:
         """Note that the first token of an attempt arrived."""
@@ -151,12 +167,15 @@
     def n_requests(self, now_ms: float | None = None) -> int:
         """:returns: requests at the upstream, by report and own attempts since
 
+        Parts of prompts that others answer take no slot, and no place here.
+
         :param now_ms: count what other VMs told as well, and leave a report out that is
             too old to say what runs now
         """
-        known = self.n_in_flight
+        known = self.n_in_flight - self.ledger.n_parts
         if now_ms is not None:
-            known += self.peers.total(now_ms).n_requests
+            told = self.peers.total(now_ms)
+            known += told.n_requests - told.n_parts
         if self.report is None:
             return known
         if now_ms is not None and now_ms - self.reported_ms > REPORT_COUNTS_MS:
@@ -203,7 +222,7 @@
             return 0.0
         n_unread = self.ledger.n_prefill_tokens
         n_unread += self.peers.total(now_ms).n_prefill_tokens
-        return n_unread / figures.tokens_per_ms
+        return self._backlog.left_ms(n_unread / figures.tokens_per_ms, now_ms)
 
     def n_prefill_tokens(self) -> int:
         """:returns: prompt tokens still to be prefilled, best estimate"""
--- a/tests/decisions/head_of_line/test_burst_of_long_prompts.py
+++ b/tests/decisions/head_of_line/test_burst_of_long_prompts.py
@@ -18,6 +18,7 @@
 from quetzaldeck.decisions import Request
 from quetzaldeck.decisions.head_of_line import ReadingLane
 from quetzaldeck.decisions.memory import InFlight
+from quetzaldeck.decisions.peer_load import UpstreamShare
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
@@ -107,6 +108,54 @@
                     state.mark_prefilled(begun.request.request_id)
 
 
+def test_long_prompts_begin_one_after_the_other_the_shorter_ones_first(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    burst = Burst(lane, make_pool())
+    requests = [make(make_request, n_tokens) for n_tokens in SIZES]
+    burst.run(requests)
+    assert len(burst.begun) == len(SIZES)
+    read_ms = {b.request.n_prompt_tokens: b.read_ms for b in burst.begun}
+    in_time = [n_tokens for n_tokens, ms in read_ms.items() if ms <= TARGET_MS]
+    assert all(n_tokens in in_time for n_tokens in SIZES if n_tokens <= 120_000)
+    assert all(ms <= DEADLINE_MS for ms in read_ms.values())
+    began = sorted(burst.begun, key=lambda b: b.began_ms)
+    assert began[-1].request.n_prompt_tokens >= 460_000
+
+
+def test_long_prompts_do_not_all_begin_when_one_is_read(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    """Six long prompts begin in one instant and stop all engines for seconds.
+
+    They waited at six VMs while a prompt of half a million tokens was read. Its first
+    token came, each VM saw idle engines, and none knew of the others.
+    """
+    pool = make_pool()
+    burst = Burst(lane, pool)
+    burst.run([make(make_request, 500_000)])
+    (huge,) = burst.begun
+    others = [make(make_request, 200_000) for _ in range(6)]
+
+    def list_willing(now_ms: float) -> list[Request]:
+        return [r for r in others if lane.may_begin(r, pool, now_ms)]
+
+    assert not list_willing(huge.began_ms + STEP_MS)
+    assert list_willing(huge.read_ms - 600.0), "before all of it is read"
+
+
+def test_engine_that_reads_slower_than_stated_is_not_taken_for_idle(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    pool = make_pool()
+    for state in pool:
+        state.add(InFlight("a", "r", 0, 1_500_000, 0.0))
+    late_ms = 30_000.0
+    assert all(state.unread_ms(late_ms) > 0 for state in pool)
+    request = make(make_request, 200_000, arrived_ms=late_ms, deadline_ms=60_000.0)
+    assert not lane.may_begin(request, pool, late_ms)
+
+
 def test_prompt_that_waits_gets_its_turn_among_shorter_ones(
     lane: ReadingLane, make_request: Callable[..., Request]
 ) -> None:
@@ -133,3 +182,19 @@
         state.add(InFlight("a", "r", 0, 1_500_000, 0.0))
     for n_tokens in (SHORT, 45_000):
         assert lane.may_begin(make(make_request, n_tokens), pool, 0.0)
+
+
+def test_parts_read_for_others_keep_no_engines_from_long_prompts(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    """Long prompts get ever fewer engines, the more of them are read.
+
+    Each part was counted as an answer that is written, for which engines are kept.
+    """
+    pool = make_pool()
+    huge = make(make_request, 500_000)
+    before = len(lane.restrict_helpers(huge, pool, 0.0))
+    for state in pool:
+        state.add(InFlight("p", "r", 0, 30_000, 0.0, is_part=True))
+        state.take_peer_share("vm-b", UpstreamShare(2, 60_000, 0, 2), 0.0)
+    assert len(lane.restrict_helpers(huge, pool, 0.0)) == before
--- a/tests/decisions/head_of_line/test_reading_lane.py
+++ b/tests/decisions/head_of_line/test_reading_lane.py
@@ -110,7 +110,7 @@
 ) -> None:
     pool = make_pool()
     first = lane.restrict(make(make_request, SHORT), pool, 0.0)[0]
-    first.peers.take("other", UpstreamShare(1, 100_000, 100_000), 0.0)
+    first.take_peer_share("other", UpstreamShare(1, 100_000, 100_000), 0.0)
     assert first not in lane.restrict(make(make_request, SHORT), pool, 0.0)
 
 
@@ -124,7 +124,7 @@
     pool = make_busy_pool()
     before = len(lane.restrict(make(make_request, LONG), pool, 0.0))
     for state in pool[:6]:
-        state.peers.take("other", UpstreamShare(1, 400_000, 200_000), 0.0)
+        state.take_peer_share("other", UpstreamShare(1, 400_000, 200_000), 0.0)
     after = len(lane.restrict(make(make_request, LONG), pool, 0.0))
     n_kept = 4  # for 22 requests, six an engine
     assert before < after == N_ENGINES - n_kept
@@ -159,7 +159,7 @@
     assert len(first) >= N_ENGINES / 2
     assert not names(first) & busy
     for state in first:
-        state.peers.take("other", UpstreamShare(1, 500_000, 50_000), 0.0)
+        state.take_peer_share("other", UpstreamShare(1, 500_000, 50_000), 0.0)
     second = lane.restrict_helpers(huge, pool, 0.0)
     assert names(second) <= names(first)
     short = lane.restrict(make(make_request, SHORT), pool, 0.0)
--- a/tests/decisions/placement/test_first_token.py
+++ b/tests/decisions/placement/test_first_token.py
@@ -88,7 +88,7 @@
     """
     pool = make_pool()
     for state in pool[:8]:
-        state.peers.take("other", UpstreamShare(1, 200_000, 200_000), 0.0)
+        state.take_peer_share("other", UpstreamShare(1, 200_000, 200_000), 0.0)
     name, helpers = choose(policy, make_request(45_000), pool)
     busy = {state.spec.name for state in pool[:8]}
     assert not busy & {name, *helpers}
--- a/tests/decisions/test_upstream_restart.py
+++ b/tests/decisions/test_upstream_restart.py
@@ -27,7 +27,7 @@
     state.add(InFlight("a1", "q1", 300_000, 300_000, 0.0, 300_000))
     state.observe(LoadReport("e0", FIRST, 1, 0.0, 8, 4, 350_000, 0), 10.0)
     share = UpstreamShare(3, 90_000, 90_000, 3, Outcomes(0.0, 4.0), FIRST)
-    state.peers.take("vm-b", share, 10.0)
+    state.take_peer_share("vm-b", share, 10.0)
     state.outcomes.note(10.0, is_answered=False)
     state.pace.note(5.0, 10.0)
     state.health.note_fault("a0", AttemptFault.CONNECT, 10.0)
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -217,7 +217,7 @@
         engines = site.entry.session.state.dispatch._scheduler.upstreams
         now_ms = site.entry.session.state.clock.now_ms()
         for state in engines:
-            state.peers.take("other", UpstreamShare(1, 100_000, 100_000), now_ms)
+            state.take_peer_share("other", UpstreamShare(1, 100_000, 100_000), now_ms)
         answer = await site.call(PLAN_PATH)
         assert answer.body == WHOLE
         assert sum(len(engine.calls) for engine in site.engines) == 1
