--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -41,6 +41,9 @@
 """Prompts that an engine may have to read before a short one: about a pass of an engine
 that writes, so that it hardly shows in the time to the first token."""
 
+MAX_KEPT_SHARE = 0.75
+"""Most of the engines that may be kept from long prompts, however much is written."""
+
 MIN_KEPT_DIVISOR = 4
 """One engine in so many is never taken by long prompts. A VM that has just started
 knows of no answers that are written, and some forty prompts come within the two seconds
@@ -200,7 +203,7 @@
         n_requests = sum(state.n_answers(now_ms) for state in pool)
         n_kept = math.ceil(n_requests / (figures.n_slots * MAX_PACKED_SHARE))
         n_kept = max(n_kept, n_engines // MIN_KEPT_DIVISOR)
-        return n_engines - min(n_kept, n_engines // 2)
+        return n_engines - min(n_kept, math.floor(n_engines * MAX_KEPT_SHARE))
 
     def _pack(
         self,
--- a/tests/decisions/head_of_line/test_burst_of_long_prompts.py
+++ b/tests/decisions/head_of_line/test_burst_of_long_prompts.py
@@ -198,3 +198,20 @@
         state.add(InFlight("p", "r", 0, 30_000, 0.0, is_part=True))
         state.take_peer_share("vm-b", UpstreamShare(2, 60_000, 0, 2), 0.0)
     assert len(lane.restrict_helpers(huge, pool, 0.0)) == before
+
+
+def test_many_short_answers_keep_most_engines(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    """Fifty short answers are written; half of the engines hold forty-two.
+
+    The others would share their engines with a prompt that is read for seconds.
+    """
+    pool = make_pool()
+    for number in range(54):
+        state = lane.restrict(make(make_request, SHORT), pool, 0.0)[0]
+        state.add(InFlight(f"a{number}", f"r{number}", SHORT, 0, 0.0))
+    writing = {state.spec.name for state in pool if state.n_answers(0.0)}
+    readers = lane.restrict_helpers(make(make_request, 500_000), pool, 0.0)
+    assert readers
+    assert not writing & {state.spec.name for state in readers}
