--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -121,7 +121,7 @@
         if figures is None or not self._is_long(request, figures):
             return True
         n_free = self._count_free(request, figures, pool, now_ms)
-        lane = [s for s in pool if self._position(request, s) < n_free]
+        lane = self._order_for_reading(request, pool, now_ms)[:n_free]
         if not lane:
             return True
         backlog_ms = sum(state.unread_ms(now_ms) for state in lane) / len(lane)
@@ -179,13 +179,20 @@
         target_ms = request.target_ms or request.deadline_ms - now_ms
         n_needed = math.ceil(work_ms / (target_ms * READ_SHARE_OF_TARGET))
         n_free = self._count_free(request, figures, pool, now_ms)
+        ordered = self._order_for_reading(request, pool, now_ms)
         if n_needed > n_free:
-            return [s for s in pool if self._position(request, s) < n_free]
-        return [
-            state
-            for state in pool
-            if self._position(request, state) < n_needed or not state.n_requests(now_ms)
-        ]
+            return ordered[:n_free]
+        idle = [s for s in ordered[n_needed:] if not s.n_requests(now_ms)]
+        return ordered[:n_needed] + idle
+
+    def _order_for_reading(
+        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
+    ) -> list[UpstreamState]:
+        """:returns: the pool, engines that write the fewest answers first"""
+        return sorted(
+            pool,
+            key=lambda s: (s.n_answers(now_ms), self._position(request, s)),
+        )
 
     def _count_free(
         self,
--- a/tests/decisions/head_of_line/test_burst_of_long_prompts.py
+++ b/tests/decisions/head_of_line/test_burst_of_long_prompts.py
@@ -215,3 +215,22 @@
     readers = lane.restrict_helpers(make(make_request, 500_000), pool, 0.0)
     assert readers
     assert not writing & {state.spec.name for state in readers}
+
+
+def test_long_prompt_is_read_where_fewest_answers_are_written(
+    lane: ReadingLane, make_request: Callable[..., Request]
+) -> None:
+    """Twenty short answers stand still at the begin of a long prompt.
+
+    A burst of short requests is over. What is left of it is written on many engines,
+    also on those at which long prompts begin, while others write nothing.
+    """
+    pool = make_pool()
+    request = make(make_request, 120_000)
+    first = lane.restrict_helpers(request, pool, 0.0)[:4]
+    for state in first:
+        for number in range(5):
+            state.add(InFlight(f"a{number}", f"r{number}", SHORT, 0, 0.0))
+    readers = lane.restrict_helpers(request, pool, 0.0)
+    assert len(readers) >= 2
+    assert not {s.spec.name for s in readers} & {s.spec.name for s in first}
