Leave engines that write out of a long prompt's lane while there is time

The prompts themselves had their first token in 1,000 ms of 4,000. Hypothesis: fewer engines, those that write nothing, are soon enough for the prompt. Change: engines with answers are dropped from the lane, the busiest first, while what is left still reads all within 0.75 of the target.

--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -33,6 +33,10 @@
 """Part of the time to the first token in which the lane has to read all that is to be
 read there: prompts come in bursts, and parts of one engine wait for another's."""
 
+MAX_READ_SHARE_OF_TARGET = 0.75
+"""Part of that time which reading may take where fewer engines read, so that answers
+that are written on the others go on."""
+
 MAX_PACKED_SHARE = 0.75
 """Part of an engine's slots that short requests fill before the next engine gets any.
 The rest is for what other VMs send in the same instant, and for long prompts."""
@@ -177,13 +181,17 @@
         work_ms = figures.read_ms(request.n_prompt_tokens)
         work_ms += sum(state.unread_ms(now_ms) for state in pool)
         target_ms = request.target_ms or request.deadline_ms - now_ms
-        n_needed = math.ceil(work_ms / (target_ms * READ_SHARE_OF_TARGET))
+        n_soon = math.ceil(work_ms / (target_ms * READ_SHARE_OF_TARGET))
+        n_least = math.ceil(work_ms / (target_ms * MAX_READ_SHARE_OF_TARGET))
         n_free = self._count_free(request, figures, pool, now_ms)
         ordered = self._order_for_reading(request, pool, now_ms)
-        if n_needed > n_free:
-            return ordered[:n_free]
-        idle = [s for s in ordered[n_needed:] if not s.n_requests(now_ms)]
-        return ordered[:n_needed] + idle
+        lane = ordered[: min(n_soon, n_free)]
+        while len(lane) > n_least and lane[-1].n_answers(now_ms):
+            lane.pop()
+        if n_soon > n_free:
+            return lane
+        idle = [s for s in ordered[n_soon:] if not s.n_requests(now_ms)]
+        return lane + idle
 
     def _order_for_reading(
         self, request: Request, pool: Sequence[UpstreamState], now_ms: float
