Let settings of an entry VM name the policies that decide

For the ablation: a policy is switched off by its setting, not by an edit. A name that is not registered is found by the check of the settings with its place; it ended the program with a traceback.

--- a/src/quetzaldeck/decisions/placement/__init__.py
+++ b/src/quetzaldeck/decisions/placement/__init__.py
@@ -10,6 +10,7 @@
 )
 from quetzaldeck.decisions.placement.few_choices import FewChoices
 from quetzaldeck.decisions.placement.first_token import FirstToken
+from quetzaldeck.decisions.placement.first_token_whole import FirstTokenWhole
 from quetzaldeck.decisions.placement.least_reported import LeastReported
 from quetzaldeck.decisions.placement.prefix_index import PrefixIndex
 from quetzaldeck.decisions.placement.round_robin import RoundRobin
@@ -20,6 +21,7 @@
     "CacheEvents",
     "FewChoices",
     "FirstToken",
+    "FirstTokenWhole",
     "LeastReported",
     "PlacementPolicy",
     "PrefixIndex",
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -9,11 +9,7 @@
 import aiohttp
 
 from quetzaldeck.belief import FleetBelief
-from quetzaldeck.decisions.policies import (
-    ENTRY_GROUPS,
-    ENTRY_POLICIES,
-    build_scheduler,
-)
+from quetzaldeck.decisions.policies import ENTRY_GROUPS, build_scheduler
 from quetzaldeck.decisions.retries import ArrivalBudget
 from quetzaldeck.entry.belief_sources import BeliefSources
 from quetzaldeck.entry.belief_task import BeliefTask
@@ -132,7 +128,7 @@
     def _build_scheduler(self) -> Scheduler:
         bounds = self._settings.bounds
         return build_scheduler(
-            ENTRY_POLICIES,
+            self._settings.policies,
             clock=self._clock,
             random_state=random.Random(self._settings.random_state or None),
             availability_zone=self._settings.availability_zone,
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -5,6 +5,7 @@
 from typing import Annotated, NamedTuple
 
 from quetzaldeck.config.option import Option
+from quetzaldeck.decisions.policies import ENTRY_POLICIES, Policies
 
 HOLD_SHARE = 0.85
 """Part of the time in which unused memory has to be free again."""
@@ -73,6 +74,9 @@
         int, Option("Where VMs tell each other; 0: they do not.", maximum=65_535)
     ] = 0
     bounds: Annotated[EntryBounds, Option("Promises.")] = EntryBounds()
+    policies: Annotated[
+        Policies, Option("Which policies decide, all named; others are for comparison.")
+    ] = ENTRY_POLICIES
     random_state: Annotated[int, Option("Seed of random choices; 0: any.")] = 0
 
 
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import random
+from typing import TYPE_CHECKING
+
 import msgspec
 import pytest
 
 from quetzaldeck.config import FindingsError, load_text
 from quetzaldeck.config.compiled import decode_fast
+from quetzaldeck.decisions.admission import BoundsOnly, PredictedWait
+from quetzaldeck.decisions.policies import ENTRY_POLICIES, build_scheduler
 from quetzaldeck.entry.settings import EntryListen, EntrySettings
 
+if TYPE_CHECKING:
+    from quetzaldeck.clock import ManualClock
+
 WITHOUT_PORTS = """\
 vm: edge-1
 availability_zone: a
@@ -40,3 +48,31 @@
     whole = {**half, "readiness": "10.1.0.40:8220"}
     decoded = decode_fast(msgspec.json.encode(whole), EntryListen)
     assert decoded == EntryListen("10.1.0.40:8227", "10.1.0.40:8220")
+
+
+WITH_PORTS = """\
+vm: edge-1
+availability_zone: a
+listen: {callers: "10.1.0.40:8227", readiness: "10.1.0.40:8220"}
+store_address: 10.2.0.1:8223
+"""
+
+
+def test_policies_can_be_named_to_compare_them(clock: ManualClock) -> None:
+    assert load_text(WITH_PORTS, EntrySettings, "e.yaml").policies == ENTRY_POLICIES
+    named = "policies: {queue: fair, placement: first_token, admission: bounds}\n"
+    settings = load_text(WITH_PORTS + named, EntrySettings, "e.yaml")
+    scheduler = build_scheduler(
+        settings.policies, clock=clock, random_state=random.Random(1)
+    )
+    assert isinstance(scheduler.admission, BoundsOnly)
+    assert not isinstance(scheduler.admission, PredictedWait)
+
+
+def test_policy_that_does_not_exist_is_found_with_its_place() -> None:
+    """A VM starts, takes callers' connections, and ends with a traceback."""
+    named = "policies:\n  head_of_line: short_lane\n"
+    with pytest.raises(FindingsError) as caught:
+        load_text(WITH_PORTS + named, EntrySettings, "e.yaml")
+    (finding,) = caught.value.findings
+    assert finding.render().startswith("e.yaml:6: policies.head_of_line: ")
