--- a/src/quetzaldeck/decisions/policies.py
+++ b/src/quetzaldeck/decisions/policies.py
@@ -22,18 +22,10 @@
 class Policies(NamedTuple):
     """Names of the policies that decide."""
 
-    queue: Annotated[str, Option("Queue policy.", choices=queue_policies.names)] = (
-        "fair"
-    )
-    placement: Annotated[
-        str, Option("Placement policy.", choices=placement_policies.names)
-    ] = "few_choices"
-    admission: Annotated[
-        str, Option("Admission policy.", choices=admission_policies.names)
-    ] = "predicted_wait"
-    head_of_line: Annotated[
-        str, Option("Head-of-line policy.", choices=head_of_line_policies.names)
-    ] = "lanes"
+    queue: Annotated[str, Option("Queue policy.")] = "fair"
+    placement: Annotated[str, Option("Placement policy.")] = "few_choices"
+    admission: Annotated[str, Option("Admission policy.")] = "predicted_wait"
+    head_of_line: Annotated[str, Option("Head-of-line policy.")] = "lanes"
 
 
 BASELINE_ROUND_ROBIN = Policies("fifo", "round_robin", "bounds", "none")
