--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -62,6 +62,9 @@
 """Part of the reading that the lane may have before it, up to which the longest prompt
 may begin, though by itself it takes longer than all may."""
 
+MIN_TARGET_MS = 1.0
+"""Least time that a prompt's work is divided by; one whose time is up has none left."""
+
 SHORT_RANK = 2
 LONG_RANK = 5
 
@@ -81,12 +84,20 @@
     without a message; what runs where they tell each other.
 
     - What can be spread over all engines in parts that hold nobody up, is.
-    - Longer prompts begin at the first engines, and take as many as can read within
-      the target what all VMs have sent to be read, and those that are idle.
-    - However much is to be read, the last engines stay free of it, as many as the
-      answers that are written now need. One prompt of 560,000 tokens on all engines
-      held every answer up for 1.6 s, to be in time itself; on two thirds of them it
-      takes a second longer, and one caller is late in place of fifty.
+    - Longer prompts are read where the fewest answers are written, by as many engines
+      as can read within the target what all VMs have sent to be read, and by those that
+      are idle. Engines that write are left out while the others are in time without
+      them: read by ten engines with three answers each, a prompt of 330,000 tokens has
+      its first token a second sooner and makes thirty callers late.
+    - However much is to be read, some engines stay free of it, as many as the answers
+      that are written now need. One prompt of 560,000 tokens on all engines held every
+      answer up for 1.6 s, to be in time itself; on two thirds of them it takes a second
+      longer, and one caller is late in place of fifty.
+    - Long prompts take turns. Engines read a little of all that they have, so that
+      prompts which are begun together all end last. One begins while the lane reads all
+      that it has, this one included, within a share of its target: the shorter ones
+      find room first, and no VM has to ask another. Who waits is let in with more and
+      more before it, so that nobody waits for ever.
     - Short requests begin at the last engines and fill them before they take another:
       an engine writes eight answers about as fast as one.
     """
@@ -130,7 +141,7 @@
             return True
         backlog_ms = sum(state.unread_ms(now_ms) for state in lane) / len(lane)
         own_ms = figures.read_ms(request.n_prompt_tokens, n_parts=len(lane))
-        target_ms = request.target_ms or request.deadline_ms - now_ms
+        target_ms = _target_ms(request, now_ms)
         waited_ms = max(0.0, now_ms - request.arrived_ms)
         limit_ms = target_ms * READ_SHARE_OF_TARGET * (1.0 + waited_ms / target_ms)
         is_idle = backlog_ms <= limit_ms * IDLE_SHARE
@@ -178,9 +189,10 @@
         pool: Sequence[UpstreamState],
         now_ms: float,
     ) -> list[UpstreamState]:
+        """:returns: the engines that read a long prompt"""
         work_ms = figures.read_ms(request.n_prompt_tokens)
         work_ms += sum(state.unread_ms(now_ms) for state in pool)
-        target_ms = request.target_ms or request.deadline_ms - now_ms
+        target_ms = _target_ms(request, now_ms)
         n_soon = math.ceil(work_ms / (target_ms * READ_SHARE_OF_TARGET))
         n_least = math.ceil(work_ms / (target_ms * MAX_READ_SHARE_OF_TARGET))
         n_free = self._count_free(request, figures, pool, now_ms)
@@ -209,14 +221,14 @@
         pool: Sequence[UpstreamState],
         now_ms: float,
     ) -> int:
-        """:returns: engines that long prompts may take, at least half of all
+        """:returns: how many engines long prompts may take
 
         The others are as many as what is written now fits on, and a quarter for what
         arrives while a prompt is read.
         """
         n_engines = len(self._positions.get(request.model, ()))
-        n_requests = sum(state.n_answers(now_ms) for state in pool)
-        n_kept = math.ceil(n_requests / (figures.n_slots * MAX_PACKED_SHARE))
+        n_answers = sum(state.n_answers(now_ms) for state in pool)
+        n_kept = math.ceil(n_answers / (figures.n_slots * MAX_PACKED_SHARE))
         n_kept = max(n_kept, n_engines // MIN_KEPT_DIVISOR)
         return n_engines - min(n_kept, math.floor(n_engines * MAX_KEPT_SHARE))
 
@@ -243,6 +255,11 @@
         return positions.get(state.spec.name, 0)
 
 
+def _target_ms(request: Request, now_ms: float) -> float:
+    """:returns: time to the first token that its caller wants, or has left"""
+    return max(MIN_TARGET_MS, request.target_ms or request.deadline_ms - now_ms)
+
+
 def _hash_name(name: str) -> int:
     return xxhash.xxh3_64_intdigest(name.encode())
 
