--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -113,9 +113,7 @@
         pool = self._table.list_serving(request)
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, (), now_ms) is not None
-        if not request.service and not self._head_of_line.may_begin(
-            request, pool, now_ms
-        ):
+        if not self._head_of_line.may_begin(request, pool, now_ms):
             return False
         if (
             self._plans.is_needed(request, pool)
