Watch the store with a few VMs of the fleet, and hold its questions longer

Each of five zones had a watcher, whatever its size, and asked each 667 ms: five watchers in 22 VMs. While the store fails, every VM tried it about once a second, and a word that had grown old made each VM suspect its neighbours.

Ruled out: reads at the start of VMs (44 calls of some 600); one watcher for the whole fleet with no limit (it would answer 400 questions a second at 195 VMs); pushing confirmations in datagrams (one that waited in a stopped VM looks fresh).

Change: watchers follow from the whole fleet, one for 48 answers a second; the store holds a question for 0.3 of the shortest bound, VMs one for an eighth, so the worst case stays at 0.85 of the bound. The age at which keys are believed counts among the bounds. A teller of another zone that fails makes a zone choose its own watchers. While the store is away, old news are no reason for suspicion, and only watchers retry quickly.

--- a/src/quetzaldeck/belief/sharing_bounds.py
+++ b/src/quetzaldeck/belief/sharing_bounds.py
@@ -4,8 +4,11 @@
 
 from typing import NamedTuple
 
-WAIT_SHARE = 1 / 6
-ANSWER_SHARE = 1 / 8
+from quetzaldeck.clock.clock import MS_PER_SECOND
+
+SOURCE_WAIT_SHARE = 0.3
+WAIT_SHARE = 1 / 8
+ANSWER_SHARE = 1 / 10
 BATCH_SHARE = 1 / 10
 RETRY_SHARE = 1 / 4
 
@@ -18,20 +21,28 @@
     at the end of a wait, and then a question to the source: ``max_told_age_ms + wait_ms
     + answer_ms``, 1,700 of 2,000 ms.
 
+    Calls to the source are paid for and limited, questions between VMs are not: so a
+    watcher's question is held for longer than those of the VMs that ask it.
+
     :param shortest_ms: shortest time in which a change has to be in force
-    :param n_vms_per_watcher: VMs of a zone for each one that watches the source; a
-        watcher answers each of them ``1,000 / wait_ms`` times a second
+    :param max_answers_per_s: answers of one watcher to other VMs, in quiet times; a
+        VM with a tenth of a core spends a twentieth of that on them
     :param suspect_ms: a VM that failed to tell is not asked for so long; a restart
         takes a second or two
     """
 
     shortest_ms: float
-    n_vms_per_watcher: int = 16
+    max_answers_per_s: float = 48.0
     suspect_ms: float = 5_000.0
 
+    @property
+    def source_wait_ms(self) -> float:
+        """:returns: how long the source holds a question if nothing changes"""
+        return self.shortest_ms * SOURCE_WAIT_SHARE
+
     @property
     def wait_ms(self) -> float:
-        """:returns: how long a question is held if nothing changes"""
+        """:returns: how long another VM holds a question if nothing changes"""
         return self.shortest_ms * WAIT_SHARE
 
     @property
@@ -55,15 +66,21 @@
     def max_told_age_ms(self) -> float:
         """:returns: age above which what a VM tells shows that it lost the source
 
-        A watcher's own word is at most as old as two of its questions and the pause
-        between them: an answer with a change does not say for how long it was held.
+        A watcher's own word is at most as old as its question to the source, the pause
+        after a change, and the question of the VM that asks it: an answer with a
+        change does not say for how long it was held.
         """
-        return 2 * self.wait_ms + self.batch_ms + self.answer_ms
+        return self.source_wait_ms + self.wait_ms + self.batch_ms + self.answer_ms
 
     @property
     def retry_ms(self) -> float:
-        """:returns: how long others are preferred to a source that failed"""
+        """:returns: how long others are preferred to a source that failed once"""
         return self.shortest_ms * RETRY_SHARE
 
+    @property
+    def n_vms_per_watcher(self) -> int:
+        """:returns: VMs of the fleet for each one that watches the source"""
+        return max(1, int(self.max_answers_per_s * self.wait_ms / MS_PER_SECOND))
+
 
 __all__ = ("SharingBounds",)
--- a/src/quetzaldeck/belief/source_choice.py
+++ b/src/quetzaldeck/belief/source_choice.py
@@ -1,19 +1,25 @@
 """Whom to ask for news: the source itself, or a VM that asks it for others.
 
 Load pattern: each change of the fleet answers the watch of each VM, which asks again.
-58 VMs made 4,100 calls in 55 s, a release or a storm of configurations makes tens of
-thousands at 410 VMs, and the source's rate grows more slowly than the fleet. After an
-outage all VMs ask at once. And a VM that starts while the source is silent learns
-nothing, though its neighbours know the configuration: it refuses everybody.
+A release or a storm of configurations makes tens of thousands of calls at 410 VMs, and
+the source's rate grows more slowly than the fleet. After an outage all VMs ask at once.
+And a VM that starts while the source is silent learns nothing, though its neighbours
+know the configuration: it refuses everybody.
 
-So a few VMs of each availability zone watch the source, and the others ask them. Who
-watches follows from the addresses alone: VMs that know each other agree without a
-message, and those that disagree for a moment make some more calls, nothing worse.
+So a few VMs of the fleet watch the source, and the others ask them. Who watches follows
+from the addresses alone: VMs that know each other agree without a message, and those
+that disagree for a moment make some more calls, nothing worse.
 
 Every answer states its age. A VM that is silent, gone, or tells old news is suspected
 for a while, and the source is asked next: so nobody depends on one VM for longer than
-the bounds allow, whatever happened to it. If the source fails, other VMs are asked:
-they may reach it, or at least know more.
+the bounds allow, whatever happened to it. A VM of another zone that is silent may mean
+that the zones are cut off from each other: until it is trusted again, the VMs of a zone
+choose their watchers among themselves.
+
+While the source fails, a VM asks the others in turn: they may reach it, or at least
+know more. Old news are then no reason to suspect whoever tells them. The VMs that watch
+try the source again soon, and the others at growing pauses: they learn of its return
+from the first.
 """
 
 from __future__ import annotations
@@ -29,12 +35,15 @@
 
     from quetzaldeck.belief.sharing_bounds import SharingBounds
 
+MAX_DOUBLINGS = 16
+"""Keeps the pause between two tries a finite number however long an outage lasts."""
+
 
 class SourceChoice:
     """Decides on the next question of one VM.
 
     :param own: this VM's address
-    :param random_state: chooses among VMs of other zones
+    :param random_state: chooses among VMs while the source fails, and spreads retries
     """
 
     def __init__(
@@ -44,43 +53,60 @@
         self._bounds = bounds
         self._random_state = random_state
         self._suspected_until_ms: dict[str, float] = {}
+        self._n_source_errors = 0
         self._source_failed_ms = float("-inf")
+        self._source_retry_ms = float("-inf")
         self._must_ask_source = True
+        self._is_watcher = False
+
+    @property
+    def is_source_away(self) -> bool:
+        """:returns: whether the source failed when it was asked last"""
+        return self._n_source_errors > 0
 
     def set_bounds(self, bounds: SharingBounds) -> None:
         """Take other figures."""
         self._bounds = bounds
 
     def choose(
-        self, neighbours: Collection[str], others: Collection[str], now_ms: float
+        self,
+        neighbours: Collection[str],
+        others: Collection[str],
+        now_ms: float,
+        *,
+        unheard: Collection[str] = (),
     ) -> str | None:
         """Choose whom to ask.
 
         :param neighbours: other VMs of this availability zone
         :param others: VMs of other zones, or of an unknown one
+        :param unheard: addresses where VMs may be, asked only if the source fails
         :returns: a VM's address; ``None``: the source
         """
-        if self._must_ask_source:
+        watchers = self.list_watchers(neighbours, others, now_ms)
+        self._is_watcher = self._own in watchers
+        if self.is_source_away and now_ms < self._get_retry_ms():
+            return self._choose_helper(watchers, {*neighbours, *others}, unheard)
+        if self._must_ask_source or self.is_source_away or self._is_watcher:
             return None
-        watchers = self.list_watchers(neighbours, now_ms)
-        if now_ms - self._source_failed_ms < self._bounds.retry_ms:
-            return self._choose_helper(watchers, others, now_ms)
-        if self._own in watchers:
-            return None
-        return watchers[_rank(self._own) % len(watchers)]
+        return self._choose_teller(watchers, neighbours)
 
     def list_watchers(
-        self, neighbours: Collection[str], now_ms: float
+        self, neighbours: Collection[str], others: Collection[str], now_ms: float
     ) -> tuple[str, ...]:
-        """:returns: the VMs of this zone that watch the source, by this VM's view"""
-        members = {self._own, *self._list_trusted(neighbours, now_ms)}
+        """:returns: the VMs that watch the source, by this VM's view"""
+        self._drop_suspicions(now_ms)
+        members = {self._own, *neighbours}
+        if self._suspected_until_ms.keys().isdisjoint(others):
+            members.update(others)
+        members -= self._suspected_until_ms.keys()
         n_watchers = math.ceil(len(members) / self._bounds.n_vms_per_watcher)
         return tuple(sorted(members, key=_rank)[:n_watchers])
 
     def note_source_answer(self) -> None:
         """Note that the source answered."""
         self._must_ask_source = False
-        self._source_failed_ms = float("-inf")
+        self._n_source_errors = 0
 
     def note_history_gone(self) -> None:
         """Note that the source has to be read as a whole."""
@@ -88,8 +114,12 @@
 
     def note_source_error(self, now_ms: float) -> None:
         """Note that the source failed."""
-        self._must_ask_source = False
+        n_doublings = min(self._n_source_errors, MAX_DOUBLINGS)
+        self._n_source_errors += 1
         self._source_failed_ms = now_ms
+        pause_ms = min(self._bounds.suspect_ms, self._bounds.retry_ms * 2**n_doublings)
+        pause_ms *= self._random_state.uniform(0.5, 1.0)
+        self._source_retry_ms = now_ms + max(self._bounds.retry_ms, pause_ms)
 
     def note_told(self, address: str, age_ms: float, now_ms: float) -> bool:
         """Note what a VM told.
@@ -97,7 +127,7 @@
         :param age_ms: age of this VM's belief after it
         :returns: whether the VM is suspected of having lost the source
         """
-        if age_ms <= self._bounds.max_told_age_ms:
+        if age_ms <= self._bounds.max_told_age_ms or self.is_source_away:
             return False
         self.note_peer_error(address, now_ms)
         return True
@@ -107,22 +137,48 @@
         self._suspected_until_ms[address] = now_ms + self._bounds.suspect_ms
         self._must_ask_source = True
 
+    def _get_retry_ms(self) -> float:
+        if self._is_watcher:
+            return self._source_failed_ms + self._bounds.retry_ms
+        return self._source_retry_ms
+
+    def _choose_teller(
+        self, watchers: Collection[str], neighbours: Collection[str]
+    ) -> str:
+        """:returns: a watcher of this zone if there are enough for it, else any
+
+        Answers between zones are paid for by their bytes.
+        """
+        near = tuple(address for address in watchers if address in neighbours)
+        n_members = len(neighbours) + 1
+        suffices = len(near) * self._bounds.n_vms_per_watcher >= n_members
+        tellers = near if suffices else tuple(watchers)
+        return tellers[_rank(self._own) % len(tellers)]
+
     def _choose_helper(
-        self, watchers: Collection[str], others: Collection[str], now_ms: float
+        self,
+        watchers: Collection[str],
+        known: Collection[str],
+        unheard: Collection[str],
     ) -> str | None:
-        """:returns: a VM that may know more than a source that fails this one"""
-        near = [address for address in watchers if address != self._own]
-        far = self._list_trusted(others, now_ms)
-        choices = near or far
-        return self._random_state.choice(choices) if choices else None
+        """:returns: a VM that may know more than a source that fails this one
 
-    def _list_trusted(self, addresses: Collection[str], now_ms: float) -> list[str]:
+        A watcher every other time on average: it notices the return of the source
+        first. Any VM otherwise: the source may turn all watchers away.
+        """
+        untrusted = self._suspected_until_ms.keys() | {self._own}
+        trusted_watchers = sorted(set(watchers) - untrusted)
+        trusted = sorted(set(known) - untrusted) or sorted(set(unheard) - untrusted)
+        if trusted_watchers and self._random_state.random() < 0.5:
+            return self._random_state.choice(trusted_watchers)
+        return self._random_state.choice(trusted) if trusted else None
+
+    def _drop_suspicions(self, now_ms: float) -> None:
         self._suspected_until_ms = {
             address: until_ms
             for address, until_ms in self._suspected_until_ms.items()
             if until_ms > now_ms
         }
-        return sorted(set(addresses) - self._suspected_until_ms.keys() - {self._own})
 
 
 def _rank(address: str) -> int:
--- a/src/quetzaldeck/entry/belief_sources.py
+++ b/src/quetzaldeck/entry/belief_sources.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.belief import SharingBounds, SourceChoice
+from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.peers import BeliefFeed, PeerSource
 
 if TYPE_CHECKING:
@@ -57,9 +58,15 @@
 
     @property
     def bounds(self) -> SharingBounds:
-        """:returns: the figures, from the settings in force"""
+        """:returns: the figures, from the settings in force
+
+        Keys are a change as well: they are believed up to an age that leaves time for
+        the request and for a source that drops its history.
+        """
         bounds = self._state.settings.bounds
-        return SharingBounds(min(bounds.leaving_ms, bounds.configuration_ms))
+        max_key_age_ms = build_belief_bounds(bounds).max_key_age_ms
+        shortest_ms = min(bounds.leaving_ms, bounds.configuration_ms, max_key_age_ms)
+        return SharingBounds(max(1.0, shortest_ms))
 
     def choose(self) -> str | None:
         """:returns: the VM to ask next; ``None``: the source"""
@@ -71,6 +78,7 @@
             self.list_neighbours(),
             self._table.list_others(zone),
             self._state.clock.uptime_ms(),
+            unheard=self._table.unheard_seeds,
         )
 
     def list_neighbours(self) -> tuple[str, ...]:
--- a/src/quetzaldeck/entry/belief_task.py
+++ b/src/quetzaldeck/entry/belief_task.py
@@ -66,7 +66,8 @@
         clock = self._state.clock
         asked_ms = clock.uptime_ms()
         try:
-            reading = await self._read(self._sources.source)
+            source, bounds = self._sources.source, self._sources.bounds
+            reading = await self._read(source, bounds.source_wait_ms)
         except HistoryGoneError as error:
             log_event("source_history_gone", level="WARNING", error=error)
             self._must_read_all = True
@@ -88,7 +89,8 @@
         asked_ms = clock.uptime_ms()
         choice = self._sources.choice
         try:
-            reading = await self._read(self._sources.open_peer(address))
+            teller = self._sources.open_peer(address)
+            reading = await self._read(teller, self._sources.bounds.wait_ms)
         except SourceError as error:
             log_event("teller_failed", level="WARNING", peer=address, error=error)
             choice.note_peer_error(address, clock.uptime_ms())
@@ -100,12 +102,11 @@
             log_event("teller_is_old", level="WARNING", peer=address, age_ms=age_ms)
         return 0.0
 
-    async def _read(self, source: BeliefSource) -> Reading:
+    async def _read(self, source: BeliefSource, wait_ms: float) -> Reading:
         if self._must_read_all:
             return await source.read_all()
         revision = self._state.belief.revision
-        wait_ms = round(self._sources.bounds.wait_ms)
-        return await source.wait_for_changes(revision, wait_ms)
+        return await source.wait_for_changes(revision, round(wait_ms))
 
     def _take(self, reading: Reading, asked_ms: float) -> None:
         belief = self._state.belief
--- a/src/quetzaldeck/entry/peers/table.py
+++ b/src/quetzaldeck/entry/peers/table.py
@@ -42,6 +42,11 @@
         """:returns: VMs that were heard or heard of lately"""
         return tuple(self._heard_ms.keys() | self._told_ms.keys())
 
+    @property
+    def unheard_seeds(self) -> tuple[str, ...]:
+        """:returns: seeds that nobody has told of lately; they may be gone"""
+        return tuple(set(self._seeds).difference(self.addresses))
+
     def list_by_zone(self) -> dict[str, list[str]]:
         """:returns: the VMs by availability zone, ``""`` for those of an unknown one"""
         zones: dict[str, list[str]] = {}
@@ -58,10 +63,10 @@
         )
 
     def list_others(self, availability_zone: str) -> tuple[str, ...]:
-        """:returns: the VMs of other zones, and seeds that were not heard yet"""
+        """:returns: the VMs of other zones, and those of an unknown one"""
         return tuple(
             address
-            for address in {*self.addresses, *self._seeds}
+            for address in self.addresses
             if self._zones.get(address) != availability_zone
         )
 
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -11,11 +11,12 @@
 from quetzaldeck.belief import FleetBelief
 from quetzaldeck.decisions.policies import ENTRY_GROUPS, build_scheduler
 from quetzaldeck.decisions.retries import ArrivalBudget
+from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.belief_sources import BeliefSources
 from quetzaldeck.entry.belief_task import BeliefTask
 from quetzaldeck.entry.pace_task import PaceTask
 from quetzaldeck.entry.peers import PeerTable, PeerTask
-from quetzaldeck.entry.state import EntryState, build_belief_bounds
+from quetzaldeck.entry.state import EntryState
 from quetzaldeck.entry.upstream_client import UpstreamClient
 from quetzaldeck.gateway.dispatch_task import DispatchTask
 from quetzaldeck.gateway.session_base import SessionBase
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -6,8 +6,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from quetzaldeck.belief import BeliefBounds
 from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.pool import build_bundle, list_incarnations, list_leaving
 from quetzaldeck.entry.view import build_view
 from quetzaldeck.gateway.drain import Drain
@@ -40,11 +40,6 @@
 """Time in which callers who are cut off are told so, at the end of the grace."""
 
 
-def build_belief_bounds(bounds: EntryBounds) -> BeliefBounds:
-    """:returns: how old belief may be, by the operators' promises"""
-    return BeliefBounds(bounds.key_revocation_ms, bounds.leaving_ms)
-
-
 class EntryState:
     """Belief, connections and decisions of one entry VM."""
 
@@ -143,4 +138,4 @@
     )
 
 
-__all__ = ("EntryState", "build_belief_bounds", "build_shutdown")
+__all__ = ("EntryState", "build_shutdown")
--- a/tests/entry/peers/test_peer_table.py
+++ b/tests/entry/peers/test_peer_table.py
@@ -66,7 +66,8 @@
     table.note_heard("10.0.0.5", 0.0, "a")
     table.note_told({"a": ("10.0.0.6",), "b": ("10.0.0.7",)}, 0.0)
     assert sorted(table.list_zone("a")) == ["10.0.0.5", "10.0.0.6"]
-    assert sorted(table.list_others("a")) == ["10.0.0.0", "10.0.0.2", "10.0.0.7"]
+    assert sorted(table.list_others("a")) == ["10.0.0.7"]
+    assert sorted(table.unheard_seeds) == ["10.0.0.0", "10.0.0.2"]
     assert table.list_told() == {"a": ("10.0.0.5",)}
     table.expire(2 * FORGET_MS)
     assert not table.list_zone("a")
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -121,7 +121,8 @@
         """:returns: hosts of the VMs that watch the store"""
         vm = next(iter(self.vms.values()))
         others = [host for host in self.vms if host != vm.host]
-        return vm.sources.choice.list_watchers(others, vm.state.clock.uptime_ms())
+        now_ms = vm.state.clock.uptime_ms()
+        return vm.sources.choice.list_watchers(others, (), now_ms)
 
     async def wait(
         self, is_met: Callable[[], bool], *, timeout_ms: float = 10_000
