Pass news of loads on by relays in fleets of more than 25 VMs

Cause: each change of load went to each other VM, and a request makes three or four.

Change: a few VMs of each zone, by a hash, gather what their members tell and pass it on to members and to the other relays. Members are confirmed, and leave a silent relay after two tries of 100 ms. A VM that joins is told all loads at once, where a new VM knew one or two VMs' loads for half a second. Changes are told at once, then at most each 20 ms, where they waited 20 ms before. Greetings tell less while nobody is found or lost, and seeds are greeted by eight VMs at a time, not by all. What is asked of the store and told between VMs is counted on the metrics address.

test_peer_task: the datagram's form changed; assertions are the same. The direct sending of its own load to a VM that starts stays for small fleets.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: install demo check lint types test format clean capacity capacity-agents capacity-entries docs
+.PHONY: install demo check lint types test format clean capacity capacity-agents capacity-entries capacity-telling docs
 .PHONY: fuzz soak bench bench-entry soak-claims measure-claims
 
 install: $(VENV)/.installed
@@ -56,6 +56,10 @@
 capacity-entries: install
 	PYTHONPATH=$(CURDIR)/src:$(CURDIR) $(BIN)/python -m tests.support.platform.sharing_cost
 
+# What telling each other loads costs, by way and size of the fleet; some minutes.
+capacity-telling: install
+	PYTHONPATH=$(CURDIR)/src:$(CURDIR) $(BIN)/python -m tests.entry.peers.telling_cost
+
 # Fault runs on real processes: every fault alone, then pairs, for SOAK_SECONDS.
 SEED ?= 1
 SOAK_SECONDS ?= 600
--- /dev/null
+++ b/src/quetzaldeck/decisions/relays/bounds.py
@@ -0,0 +1,45 @@
+"""Figures of relaying news between VMs."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class RelayBounds(NamedTuple):
+    """Sizes and times.
+
+    :param n_peers_relayed: with more other VMs than this, a VM tells its news to a
+        relay only; with fewer, to each of them, which is faster
+    :param n_peers_joining: with more other VMs than this, a VM asks a relay for news;
+        less than ``n_peers_relayed``, since VMs may disagree on how many there are
+    :param n_vms_per_relay: VMs of a zone for each relay of it
+    :param join_ms: pause between two requests of a VM to be told news
+    :param n_missed_joins: requests that may be lost before a VM is told nothing more
+    :param receipt_ms: time in which a VM confirms that it was told something
+    :param n_sends: how often something is told to a VM that does not confirm it
+    :param suspect_ms: a VM that did not confirm is not chosen for so long, and for
+        twice as long after each further time
+    :param max_suspect_ms: longest time for that
+    :param tick_ms: shortest pause between two messages to the same VMs
+    :param tick_ms_per_member: the same, for each VM that a relay tells: bounds what a
+        relay sends to some hundred datagrams a second
+    """
+
+    n_peers_relayed: int = 24
+    n_peers_joining: int = 22
+    n_vms_per_relay: int = 32
+    join_ms: float = 500.0
+    n_missed_joins: int = 3
+    receipt_ms: float = 100.0
+    n_sends: int = 2
+    suspect_ms: float = 3_000.0
+    max_suspect_ms: float = 12_000.0
+    tick_ms: float = 20.0
+    tick_ms_per_member: float = 1.5
+
+    def flush_ms(self, n_members: int) -> float:
+        """:returns: pause of a relay between two messages to ``n_members``"""
+        return max(self.tick_ms, n_members * self.tick_ms_per_member)
+
+
+__all__ = ("RelayBounds",)
--- /dev/null
+++ b/src/quetzaldeck/decisions/relays/receipts.py
@@ -0,0 +1,69 @@
+"""What was told to one VM and has to be confirmed by it."""
+
+from __future__ import annotations
+
+from typing import Generic, NamedTuple, TypeVar
+
+from quetzaldeck.decisions.relays.bounds import RelayBounds
+
+M = TypeVar("M")
+
+
+class Unconfirmed(NamedTuple, Generic[M]):
+    """A message that may have been lost.
+
+    :param n_sent: how often it was sent
+    """
+
+    number: int
+    address: str
+    message: M
+    sent_ms: float
+    n_sent: int
+
+
+class Receipts(Generic[M]):
+    """Numbers messages, and says which of them have to be sent again."""
+
+    def __init__(self, bounds: RelayBounds | None = None) -> None:
+        self._bounds = RelayBounds() if bounds is None else bounds
+        self._last_number = 0
+        self._open: dict[int, Unconfirmed[M]] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def take_number(self) -> int:
+        """:returns: a number for the next message"""
+        self._last_number += 1
+        return self._last_number
+
+    def expect(
+        self, number: int, address: str, message: M, now_ms: float, n_sent: int = 1
+    ) -> None:
+        """Expect that a message is confirmed."""
+        self._open[number] = Unconfirmed(number, address, message, now_ms, n_sent)
+
+    def confirm(self, number: int, address: str) -> None:
+        """Take a confirmation; one that nothing waits for changes nothing."""
+        held = self._open.get(number)
+        if held is not None and held.address == address:
+            del self._open[number]
+
+    def pop_late(self, now_ms: float) -> list[Unconfirmed[M]]:
+        """:returns: messages that were not confirmed in time; they are forgotten"""
+        due_ms = now_ms - self._bounds.receipt_ms
+        late = [held for held in self._open.values() if held.sent_ms <= due_ms]
+        for held in late:
+            del self._open[held.number]
+        return late
+
+    def next_ms(self) -> float:
+        """:returns: when the next of them is late; infinite if none is expected"""
+        if not self._open:
+            return float("inf")
+        first_ms = min(held.sent_ms for held in self._open.values())
+        return first_ms + self._bounds.receipt_ms
+
+
+__all__ = ("Receipts", "Unconfirmed")
--- /dev/null
+++ b/src/quetzaldeck/decisions/relays/subscribers.py
@@ -0,0 +1,57 @@
+"""Which VMs have asked this one for news."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from quetzaldeck.decisions.relays.bounds import RelayBounds
+
+
+class _Subscriber(NamedTuple):
+    vm: str
+    is_relay: bool
+    until_ms: float
+
+
+class Subscribers:
+    """VMs that are told news for as long as they go on asking.
+
+    Members are told everything, relays only what this VM and its members tell.
+    """
+
+    def __init__(self, bounds: RelayBounds | None = None) -> None:
+        bounds = RelayBounds() if bounds is None else bounds
+        self._keep_ms = bounds.join_ms * (bounds.n_missed_joins + 0.5)
+        self._subscribers: dict[str, _Subscriber] = {}
+
+    def join(self, address: str, vm: str, *, is_relay: bool, now_ms: float) -> bool:
+        """Take a request to be told news.
+
+        :param vm: id of the VM's run
+        :returns: whether it has to be told what is known already
+        """
+        before = self._subscribers.get(address)
+        until_ms = now_ms + self._keep_ms
+        self._subscribers[address] = _Subscriber(vm, is_relay, until_ms)
+        return before is None or before.vm != vm or before.is_relay != is_relay
+
+    def leave(self, address: str) -> None:
+        """Take a VM out that has another relay."""
+        self._subscribers.pop(address, None)
+
+    def expire(self, now_ms: float) -> None:
+        """Forget VMs that no longer ask."""
+        for address, subscriber in tuple(self._subscribers.items()):
+            if subscriber.until_ms < now_ms:
+                del self._subscribers[address]
+
+    def list_members(self) -> tuple[str, ...]:
+        """:returns: addresses of the VMs that are told everything"""
+        return tuple(a for a, s in self._subscribers.items() if not s.is_relay)
+
+    def list_relays(self) -> tuple[str, ...]:
+        """:returns: addresses of the other relays"""
+        return tuple(a for a, s in self._subscribers.items() if s.is_relay)
+
+
+__all__ = ("Subscribers",)
--- a/src/quetzaldeck/entry/belief_task.py
+++ b/src/quetzaldeck/entry/belief_task.py
@@ -35,6 +35,7 @@
         self._must_read_all = True
         self._n_errors = 0
         self._has_lapses = asyncio.Event()
+        self._questions = state.metrics.peers.questions
 
     async def run(self) -> None:
         """Ask until cancelled."""
@@ -70,6 +71,7 @@
             reading = await self._read(source, bounds.source_wait_ms)
         except HistoryGoneError as error:
             log_event("source_history_gone", level="WARNING", error=error)
+            self._questions.labels("source", "history_gone").inc()
             self._must_read_all = True
             self._sources.choice.note_history_gone()
             self._state.belief.note_trouble(clock.uptime_ms())
@@ -80,6 +82,7 @@
             log_event("source_regained", n_errors=self._n_errors)
             self._n_errors = 0
         self._sources.choice.note_source_answer()
+        self._questions.labels("source", "answered").inc()
         self._take(reading, asked_ms)
         return self._sources.bounds.batch_ms if reading.changes else 0.0
 
@@ -94,7 +97,9 @@
         except SourceError as error:
             log_event("teller_failed", level="WARNING", peer=address, error=error)
             choice.note_peer_error(address, clock.uptime_ms())
+            self._questions.labels("vm", "failed").inc()
             return 0.0
+        self._questions.labels("vm", "answered").inc()
         self._take(reading, asked_ms)
         now_ms = clock.uptime_ms()
         age_ms = self._state.belief.age_ms(now_ms)
@@ -131,6 +136,7 @@
         now_ms = self._state.clock.uptime_ms()
         self._state.belief.note_trouble(now_ms)
         self._sources.choice.note_source_error(now_ms)
+        self._questions.labels("source", "failed").inc()
         if not self._n_errors:
             age_ms = self._state.belief.age_ms(now_ms)
             log_event("source_lost", level="WARNING", error=error, age_ms=age_ms)
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Literal
+
 import msgspec
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
@@ -9,7 +11,7 @@
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
-    """What of the sender is at one upstream; see ``UpstreamShare``."""
+    """What of a VM is at one upstream; see ``UpstreamShare``."""
 
     upstream: str
     n_requests: int
@@ -20,6 +22,18 @@
     n_failed: float = 0.0
     incarnation: str = ""
 
+    @property
+    def says_anything(self) -> bool:
+        """:returns: whether another VM learns anything from it"""
+        return bool(
+            self.n_requests
+            or self.n_prefill_tokens
+            or self.n_kv_tokens
+            or self.n_parts
+            or self.n_answered
+            or self.n_failed
+        )
+
 
 class CrashNews(msgspec.Struct, frozen=True, array_like=True):
     """A crash with a request on board, or its acquittal; see ``CrashSighting``."""
@@ -30,36 +44,67 @@
     age_ms: float
 
 
-class PeerNews(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One datagram.
+class VmNews(msgspec.Struct, frozen=True, array_like=True):
+    """What one VM has to tell all others; may come by way of other VMs.
 
-    :param vm: id of the sender and of its run: a VM that starts again is another one
-    :param availability_zone: the sender's; ``""`` in news of loads and crashes
-    :param known: by availability zone, addresses that the sender heard lately
+    :param vm: id of the VM and of its run: a VM that starts again is another one
+    :param sequence: grows with each of the VM's news; the highest is the latest
     :param paces: by name, engines that are slow, or were when they were told of last
     """
 
     vm: str
-    availability_zone: str = ""
-    known: dict[str, tuple[str, ...]] = {}
+    sequence: int
     loads: tuple[LoadNews, ...] = ()
     crashes: tuple[CrashNews, ...] = ()
     paces: dict[str, float] = {}
 
+    @property
+    def says_anything(self) -> bool:
+        """:returns: whether there is anything in it"""
+        return bool(self.loads or self.crashes or self.paces)
+
+
+Reach = Literal["", "fleet", "members"]
+"""To whom the receiver passes news on: to nobody, all VMs, or those that joined it."""
+
+Join = Literal["", "member", "relay", "leave"]
+"""Whether the sender wants to be told news, and as what; see ``Subscribers``."""
+
+
+class PeerMessage(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One datagram.
+
+    :param vm: id of the sender and of its run
+    :param availability_zone: the sender's; ``""`` in messages that carry news only
+    :param known: by availability zone, addresses that the sender heard lately
+    :param news: of the sender, or of others that it passes on
+    :param number: the receiver confirms it; 0: it need not
+    :param confirmed: number of a message that the sender has received; 0: none
+    """
+
+    vm: str
+    availability_zone: str = ""
+    known: dict[str, tuple[str, ...]] = {}
+    news: tuple[VmNews, ...] = ()
+    reach: Reach = ""
+    join: Join = ""
+    number: int = 0
+    confirmed: int = 0
+
 
 N_DIGITS = 2
 """Digits after the point of counts that age; more would be bytes without use."""
 
-_DECODER = msgspec.json.Decoder(PeerNews)
+_DECODER = msgspec.json.Decoder(PeerMessage)
 
 
-def encode_news(news: PeerNews) -> bytes:
-    """:returns: the datagram for ``news``"""
-    return msgspec.json.encode(news)
+def encode_message(message: PeerMessage) -> bytes:
+    """:returns: the datagram for ``message``"""
+    return msgspec.json.encode(message)
 
 
-def decode_news(data: bytes) -> PeerNews:
-    """:returns: the news in a datagram
+def decode_message(data: bytes) -> PeerMessage:
+    """:returns: the message in a datagram
 
     :raises msgspec.DecodeError: if it holds none
     """
@@ -94,10 +139,13 @@
 
 __all__ = (
     "CrashNews",
+    "Join",
     "LoadNews",
-    "PeerNews",
+    "PeerMessage",
+    "Reach",
+    "VmNews",
     "build_load_news",
-    "decode_news",
-    "encode_news",
+    "decode_message",
+    "encode_message",
     "read_load_news",
 )
--- a/src/quetzaldeck/entry/peers/table.py
+++ b/src/quetzaldeck/entry/peers/table.py
@@ -16,6 +16,17 @@
 """Addresses told in one message: with messages to a few VMs each second, all of a fleet
 of a hundred know each other within ten seconds; they fit into one packet."""
 
+CALM_MS = 10_000.0
+"""Time without a VM found or lost after which less is told."""
+
+N_SEED_GREETERS = 8
+"""VMs that greet a seed at a time, on average, however many there are."""
+
+MIN_TOLD = 16
+CALM_TOLD_DIVISOR = 8
+"""Part of a calm fleet that one message tells of. With four messages a second each
+VM is told of each other one every two seconds, a tenth of the time that it is kept."""
+
 
 class PeerTable:
     """Addresses of other VMs, learned from seeds and from what they tell.
@@ -33,6 +44,8 @@
         self._heard_ms: dict[str, float] = {}
         self._told_ms: dict[str, float] = {}
         self._zones: dict[str, str] = {}
+        self._addresses: tuple[str, ...] | None = None
+        self._changed_ms = float("-inf")
 
     def __len__(self) -> int:
         return len(self.addresses)
@@ -40,7 +53,9 @@
     @property
     def addresses(self) -> tuple[str, ...]:
         """:returns: VMs that were heard or heard of lately"""
-        return tuple(self._heard_ms.keys() | self._told_ms.keys())
+        if self._addresses is None:
+            self._addresses = tuple(self._heard_ms.keys() | self._told_ms.keys())
+        return self._addresses
 
     @property
     def unheard_seeds(self) -> tuple[str, ...]:
@@ -87,6 +102,8 @@
             self._zones[address] = availability_zone
         is_new = address not in self._heard_ms and address not in self._told_ms
         self._heard_ms[address] = now_ms
+        if is_new:
+            self._note_change(now_ms)
         return is_new
 
     def note_told(self, known: Mapping[str, tuple[str, ...]], now_ms: float) -> None:
@@ -95,6 +112,8 @@
             for address in addresses:
                 if address == self._own:
                     continue
+                if address not in self._told_ms and address not in self._heard_ms:
+                    self._note_change(now_ms)
                 self._told_ms[address] = now_ms
                 if availability_zone:
                     self._zones[address] = availability_zone
@@ -102,6 +121,7 @@
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """:returns: VMs that were not heard of for too long; they are forgotten"""
         before = self.addresses
+        self._addresses = None
         for times in (self._heard_ms, self._told_ms):
             for address, at_ms in tuple(times.items()):
                 if now_ms - at_ms > FORGET_MS:
@@ -109,21 +129,32 @@
         gone = set(before) - set(self.addresses)
         for address in gone:
             self._zones.pop(address, None)
+        if gone:
+            self._note_change(now_ms)
         return tuple(gone)
 
+    def is_calm(self, now_ms: float) -> bool:
+        """:returns: whether no VM was found or lost for a while"""
+        return now_ms - self._changed_ms > CALM_MS
+
     def choose(self, n_peers: int) -> tuple[str, ...]:
-        """:returns: some peers to greet, among them a seed
+        """:returns: some peers to greet, among them a seed now and then
 
         Seeds are greeted for ever: two halves of a fleet that lost each other find
-        together again there.
+        together again there. The more VMs there are, the more rarely each does so.
         """
         known = sorted(self.addresses)
         chosen = set(self._random_state.sample(known, min(n_peers, len(known))))
-        if self._seeds:
+        seed_share = N_SEED_GREETERS / max(1, len(known))
+        if self._seeds and self._random_state.random() < seed_share:
             chosen.add(self._random_state.choice(self._seeds))
         return tuple(sorted(chosen))
 
-    def list_told(self) -> dict[str, tuple[str, ...]]:
+    def _note_change(self, now_ms: float) -> None:
+        self._addresses = None
+        self._changed_ms = now_ms
+
+    def list_told(self, now_ms: float) -> dict[str, tuple[str, ...]]:
         """:returns: some of the addresses heard, for another VM, by availability zone
 
         What was only told is not told on: VMs that tell each other of one that is gone
@@ -131,7 +162,10 @@
         """
         known = [*self._heard_ms]
         told: dict[str, tuple[str, ...]] = {}
-        for address in self._random_state.sample(known, min(N_TOLD, len(known))):
+        n_told = N_TOLD
+        if self.is_calm(now_ms):
+            n_told = max(MIN_TOLD, min(N_TOLD, len(self) // CALM_TOLD_DIVISOR))
+        for address in self._random_state.sample(known, min(n_told, len(known))):
             availability_zone = self._zones.get(address, "")
             told[availability_zone] = (*told.get(availability_zone, ()), address)
         return told
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -11,12 +11,13 @@
 from quetzaldeck.decisions.poison import CrashSighting
 from quetzaldeck.entry.peers.messages import (
     CrashNews,
-    PeerNews,
+    PeerMessage,
     build_load_news,
-    decode_news,
-    encode_news,
+    decode_message,
+    encode_message,
     read_load_news,
 )
+from quetzaldeck.entry.peers.node import PeerNode
 from quetzaldeck.gateway.messages import (
     ObserveCrashes,
     ObservePaces,
@@ -25,43 +26,46 @@
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Mapping
 
-    from quetzaldeck.decisions.peer_load import UpstreamShare
+    from quetzaldeck.entry.peers.messages import VmNews
     from quetzaldeck.entry.peers.table import PeerTable
     from quetzaldeck.entry.state import EntryState
 
 TICK_MS = 20.0
-"""Pause between news and telling them: what changes within it is told once."""
+"""Pause between two looks at what has changed: what changes within it is told once."""
 
 GREET_MS = 500.0
 """Pause between greetings: VMs that start together know each other within seconds."""
 N_GREETED = 3
+N_GREETED_CALM = 2
 """VMs that are greeted at a time; see ``PeerTable``."""
 
-N_LOADS = 24
-"""Loads in one datagram, so that it fits into one packet."""
-
 
 class PeerTask(asyncio.DatagramProtocol):
     """Tells the other VMs what this one does, and takes what they tell.
 
     Everything told is soft: without it, decisions rest on this VM's own view.
 
+    :param own: this VM's address
     :param vm: id of this run of this VM
     :param port: where every VM listens
     """
 
     def __init__(
-        self, state: EntryState, table: PeerTable, *, vm: str, port: int
+        self, state: EntryState, table: PeerTable, *, own: str, vm: str, port: int
     ) -> None:
         self._state = state
         self._table = table
         self._vm = vm
         self._port = port
+        zone = state.settings.availability_zone
+        self._node = PeerNode(own, table, vm=vm, availability_zone=zone)
         self._changes = LoadChanges()
         self._runs: dict[str, str] = {}
         self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._metrics = state.metrics.peers
 
     async def run(self, host: str) -> None:
         """Listen, and tell until cancelled."""
@@ -78,8 +82,12 @@
                     greeted_ms = now_ms
                     self._greet(now_ms)
                 self._tell(now_ms)
+                self._advance()
+                await asyncio.sleep(TICK_MS / 1_000)
                 await self._wait()
         finally:
+            if self._timer is not None:
+                self._timer.cancel()
             transport.close()
 
     async def _wait(self) -> None:
@@ -92,100 +100,129 @@
                 await self._state.dispatch.wait_for_load_news()
         except TimeoutError:
             return
-        await asyncio.sleep(TICK_MS / 1_000)
 
     def tell_paces(self, paces: Mapping[str, float]) -> None:
         """Tell all other VMs how fast some engines are."""
-        names = sorted(paces)
-        for begin in range(0, len(names), N_LOADS):
-            part = {name: paces[name] for name in names[begin : begin + N_LOADS]}
-            self._send_all(PeerNews(self._vm, paces=part))
+        self._node.tell(self._state.clock.now_ms(), paces=paces)
+        self._send_outgoing()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a datagram; one that is none of ours changes nothing."""
         try:
-            news = decode_news(data)
+            message = decode_message(data)
         except msgspec.DecodeError as error:
             log_event("peer_undecodable", level="WARNING", peer=addr[0], error=error)
             return
-        now_ms = self._state.clock.now_ms()
-        if news.vm == self._vm:
+        if message.vm == self._vm:
             return
-        zone = news.availability_zone
-        if self._table.note_heard(addr[0], now_ms, zone):
-            log_event("peer_found", peer=addr[0], vm=news.vm, n_peers=len(self._table))
-        self._table.note_told(news.known, now_ms)
-        if self._runs.get(addr[0]) != news.vm:
-            self._runs[addr[0]] = news.vm
-            self._welcome(addr[0])
+        self._metrics.note_received(_kind_of(message), len(data))
+        now_ms = self._state.clock.now_ms()
+        self._note_peer(message, addr[0], now_ms)
+        for news in self._node.receive(message, addr[0], now_ms):
+            self._observe(news)
+        self._advance()
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a VM does not listen; it may come back, or will be forgotten."""
+        log_event("peer_unreachable", level="DEBUG", error=repr(exc))
+
+    def _note_peer(self, message: PeerMessage, address: str, now_ms: float) -> None:
+        n_known = len(self._table)
+        if self._table.note_heard(address, now_ms, message.availability_zone):
+            n_peers = len(self._table)
+            log_event("peer_found", peer=address, vm=message.vm, n_peers=n_peers)
+        self._table.note_told(message.known, now_ms)
+        if len(self._table) != n_known:
+            self._node.note_fleet_changed()
+        if self._runs.get(address) != message.vm:
+            self._runs[address] = message.vm
+            self._welcome(address, now_ms)
+
+    def _observe(self, news: VmNews) -> None:
+        """Hand what a VM told to the decisions."""
+        dispatch = self._state.dispatch
         if news.loads:
             loads = tuple((load.upstream, read_load_news(load)) for load in news.loads)
-            self._state.dispatch.send_news(ObservePeerLoad(news.vm, loads))
+            dispatch.send_news(ObservePeerLoad(news.vm, loads))
         if news.crashes:
             crashes = tuple(
                 CrashSighting(c.fingerprint, c.upstream, c.incarnation, c.age_ms)
                 for c in news.crashes
             )
-            self._state.dispatch.send_news(ObserveCrashes(crashes))
+            dispatch.send_news(ObserveCrashes(crashes))
         if news.paces:
-            self._state.dispatch.send_news(ObservePaces(tuple(news.paces.items())))
-
-    def error_received(self, exc: Exception) -> None:
-        """Note that a VM does not listen; it may come back, or will be forgotten."""
-        log_event("peer_unreachable", level="DEBUG", error=repr(exc))
+            dispatch.send_news(ObservePaces(tuple(news.paces.items())))
 
     def _greet(self, now_ms: float) -> None:
-        for peer in self._table.expire(now_ms):
+        lost = self._table.expire(now_ms)
+        for peer in lost:
             self._runs.pop(peer, None)
             log_event("peer_lost", peer=peer, n_peers=len(self._table))
-        data = self._build_greeting()
-        for address in self._table.choose(N_GREETED):
-            self._send(data, address)
+        if lost:
+            self._node.note_fleet_changed()
+        greeting = self._build_greeting(now_ms)
+        n_greeted = N_GREETED_CALM if self._table.is_calm(now_ms) else N_GREETED
+        self._send(greeting, self._table.choose(n_greeted))
 
-    def _build_greeting(self) -> bytes:
+    def _build_greeting(self, now_ms: float) -> PeerMessage:
         zone = self._state.settings.availability_zone
-        return encode_news(PeerNews(self._vm, zone, self._table.list_told()))
+        return PeerMessage(self._vm, zone, self._table.list_told(now_ms))
 
-    def _welcome(self, address: str) -> None:
+    def _welcome(self, address: str, now_ms: float) -> None:
         """Tell a VM that has just started who is there and what runs here.
 
         It knows of nothing that the others have sent, and would place its first
         requests behind their long reads until they repeat themselves, a second later.
+        Where there are relays, it learns of the loads when it joins one.
         """
-        self._send(self._build_greeting(), address)
+        self._send(self._build_greeting(now_ms), (address,))
         shares = self._state.dispatch.list_shares()
-        for news in self._pack_loads(
-            [entry for entry in shares if entry[1].says_anything]
-        ):
-            self._send(encode_news(news), address)
+        current = (entry for entry in shares if entry[1].says_anything)
+        self._node.welcome(address, [build_load_news(*entry) for entry in current])
 
     def _tell(self, now_ms: float) -> None:
-        for news in self._list_news(now_ms):
-            self._send_all(news)
-
-    def _list_news(self, now_ms: float) -> Iterator[PeerNews]:
         shares = self._state.dispatch.list_shares()
-        n_peers = len(self._table)
-        yield from self._pack_loads(self._changes.take(shares, now_ms, n_peers))
-        for sightings in self._state.dispatch.take_crash_news():
-            crashes = tuple(CrashNews(*sighting) for sighting in sightings)
-            yield PeerNews(self._vm, crashes=crashes)
-
-    def _pack_loads(
-        self, shares: list[tuple[str, UpstreamShare]]
-    ) -> Iterator[PeerNews]:
-        loads = [build_load_news(upstream, share) for upstream, share in shares]
-        for begin in range(0, len(loads), N_LOADS):
-            yield PeerNews(self._vm, loads=tuple(loads[begin : begin + N_LOADS]))
-
-    def _send_all(self, news: PeerNews) -> None:
-        data = encode_news(news)
-        for address in self._table.addresses:
-            self._send(data, address)
-
-    def _send(self, data: bytes, address: str) -> None:
-        if self._transport is not None:
+        changed = self._changes.take(shares, now_ms, len(self._table))
+        crashes = [
+            CrashNews(*sighting)
+            for sightings in self._state.dispatch.take_crash_news()
+            for sighting in sightings
+        ]
+        if changed or crashes:
+            loads = [build_load_news(upstream, share) for upstream, share in changed]
+            self._node.tell(now_ms, loads=loads, crashes=crashes)
+
+    def _advance(self) -> None:
+        """Send what is due, and come back for what is due next."""
+        now_ms = self._state.clock.now_ms()
+        self._node.advance(now_ms)
+        self._send_outgoing()
+        if self._timer is not None:
+            self._timer.cancel()
+        wait_ms = self._node.wait_ms(now_ms)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(wait_ms / 1_000, self._advance)
+
+    def _send_outgoing(self) -> None:
+        for message, addresses in self._node.take_outgoing():
+            self._send(message, addresses)
+
+    def _send(self, message: PeerMessage, addresses: tuple[str, ...]) -> None:
+        if self._transport is None:
+            return
+        data = encode_message(message)
+        for address in addresses:
             self._transport.sendto(data, (address, self._port))
+        self._metrics.note_sent(_kind_of(message), len(data), len(addresses))
+
+
+def _kind_of(message: PeerMessage) -> str:
+    """:returns: what a message is for, in metrics"""
+    if message.news:
+        return "relayed" if message.reach else "news"
+    if message.join:
+        return "join"
+    return "confirmation" if message.confirmed else "greeting"
 
 
 __all__ = ("PeerTask",)
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -124,7 +124,8 @@
 
     def _build_peer_task(self, table: PeerTable) -> PeerTask:
         vm = f"{self._settings.vm}/{uuid.uuid4().hex[:8]}"
-        return PeerTask(self.state, table, vm=vm, port=self._settings.peer_port)
+        port = self._settings.peer_port
+        return PeerTask(self.state, table, own=self._own_host, vm=vm, port=port)
 
     def _build_scheduler(self) -> Scheduler:
         bounds = self._settings.bounds
--- a/src/quetzaldeck/telemetry/gateway_metrics.py
+++ b/src/quetzaldeck/telemetry/gateway_metrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from quetzaldeck.outcomes import Reason
+from quetzaldeck.telemetry.peer_metrics import PeerMetrics
 from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
 _TTFT_BUCKETS = (0.05, 0.1, 0.2, 0.35, 0.55, 0.8, 1.2, 2, 4, 8, 16, 32, 64, 128)
@@ -115,6 +116,7 @@
             registry=self.registry,
         )
         self.upstreams = UpstreamMetrics(self.registry)
+        self.peers = PeerMetrics(self.registry)
         for reason in Reason:
             self.failures.labels(reason.value, "no")
 
--- /dev/null
+++ b/tests/entry/peers/telling_cost.py
@@ -0,0 +1,133 @@
+"""What telling each other loads costs as the fleet grows, and how old the news are.
+
+Prints a row for each way and size: ``python -m tests.entry.peers.telling_cost``.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from statistics import median, quantiles
+from typing import NamedTuple
+
+import click
+from tests.entry.peers.peer_fleet import PeerFleet
+
+from quetzaldeck.decisions.peer_load import UpstreamShare
+from quetzaldeck.decisions.relays import RelayBounds
+
+SIZES = (7, 30, 77, 195, 300, 410)
+N_ZONES = 5
+N_ENGINES = 112
+REQUESTS_PER_VM_S = 0.5
+FIRST_TOKEN_MS = 180.0
+ANSWER_MS = 2_000.0
+MEET_MS = 15_000.0
+MEASURED_S = 4.0
+STEP_MS = 10.0
+NEVER = 1 << 30
+
+WAYS = {
+    "direct": RelayBounds(n_peers_relayed=NEVER, n_peers_joining=NEVER),
+    "relays": RelayBounds(),
+    "one relay a zone": RelayBounds(n_vms_per_relay=NEVER),
+    "relay for 12 VMs": RelayBounds(n_vms_per_relay=12),
+}
+
+
+class Cost(NamedTuple):
+    """Rates of one VM a second, and ages of what it was told.
+
+    :param most_datagrams: sent by the VM that sends most
+    """
+
+    datagrams: float
+    most_datagrams: float
+    n_bytes: float
+    bytes_between_zones: float
+    median_age_ms: float
+    p99_age_ms: float
+
+
+class Requests:
+    """Requests that begin, get their first token and end at random engines."""
+
+    def __init__(self, fleet: PeerFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._random_state = random.Random(seed)
+        self._events: list[tuple[float, str, str, UpstreamShare]] = []
+        self._ids = itertools.count(1)
+        self.changed_ms: dict[int, float] = {}
+
+    def step(self) -> None:
+        """Begin requests, and change what is due."""
+        now_ms = self._fleet.now_ms
+        rate = REQUESTS_PER_VM_S * STEP_MS / 1_000
+        for address in self._fleet.vms:
+            if self._random_state.random() < rate:
+                upstream = f"i-{self._random_state.randrange(N_ENGINES):010x}"
+                sent = UpstreamShare(1, 5_000, 0)
+                self._events += [
+                    (now_ms, address, upstream, sent),
+                    (now_ms + FIRST_TOKEN_MS, address, upstream, UpstreamShare(1)),
+                    (now_ms + ANSWER_MS, address, upstream, UpstreamShare()),
+                ]
+        due = [event for event in self._events if event[0] <= now_ms]
+        self._events = [event for event in self._events if event[0] > now_ms]
+        for _, address, upstream, share in due:
+            number = next(self._ids)
+            self.changed_ms[number] = now_ms
+            marked = share._replace(n_kv_tokens=number)
+            self._fleet.vms[address].shares[upstream] = marked
+
+
+def measure(n_vms: int, bounds: RelayBounds, seed: int = 1) -> Cost:
+    """:returns: what it costs at one size"""
+    fleet = PeerFleet(n_vms, n_zones=N_ZONES, seed=seed, bounds=bounds)
+    requests = Requests(fleet, seed)
+    fleet.run(MEET_MS)
+    fleet.take_counts()
+    for vm in fleet.vms.values():
+        vm.n_datagrams = 0
+    for _ in range(int(MEASURED_S * 1_000 / STEP_MS)):
+        requests.step()
+        fleet.run(STEP_MS)
+    counts = fleet.take_counts()
+    ages = [
+        heard_ms - requests.changed_ms[load.n_kv_tokens]
+        for vm in fleet.vms.values()
+        for heard_ms, load in vm.heard
+        if load.n_prefill_tokens
+    ]
+    scale = n_vms * MEASURED_S
+    return Cost(
+        counts.n_datagrams / scale,
+        max(vm.n_datagrams for vm in fleet.vms.values()) / MEASURED_S,
+        counts.n_bytes / scale,
+        counts.n_bytes_between_zones / scale,
+        median(ages),
+        quantiles(ages, n=100)[98],
+    )
+
+
+@click.command()
+@click.option("--most", type=int, default=SIZES[-1], show_default=True)
+def main(*, most: int) -> None:
+    """Measure all ways at all sizes."""
+    click.echo(
+        "way               vms  datagrams  most  KB/s  between zones  age, p99 ms"
+    )
+    for way, bounds in WAYS.items():
+        for n_vms in SIZES:
+            if n_vms > most:
+                continue
+            cost = measure(n_vms, bounds)
+            click.echo(
+                f"{way:16} {n_vms:4} {cost.datagrams:10.1f} {cost.most_datagrams:5.0f} "
+                f"{cost.n_bytes / 1_000:5.1f} {cost.bytes_between_zones / 1_000:14.2f} "
+                f"{cost.median_age_ms:5.0f} {cost.p99_age_ms:6.0f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/entry/peers/test_peer_table.py
+++ b/tests/entry/peers/test_peer_table.py
@@ -20,7 +20,7 @@
 def greet_all(tables: dict[str, PeerTable], now_ms: float) -> None:
     """Let every VM greet once."""
     for own, table in tables.items():
-        told = table.list_told()
+        told = table.list_told(0.0)
         for address in table.choose(N_GREETED):
             other = tables.get(address)
             if other is not None:
@@ -68,6 +68,6 @@
     assert sorted(table.list_zone("a")) == ["10.0.0.5", "10.0.0.6"]
     assert sorted(table.list_others("a")) == ["10.0.0.7"]
     assert sorted(table.unheard_seeds) == ["10.0.0.0", "10.0.0.2"]
-    assert table.list_told() == {"a": ("10.0.0.5",)}
+    assert table.list_told(0.0) == {"a": ("10.0.0.5",)}
     table.expire(2 * FORGET_MS)
     assert not table.list_zone("a")
--- a/tests/entry/peers/test_peer_task.py
+++ b/tests/entry/peers/test_peer_task.py
@@ -18,10 +18,11 @@
 from quetzaldeck.decisions.peer_load import UpstreamShare
 from quetzaldeck.entry.peers import PeerTable, PeerTask
 from quetzaldeck.entry.peers.messages import (
-    PeerNews,
+    PeerMessage,
+    VmNews,
     build_load_news,
-    decode_news,
-    encode_news,
+    decode_message,
+    encode_message,
 )
 
 if TYPE_CHECKING:
@@ -46,13 +47,16 @@
         table = PeerTable("127.0.0.9", (), random_state=state.random_state)
         port = choose_port()
         task = asyncio.create_task(
-            PeerTask(state, table, vm="own", port=port).run("127.0.0.1")
+            PeerTask(state, table, own="127.0.0.1", vm="own", port=port).run(
+                "127.0.0.1"
+            )
         )
         await asyncio.sleep(0.05)
         for data in (b"", b"\xff\x00", b"[]", b'{"vm": 3}'):
             send(port, data)
         loads = (build_load_news("e0", BUSY), build_load_news("unknown", BUSY))
-        send(port, encode_news(PeerNews("other", loads=loads)))
+        news = VmNews("other", 1, loads)
+        send(port, encode_message(PeerMessage("other", news=(news,))))
         await site.wait(lambda: bool(table.addresses))
         engines = state.dispatch._scheduler.upstreams
         engine = engines.get("e0")
@@ -87,7 +91,7 @@
 @given(st.binary(max_size=200))
 def test_any_datagram_is_decoded_or_refused(data: bytes) -> None:
     with suppress(msgspec.DecodeError):
-        decode_news(data)
+        decode_message(data)
 
 
 def test_vm_that_has_just_started_is_told_what_runs_here_at_once() -> None:
@@ -100,16 +104,16 @@
     async def test(site: Site) -> None:
         state = site.entry.session.state
         table = PeerTable("127.0.0.9", (), random_state=state.random_state)
-        task = PeerTask(state, table, vm="own", port=1)
+        task = PeerTask(state, table, own="127.0.0.1", vm="own", port=1)
         wire = task._transport = Wire()
         call = asyncio.create_task(site.call(PLAN_PATH, prompt=(5_000, 10)))
         await site.wait(lambda: bool(site.engines[0].calls))
         address = ("127.0.0.2", 1)
-        task.datagram_received(encode_news(PeerNews("first run")), address)
+        task.datagram_received(encode_message(PeerMessage("first run")), address)
         assert wire.take_requests() == 1
-        task.datagram_received(encode_news(PeerNews("first run")), address)
+        task.datagram_received(encode_message(PeerMessage("first run")), address)
         assert not wire.sent, "it is known by now"
-        task.datagram_received(encode_news(PeerNews("second run")), address)
+        task.datagram_received(encode_message(PeerMessage("second run")), address)
         assert wire.take_requests() == 1
         call.cancel()
         await asyncio.gather(call, return_exceptions=True)
@@ -127,14 +131,19 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.sent: list[PeerNews] = []
+        self.sent: list[PeerMessage] = []
 
     def sendto(self, data: Any, addr: Any = None) -> None:
         """Keep a datagram."""
         assert addr == ("127.0.0.2", 1)
-        self.sent.append(decode_news(data))
+        self.sent.append(decode_message(data))
 
     def take_requests(self) -> int:
         """:returns: requests that what was sent tells of"""
         sent, self.sent = self.sent, []
-        return sum(load.n_requests for news in sent for load in news.loads)
+        return sum(
+            load.n_requests
+            for message in sent
+            for news in message.news
+            for load in news.loads
+        )
