Let the VMs with the fastest processors relay and watch, and spread short requests

Relays were chosen by a hash, nearly all of them VMs with 0.12 of a core, and a relay sends some 700 datagrams a second at about 0.08 ms of processor each: it fell seconds behind, and the watchers as well (349 times a teller failed).

Of 103 late first events in one zone's logs 63 were silent for 0.5 to 0.9 s at their first engine and were sent again.

Change: VMs tell their processor in greetings (setting `processor`, from the template). Who relays and who watches goes by it, the hash decides among equals; a relay takes 80 members a core, a watcher 400 answers a second and core, and a relay paces what it sends by its processor. The more answers are written, the more engines a short request may go to, a quarter of all at most; it compares three of them, others for each request.

Ruled out: more, smaller relays on slow VMs (by count: each still sends and receives a thousand datagrams a second in a burst). A VM that joined another new VM was told nothing until the next repeat: what a VM is told when it joins goes on to its own members.

Others gained a processor of the VMs; what they ask is the same.

--- a/src/quetzaldeck/belief/sharing_bounds.py
+++ b/src/quetzaldeck/belief/sharing_bounds.py
@@ -25,14 +25,14 @@
     watcher's question is held for longer than those of the VMs that ask it.
 
     :param shortest_ms: shortest time in which a change has to be in force
-    :param max_answers_per_s: answers of one watcher to other VMs, in quiet times; a
-        VM with a tenth of a core spends a twentieth of that on them
+    :param max_answers_per_core_s: answers of a watcher with a whole core to other VMs,
+        in quiet times: a third of it
     :param suspect_ms: a VM that failed to tell is not asked for so long; a restart
         takes a second or two
     """
 
     shortest_ms: float
-    max_answers_per_s: float = 48.0
+    max_answers_per_core_s: float = 400.0
     suspect_ms: float = 5_000.0
 
     @property
@@ -77,10 +77,13 @@
         """:returns: how long others are preferred to a source that failed once"""
         return self.shortest_ms * RETRY_SHARE
 
-    @property
-    def n_vms_per_watcher(self) -> int:
-        """:returns: VMs of the fleet for each one that watches the source"""
-        return max(1, int(self.max_answers_per_s * self.wait_ms / MS_PER_SECOND))
+    def n_vms_per_watcher(self, capacity: float) -> float:
+        """:returns: VMs for which one VM may watch the source
+
+        :param capacity: its processor, in cores
+        """
+        answers_per_s = self.max_answers_per_core_s * capacity
+        return max(1.0, answers_per_s * self.wait_ms / MS_PER_SECOND)
 
 
 __all__ = ("SharingBounds",)
--- a/src/quetzaldeck/belief/source_choice.py
+++ b/src/quetzaldeck/belief/source_choice.py
@@ -6,9 +6,10 @@
 And a VM that starts while the source is silent learns nothing, though its neighbours
 know the configuration: it refuses everybody.
 
-So a few VMs of the fleet watch the source, and the others ask them. Who watches follows
-from the addresses alone: VMs that know each other agree without a message, and those
-that disagree for a moment make some more calls, nothing worse.
+So a few VMs of the fleet watch the source, and the others ask them. Those with the
+fastest processors watch, and the lowest hashes of their addresses among equals: VMs
+that know each other agree without a message, and those that disagree for a moment make
+some more calls, nothing worse.
 
 Every answer states its age. A VM that is silent, gone, or tells old news is suspected
 for a while, and the source is asked next: so nobody depends on one VM for longer than
@@ -24,14 +25,13 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import xxhash
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from quetzaldeck.belief.sharing_bounds import SharingBounds
 
@@ -44,12 +44,19 @@
 
     :param own: this VM's address
     :param random_state: chooses among VMs while the source fails, and spreads retries
+    :param find_capacity: gives the processor of a VM in cores, also of this one
     """
 
     def __init__(
-        self, own: str, bounds: SharingBounds, *, random_state: random.Random
+        self,
+        own: str,
+        bounds: SharingBounds,
+        *,
+        random_state: random.Random,
+        find_capacity: Callable[[str], float],
     ) -> None:
         self._own = own
+        self._find_capacity = find_capacity
         self._bounds = bounds
         self._random_state = random_state
         self._suspected_until_ms: dict[str, float] = {}
@@ -100,8 +107,14 @@
         if self._suspected_until_ms.keys().isdisjoint(others):
             members.update(others)
         members -= self._suspected_until_ms.keys()
-        n_watchers = math.ceil(len(members) / self._bounds.n_vms_per_watcher)
-        return tuple(sorted(members, key=_rank)[:n_watchers])
+        watchers: list[str] = []
+        n_served = 0.0
+        for address in sorted(members, key=self._order):
+            if n_served >= len(members):
+                break
+            watchers.append(address)
+            n_served += self._n_served(address)
+        return tuple(watchers)
 
     def note_source_answer(self) -> None:
         """Note that the source answered."""
@@ -151,7 +164,7 @@
         """
         near = tuple(address for address in watchers if address in neighbours)
         n_members = len(neighbours) + 1
-        suffices = len(near) * self._bounds.n_vms_per_watcher >= n_members
+        suffices = sum(map(self._n_served, near)) >= n_members
         tellers = near if suffices else tuple(watchers)
         return tellers[_rank(self._own) % len(tellers)]
 
@@ -173,6 +186,12 @@
             return self._random_state.choice(trusted_watchers)
         return self._random_state.choice(trusted) if trusted else None
 
+    def _n_served(self, address: str) -> float:
+        return self._bounds.n_vms_per_watcher(self._find_capacity(address))
+
+    def _order(self, address: str) -> tuple[float, int]:
+        return (-self._find_capacity(address), _rank(address))
+
     def _drop_suspicions(self, now_ms: float) -> None:
         self._suspected_until_ms = {
             address: until_ms
--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -11,6 +11,7 @@
     HeadOfLinePolicy,
     head_of_line_policies,
 )
+from quetzaldeck.decisions.head_of_line.short_choices import choose_looked_at
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -54,10 +55,6 @@
 in which a prompt of half a million tokens is read; a quarter of the engines holds
 them."""
 
-N_PACKED_CHOICES = 3
-"""Engines among which a short request chooses. With one, all VMs would send what comes
-in the same instant to the same engine."""
-
 IDLE_SHARE = 0.25
 """Part of the reading that the lane may have before it, up to which the longest prompt
 may begin, though by itself it takes longer than all may."""
@@ -239,16 +236,22 @@
         pool: Sequence[UpstreamState],
         now_ms: float,
     ) -> list[UpstreamState]:
-        """:returns: the last engines that have room for one more short answer"""
+        """:returns: some of the last engines with room for one more short answer"""
         max_requests = max(1.0, figures.n_slots * MAX_PACKED_SHARE)
+        n_by_state = [(state, state.n_answers(now_ms)) for state in pool]
         fitting = [
             state
-            for state in pool
-            if state.n_answers(now_ms) < max_requests
+            for state, n_answers in n_by_state
+            if n_answers < max_requests
             and state.unread_ms(now_ms) <= MAX_PACKED_UNREAD_MS
         ]
         fitting.sort(key=lambda state: -self._position(request, state))
-        return fitting[:N_PACKED_CHOICES]
+        # The pool may be a sample of a large one.
+        n_engines = len(self._positions.get(request.model, ()))
+        mean = sum(n for _, n in n_by_state) / max(1, len(n_by_state))
+        return choose_looked_at(
+            request, fitting, n_answers=mean * n_engines, n_engines=n_engines
+        )
 
     def _position(self, request: Request, state: UpstreamState) -> int:
         positions = self._positions.get(request.model, {})
--- a/src/quetzaldeck/decisions/relays/choice.py
+++ b/src/quetzaldeck/decisions/relays/choice.py
@@ -8,10 +8,12 @@
 
 So a few VMs of each zone relay: the others tell one of them, which gathers what it is
 told for a moment and passes it on, to its own and to the other relays, who pass it to
-theirs. Who relays follows from the addresses: the lowest of a hash in each zone. VMs
+theirs. Who relays follows from what all VMs tell of themselves: those of each zone with
+the fastest processors, and the lowest hashes among equals. A relay on a tenth of a core
+falls seconds behind in a burst, and what it passes on is worth nothing by then. VMs
 whose views differ need no agreement, since a VM passes on whatever it is asked to, and
-one that is no relay by its own view has a relay itself. A VM chooses a lower hash than
-its own, so that news travel in no circle.
+one that is no relay by its own view has a relay itself. A VM chooses one that goes
+before it in this order, so that news travel in no circle.
 
 A relay that does not confirm what it was told is left for the next one. It may be out
 of reach for one VM only. If that VM is next in its zone and relays itself, the others
@@ -20,7 +22,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
@@ -44,12 +45,20 @@
 
     :param own: this VM's address
     :param availability_zone: this VM's zone
+    :param capacity: this VM's processor, in cores
     """
 
     def __init__(
-        self, own: str, availability_zone: str, bounds: RelayBounds | None = None
+        self,
+        own: str,
+        availability_zone: str,
+        *,
+        capacity: float,
+        bounds: RelayBounds | None = None,
     ) -> None:
         self._own = own
+        self._capacity = capacity
+        self._capacities: dict[str, float] = {}
         self._zone = availability_zone
         self._bounds = RelayBounds() if bounds is None else bounds
         self._suspicions: dict[str, _Suspicion] = {}
@@ -73,14 +82,20 @@
         """:returns: a VM that may reach the relay of this zone, if this one does not"""
         return self._go_between
 
-    def update(self, zones: Mapping[str, Collection[str]], now_ms: float) -> None:
+    def update(self, zones: Mapping[str, Mapping[str, float]], now_ms: float) -> None:
         """Choose again.
 
-        :param zones: addresses of the other VMs, by availability zone
+        :param zones: processors of the other VMs in cores, by zone and address
         """
-        known = {address for vms in zones.values() for address in vms}
+        self._capacities = {
+            address: capacity
+            for vms in zones.values()
+            for address, capacity in vms.items()
+        }
+        self._capacities[self._own] = self._capacity
+        known = self._capacities.keys()
         for table in (self._ranks, self._suspicions):
-            for address in table.keys() - known - {self._own}:
+            for address in table.keys() - known:
                 del table[address]
         own_zone = {self._own, *zones.get(self._zone, ())}
         relays = self._list_relays(own_zone, now_ms)
@@ -109,8 +124,15 @@
 
     def _list_relays(self, vms: Collection[str], now_ms: float) -> list[str]:
         trusted = [vm for vm in vms if not self._is_suspected(vm, now_ms)]
-        n_relays = math.ceil(len(trusted) / self._bounds.n_vms_per_relay)
-        return sorted(trusted, key=self._rank)[:n_relays]
+        trusted.sort(key=self._order)
+        relays: list[str] = []
+        n_members = 0.0
+        for vm in trusted:
+            if n_members >= len(trusted) - len(relays):
+                break
+            relays.append(vm)
+            n_members += self._bounds.n_members_per_core * self._capacities[vm]
+        return relays
 
     def _choose_parent(self, relays: list[str]) -> str | None:
         if self._own in relays:
@@ -120,19 +142,22 @@
     def _choose_go_between(self, own_zone: set[str], now_ms: float) -> str | None:
         if self._parent is not None:
             return None
-        own_rank = self._rank(self._own)
+        own_order = self._order(self._own)
         trusted = [
             vm for vm in own_zone - {self._own} if not self._is_suspected(vm, now_ms)
         ]
         suspected = own_zone - {self._own, *trusted}
-        if not trusted or all(self._rank(vm) > own_rank for vm in suspected):
+        if not trusted or all(self._order(vm) > own_order for vm in suspected):
             return None
-        return min(trusted, key=self._rank)
+        return min(trusted, key=self._order)
 
     def _is_suspected(self, address: str, now_ms: float) -> bool:
         suspicion = self._suspicions.get(address)
         return suspicion is not None and suspicion.until_ms > now_ms
 
+    def _order(self, address: str) -> tuple[float, int]:
+        return (-self._capacities[address], self._rank(address))
+
     def _rank(self, address: str) -> int:
         rank = self._ranks.get(address)
         if rank is None:
--- a/src/quetzaldeck/decisions/relays/subscribers.py
+++ b/src/quetzaldeck/decisions/relays/subscribers.py
@@ -24,6 +24,9 @@
         self._keep_ms = bounds.join_ms * (bounds.n_missed_joins + 0.5)
         self._subscribers: dict[str, _Subscriber] = {}
 
+    def __len__(self) -> int:
+        return len(self._subscribers)
+
     def join(self, address: str, vm: str, *, is_relay: bool, now_ms: float) -> bool:
         """Take a request to be told news.
 
--- a/src/quetzaldeck/entry/belief_sources.py
+++ b/src/quetzaldeck/entry/belief_sources.py
@@ -39,7 +39,13 @@
         self._table = table
         self._source = source
         self._feed = BeliefFeed(state.belief, state.clock)
-        self._choice = SourceChoice(own, self.bounds, random_state=state.random_state)
+        self._own = own
+        self._choice = SourceChoice(
+            own,
+            self.bounds,
+            random_state=state.random_state,
+            find_capacity=self._find_capacity,
+        )
 
     @property
     def source(self) -> BeliefSource:
@@ -81,6 +87,11 @@
             unheard=self._table.unheard_seeds,
         )
 
+    def _find_capacity(self, address: str) -> float:
+        if address == self._own:
+            return self._state.settings.processor.capacity
+        return self._table.find_capacity(address)
+
     def list_neighbours(self) -> tuple[str, ...]:
         """:returns: addresses of the other VMs of this availability zone"""
         return self._table.list_zone(self._state.settings.availability_zone)
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -76,7 +76,9 @@
 
     :param vm: id of the sender and of its run
     :param availability_zone: the sender's; ``""`` in messages that carry news only
-    :param known: by availability zone, addresses that the sender heard lately
+    :param capacity: the sender's processor, in cores; 0 in messages without a zone
+    :param known: VMs that the sender heard lately: their processors in cores, 0 if
+        unknown, by availability zone and address
     :param news: of the sender, or of others that it passes on
     :param number: the receiver confirms it; 0: it need not
     :param confirmed: number of a message that the sender has received; 0: none
@@ -84,7 +86,8 @@
 
     vm: str
     availability_zone: str = ""
-    known: dict[str, tuple[str, ...]] = {}
+    capacity: float = 0.0
+    known: dict[str, dict[str, float]] = {}
     news: tuple[VmNews, ...] = ()
     reach: Reach = ""
     join: Join = ""
@@ -138,6 +141,7 @@
 
 
 __all__ = (
+    "N_DIGITS",
     "CrashNews",
     "Join",
     "LoadNews",
--- a/src/quetzaldeck/entry/peers/node.py
+++ b/src/quetzaldeck/entry/peers/node.py
@@ -42,6 +42,7 @@
     :param own: this VM's address
     :param vm: id of this run of this VM
     :param table: the other VMs
+    :param capacity: this VM's processor, in cores
     """
 
     def __init__(
@@ -51,12 +52,16 @@
         *,
         vm: str,
         availability_zone: str,
+        capacity: float,
         bounds: RelayBounds | None = None,
     ) -> None:
         self._bounds = RelayBounds() if bounds is None else bounds
         self._table = table
         self._vm = vm
-        self._choice = RelayChoice(own, availability_zone, self._bounds)
+        self._capacity = capacity
+        self._choice = RelayChoice(
+            own, availability_zone, capacity=capacity, bounds=self._bounds
+        )
         self._subscribers = Subscribers(self._bounds)
         self._receipts: Receipts[PeerMessage] = Receipts(self._bounds)
         self._book = NewsBook()
@@ -159,7 +164,7 @@
 
     @property
     def _flush_ms(self) -> float:
-        return self._bounds.flush_ms(self.n_members)
+        return self._bounds.flush_ms(len(self._subscribers), self._capacity)
 
     def note_fleet_changed(self) -> None:
         """Note that VMs were found or lost.
@@ -187,8 +192,9 @@
         is_relay = join == "relay"
         if not self._subscribers.join(address, vm, is_relay=is_relay, now_ms=now_ms):
             return
+        # It may have members already, which joined before it knew of anything.
         for part in split_news(self._book.list_current(now_ms), N_LOADS):
-            self._send(PeerMessage(self._vm, news=part), address)
+            self._send(PeerMessage(self._vm, news=part, reach="members"), address)
         if is_relay and self._choice.parent is None:
             # Its view of who relays has this VM in it, while this one's may not have
             # it: without an answer in kind, news would travel one way only.
@@ -201,7 +207,7 @@
             return
         self._has_joined = True
         before = self._choice.parent
-        self._choice.update(self._table.list_by_zone(), now_ms)
+        self._choice.update(self._table.list_capacities(), now_ms)
         parent = self._choice.parent
         if before is not None and before != parent:
             self._send(PeerMessage(self._vm, join="leave"), before)
--- a/src/quetzaldeck/entry/peers/table.py
+++ b/src/quetzaldeck/entry/peers/table.py
@@ -16,6 +16,9 @@
 """Addresses told in one message: with messages to a few VMs each second, all of a fleet
 of a hundred know each other within ten seconds; they fit into one packet."""
 
+UNKNOWN_CAPACITY = 0.1
+"""Processor in cores of a VM that did not tell it: none to choose for others' work."""
+
 CALM_MS = 10_000.0
 """Time without a VM found or lost after which less is told."""
 
@@ -44,6 +47,7 @@
         self._heard_ms: dict[str, float] = {}
         self._told_ms: dict[str, float] = {}
         self._zones: dict[str, str] = {}
+        self._capacities: dict[str, float] = {}
         self._addresses: tuple[str, ...] | None = None
         self._changed_ms = float("-inf")
 
@@ -69,6 +73,18 @@
             zones.setdefault(self._zones.get(address, ""), []).append(address)
         return zones
 
+    def list_capacities(self) -> dict[str, dict[str, float]]:
+        """:returns: processors of the VMs in cores, by availability zone and address"""
+        zones: dict[str, dict[str, float]] = {}
+        for address in self.addresses:
+            zone = zones.setdefault(self._zones.get(address, ""), {})
+            zone[address] = self.find_capacity(address)
+        return zones
+
+    def find_capacity(self, address: str) -> float:
+        """:returns: the processor of a VM in cores"""
+        return self._capacities.get(address, UNKNOWN_CAPACITY)
+
     def list_zone(self, availability_zone: str) -> tuple[str, ...]:
         """:returns: the VMs of one availability zone"""
         return tuple(
@@ -90,26 +106,38 @@
         self._seeds = tuple(seed for seed in seeds if seed != self._own)
 
     def note_heard(
-        self, address: str, now_ms: float, availability_zone: str = ""
+        self,
+        address: str,
+        now_ms: float,
+        availability_zone: str = "",
+        capacity: float = 0.0,
     ) -> bool:
         """:returns: whether a VM that sent something is new
 
         :param availability_zone: the VM's, if it said so
+        :param capacity: the VM's processor in cores, if it said so
         """
         if address == self._own:
             return False
         if availability_zone:
             self._zones[address] = availability_zone
+        if capacity > 0:
+            self._capacities[address] = capacity
         is_new = address not in self._heard_ms and address not in self._told_ms
         self._heard_ms[address] = now_ms
         if is_new:
             self._note_change(now_ms)
         return is_new
 
-    def note_told(self, known: Mapping[str, tuple[str, ...]], now_ms: float) -> None:
-        """Take addresses that another VM has heard, by availability zone."""
-        for availability_zone, addresses in known.items():
-            for address in addresses:
+    def note_told(
+        self, known: Mapping[str, Mapping[str, float]], now_ms: float
+    ) -> None:
+        """Take VMs that another VM has heard.
+
+        :param known: processors in cores, 0 if unknown, by zone and address
+        """
+        for availability_zone, vms in known.items():
+            for address, capacity in vms.items():
                 if address == self._own:
                     continue
                 if address not in self._told_ms and address not in self._heard_ms:
@@ -117,6 +145,8 @@
                 self._told_ms[address] = now_ms
                 if availability_zone:
                     self._zones[address] = availability_zone
+                if capacity > 0:
+                    self._capacities[address] = capacity
 
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """:returns: VMs that were not heard of for too long; they are forgotten"""
@@ -129,6 +159,7 @@
         gone = set(before) - set(self.addresses)
         for address in gone:
             self._zones.pop(address, None)
+            self._capacities.pop(address, None)
         if gone:
             self._note_change(now_ms)
         return tuple(gone)
@@ -154,20 +185,20 @@
         self._addresses = None
         self._changed_ms = now_ms
 
-    def list_told(self, now_ms: float) -> dict[str, tuple[str, ...]]:
+    def list_told(self, now_ms: float) -> dict[str, dict[str, float]]:
         """:returns: some of the addresses heard, for another VM, by availability zone
 
         What was only told is not told on: VMs that tell each other of one that is gone
         would keep it for ever.
         """
         known = [*self._heard_ms]
-        told: dict[str, tuple[str, ...]] = {}
+        told: dict[str, dict[str, float]] = {}
         n_told = N_TOLD
         if self.is_calm(now_ms):
             n_told = max(MIN_TOLD, min(N_TOLD, len(self) // CALM_TOLD_DIVISOR))
         for address in self._random_state.sample(known, min(n_told, len(known))):
-            availability_zone = self._zones.get(address, "")
-            told[availability_zone] = (*told.get(availability_zone, ()), address)
+            zone = told.setdefault(self._zones.get(address, ""), {})
+            zone[address] = self._capacities.get(address, 0.0)
         return told
 
 
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -10,6 +10,7 @@
 from quetzaldeck.decisions.load_changes import LoadChanges, lazy_ms
 from quetzaldeck.decisions.poison import CrashSighting
 from quetzaldeck.entry.peers.messages import (
+    N_DIGITS,
     CrashNews,
     PeerMessage,
     build_load_news,
@@ -60,11 +61,18 @@
         self._vm = vm
         self._port = port
         zone = state.settings.availability_zone
-        self._node = PeerNode(own, table, vm=vm, availability_zone=zone)
+        self._node = PeerNode(
+            own,
+            table,
+            vm=vm,
+            availability_zone=zone,
+            capacity=state.settings.processor.capacity,
+        )
         self._changes = LoadChanges()
         self._runs: dict[str, str] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._due_ms = float("inf")
         self._metrics = state.metrics.peers
 
     async def run(self, host: str) -> None:
@@ -128,7 +136,8 @@
 
     def _note_peer(self, message: PeerMessage, address: str, now_ms: float) -> None:
         n_known = len(self._table)
-        if self._table.note_heard(address, now_ms, message.availability_zone):
+        zone, capacity = message.availability_zone, message.capacity
+        if self._table.note_heard(address, now_ms, zone, capacity):
             n_peers = len(self._table)
             log_event("peer_found", peer=address, vm=message.vm, n_peers=n_peers)
         self._table.note_told(message.known, now_ms)
@@ -165,8 +174,13 @@
         self._send(greeting, self._table.choose(n_greeted))
 
     def _build_greeting(self, now_ms: float) -> PeerMessage:
-        zone = self._state.settings.availability_zone
-        return PeerMessage(self._vm, zone, self._table.list_told(now_ms))
+        settings = self._state.settings
+        return PeerMessage(
+            self._vm,
+            settings.availability_zone,
+            round(settings.processor.capacity, N_DIGITS),
+            self._table.list_told(now_ms),
+        )
 
     def _welcome(self, address: str, now_ms: float) -> None:
         """Tell a VM that has just started who is there and what runs here.
@@ -197,11 +211,15 @@
         now_ms = self._state.clock.now_ms()
         self._node.advance(now_ms)
         self._send_outgoing()
+        due_ms = now_ms + self._node.wait_ms(now_ms)
         if self._timer is not None:
+            if now_ms < self._due_ms <= due_ms:
+                return
             self._timer.cancel()
-        wait_ms = self._node.wait_ms(now_ms)
+        self._due_ms = due_ms
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(wait_ms / 1_000, self._advance)
+        wait_s = (due_ms - now_ms) / 1_000
+        self._timer = loop.call_later(wait_s, self._advance)
 
     def _send_outgoing(self) -> None:
         for message, addresses in self._node.take_outgoing():
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -60,6 +60,22 @@
         return self.free_ms * HOLD_SHARE
 
 
+class EntryProcessor(NamedTuple):
+    """What a VM can do for others: those with more watch and relay for them."""
+
+    share: Annotated[
+        float, Option("Part of the time that the VM may run.", minimum=0.001)
+    ] = 1.0
+    speed: Annotated[
+        float, Option("How many times as fast as one core it is then.", minimum=0.001)
+    ] = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """:returns: the processor in cores"""
+        return self.share * self.speed
+
+
 class EntrySettings(NamedTuple):
     """One entry VM: its addresses, the platform's store, and the bounds."""
 
@@ -73,6 +89,9 @@
     peer_port: Annotated[
         int, Option("Where VMs tell each other; 0: they do not.", maximum=65_535)
     ] = 0
+    processor: Annotated[EntryProcessor, Option("The VM's processor.")] = (
+        EntryProcessor()
+    )
     bounds: Annotated[EntryBounds, Option("Promises.")] = EntryBounds()
     policies: Annotated[
         Policies, Option("Which policies decide, all named; others are for comparison.")
@@ -80,4 +99,4 @@
     random_state: Annotated[int, Option("Seed of random choices; 0: any.")] = 0
 
 
-__all__ = ("EntryBounds", "EntryListen", "EntrySettings")
+__all__ = ("EntryBounds", "EntryListen", "EntryProcessor", "EntrySettings")
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -18,7 +18,11 @@
 
 from quetzaldeck.entry.peers import BeliefService
 from quetzaldeck.entry.service import EntryService
-from quetzaldeck.entry.settings import EntryListen, EntrySettings
+from quetzaldeck.entry.settings import (
+    EntryListen,
+    EntryProcessor,
+    EntrySettings,
+)
 from quetzaldeck.http import ListenAddress
 
 if TYPE_CHECKING:
@@ -107,6 +111,7 @@
             self.store.address,
             seeds=tuple(f"{seed}:1" for seed in self._hosts[:3]),
             peer_port=self._peer_port,
+            processor=EntryProcessor(share=0.12),
         )
         vm = EntryVm(host, settings)
         self.vms[host] = vm
