Round the processor of a VM as other VMs are told it

Each VM took its own processor, 1.074 cores, for faster than that of its equals, of which it was told 1.07, and watched the store itself (and would have relayed). On the large deployment the figures are round, so it did not show there.

Ruled out: suspicion of tellers (no such line in the logs of all VMs).

The test that one VM asks the source for all now runs on VMs with 0.1234 of a core; it made 20 calls in place of 12 at most before the change.

--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -141,7 +141,6 @@
 
 
 __all__ = (
-    "N_DIGITS",
     "CrashNews",
     "Join",
     "LoadNews",
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -10,7 +10,6 @@
 from quetzaldeck.decisions.load_changes import LoadChanges, lazy_ms
 from quetzaldeck.decisions.poison import CrashSighting
 from quetzaldeck.entry.peers.messages import (
-    N_DIGITS,
     CrashNews,
     PeerMessage,
     build_load_news,
@@ -178,7 +177,7 @@
         return PeerMessage(
             self._vm,
             settings.availability_zone,
-            round(settings.processor.capacity, N_DIGITS),
+            settings.processor.capacity,
             self._table.list_told(now_ms),
         )
 
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -10,6 +10,10 @@
 HOLD_SHARE = 0.85
 """Part of the time in which unused memory has to be free again."""
 
+N_CAPACITY_DIGITS = 2
+MIN_CAPACITY = 0.01
+"""The least that a processor of a VM is taken for, in cores."""
+
 _ADDRESS_PATTERN = r"[^\s:/]{1,90}:\d{1,5}"
 
 
@@ -72,8 +76,12 @@
 
     @property
     def capacity(self) -> float:
-        """:returns: the processor in cores"""
-        return self.share * self.speed
+        """:returns: the processor in cores
+
+        Rounded as other VMs are told it: by a finer figure of its own a VM would take
+        itself for faster than its equals, and each of them would watch and relay.
+        """
+        return max(MIN_CAPACITY, round(self.share * self.speed, N_CAPACITY_DIGITS))
 
 
 class EntrySettings(NamedTuple):
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -111,7 +111,7 @@
             self.store.address,
             seeds=tuple(f"{seed}:1" for seed in self._hosts[:3]),
             peer_port=self._peer_port,
-            processor=EntryProcessor(share=0.12),
+            processor=EntryProcessor(share=0.1234),
         )
         vm = EntryVm(host, settings)
         self.vms[host] = vm
