--- a/src/quetzaldeck/cli/log_commands.py
+++ b/src/quetzaldeck/cli/log_commands.py
@@ -16,12 +16,14 @@
     read_outcomes,
 )
 from quetzaldeck.telemetry.predictions import compare_predictions
+from quetzaldeck.telemetry.request_trace import trace_request
 
 if TYPE_CHECKING:
     from collections import Counter
     from typing import TextIO
 
     from quetzaldeck.telemetry.losses import Moment
+    from quetzaldeck.telemetry.request_trace import TraceLine
 
 
 @click.group("logs")
@@ -80,6 +82,44 @@
         click.echo(_describe_moment(moment))
 
 
+@logs_group.command("request")
+@click.argument("request_id")
+@click.argument("files", type=click.File(errors="replace"), nargs=-1, required=True)
+@click.option(
+    "--margin-ms",
+    type=click.FloatRange(min=0.0),
+    default=2_000.0,
+    show_default=True,
+    help="How long before and after it faults of its upstreams are shown.",
+)
+def request_command(
+    *, request_id: str, files: tuple[TextIO, ...], margin_ms: float
+) -> None:
+    """Show what happened to one request, from the logs of all VMs.
+
+    Faults of the upstreams that it was sent to, and of those that read parts of its
+    prompt, follow: how many lines tell of each, and the first one.
+
+    Example: quetzaldeck logs request 9c41d07be2a35f68 logs/*.log
+    """
+    logs = {file.name: file for file in files}
+    trace = trace_request(request_id, logs, margin_ms=margin_ms)
+    if not trace.own:
+        msg = f"no line names request '{request_id}' in {len(files)} logs"
+        raise click.ClickException(msg)
+    for line in trace.own:
+        click.echo(_describe_line(line))
+    if trace.faults:
+        click.echo("its upstreams meanwhile, the first line of each event:")
+    for fault in trace.faults:
+        click.echo(f"{fault.n_lines:4} x {_describe_line(fault.first)}")
+
+
+def _describe_line(line: TraceLine) -> str:
+    at = datetime.fromtimestamp(line.at_ms / MS_PER_SECOND, UTC)
+    return f"{at:%H:%M:%S}.{at.microsecond // 1_000:03} {line.log} {line.text}"
+
+
 def _describe_route(route: str, counts: Counter[str]) -> str:
     total = counts.total()
     in_time = counts[IN_TIME] / total
--- a/src/quetzaldeck/telemetry/log_lines.py
+++ b/src/quetzaldeck/telemetry/log_lines.py
@@ -11,6 +11,11 @@
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 
+def read_fields(line: str) -> dict[str, str]:
+    """:returns: the fields of one line, as they are written; empty if it has none"""
+    return dict(_FIELD.findall(line))
+
+
 def read_events(lines: Iterable[str], *events: str) -> Iterator[dict[str, str]]:
     """Read the lines of some events; other lines, also foreign ones, are passed over.
 
@@ -19,9 +24,9 @@
     wanted = {f"event={event}" for event in events}
     for line in lines:
         if any(event in line for event in wanted):
-            fields = dict(_FIELD.findall(line))
+            fields = read_fields(line)
             if fields.get("event") in events:
                 yield fields
 
 
-__all__ = ("read_events",)
+__all__ = ("read_events", "read_fields")
