Refuse addresses that are none in what VMs tell, and bound the lines on wrong datagrams

Cause: seen when reading: an address in a greeting is taken as it stands, and a datagram to one that is no IP number raises in the send, which would end the task that tells all others, or its timer. Each datagram that cannot be read made a line of its own.

Change: an address is checked when it is new; a peer's unreadable datagrams are one line in ten seconds, and counted as `undecodable`.

Both tests fail without the change.

--- a/src/quetzaldeck/entry/peers/node.py
+++ b/src/quetzaldeck/entry/peers/node.py
@@ -89,6 +89,10 @@
         """:returns: VMs that this one tells all news"""
         return len(self._subscribers.list_members())
 
+    @property
+    def _flush_ms(self) -> float:
+        return self._bounds.flush_ms(len(self._subscribers), self._capacity)
+
     def take_outgoing(self) -> list[Outgoing]:
         """:returns: what has to be sent now"""
         outgoing, self._outgoing = self._outgoing, []
@@ -162,10 +166,6 @@
         for part in split_news((news,), N_LOADS):
             self._send(PeerMessage(self._vm, news=part), address)
 
-    @property
-    def _flush_ms(self) -> float:
-        return self._bounds.flush_ms(len(self._subscribers), self._capacity)
-
     def note_fleet_changed(self) -> None:
         """Note that VMs were found or lost.
 
--- a/src/quetzaldeck/entry/peers/table.py
+++ b/src/quetzaldeck/entry/peers/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ipaddress import AddressValueError, IPv4Address
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -141,6 +142,8 @@
                 if address == self._own:
                     continue
                 if address not in self._told_ms and address not in self._heard_ms:
+                    if not _is_address(address):
+                        continue
                     self._note_change(now_ms)
                 self._told_ms[address] = now_ms
                 if availability_zone:
@@ -202,4 +205,13 @@
         return told
 
 
+def _is_address(text: str) -> bool:
+    """:returns: whether datagrams can be sent there; names are not looked up"""
+    try:
+        IPv4Address(text)
+    except AddressValueError:
+        return False
+    return True
+
+
 __all__ = ("FORGET_MS", "N_TOLD", "PeerTable")
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -41,6 +41,11 @@
 N_GREETED_CALM = 2
 """VMs that are greeted at a time; see ``PeerTable``."""
 
+UNDECODABLE_MS = 10_000.0
+"""Pause between two lines about datagrams of one peer that cannot be read."""
+MAX_UNDECODABLE_PEERS = 256
+"""Peers that are remembered for it; who sends them may make addresses up."""
+
 
 class PeerTask(asyncio.DatagramProtocol):
     """Tells the other VMs what this one does, and takes what they tell.
@@ -72,6 +77,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._due_ms = float("inf")
+        self._undecodable_ms: dict[str, float] = {}
         self._metrics = state.metrics.peers
 
     async def run(self, host: str) -> None:
@@ -117,8 +123,8 @@
         """Take a datagram; one that is none of ours changes nothing."""
         try:
             message = decode_message(data)
-        except msgspec.DecodeError as error:
-            log_event("peer_undecodable", level="WARNING", peer=addr[0], error=error)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            self._note_undecodable(addr[0], error)
             return
         if message.vm == self._vm:
             return
@@ -133,6 +139,17 @@
         """Note that a VM does not listen; it may come back, or will be forgotten."""
         log_event("peer_unreachable", level="DEBUG", error=repr(exc))
 
+    def _note_undecodable(self, peer: str, error: Exception) -> None:
+        """Log a datagram that is none of ours, the first of a peer in a while."""
+        self._metrics.note_received("undecodable", 0)
+        now_ms = self._state.clock.now_ms()
+        if now_ms - self._undecodable_ms.get(peer, float("-inf")) < UNDECODABLE_MS:
+            return
+        if len(self._undecodable_ms) >= MAX_UNDECODABLE_PEERS:
+            self._undecodable_ms.clear()
+        self._undecodable_ms[peer] = now_ms
+        log_event("peer_undecodable", level="WARNING", peer=peer, error=error)
+
     def _note_peer(self, message: PeerMessage, address: str, now_ms: float) -> None:
         n_known = len(self._table)
         zone, capacity = message.availability_zone, message.capacity
--- a/tests/entry/peers/test_peer_table.py
+++ b/tests/entry/peers/test_peer_table.py
@@ -61,6 +61,15 @@
     assert "10.0.0.1" not in table.choose(3)
 
 
+def test_addresses_that_are_none_are_not_sent_to() -> None:
+    """Guards against one wrong datagram that ends what a VM tells all others."""
+    table = make_table("10.0.0.1")
+    told = {"a": {"": 0.5, "10.0.0": 0.5, "host.example": 0.5, "10.0.0.9": -1.0}}
+    table.note_told(told, 0.0)
+    assert table.addresses == ("10.0.0.9",)
+    assert table.list_capacities() == {"a": {"10.0.0.9": UNKNOWN_CAPACITY}}
+
+
 def test_vms_are_known_by_availability_zone() -> None:
     table = make_table("10.0.0.1")
     table.note_heard("10.0.0.5", 0.0, "a")
--- a/tests/entry/peers/test_peer_task.py
+++ b/tests/entry/peers/test_peer_task.py
@@ -26,6 +26,7 @@
 )
 
 if TYPE_CHECKING:
+    import pytest
     from tests.support.platform.replica import Arrival, Connection
     from tests.support.platform.site import Site
 
@@ -88,6 +89,23 @@
     assert not changes.take([("e0", IDLE)], done_ms + 17_600.0)
 
 
+def test_wrong_datagrams_of_one_peer_are_one_line(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a peer that fills the log."""
+
+    async def test(site: Site) -> None:
+        state = site.entry.session.state
+        table = PeerTable("127.0.0.9", (), random_state=state.random_state)
+        task = PeerTask(state, table, own="127.0.0.1", vm="own", port=1)
+        for data in (b"{", b"\xff", b'{"vm":' + b"[" * 30_000, b'{"vm": 3}') * 20:
+            task.datagram_received(data, ("127.0.0.2", 1))
+        assert not table.addresses
+
+    run_site(test)
+    assert capfd.readouterr().err.count("peer_undecodable") == 1
+
+
 @given(st.binary(max_size=200))
 def test_any_datagram_is_decoded_or_refused(data: bytes) -> None:
     with suppress(msgspec.DecodeError):
