--- a/src/quetzaldeck/belief/source_choice.py
+++ b/src/quetzaldeck/belief/source_choice.py
@@ -25,6 +25,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -35,6 +36,9 @@
 
     from quetzaldeck.belief.sharing_bounds import SharingBounds
 
+MAX_RANKS = 4_096
+"""VMs whose place in the order is remembered: ten times the largest fleet planned."""
+
 MAX_DOUBLINGS = 16
 """Keeps the pause between two tries a finite number however long an outage lasts."""
 
@@ -200,6 +204,7 @@
         }
 
 
+@lru_cache(maxsize=MAX_RANKS)
 def _rank(address: str) -> int:
     return xxhash.xxh3_64_intdigest(address.encode())
 
--- a/src/quetzaldeck/decisions/pace_watch.py
+++ b/src/quetzaldeck/decisions/pace_watch.py
@@ -38,6 +38,7 @@
         self._own = own
         self._told: set[str] = set()
         self._n_asked = 0
+        self._owned: tuple[object, list[str]] = (None, [])
 
     def choose_asked(
         self,
@@ -50,7 +51,11 @@
         :param zone_vms: addresses of all known VMs, this one among them, by zone
         """
         self._told &= engines.keys()
-        owned = self._list_owned(engines, zone_vms)
+        view = (engines, zone_vms)
+        if self._owned[0] != view:
+            copied = {zone: list(vms) for zone, vms in zone_vms.items()}
+            self._owned = ((dict(engines), copied), self._list_owned(*view))
+        owned = self._owned[1]
         if len(owned) <= MAX_ASKED:
             return owned
         begin = self._n_asked % len(owned)
--- a/tests/decisions/test_pace_watch.py
+++ b/tests/decisions/test_pace_watch.py
@@ -64,3 +64,16 @@
     assert watch.choose_told([("e0", 5.0)]) == {"e0": 5.0}
     assert watch.choose_told([("e0", 1.0)]) == {"e0": 1.0}
     assert not watch.choose_told([("e0", 1.0)])
+
+
+def test_questions_follow_the_vms_that_are_known_now() -> None:
+    """Guards against an engine that nobody asks after its VM has died."""
+    watch = PaceWatch("10.2.0.1")
+    zones = {zone: list(vms) for zone, vms in ZONES.items()}
+    before = set(watch.choose_asked(ENGINES, zones))
+    assert set(watch.choose_asked(ENGINES, zones)) == before
+    zones["b"].remove("10.2.0.2")
+    zones["b"].remove("10.2.0.3")
+    assert set(watch.choose_asked(ENGINES, zones)) > before
+    few = {name: ENGINES[name] for name in sorted(before)[:2]}
+    assert set(watch.choose_asked(few, zones)) == set(few)
