Hold a watcher's question for what is left of its time after a change

An answer with a change does not say for how long it was held, so what a watcher believes is as old as its question; with the pause after a change and the next question on top it looked older than a healthy watcher can be, and every VM asked the store (`teller_is_old`, all in the same moment). Only calls were lost: the bound on the age was kept by asking.

--- a/src/quetzaldeck/belief/sharing_bounds.py
+++ b/src/quetzaldeck/belief/sharing_bounds.py
@@ -12,6 +12,9 @@
 BATCH_SHARE = 1 / 10
 RETRY_SHARE = 1 / 4
 
+MIN_HOLD_MS = 1.0
+"""Shortest hold of a question that only asks whether what is believed still holds."""
+
 
 class SharingBounds(NamedTuple):
     """How long to wait for what, as shares of the shortest bound on a change.
@@ -40,6 +43,17 @@
         """:returns: how long the source holds a question if nothing changes"""
         return self.shortest_ms * SOURCE_WAIT_SHARE
 
+    def hold_ms(self, age_ms: float) -> float:
+        """:returns: how long the source holds a watcher's question now
+
+        An answer with a change does not say for how long it was held, so what is
+        believed is as old as its question. The next one is held for what is left, or
+        the watcher would seem to have lost the source to those that it tells.
+
+        :param age_ms: of what the watcher believes
+        """
+        return max(MIN_HOLD_MS, self.source_wait_ms - max(0.0, age_ms))
+
     @property
     def wait_ms(self) -> float:
         """:returns: how long another VM holds a question if nothing changes"""
@@ -66,9 +80,9 @@
     def max_told_age_ms(self) -> float:
         """:returns: age above which what a VM tells shows that it lost the source
 
-        A watcher's own word is at most as old as its question to the source, the pause
-        after a change, and the question of the VM that asks it: an answer with a
-        change does not say for how long it was held.
+        A watcher's own word is at most as old as a question that is held for the full
+        time and the pause after a change, see :meth:`hold_ms`; the question of the VM
+        that asks it and the way of the answer come on top.
         """
         return self.source_wait_ms + self.wait_ms + self.batch_ms + self.answer_ms
 
--- a/src/quetzaldeck/entry/belief_task.py
+++ b/src/quetzaldeck/entry/belief_task.py
@@ -67,8 +67,8 @@
         clock = self._state.clock
         asked_ms = clock.uptime_ms()
         try:
-            source, bounds = self._sources.source, self._sources.bounds
-            reading = await self._read(source, bounds.source_wait_ms)
+            hold_ms = self._sources.bounds.hold_ms(self._state.belief.age_ms(asked_ms))
+            reading = await self._read(self._sources.source, hold_ms)
         except HistoryGoneError as error:
             log_event("source_history_gone", level="WARNING", error=error)
             self._questions.labels("source", "history_gone").inc()
