--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -11,7 +11,7 @@
     HeadOfLinePolicy,
     head_of_line_policies,
 )
-from quetzaldeck.decisions.head_of_line.short_choices import choose_looked_at
+from quetzaldeck.decisions.head_of_line.short_candidates import draw_candidates
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -249,7 +249,7 @@
         # The pool may be a sample of a large one.
         n_engines = len(self._positions.get(request.model, ()))
         mean = sum(n for _, n in n_by_state) / max(1, len(n_by_state))
-        return choose_looked_at(
+        return draw_candidates(
             request, fitting, n_answers=mean * n_engines, n_engines=n_engines
         )
 
--- a/src/quetzaldeck/decisions/head_of_line/short_choices.py
+++ b/src/quetzaldeck/decisions/head_of_line/short_candidates.py
@@ -7,7 +7,7 @@
 answer ends, and is late though most engines have room.
 
 So the more answers are written, the more engines a request may go to: requests come as
-fast as answers end. Of these it looks at a few, others for each request, so that VMs
+fast as answers end. Of these it compares a few, drawn for each request, so that VMs
 with the same view do not all take the same best one.
 """
 
@@ -23,19 +23,19 @@
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
 
-N_LOOKED_AT = 3
+N_COMPARED = 3
 """Engines that one request compares."""
 
 N_ANSWERS_PER_ENGINE = 10.0
-"""Answers that are written by all engines, for each engine that may be looked at."""
+"""Answers that are written by all engines, for each engine that may be drawn."""
 
 
-MIN_KEPT_TOGETHER = 4
-"""One engine in so many is looked at at most: answers are kept together, so that the
+OPEN_DIVISOR = 4
+"""One engine in so many may be drawn at most: answers are kept together, so that the
 other engines are free to read long prompts."""
 
 
-def choose_looked_at(
+def draw_candidates(
     request: Request,
     ordered: Sequence[UpstreamState],
     *,
@@ -49,10 +49,10 @@
     :param n_engines: engines that serve the model
     """
     n_open = round(n_answers / N_ANSWERS_PER_ENGINE)
-    n_open = max(N_LOOKED_AT, min(n_open, n_engines // MIN_KEPT_TOGETHER))
+    n_open = max(N_COMPARED, min(n_open, n_engines // OPEN_DIVISOR))
     pool = ordered[:n_open]
     drawn = sorted(pool, key=lambda state: _draw(request.request_id, state.spec.name))
-    looked_at = drawn[:N_LOOKED_AT]
+    looked_at = drawn[:N_COMPARED]
     return [state for state in pool if state in looked_at]
 
 
@@ -60,4 +60,4 @@
     return xxhash.xxh3_64_intdigest(f"{request_id}\0{upstream}".encode())
 
 
-__all__ = ("N_LOOKED_AT", "choose_looked_at")
+__all__ = ("N_COMPARED", "draw_candidates")
--- a/src/quetzaldeck/decisions/relays/choice.py
+++ b/src/quetzaldeck/decisions/relays/choice.py
@@ -65,7 +65,7 @@
         self._ranks: dict[str, int] = {}
         self._parent: str | None = None
         self._peers: tuple[str, ...] = ()
-        self._go_between: str | None = None
+        self._fallback: str | None = None
 
     @property
     def parent(self) -> str | None:
@@ -78,9 +78,9 @@
         return () if self._parent else self._peers
 
     @property
-    def go_between(self) -> str | None:
+    def fallback(self) -> str | None:
         """:returns: a VM that may reach the relay of this zone, if this one does not"""
-        return self._go_between
+        return self._fallback
 
     def update(self, zones: Mapping[str, Mapping[str, float]], now_ms: float) -> None:
         """Choose again.
@@ -100,7 +100,7 @@
         own_zone = {self._own, *zones.get(self._zone, ())}
         relays = self._list_relays(own_zone, now_ms)
         self._parent = self._choose_parent(relays)
-        self._go_between = self._choose_go_between(own_zone, now_ms)
+        self._fallback = self._choose_fallback(own_zone, now_ms)
         others = [
             address
             for zone, vms in zones.items()
@@ -139,7 +139,7 @@
             return None
         return relays[self._rank(self._own) % len(relays)]
 
-    def _choose_go_between(self, own_zone: set[str], now_ms: float) -> str | None:
+    def _choose_fallback(self, own_zone: set[str], now_ms: float) -> str | None:
         if self._parent is not None:
             return None
         own_order = self._order(self._own)
--- a/src/quetzaldeck/entry/peers/node.py
+++ b/src/quetzaldeck/entry/peers/node.py
@@ -227,7 +227,7 @@
         self._pass_to_members(news)
         for one in news:
             self._to_relays.add(one)
-        parent = self._choice.parent or self._choice.go_between
+        parent = self._choice.parent or self._choice.fallback
         if parent is not None:
             for part in split_news(news, N_LOADS):
                 message = PeerMessage(self._vm, news=part, reach="fleet")
--- a/tests/decisions/relays/test_choice.py
+++ b/tests/decisions/relays/test_choice.py
@@ -116,12 +116,12 @@
     rest = {**zones, "z0": [vm for vm in members if vm != relay]}
     second = next(vm for vm in rest["z0"] if choose(vm, "z0", rest).parent is None)
     choice = choose(second, "z0", zones)
-    assert choice.go_between is None
+    assert choice.fallback is None
     choice.note_silent(relay, 0.0)
     choice.update(leave_out(second, zones), 0.0)
     assert choice.parent is None
-    assert choice.go_between in members
-    assert choice.go_between not in (relay, second)
+    assert choice.fallback in members
+    assert choice.fallback not in (relay, second)
 
 
 def test_vms_of_an_unknown_zone_are_no_relays() -> None:
