--- a/src/quetzaldeck/bench/scenario.py
+++ b/src/quetzaldeck/bench/scenario.py
@@ -21,7 +21,7 @@
 
 MODEL = "plan-writer"
 SERVICE = "member-app"
-ZONES = ("ktm-a", "ktm-b", "ktm-c")
+ZONES = ("zone-a", "zone-b", "zone-c")
 _VALID_UNTIL_MS = 4_102_444_800_000
 
 
--- a/src/quetzaldeck/bench/suite.py
+++ b/src/quetzaldeck/bench/suite.py
@@ -9,7 +9,7 @@
 from quetzaldeck.bench.prediction import PredictionCheck, check_predictions
 from quetzaldeck.bench.recovery import Recovery, measure_recovery
 from quetzaldeck.bench.run import run_scenario
-from quetzaldeck.bench.scenario import FleetShape, Scenario
+from quetzaldeck.bench.scenario import ZONES, FleetShape, Scenario
 from quetzaldeck.bench.summary import Summary, summarise
 from quetzaldeck.bench.workload import Mixture
 from quetzaldeck.decisions.policies import (
@@ -149,7 +149,7 @@
     )
     calls = mixture.draw_calls()
     part = mixture._replace(calls_per_second=0.6 * mixture.calls_per_second)
-    zone = Fault(FaultKind.ZONE_LOSS, begin_ms, "ktm-b", until_ms=end_ms)
+    zone = Fault(FaultKind.ZONE_LOSS, begin_ms, ZONES[1], until_ms=end_ms)
     wave = tuple(
         Fault(
             FaultKind.CRASH,
--- a/src/quetzaldeck/cli/log_commands.py
+++ b/src/quetzaldeck/cli/log_commands.py
@@ -26,13 +26,18 @@
     from quetzaldeck.telemetry.request_trace import TraceLine
 
 
+_files_argument = click.argument(
+    "files", type=click.File(errors="replace"), nargs=-1, required=True
+)
+
+
 @click.group("logs")
 def logs_group() -> None:
     """Work out figures from logs of entry VMs."""
 
 
 @logs_group.command("predictions")
-@click.argument("files", type=click.File(errors="replace"), nargs=-1, required=True)
+@_files_argument
 def predictions_command(*, files: tuple[TextIO, ...]) -> None:
     """Compare predicted and seen times to the first token, by length of prompt.
 
@@ -51,7 +56,7 @@
 
 
 @logs_group.command("losses")
-@click.argument("files", type=click.File(errors="replace"), nargs=-1, required=True)
+@_files_argument
 @click.option(
     "--moment-ms",
     type=click.FloatRange(min=1.0),
@@ -84,7 +89,7 @@
 
 @logs_group.command("request")
 @click.argument("request_id")
-@click.argument("files", type=click.File(errors="replace"), nargs=-1, required=True)
+@_files_argument
 @click.option(
     "--margin-ms",
     type=click.FloatRange(min=0.0),
--- a/tests/bench/test_load_patterns.py
+++ b/tests/bench/test_load_patterns.py
@@ -192,7 +192,7 @@
         bands=SHORT_BANDS,
         max_resends=3,
     )
-    fault = Fault(FaultKind.ZONE_LOSS, 20_000.0, "ktm-b", until_ms=30_000.0)
+    fault = Fault(FaultKind.ZONE_LOSS, 20_000.0, "zone-b", until_ms=30_000.0)
     scenario = Scenario("zone", mixture.draw_calls(), shape, faults=(fault,))
     result = run_scenario(scenario)
     recovery = measure_recovery(result, begin_ms=20_000.0, end_ms=30_000.0)
--- a/tests/bench/test_run.py
+++ b/tests/bench/test_run.py
@@ -91,7 +91,7 @@
     Callers of that VM see their connection break and call again; the other VMs
     serve them. Nobody waits in silence.
     """
-    faults = (Fault(FaultKind.ZONE_LOSS, 700.0, "ktm-b"),)
+    faults = (Fault(FaultKind.ZONE_LOSS, 700.0, "zone-b"),)
     calls = tuple(call._replace(max_resends=1) for call in make_calls())
     result = run_scenario(Scenario("zone", calls, SMALL, faults))
     assert list_outcomes(result.calls) == {Outcome.ANSWERED}
--- a/tests/bench/test_upstream_faults.py
+++ b/tests/bench/test_upstream_faults.py
@@ -59,7 +59,7 @@
     work of the survivors and outlive its cause.
     """
     calls = make_calls(400, 30.0)
-    faults = (Fault(FaultKind.ZONE_LOSS, 4_000.0, "ktm-c", until_ms=9_000.0),)
+    faults = (Fault(FaultKind.ZONE_LOSS, 4_000.0, "zone-c", until_ms=9_000.0),)
     result = run_scenario(Scenario("zone", calls, SHAPE, faults))
     check_honest(result)
     n_executions = sum(call.n_executions for call in result.calls)
