Leave the library for signatures out of entry VMs

Cause: the package `bundle` exported its signatures and its store, so that whoever took the document (all decisions do) loaded `cryptography`, its compiled library, the codec of envelopes and the store. Entry VMs read the platform's configuration and verify no bundle.

Ruled out: `python3 -OO` in the deploy file, which saves another 1.8 MB without the documentation strings, but took 1.4 to 1.7 s of processor time to import in place of 0.8 to 1.1 s here (the installed interpreter has no such compiled files for all its modules); callers wait for that after a loss of power. `-X no_debug_ranges`: 0.3 MB.

Change: signatures and store are imported from their own modules. tests/cli/test_entry.py fails before it with `cryptography` and `bundle.signing`.

Measured: private memory after the import, 39.0 MB (774 modules) -> 38.0 MB (757).

--- a/src/quetzaldeck/agent/gossip_task.py
+++ b/src/quetzaldeck/agent/gossip_task.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from quetzaldeck.bundle import BundleStore
+from quetzaldeck.bundle.store import BundleStore
 from quetzaldeck.dissemination import Gossip, RecordStore, RelayAnswer, RelayRequest
 from quetzaldeck.membership import Membership
 from quetzaldeck.peers import PeerError
--- a/src/quetzaldeck/agent/load_task.py
+++ b/src/quetzaldeck/agent/load_task.py
@@ -22,7 +22,8 @@
 
     import aiohttp
 
-    from quetzaldeck.bundle import BundleStore, UpstreamSpec
+    from quetzaldeck.bundle import UpstreamSpec
+    from quetzaldeck.bundle.store import BundleStore
     from quetzaldeck.clock import Clock
     from quetzaldeck.dissemination import RecordStore
     from quetzaldeck.membership import MembershipView
--- a/src/quetzaldeck/bundle/__init__.py
+++ b/src/quetzaldeck/bundle/__init__.py
@@ -1,4 +1,8 @@
-"""Bundles: document, checks and signatures."""
+"""Bundles: document and checks.
+
+Signatures and the store of signed bundles are imported from their own modules: entry
+VMs need neither, and the library for signatures is a good part of their memory.
+"""
 
 from __future__ import annotations
 
@@ -19,40 +23,21 @@
     UpstreamSpec,
     Weights,
 )
-from quetzaldeck.bundle.signing import (
-    Envelope,
-    SignatureError,
-    decode_envelope,
-    encode_envelope,
-    generate_key,
-    sign_bundle,
-    verify_envelope,
-)
-from quetzaldeck.bundle.store import BundleStore, Offer
 
 __all__ = (
     "MAX_ENVELOPE_BYTES",
     "MAX_PAYLOAD_BYTES",
     "Bundle",
-    "BundleStore",
     "CallPattern",
     "Change",
     "CustomerLimits",
     "CustomerSpec",
-    "Envelope",
     "ModelSpec",
-    "Offer",
     "ServiceSpec",
-    "SignatureError",
     "UpstreamSpec",
     "Weights",
     "check_bundle",
     "decode_bundle",
-    "decode_envelope",
     "diff_bundles",
     "encode_bundle",
-    "encode_envelope",
-    "generate_key",
-    "sign_bundle",
-    "verify_envelope",
 )
--- a/src/quetzaldeck/capacity/bundle_size.py
+++ b/src/quetzaldeck/capacity/bundle_size.py
@@ -13,10 +13,8 @@
     UpstreamSpec,
     decode_bundle,
     encode_bundle,
-    encode_envelope,
-    generate_key,
-    sign_bundle,
 )
+from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
 from quetzaldeck.capacity.api import Measurement, MeasurementInfo, measurements
 
 N_MODELS = 11
--- a/src/quetzaldeck/cli/bundle_commands.py
+++ b/src/quetzaldeck/cli/bundle_commands.py
@@ -8,16 +8,16 @@
 
 import click
 
-from quetzaldeck.bundle import (
+from quetzaldeck.bundle import encode_bundle
+from quetzaldeck.bundle.diff import diff_bundles
+from quetzaldeck.bundle.signing import (
     SignatureError,
     decode_envelope,
-    encode_bundle,
     encode_envelope,
     generate_key,
     sign_bundle,
     verify_envelope,
 )
-from quetzaldeck.bundle.diff import diff_bundles
 from quetzaldeck.bundle.summary import render_summary
 from quetzaldeck.cli.bundle_files import load_any_bundle, load_bundle
 from quetzaldeck.cli.common import EPILOG, print_findings
--- a/src/quetzaldeck/cli/bundle_files.py
+++ b/src/quetzaldeck/cli/bundle_files.py
@@ -7,13 +7,8 @@
 
 import click
 
-from quetzaldeck.bundle import (
-    Bundle,
-    SignatureError,
-    check_bundle,
-    decode_bundle,
-    decode_envelope,
-)
+from quetzaldeck.bundle import Bundle, check_bundle, decode_bundle
+from quetzaldeck.bundle.signing import SignatureError, decode_envelope
 from quetzaldeck.cli.common import load_settings, print_findings
 from quetzaldeck.cli.exit_codes import ExitCode
 from quetzaldeck.config import FindingsError, raise_findings
--- a/src/quetzaldeck/demo/session.py
+++ b/src/quetzaldeck/demo/session.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.agent import AgentService, AgentSettings
-from quetzaldeck.bundle import Bundle, encode_envelope, generate_key, sign_bundle
+from quetzaldeck.bundle import Bundle
+from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
 from quetzaldeck.clock import Clock
 from quetzaldeck.config import load_file
 from quetzaldeck.gateway.service import GatewayService
--- a/tests/agent/test_bundles_in_fleet.py
+++ b/tests/agent/test_bundles_in_fleet.py
@@ -7,7 +7,8 @@
 import uvloop
 from tests.support.fleet import FAST_MEMBERSHIP, Fleet, FleetSettings, wait_for
 
-from quetzaldeck.bundle import ModelSpec, encode_envelope, generate_key, sign_bundle
+from quetzaldeck.bundle import ModelSpec
+from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
 
 SMALL = FleetSettings(n_vms=3, n_engines=1)
 
--- a/tests/bundle/test_signing.py
+++ b/tests/bundle/test_signing.py
@@ -8,9 +8,8 @@
 import msgspec
 import pytest
 
-from quetzaldeck.bundle import (
-    MAX_ENVELOPE_BYTES,
-    MAX_PAYLOAD_BYTES,
+from quetzaldeck.bundle import MAX_ENVELOPE_BYTES, MAX_PAYLOAD_BYTES
+from quetzaldeck.bundle.signing import (
     SignatureError,
     decode_envelope,
     encode_envelope,
--- a/tests/bundle/test_store.py
+++ b/tests/bundle/test_store.py
@@ -4,15 +4,9 @@
 
 import pytest
 
-from quetzaldeck.bundle import (
-    Bundle,
-    BundleStore,
-    Envelope,
-    ModelSpec,
-    Offer,
-    generate_key,
-    sign_bundle,
-)
+from quetzaldeck.bundle import Bundle, ModelSpec
+from quetzaldeck.bundle.signing import Envelope, generate_key, sign_bundle
+from quetzaldeck.bundle.store import BundleStore, Offer
 
 VALID_UNTIL_MS = 4_000_000_000_000
 
--- /dev/null
+++ b/tests/cli/test_entry.py
@@ -0,0 +1,44 @@
+"""What a process of ``quetzaldeck-entry`` loads."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+PRINT_MODULES = """
+import sys
+import quetzaldeck.cli.entry
+print(*sys.modules)
+"""
+
+
+@pytest.fixture(scope="module")
+def loaded() -> frozenset[str]:
+    """:returns: names of all modules that a fresh process has after the import"""
+    done = subprocess.run(
+        [sys.executable, "-OO", "-c", PRINT_MODULES],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    return frozenset(done.stdout.split())
+
+
+@pytest.mark.parametrize(
+    "module",
+    [
+        "cryptography",
+        "quetzaldeck.agent",
+        "quetzaldeck.bench",
+        "quetzaldeck.bundle.signing",
+        "quetzaldeck.claims",
+    ],
+)
+def test_entry_does_not_load_what_only_other_programs_use(
+    loaded: frozenset[str], module: str
+) -> None:
+    """Each VM of a large fleet pays the memory of a library that it never calls."""
+    assert "quetzaldeck.cli.entry" in loaded
+    assert module not in loaded
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 from hypothesis import HealthCheck, settings
 from tests.known_red import read_known_red
 
-from quetzaldeck.bundle import generate_key
+from quetzaldeck.bundle.signing import generate_key
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.telemetry import configure_logging
 
--- a/tests/dissemination/test_bundle_answer.py
+++ b/tests/dissemination/test_bundle_answer.py
@@ -6,13 +6,8 @@
 
 import pytest
 
-from quetzaldeck.bundle import (
-    Bundle,
-    CustomerSpec,
-    ModelSpec,
-    SignatureError,
-    sign_bundle,
-)
+from quetzaldeck.bundle import Bundle, CustomerSpec, ModelSpec
+from quetzaldeck.bundle.signing import SignatureError, sign_bundle
 from quetzaldeck.bundle.store import digest_payload
 from quetzaldeck.dissemination.bundle_answer import (
     decode_answer,
--- a/tests/fuzz/test_documents.py
+++ b/tests/fuzz/test_documents.py
@@ -13,20 +13,21 @@
 from quetzaldeck.agent import AgentSettings
 from quetzaldeck.bundle import (
     Bundle,
-    BundleStore,
     CustomerSpec,
-    Envelope,
     ModelSpec,
-    Offer,
-    SignatureError,
     UpstreamSpec,
     decode_bundle,
-    decode_envelope,
     encode_bundle,
+)
+from quetzaldeck.bundle.codec import to_plain
+from quetzaldeck.bundle.signing import (
+    Envelope,
+    SignatureError,
+    decode_envelope,
     generate_key,
     sign_bundle,
 )
-from quetzaldeck.bundle.codec import to_plain
+from quetzaldeck.bundle.store import BundleStore, Offer
 from quetzaldeck.config import Finding, FindingsError, load_data, load_text
 from quetzaldeck.config.fields import list_fields
 from quetzaldeck.gateway.settings import GatewaySettings
--- a/tests/soak/own/world.py
+++ b/tests/soak/own/world.py
@@ -16,7 +16,7 @@
 
 from quetzaldeck.agent import AgentSettings
 from quetzaldeck.agent.settings import PlatformSettings
-from quetzaldeck.bundle import Bundle, encode_envelope, generate_key, sign_bundle
+from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
 from quetzaldeck.demo.session import start_service
 from quetzaldeck.directory import VmEntry, VmRole, VmState
 from quetzaldeck.engine_model import EngineProfile
@@ -48,6 +48,7 @@
     from collections.abc import Callable
     from types import TracebackType
 
+    from quetzaldeck.bundle import Bundle
     from quetzaldeck.history import Recorder
     from quetzaldeck.upstreams import Owner
 
--- a/tests/support/fleet/fleet.py
+++ b/tests/support/fleet/fleet.py
@@ -21,7 +21,7 @@
 
 from quetzaldeck.agent import AgentService, AgentSettings
 from quetzaldeck.agent.settings import PlatformSettings
-from quetzaldeck.bundle import Bundle, encode_envelope, generate_key, sign_bundle
+from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
 from quetzaldeck.clock import Clock
 from quetzaldeck.demo.session import start_service, wait_until_ready
 from quetzaldeck.directory import VmEntry, VmRole, VmState
@@ -46,6 +46,8 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
+    from quetzaldeck.bundle import Bundle
+
 KEY_ID = "fleet"
 PEER_SECRET = "shared-by-the-test-fleet"
 WEIGHT_LOADS_PER_MINUTE = 300.0
--- a/tests/system/processes.py
+++ b/tests/system/processes.py
@@ -24,8 +24,8 @@
 
 from quetzaldeck.agent import AgentSettings
 from quetzaldeck.agent.settings import PlatformSettings
-from quetzaldeck.bundle import Bundle, encode_envelope, generate_key, sign_bundle
 from quetzaldeck.bundle.codec import to_plain
+from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
 from quetzaldeck.directory import VmEntry, VmRole
 from quetzaldeck.engine_model import EngineProfile
 from quetzaldeck.gateway.settings import GatewaySettings, ShutdownSettings
@@ -42,6 +42,8 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
+    from quetzaldeck.bundle import Bundle
+
 KEY_ID = "test"
 PEER_SECRET = "a-secret-of-the-test-fleet-only-0123456789"
 FAST_ENGINE = EngineProfile(prefill_tokens_per_s=400_000.0, step_ms=5.0)
