Soak: draw the faults of a seed before the run

A seed that had failed could not be played again either.

Change: `plan_faults` draws names, times and a seed for each fault from the run's seed; `inject` plays a plan.

--- a/tests/soak/entry/run.py
+++ b/tests/soak/entry/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import tempfile
 from contextlib import suppress
 from pathlib import Path
@@ -10,7 +11,7 @@
 
 from tests.soak.entry.callers import Callers
 from tests.soak.entry.checks import check_history
-from tests.soak.entry.faults import FAULTS, inject_for
+from tests.soak.entry.faults import FAULTS, PlannedFault, inject, plan_faults
 from tests.soak.entry.world import FREE_MS, SoakWorld
 
 if TYPE_CHECKING:
@@ -42,12 +43,14 @@
     duration_s: float,
     n_vms: int = 3,
     rate_per_s: float = RATE_PER_S,
-    kinds: Sequence[str] = tuple(FAULTS),
+    plan: Sequence[PlannedFault] | None = None,
 ) -> SoakResult:
     """Run VMs under faults, let them settle, and check what was seen.
 
-    :param kinds: names of the faults; other names make another run of the same seed
+    :param plan: the faults; drawn from the seed among all kinds if not given
     """
+    if plan is None:
+        plan = plan_faults(random.Random(seed), duration_s, tuple(FAULTS))
     with tempfile.TemporaryDirectory() as folder:
         world = SoakWorld(Path(folder), seed=seed, n_vms=n_vms)
         async with world, Callers(world) as callers:
@@ -56,7 +59,7 @@
             calling = asyncio.create_task(
                 callers.call_for(duration_s + 3.0, rate_per_s)
             )
-            faults = await inject_for(world, duration_s, kinds)
+            await inject(world, plan)
             await calling
             await asyncio.sleep(FREE_MS / 1_000 + MEMORY_SLACK_S)
             n_held = sum(replica.n_held() for replica in world.replicas.values())
@@ -70,7 +73,12 @@
     calls = world.history.calls
     n_answered = sum(call.status == 200 and call.is_whole for call in calls)
     return SoakResult(
-        seed, tuple(faults), len(calls), n_answered, tuple(findings), logs
+        seed,
+        tuple(fault.name for fault in plan),
+        len(calls),
+        n_answered,
+        tuple(findings),
+        logs,
     )
 
 
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 import uvloop
-from tests.soak.entry.faults import FAULTS
+from tests.soak.entry.faults import FAULTS, PlannedFault, plan_faults
 from tests.soak.entry.run import run_soak
 
+DURATION_S = 8.0
+
 SEEDS = {
     7: "the first one",
     109: "two faults restarted one VM; the run waited for the wrong process",
@@ -21,6 +25,21 @@
     720: "the first one with replicas that go mute and engines that are slow"
 }
 
+PLANS = {
+    "two_faults_restart_one_vm": (
+        PlannedFault(0.5, "stop_vm", 1),
+        PlannedFault(0.6, "kill_vm", 1),
+        PlannedFault(3.0, "freeze_vm", 2),
+        PlannedFault(3.3, "stop_vm", 2),
+    ),
+    "all_vms_are_killed_while_the_store_is_down": (
+        PlannedFault(0.5, "store_down", 1),
+        PlannedFault(0.7, "kill_all", 1),
+        PlannedFault(3.0, "store_lapse", 2),
+        PlannedFault(3.2, "kill_all", 2),
+    ),
+}
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_in_a_short_run_full_of_faults(seed: int) -> None:
@@ -30,7 +49,8 @@
     is down or forgets, and changes of the configuration overlap.
     """
     kinds = tuple(FAULTS.keys() - NEWER_FAULTS)
-    result = uvloop.run(run_soak(seed, duration_s=8.0, kinds=kinds))
+    plan = plan_faults(random.Random(seed), DURATION_S, kinds)
+    result = uvloop.run(run_soak(seed, duration_s=DURATION_S, plan=plan))
     assert result.findings == ()
     assert result.n_calls > 200
 
@@ -38,7 +58,25 @@
 @pytest.mark.parametrize("seed", NEWER_SEEDS)
 def test_promises_hold_with_mute_replicas_and_slow_engines(seed: int) -> None:
     """As above; replicas take requests and answer none, engines slow down."""
-    result = uvloop.run(run_soak(seed, duration_s=8.0))
+    result = uvloop.run(run_soak(seed, duration_s=DURATION_S))
     assert set(result.faults) & NEWER_FAULTS
     assert result.findings == ()
     assert result.n_calls > 200
+
+
+@pytest.mark.parametrize("name", PLANS)
+def test_promises_hold_when_faults_meet(name: str) -> None:
+    """One fault hides another: a VM restarts twice, or starts while nobody answers."""
+    result = uvloop.run(run_soak(1, duration_s=DURATION_S, plan=PLANS[name]))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
+@pytest.mark.parametrize("seed", [*SEEDS, *NEWER_SEEDS])
+def test_a_seed_gives_one_plan(seed: int) -> None:
+    """A seed that failed once could not be played again: callers shared its draws."""
+    first, second = (
+        plan_faults(random.Random(seed), DURATION_S, tuple(FAULTS)) for _ in range(2)
+    )
+    assert first == second
+    assert len(first) > 3
