--- a/src/quetzaldeck/agent/claim_peers.py
+++ b/src/quetzaldeck/agent/claim_peers.py
@@ -19,8 +19,8 @@
 class ClaimPeers:
     """The peer channel with the addresses that membership knows.
 
-    A message needs the address of one VM. Taken from a list of all, made anew for each
-    message, it cost a VM among seven a twentieth of its time, and more with each VM.
+    A message needs the address of one VM, so one is looked up: a list of all grows with
+    the fleet.
 
     :param read_view: which VMs there are, as of now
     :param find_member: what is believed of one other VM
--- a/src/quetzaldeck/config/compiled.py
+++ b/src/quetzaldeck/config/compiled.py
@@ -1,9 +1,9 @@
 """Fast decoding of JSON that is expected to have no faults.
 
-The checked loader visits each value in Python: at 9,200 customers that took 270 ms
-of a gateway's loop at each change of the bundle, while callers waited. Here the
-declarations are compiled to types of the JSON library, which checks the same types,
-ranges and choices. It stops at the first fault; the checked loader then names all.
+The checked loader visits each value in Python, which holds up a gateway's loop for a
+bundle with thousands of customers. Here the declarations are compiled to types of the
+JSON library, which checks the same types, ranges and choices. It stops at the first
+fault; the checked loader then names all.
 """
 
 from __future__ import annotations
--- a/src/quetzaldeck/decisions/estimation/correction.py
+++ b/src/quetzaldeck/decisions/estimation/correction.py
@@ -8,7 +8,7 @@
 MIN_FACTOR = 0.5
 MAX_FACTOR = 1.5
 """Bounds: the ratio lags by the wait itself, so that in a growing queue it is that of
-predictions made before; unbounded it refused four in five of what was in time."""
+predictions made before, and requests that would be in time are refused by it."""
 _BASE_MS = 100.0
 """Added to both sides: waits of milliseconds tell nothing of waits of seconds."""
 
--- a/src/quetzaldeck/decisions/estimation/engine_model.py
+++ b/src/quetzaldeck/decisions/estimation/engine_model.py
@@ -6,7 +6,7 @@
 the end of the pass in which the last of it was read. An engine that writes nothing
 reads at once.
 
-Measured on two days of the plan writer, see ``docs/design/platform-measured.md``.
+See ``docs/design/platform-measured.md``.
 """
 
 from __future__ import annotations
--- a/src/quetzaldeck/decisions/groups/bounds.py
+++ b/src/quetzaldeck/decisions/groups/bounds.py
@@ -23,9 +23,8 @@
     :param min_aged_share: share of an engine's memory from which a request is long
         enough for that
     :param max_wait_ms: longest wait for one member, while those before it are held.
-        Giving up loses the places in the engines' lines: in the bench's mixture
-        5 s let prompts of 800 K tokens fail, 15 s and 60 s answered all of them,
-        60 s soonest.
+        Giving up loses the places in the engines' lines, so a short wait lets the
+        longest prompts fail.
     :param max_wait_share: share of the time left that all waits together may take
     :param ask_interval_ms: time between two questions for a waiting reservation
     """
--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -84,12 +84,10 @@
     - Longer prompts are read where the fewest answers are written, by as many engines
       as can read within the target what all VMs have sent to be read, and by those that
       are idle. Engines that write are left out while the others are in time without
-      them: read by ten engines with three answers each, a prompt of 330,000 tokens has
-      its first token a second sooner and makes thirty callers late.
+      them: an earlier first token of one prompt costs each answer there a pause.
     - However much is to be read, some engines stay free of it, as many as the answers
-      that are written now need. One prompt of 560,000 tokens on all engines held every
-      answer up for 1.6 s, to be in time itself; on two thirds of them it takes a second
-      longer, and one caller is late in place of fifty.
+      that are written now need. A prompt that all engines read to be in time itself
+      holds up every answer; on two thirds of them it alone is late.
     - Long prompts take turns. Engines read a little of all that they have, so that
       prompts which are begun together all end last. One begins while the lane reads all
       that it has, this one included, within a share of its target: the shorter ones
--- a/src/quetzaldeck/decisions/health/pace.py
+++ b/src/quetzaldeck/decisions/health/pace.py
@@ -2,8 +2,7 @@
 
 Load pattern: one engine of fourteen works at a fifth of its speed for some seconds,
 and answers. A prompt of 130,000 tokens is read in parts by up to seventeen engines, and
-its first token follows the last part, so that one slow reader makes each of them late:
-with one in fourteen five times slower, one long prompt in seven was late in the bench.
+its first token follows the last part, so that one slow reader makes each of them late.
 How long a prompt took does not tell which of its readers was slow, and an engine that
 reads parts for others gives no answers by which it could be judged.
 
--- a/src/quetzaldeck/decisions/load_changes.py
+++ b/src/quetzaldeck/decisions/load_changes.py
@@ -1,16 +1,14 @@
 """What has changed of this VM's load, and which of it the others are told now.
 
 Load pattern: 84 VMs before 54 engines, each with little more than a request a second.
-What one VM tells goes to all others, so that four messages a request were some 25,000
-datagrams a second over the fleet: most of what all VMs did.
+What one VM tells goes to all others, so messages grow with the square of the fleet.
 
 More work at an upstream is told at once: whoever does not know of it places more there.
 So is the end of a part of a long prompt: an engine that seems to read one still is left
-out by the next, which is then read by fewer (histories took 540 ms in place of 380 to
-their first token). Less work of other kinds, and what came of requests, may wait for a
-moment and travel with the next news, the longer the more VMs there are to be told. An
-engine that seems to have a short prompt more to read for a quarter of a second is
-chosen as often as before.
+out by the next, which is then read by fewer. Less work of other kinds, and what came of
+requests, may wait for a moment and travel with the next news, the longer the more VMs
+there are to be told. An engine that seems to have a short prompt more to read for a
+quarter of a second is chosen as often as before.
 """
 
 from __future__ import annotations
--- a/src/quetzaldeck/decisions/retries/silence.py
+++ b/src/quetzaldeck/decisions/retries/silence.py
@@ -5,9 +5,8 @@
 prompts go before what waits: then a request that is cut off has been read in vain, is
 read again elsewhere, and makes all others wait for longer.
 
-Without this module each attempt is cut off after a fixed time. On engines that were
-full a sixth of the attempts were, though no engine hung; and where the retry budget was
-spent the caller got an error in place of an answer that was on its way.
+A fixed time limit cuts off attempts on busy engines though none hangs, and where the
+retry budget is spent the caller gets an error in place of an answer that is on its way.
 
 So an attempt is left only if what was to be read at its engines before it does not
 explain the silence, and only if there is another upstream to which the request may be
@@ -15,8 +14,8 @@
 again. What engines are given later explains nothing: at one that is dead it only grows,
 and would have all its callers wait until they hang up. Nor does anything explain a
 silence of half a caller's patience: after that another upstream would be too late.
-Whether another upstream has room at the moment does not count: six plays each on full
-engines gave the same, and what waits here goes to the first that has.
+Whether another upstream has room at the moment does not count: what waits here goes to
+the first that has.
 """
 
 from __future__ import annotations
--- a/src/quetzaldeck/dissemination/bundle_patch.py
+++ b/src/quetzaldeck/dissemination/bundle_patch.py
@@ -1,9 +1,8 @@
 """What changed from one bundle to the next, to be sent in place of the whole.
 
 Load pattern: 2,400 changes of configuration a day, most of them of a customer or
-two, in a bundle of up to a megabyte. Sent whole, they cost each node 28 KB/s on
-average, four times what it may spend on control; what changed is a few hundred
-bytes.
+two, in a bundle of up to a megabyte. Sent whole, they exceed what a node may spend on
+control; what changed is a few hundred bytes.
 
 A patch rebuilds the payload byte by byte, or it is not used: whoever makes it tries
 it first, and whoever applies it checks the signature over the result as always.
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -109,10 +109,9 @@
     def send_news(self, message: Message) -> None:
         """Put a message that changes nothing unless a request has to be placed.
 
-        Load pattern: eighty VMs tell each other what they send where, some three
-        hundred messages a second to each, of which each serves one request. Waking the
-        task for each of them, to look for decisions that there were none to make, was
-        most of the processor time of a VM.
+        Load pattern: VMs tell each other what they send where, many messages a second
+        for each request that a VM serves itself. Waking the task for each of them would
+        look for decisions where there are none to make.
 
         So they lie until the next message or the next look, half a second at most, and
         are handled before it. While requests wait for a place the task is woken: what
@@ -264,9 +263,8 @@
         """Admit a request, after those before it have been placed where there is room.
 
         Several requests arrive between two looks at the queue: a burst, or all that
-        came while the VM stood still. Taken for a queue before the last of them, at
-        the rate of an hour in which nobody had to wait, they had it refused before
-        idle upstreams as if it would wait for longer than its caller.
+        came while the VM stood still. Counted as a queue before the last of them, they
+        would have it refused before idle upstreams.
         """
         if self._scheduler.n_queued:
             self._carry_out_decisions()
