Entry settings: check every address, take empty sections for their defaults

Cause: tried as a new operator would. `seeds: ["nowhere"]` and a metrics address without a port ended the process with a traceback after `event=started`; port 99999 was taken. A platform that states no bounds leaves `bounds:` alone in the rendered template, which was refused as "must be a mapping, not nothing": such a deployment would not start.

Ruled out, each gives a finding with its place or starts: CRLF, byte order mark, unknown keys, an empty list of seeds, a key given twice, other encodings, an empty file, a folder.

Change: seeds, metrics and the number of a port are part of the declared patterns; an empty section is read as one without keys, so that a missing required key is still named. Four tests, the first three fail before it.

--- a/src/quetzaldeck/config/convert.py
+++ b/src/quetzaldeck/config/convert.py
@@ -109,6 +109,9 @@
     def _convert_section(
         self, value: Any, cls: Any, option: Option, place: Place | None
     ) -> Any:
+        if value is None and place is not None:
+            # A template whose optional lines were all left out gives ``bounds:`` alone.
+            value = {}
         if not isinstance(value, dict):
             return self._add(place, f"must be a mapping, not {_name_of(value)}")
         fields = list_fields(cls)
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -14,10 +14,14 @@
 MIN_CAPACITY = 0.01
 """The least that a processor of a VM is taken for, in cores."""
 
-_ADDRESS_PATTERN = r"[^\s:/]{1,90}:\d{1,5}"
+_PORT_PATTERN = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[0-5]?\d{1,4})"
+_ADDRESS_PATTERN = rf"[^\s:/]{{1,90}}:{_PORT_PATTERN}"
 
 
-def _address(description: str) -> Option:
+def _address(description: str, *, may_be_empty: bool = False) -> Option:
+    if may_be_empty:
+        pattern = rf"({_ADDRESS_PATTERN})?"
+        return Option(description, pattern=pattern, form="IP:PORT or empty")
     return Option(description, pattern=_ADDRESS_PATTERN, form="IP:PORT")
 
 
@@ -26,7 +30,9 @@
 
     callers: Annotated[str, _address("For callers.")]
     readiness: Annotated[str, _address("For the balancer's question.")]
-    metrics: Annotated[str, Option("For counters; empty: there are none.")] = ""
+    metrics: Annotated[
+        str, _address("For counters; empty: there are none.", may_be_empty=True)
+    ] = ""
 
 
 class EntryBounds(NamedTuple):
@@ -92,7 +98,7 @@
     listen: Annotated[EntryListen, Option("Addresses.")]
     store_address: Annotated[str, _address("The platform's store.")]
     seeds: Annotated[
-        tuple[str, ...], Option("Peer addresses of some VMs, perhaps gone.")
+        tuple[str, ...], _address("Peer addresses of some VMs, perhaps gone.")
     ] = ()
     peer_port: Annotated[
         int, Option("Where VMs tell each other; 0: they do not.", maximum=65_535)
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -12,7 +12,12 @@
 from quetzaldeck.config.compiled import decode_fast
 from quetzaldeck.decisions.admission import BoundsOnly, PredictedWait
 from quetzaldeck.decisions.policies import ENTRY_POLICIES, build_scheduler
-from quetzaldeck.entry.settings import EntryListen, EntrySettings
+from quetzaldeck.entry.settings import (
+    EntryBounds,
+    EntryListen,
+    EntryProcessor,
+    EntrySettings,
+)
 from quetzaldeck.registry import UnknownNameError
 
 if TYPE_CHECKING:
@@ -42,6 +47,63 @@
     ]
 
 
+IMPOSSIBLE_ADDRESSES = """\
+vm: edge-1
+availability_zone: a
+listen:
+  callers: 10.1.0.40:65536
+  readiness: 10.1.0.40:8220
+  metrics: nowhere
+store_address: 10.2.0.1:8223
+seeds:
+- 10.1.0.41:8227
+- nowhere
+"""
+
+
+def test_each_address_is_checked_before_a_socket_is_opened() -> None:
+    """A VM starts with a seed or a port that cannot be, and ends with a traceback."""
+    with pytest.raises(FindingsError) as caught:
+        load_text(IMPOSSIBLE_ADDRESSES, EntrySettings, "entry.yaml")
+    assert [finding.render() for finding in caught.value.findings] == [
+        "entry.yaml:4: listen.callers: must be IP:PORT, not '10.1.0.40:65536'",
+        "entry.yaml:6: listen.metrics: must be IP:PORT or empty, not 'nowhere'",
+        "entry.yaml:10: seeds[1]: must be IP:PORT, not 'nowhere'",
+    ]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        pytest.param("bounds:\nprocessor:\nseeds: []\n", id="nothing is stated"),
+        pytest.param("\ufeff", id="byte order mark"),
+    ],
+)
+def test_a_platform_that_states_little_is_served(text: str) -> None:
+    """A deployment without bounds leaves the sections of the template empty.
+
+    Its VMs would refuse to start: an empty section is no mapping.
+    """
+    text = text + WITH_PORTS if text.startswith("\ufeff") else WITH_PORTS + text
+    settings = load_text(text.replace("\n", "\r\n"), EntrySettings, "entry.yaml")
+    assert settings.bounds == EntryBounds()
+    assert settings.processor == EntryProcessor()
+    assert settings.seeds == ()
+
+
+def test_a_section_with_required_keys_is_not_replaced_by_nothing() -> None:
+    """An empty section hides that its required keys are missing."""
+    text = WITH_PORTS.replace(
+        '{callers: "10.1.0.40:8227", readiness: "10.1.0.40:8220"}', ""
+    )
+    with pytest.raises(FindingsError) as caught:
+        load_text(text, EntrySettings, "entry.yaml")
+    assert [finding.render() for finding in caught.value.findings] == [
+        "entry.yaml:3: listen.callers: is missing: For callers.",
+        "entry.yaml:3: listen.readiness: is missing: For the balancer's question.",
+    ]
+
+
 def test_fast_decoder_refuses_what_the_loader_refuses() -> None:
     half = {"callers": "10.1.0.40:8227", "readiness": "10.1.0.40"}
     with pytest.raises(msgspec.ValidationError, match="readiness"):
