Bound what a fleet asks of a source that fails, and stop when others are told

Every VM called once when its teller grew old, then four or five times more, and once again when the store was back, though watchers had told it the news by then.

Ruled out: fewer first calls; a VM that is told old news cannot know whether its teller or the source is at fault.

Change: VMs that do not watch ask a failing source 20 times a second in all (`max_retries_s`), so that the pause grows with the fleet; a VM that is told news as young as a watcher's takes the source for returned without a call (`source_regained peer=`). A watcher goes on by itself.

--- a/src/quetzaldeck/belief/sharing_bounds.py
+++ b/src/quetzaldeck/belief/sharing_bounds.py
@@ -15,6 +15,9 @@
 MIN_HOLD_MS = 1.0
 """Shortest hold of a question that only asks whether what is believed still holds."""
 
+MAX_DOUBLINGS = 16
+"""Keeps the pause between two tries a finite number however long an outage lasts."""
+
 
 class SharingBounds(NamedTuple):
     """How long to wait for what, as shares of the shortest bound on a change.
@@ -30,12 +33,14 @@
     :param shortest_ms: shortest time in which a change has to be in force
     :param max_answers_per_core_s: answers of a watcher with a whole core to other VMs,
         in quiet times: a third of it
+    :param max_retries_s: questions of all VMs but the watchers to a source that fails
     :param suspect_ms: a VM that failed to tell is not asked for so long; a restart
         takes a second or two
     """
 
     shortest_ms: float
     max_answers_per_core_s: float = 400.0
+    max_retries_s: float = 20.0
     suspect_ms: float = 5_000.0
 
     @property
@@ -91,6 +96,19 @@
         """:returns: how long others are preferred to a source that failed once"""
         return self.shortest_ms * RETRY_SHARE
 
+    def retry_pause_ms(self, n_failures: int, n_vms: int) -> float:
+        """:returns: pause of a VM that is no watcher, before it asks the source again
+
+        It asks other VMs meanwhile, and they tell it of the source's return: so the
+        pauses grow, and in a large fleet they are long from the first.
+
+        :param n_failures: of its questions to the source, one after the other
+        :param n_vms: VMs of the fleet
+        """
+        n_doublings = min(max(0, n_failures - 1), MAX_DOUBLINGS)
+        grown_ms = min(self.suspect_ms, self.retry_ms * float(2**n_doublings))
+        return max(grown_ms, n_vms / self.max_retries_s * MS_PER_SECOND)
+
     def n_vms_per_watcher(self, capacity: float) -> float:
         """:returns: VMs for which one VM may watch the source
 
--- a/src/quetzaldeck/belief/source_choice.py
+++ b/src/quetzaldeck/belief/source_choice.py
@@ -39,9 +39,6 @@
 MAX_RANKS = 4_096
 """VMs whose place in the order is remembered: ten times the largest fleet planned."""
 
-MAX_DOUBLINGS = 16
-"""Keeps the pause between two tries a finite number however long an outage lasts."""
-
 
 class SourceChoice:
     """Decides on the next question of one VM.
@@ -69,6 +66,7 @@
         self._source_retry_ms = float("-inf")
         self._must_ask_source = True
         self._is_watcher = False
+        self._n_vms = 1
 
     @property
     def is_source_away(self) -> bool:
@@ -96,6 +94,7 @@
         """
         watchers = self.list_watchers(neighbours, others, now_ms)
         self._is_watcher = self._own in watchers
+        self._n_vms = 1 + len(neighbours) + len(others)
         if self.is_source_away and now_ms < self._get_retry_ms():
             return self._choose_helper(watchers, {*neighbours, *others}, unheard)
         if self._must_ask_source or self.is_source_away or self._is_watcher:
@@ -121,7 +120,7 @@
         return tuple(watchers)
 
     def note_source_answer(self) -> None:
-        """Note that the source answered."""
+        """Note that the source answered, this VM or another one."""
         self._must_ask_source = False
         self._n_source_errors = 0
 
@@ -131,20 +130,25 @@
 
     def note_source_error(self, now_ms: float) -> None:
         """Note that the source failed."""
-        n_doublings = min(self._n_source_errors, MAX_DOUBLINGS)
         self._n_source_errors += 1
         self._source_failed_ms = now_ms
-        pause_ms = min(self._bounds.suspect_ms, self._bounds.retry_ms * 2**n_doublings)
+        pause_ms = self._bounds.retry_pause_ms(self._n_source_errors, self._n_vms)
         pause_ms *= self._random_state.uniform(0.5, 1.0)
         self._source_retry_ms = now_ms + max(self._bounds.retry_ms, pause_ms)
 
     def note_told(self, address: str, age_ms: float, now_ms: float) -> bool:
         """Note what a VM told.
 
+        News that are as young as a watcher's show that the source answers again: a VM
+        that need not watch it has no reason to try by itself.
+
         :param age_ms: age of this VM's belief after it
         :returns: whether the VM is suspected of having lost the source
         """
-        if age_ms <= self._bounds.max_told_age_ms or self.is_source_away:
+        is_young = age_ms <= self._bounds.max_told_age_ms
+        if self.is_source_away and is_young and not self._is_watcher:
+            self.note_source_answer()
+        if is_young or self.is_source_away:
             return False
         self.note_peer_error(address, now_ms)
         return True
--- a/src/quetzaldeck/entry/belief_task.py
+++ b/src/quetzaldeck/entry/belief_task.py
@@ -78,9 +78,7 @@
             return 0.0
         except SourceError as error:
             return self._note_error(error)
-        if self._n_errors:
-            log_event("source_regained", n_errors=self._n_errors)
-            self._n_errors = 0
+        self._note_regained(teller="")
         self._sources.choice.note_source_answer()
         self._questions.labels("source", "answered").inc()
         self._take(reading, asked_ms)
@@ -105,6 +103,8 @@
         age_ms = self._state.belief.age_ms(now_ms)
         if choice.note_told(address, age_ms, now_ms):
             log_event("teller_is_old", level="WARNING", peer=address, age_ms=age_ms)
+        elif not choice.is_source_away:
+            self._note_regained(teller=address)
         return 0.0
 
     async def _read(self, source: BeliefSource, wait_ms: float) -> Reading:
@@ -132,6 +132,15 @@
         if self._state.belief.n_lapsed:
             self._has_lapses.set()
 
+    def _note_regained(self, teller: str) -> None:
+        """Log the end of an outage.
+
+        :param teller: the VM whose news show it; ``""``: the source answered this VM
+        """
+        if self._n_errors:
+            log_event("source_regained", n_errors=self._n_errors, peer=teller)
+            self._n_errors = 0
+
     def _note_error(self, error: SourceError) -> float:
         now_ms = self._state.clock.uptime_ms()
         self._state.belief.note_trouble(now_ms)
