Find engines that refuse to help, together, and depend on fewer after each failure

Ruled out: the failing-in-part detection, which counts answers as well: these engines answer everything else. Ejection, which the next answer ends.

Change: `HelpRefusals` (decisions/health/help_refusals.py): after a refusal that its work does not explain an engine is named by nobody for four seconds; the VM tells the others with its load (`refuses_help`, at once).

--- a/src/quetzaldeck/bench/bench_vm.py
+++ b/src/quetzaldeck/bench/bench_vm.py
@@ -90,7 +90,8 @@
 
     def list_shares(self) -> list[tuple[str, UpstreamShare]]:
         """:returns: what of this VM is at each upstream"""
-        return [(u.spec.name, u.own_share()) for u in self.scheduler.upstreams]
+        now_ms = self._events.now_ms
+        return [(u.spec.name, u.own_share(now_ms)) for u in self.scheduler.upstreams]
 
     def observe_load(self, report: LoadReport) -> None:
         """Let the load that an answer tells travel to the VM."""
--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -82,6 +82,11 @@
         if end.fault is AttemptFault.BROKEN and _is_tracked(request):
             incarnation = end.incarnation or state.incarnation
             self._poison.note_crash(request.fingerprint, name, incarnation, now_ms)
+        is_part = name in upstreams[:-1]
+        if end.fault is AttemptFault.HELPER or (
+            end.fault is AttemptFault.OVERLOADED and is_part
+        ):
+            state.note_help_refused(now_ms)
         if end.fault in _FAILURES:
             state.outcomes.note(now_ms, is_answered=False)
         return state.health.note_fault(end.attempt_id, end.fault, now_ms)
--- a/src/quetzaldeck/decisions/load_changes.py
+++ b/src/quetzaldeck/decisions/load_changes.py
@@ -83,7 +83,7 @@
         is_urgent = False
         for upstream, share in shares:
             told_ms, told = self._told.get(upstream, (now_ms, IDLE))
-            is_due = share.has_load and now_ms - told_ms >= REPEAT_MS
+            is_due = share.is_repeated and now_ms - told_ms >= REPEAT_MS
             if share == told and not is_due:
                 continue
             changed.append((upstream, share))
--- a/src/quetzaldeck/decisions/peer_load.py
+++ b/src/quetzaldeck/decisions/peer_load.py
@@ -33,6 +33,7 @@
     :param n_parts: parts of prompts, among the requests, that others answer
     :param outcomes: what came of its requests there, as of the last outcome
     :param incarnation: the start of the upstream that all this is of; ``""``: not told
+    :param refuses_help: whether it refused to read a part of a prompt lately
     """
 
     n_requests: int = 0
@@ -41,19 +42,27 @@
     n_parts: int = 0
     outcomes: Outcomes = Outcomes()
     incarnation: str = ""
+    refuses_help: bool = False
 
     @property
     def has_load(self) -> bool:
         """:returns: whether anything of the VM is there now"""
         return any(self[:4])
 
+    @property
+    def is_repeated(self) -> bool:
+        """:returns: whether it holds until the VM says otherwise or falls silent"""
+        return self.has_load or self.refuses_help
+
     @property
     def says_anything(self) -> bool:
         """:returns: whether another VM learns anything from it"""
-        return self.has_load or self.outcomes.n_all > 0
+        return self.is_repeated or self.outcomes.n_all > 0
 
     def exceeds(self, other: UpstreamShare) -> bool:
-        """:returns: whether there is more work here in any respect than in ``other``"""
+        """:returns: whether there is more here to reckon with than in ``other``"""
+        if self.refuses_help and not other.refuses_help:
+            return True
         return any(own > told for own, told in zip(self[:4], other[:4], strict=True))
 
 
@@ -76,9 +85,9 @@
         :returns: prompt tokens that it has to be read here beyond what it told before
         """
         before = self._shares.pop(vm, None)
-        if share.has_load:
+        if share.is_repeated:
             self._shares[vm] = (now_ms, share)
-        if before is not None or share.has_load:
+        if before is not None or share.is_repeated:
             self._total_until_ms = -math.inf
         if share.outcomes.n_all:
             self.outcomes.take(vm, share.outcomes, now_ms)
@@ -107,6 +116,7 @@
             sum(share.n_prefill_tokens for share in shares),
             sum(share.n_kv_tokens for share in shares),
             sum(share.n_parts for share in shares),
+            refuses_help=any(share.refuses_help for share in shares),
         )
 
 
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -238,7 +238,9 @@
         fast = list_fast(pool, pool, now_ms)
         lane = self._head_of_line.restrict_helpers(request, fast, now_ms)
         fresh = [state for state in lane if state.spec.name not in avoided]
-        return self._policy.choose_helpers(request, chosen, fresh, now_ms)
+        helpers = self._policy.choose_helpers(request, chosen, fresh, now_ms)
+        # One of them that fails fails the attempt: after each failure half as many.
+        return helpers[: self._policy.max_helpers >> len(avoided)]
 
     def _spread(
         self,
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.health import UpstreamHealth, rate_latency
+from quetzaldeck.decisions.health.help_refusals import HelpRefusals
 from quetzaldeck.decisions.health.outcomes import OutcomeCount, Outcomes
 from quetzaldeck.decisions.health.pace import Pace
 from quetzaldeck.decisions.memory import InFlight, MemoryLedger
@@ -44,6 +45,7 @@
         self.peers = PeerLoad()
         self.outcomes = OutcomeCount()
         self.pace = Pace()
+        self._help_refusals = HelpRefusals()
         self._incarnation = ""
         self._backlog = ReadingBacklog()
 
@@ -69,6 +71,7 @@
         self.peers = PeerLoad()
         self.outcomes = OutcomeCount()
         self.pace = Pace()
+        self._help_refusals = HelpRefusals()
         self._backlog = ReadingBacklog()
 
     def is_of_another_start(self, incarnation: str) -> bool:
@@ -132,7 +135,7 @@
         """
         return self.ledger.release(attempt_id)
 
-    def own_share(self) -> UpstreamShare:
+    def own_share(self, now_ms: float) -> UpstreamShare:
         """:returns: what of this VM is here, for the other VMs"""
         ledger = self.ledger
         return UpstreamShare(
@@ -142,6 +145,7 @@
             ledger.n_parts,
             self.outcomes.last,
             self._incarnation,
+            self._help_refusals.is_refusing(now_ms),
         )
 
     def outcomes_at(self, now_ms: float) -> Outcomes:
@@ -195,10 +199,19 @@
         An engine helps as many others as it has slots and refuses the next: a long
         prompt that names it has to be sent again, with another choice of helpers.
         """
+        if self._help_refusals.is_refusing(now_ms):
+            return False
+        if self.peers.total(now_ms).refuses_help:
+            return False
         figures = self.spec.figures
-        if figures is None:
-            return True
-        return self.n_parts(now_ms) < figures.n_slots
+        return figures is None or self.n_parts(now_ms) < figures.n_slots
+
+    def note_help_refused(self, now_ms: float) -> None:
+        """Take that it did not read the part that an attempt asked it to read."""
+        figures = self.spec.figures
+        if figures is not None:
+            n_parts = self.n_parts(now_ms)
+            self._help_refusals.note(n_parts, figures.n_slots, now_ms)
 
     def slow_factor(self, peer_ms_per_token: float | None, now_ms: float) -> float:
         """:returns: 1 unless slow, else how many times slower than its peers"""
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -21,6 +21,7 @@
     n_answered: float = 0.0
     n_failed: float = 0.0
     incarnation: str = ""
+    refuses_help: bool = False
 
     @property
     def says_anything(self) -> bool:
@@ -32,6 +33,7 @@
             or self.n_parts
             or self.n_answered
             or self.n_failed
+            or self.refuses_help
         )
 
 
@@ -125,6 +127,7 @@
         round(share.outcomes.n_answered, N_DIGITS),
         round(share.outcomes.n_failed, N_DIGITS),
         share.incarnation,
+        share.refuses_help,
     )
 
 
@@ -137,6 +140,7 @@
         load.n_parts,
         Outcomes(load.n_answered, load.n_failed),
         load.incarnation,
+        load.refuses_help,
     )
 
 
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -94,8 +94,10 @@
 
     def list_shares(self) -> list[tuple[str, UpstreamShare]]:
         """:returns: what of this VM is at each upstream"""
+        now_ms = self._clock.now_ms()
         return [
-            (state.spec.name, state.own_share()) for state in self._scheduler.upstreams
+            (state.spec.name, state.own_share(now_ms))
+            for state in self._scheduler.upstreams
         ]
 
     def take_usage_news(self) -> list[UsageNews]:
--- a/tests/decisions/health/test_partial.py
+++ b/tests/decisions/health/test_partial.py
@@ -119,7 +119,8 @@
         return has_failed
 
     def tell(self, teller: Scheduler) -> None:
-        shares = [(state.spec.name, state.own_share()) for state in teller.upstreams]
+        now_ms = self.clock.now_ms()
+        shares = [(s.spec.name, s.own_share(now_ms)) for s in teller.upstreams]
         for vm in self.vms:
             if vm is not teller:
                 vm.fleet.observe_peer(str(id(teller)), shares)
--- a/tests/decisions/placement/test_busy_helpers.py
+++ b/tests/decisions/placement/test_busy_helpers.py
@@ -76,9 +76,9 @@
     (helper, *_) = dispatch.helpers
     state = scheduler.upstreams.get(helper)
     assert state is not None
-    assert state.own_share().n_parts == 1
+    assert state.own_share(clock.now_ms()).n_parts == 1
     scheduler.note_first_token(dispatch.attempt_id)
-    assert state.own_share().n_parts == 0
+    assert state.own_share(clock.now_ms()).n_parts == 0
 
 
 def test_prompt_refused_by_busy_helpers_takes_no_engine_out(
--- a/tests/decisions/test_upstream_restart.py
+++ b/tests/decisions/test_upstream_restart.py
@@ -41,7 +41,7 @@
     assert state.n_requests(100.0) == 0
     assert state.n_kv_tokens_used(100.0) == 0
     assert state.n_prefill_tokens() == 0
-    assert state.own_share() == UpstreamShare(incarnation=AGAIN)
+    assert state.own_share(0.0) == UpstreamShare(incarnation=AGAIN)
     assert not state.outcomes_at(100.0).n_all
     assert not state.pace.is_slow(100.0)
     assert not state.health.is_ejected
