--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -12,6 +12,7 @@
     head_of_line_policies,
 )
 from quetzaldeck.decisions.head_of_line.short_candidates import draw_candidates
+from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -24,8 +25,8 @@
 
 MAX_PART_SHARE = 0.25
 """Part of the shortest pause between tokens that a part may hold an engine's writers
-up for, if all engines read one. Two or three long prompts at a time then still leave
-the short answers everywhere within their pauses."""
+up for, if as many engines read one as may. Two or three long prompts at a time then
+still leave the short answers everywhere within their pauses."""
 
 DEFAULT_GAP_MS = 250.0
 """Shortest pause where no request has stated one; a reader's pace."""
@@ -80,7 +81,8 @@
     Engines are ordered by a hash of their names, the same on all VMs, so that VMs agree
     without a message; what runs where they tell each other.
 
-    - What can be spread over all engines in parts that hold nobody up, is.
+    - What can be spread over engines in parts that hold nobody up, is. A request names
+      a limited number of them, however many there are.
     - Longer prompts are read where the fewest answers are written, by as many engines
       as can read within the target what all VMs have sent to be read, and by those that
       are idle. Engines that write are left out while the others are in time without
@@ -171,10 +173,11 @@
 
     def _is_long(self, request: Request, figures: EngineFigures) -> bool:
         n_engines = max(1, len(self._positions.get(request.model, ())))
+        n_parts = min(n_engines, MAX_HELPERS + 1)
         gap_ms = self._least_gap_ms
         if math.isinf(gap_ms):
             gap_ms = DEFAULT_GAP_MS
-        part_ms = figures.read_ms(request.n_prompt_tokens, n_parts=n_engines)
+        part_ms = figures.read_ms(request.n_prompt_tokens, n_parts=n_parts)
         return part_ms > gap_ms * MAX_PART_SHARE
 
     def _list_lane(
