--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 # Spread over some of the cores: many tests wait for timers and sockets.
 N_TEST_WORKERS ?= 4
 test: install
-	$(BIN)/python -m pytest -n $(N_TEST_WORKERS) --dist worksteal -rxX
+	$(BIN)/python -m pytest -n $(N_TEST_WORKERS) --dist worksteal -rxX --xfail-tb
 
 # Many more inputs than make check tries, and new ones on each run; prints counts.
 fuzz: install
