--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -82,10 +82,7 @@
         if end.fault is AttemptFault.BROKEN and _is_tracked(request):
             incarnation = end.incarnation or state.incarnation
             self._poison.note_crash(request.fingerprint, name, incarnation, now_ms)
-        is_part = name in upstreams[:-1]
-        if end.fault is AttemptFault.HELPER or (
-            end.fault is AttemptFault.OVERLOADED and is_part
-        ):
+        if _is_help_refused(end, upstreams):
             state.note_help_refused(now_ms)
         if end.fault in _FAILURES:
             state.outcomes.note(now_ms, is_answered=False)
@@ -129,6 +126,13 @@
             self._poison.note_answered(request.fingerprint, now_ms)
 
 
+def _is_help_refused(end: AttemptEnd, upstreams: Sequence[str]) -> bool:
+    """:returns: whether an upstream refused to read a part, as helper or as a member"""
+    if end.fault is AttemptFault.OVERLOADED:
+        return end.upstream in upstreams[:-1]
+    return end.fault is AttemptFault.HELPER
+
+
 def _is_tracked(request: Request) -> bool:
     """:returns: whether a request can be told from others when an engine crashes"""
     return bool(request.fingerprint) and not request.service
