Name each event of a booking when the churn test fails

Its failing runs printed counts only, so that nobody could say which booking ran twice or had no answer. The fleet of tests records executions and starts and stops of VMs with their times, callers record when and to which VM they sent; a failed check prints all events of the bookings concerned in order.

--- a/tests/claims/callers.py
+++ b/tests/claims/callers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
     from types import TracebackType
 
 PATH = "/desk/bookings"
@@ -31,6 +32,9 @@
     ran: str = ""
     reason: str = ""
     is_own_answer: bool = True
+    vm: str = ""
+    sent_ms: float = 0.0
+    ended_ms: float = 0.0
 
     @property
     def is_settled(self) -> bool:
@@ -71,13 +75,17 @@
             "X-Deadline-Ms": str(DEADLINE_MS),
         }
         outcome = Outcome(key, 0)
+        sent_ms = self._clock.now_ms()
         try:
             url = self._fleet.vms[vm].gateway.address + self.path
             async with self._client.post(url, data=body, headers=headers) as response:
                 answer = msgspec.json.decode(await response.read())
                 outcome = _judge(key, body, response.status, answer)
-        except (aiohttp.ClientError, KeyError, RuntimeError):
-            pass
+        except (aiohttp.ClientError, KeyError, RuntimeError) as error:
+            outcome = outcome._replace(reason=type(error).__name__)
+        outcome = outcome._replace(
+            vm=vm, sent_ms=sent_ms, ended_ms=self._clock.now_ms()
+        )
         self.outcomes.append(outcome)
         return outcome
 
@@ -99,20 +107,41 @@
 
     def check(self) -> None:
         """Check every guarantee against what the service ran."""
-        executions: defaultdict[str, int] = defaultdict(int)
-        for service in self._fleet.services.values():
-            for key, n_runs in service.executions.items():
-                executions[key] += n_runs
-        assert max(executions.values(), default=0) <= 1
+        executions = Counter(run.key for run in self._fleet.executions)
+        assert max(executions.values(), default=0) <= 1, self.describe(
+            key for key, n_runs in executions.items() if n_runs > 1
+        )
         by_key: defaultdict[str, list[Outcome]] = defaultdict(list)
         for outcome in self.outcomes:
-            assert outcome.is_own_answer
+            assert outcome.is_own_answer, self.describe([outcome.key])
             by_key[outcome.key].append(outcome)
         for key, outcomes in by_key.items():
             if any(outcome.status == 200 for outcome in outcomes):
-                assert executions[key] == 1
+                assert executions[key] == 1, self.describe([key])
             if all(outcome.ran == "no" for outcome in outcomes):
-                assert executions[key] == 0
+                assert executions[key] == 0, self.describe([key])
+
+    def describe(self, keys: Iterable[str]) -> str:
+        """:returns: all events of some keys in order of time, one line each"""
+        wanted = set(keys)
+        events = [
+            (o.sent_ms, f"{o.key} sent to {o.vm}")
+            for o in self.outcomes
+            if o.key in wanted
+        ]
+        events += [
+            (o.ended_ms, f"{o.key} {o.vm}: {o.status} {o.reason} ran={o.ran}")
+            for o in self.outcomes
+            if o.key in wanted
+        ]
+        events += [
+            (run.at_ms, f"{run.key} run by {run.service}, request {run.request_id}")
+            for run in self._fleet.executions
+            if run.key in wanted
+        ]
+        events += [(at_ms, text) for at_ms, text in self._fleet.vm_events]
+        events.sort()
+        return "\n" + "\n".join(f"{at_ms:.0f} ms {text}" for at_ms, text in events)
 
 
 def _judge(key: str, body: bytes, status: int, answer: dict[str, object]) -> Outcome:
--- a/tests/claims/test_fleet_claims.py
+++ b/tests/claims/test_fleet_claims.py
@@ -84,6 +84,8 @@
         assert n_answers >= N_BOOKINGS, counts
         # The answer may be lost with a stopped VM, though the booking did run.
         settled = {o.key for o in callers.outcomes if o.is_settled}
+        unsettled = {o.key for o in callers.outcomes} - settled
+        assert not unsettled, f"{counts}{callers.describe(unsettled)}"
         assert len(settled) == N_BOOKINGS, counts
 
 
--- a/tests/support/fleet/fleet.py
+++ b/tests/support/fleet/fleet.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from tests.support.example_bundle import (
     API_KEY,
@@ -54,6 +54,15 @@
 FREE_PORT = ListenAddress("127.0.0.1", 0)
 
 
+class Execution(NamedTuple):
+    """One execution of a call by a plain service."""
+
+    at_ms: float
+    service: str
+    key: str
+    request_id: str
+
+
 class Fleet:
     """Stand-ins and entry VMs; VMs can be started and stopped individually.
 
@@ -73,6 +82,9 @@
         self.vms: dict[str, FleetVm] = {}
         self.engines: dict[str, EngineStandin] = {}
         self.services: dict[str, PlainServiceStandin] = {}
+        self.executions: list[Execution] = []
+        self.vm_events: list[tuple[float, str]] = []
+        self._clock = Clock()
         self.configuration = ConfigurationServiceStandin(
             ConfigurationServiceSettings(FREE_PORT)
         )
@@ -174,6 +186,7 @@
 
     async def start_vm(self, name: str) -> FleetVm:
         """Start an entry VM; if the name was used before, with new incarnations."""
+        self._note_vm_event(f"start {name}")
         agent = self.build_agent(self.build_agent_settings(name))
         await agent.start()
         settings = GatewaySettings(
@@ -193,6 +206,7 @@
 
     async def stop_vm(self, name: str) -> None:
         """Stop an entry VM at once, without notice to its peers and the list."""
+        self._note_vm_event(f"stop {name}")
         vm = self.vms.pop(name)
         vm.agent.leaves_on_stop = False
         await vm.gateway.stop()
@@ -200,6 +214,7 @@
 
     async def leave_vm(self, name: str) -> None:
         """Stop an entry VM that announces its leave to its peers and in the list."""
+        self._note_vm_event(f"leave {name}")
         vm = self.vms.pop(name)
         self.set_state(name, VmState.LEAVING)
         await vm.gateway.stop()
@@ -258,12 +273,21 @@
         self.set_state(name, VmState.LIVE)
 
     async def _start_plain_service(self, name: str) -> None:
+        def note_execution(key: str, _digest: str, request_id: str) -> None:
+            self.executions.append(
+                Execution(self._clock.now_ms(), name, key, request_id)
+            )
+
         service = PlainServiceStandin(
-            ServiceSettings(name, FREE_PORT, self._settings.service_duration_ms)
+            ServiceSettings(name, FREE_PORT, self._settings.service_duration_ms),
+            on_execution=note_execution,
         )
         await self._stack.enter_async_context(start_service(service))
         self.services[name] = service
         self.set_state(name, VmState.LIVE)
 
+    def _note_vm_event(self, text: str) -> None:
+        self.vm_events.append((self._clock.now_ms(), text))
+
 
 __all__ = ("API_KEY", "MODEL", "SERVICE", "Fleet")
