Repeat the report of a claimed call's end until the agent has it

An agent that was late considered the call as running for the whole window of 15 minutes, and each resend was told key_in_progress, ran=unknown, also where the gateway knew that the call had not run or had its answer. Safe, but the booking could not be settled.

Change: ClaimEndTask reports until the agent confirms (two minutes at most); the answer waits for the first try alone, 250 ms at most instead of 1 s. The agent ignores a report that it has processed.

--- a/src/quetzaldeck/gateway/claimed_call.py
+++ b/src/quetzaldeck/gateway/claimed_call.py
@@ -18,7 +18,6 @@
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.pauses import PauseError, PauseGuard
-from quetzaldeck.telemetry import log_event
 from quetzaldeck.upstreams import ServiceAnswer
 
 if TYPE_CHECKING:
@@ -27,9 +26,6 @@
     from quetzaldeck.gateway.state import GatewayState
 
 CLAIM_PATH = "/v1/claims"
-CLAIM_END_PATH = "/v1/claims/end"
-END_TIMEOUT_MS = 1_000.0
-"""Timeout of reporting the end of a call to the agent on the same VM."""
 RETRY_AFTER_MS = 1_000.0
 """Wait before a retry if the agent does not respond; it restarts within that time."""
 AGENT_MARGIN_MS = 50.0
@@ -139,27 +135,13 @@
             return _DECISION.decode(await response.read())
 
     async def _report_end(self) -> None:
-        """Report the end of the call to the agent.
-
-        If the agent cannot be reached, the claim stays held until its window has
-        passed. Resends are then answered with ``ran: unknown``, which is correct.
-        """
+        """Report the end of the call to the agent."""
         end = ClaimEnd(
             self._claim_request.claim_request_id,
             self._may_have_run,
             _to_kept_answer(self._answer),
         )
-        try:
-            async with (
-                asyncio.timeout(END_TIMEOUT_MS / 1_000),
-                self._client.post(
-                    self._state.settings.agent_address + CLAIM_END_PATH,
-                    data=msgspec.json.encode(end),
-                ) as response,
-            ):
-                response.raise_for_status()
-        except _AGENT_ERRORS as error:
-            log_event("claim_end_not_told", level="WARNING", error=repr(error))
+        await self._state.claim_ends.report(end)
 
 
 def new_claim_request_id() -> str:
@@ -181,7 +163,6 @@
 
 
 __all__ = (
-    "CLAIM_END_PATH",
     "CLAIM_PATH",
     "ClaimedCall",
     "new_claim_request_id",
--- a/src/quetzaldeck/gateway/session.py
+++ b/src/quetzaldeck/gateway/session.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from quetzaldeck.decisions.policies import build_scheduler
+from quetzaldeck.gateway.claim_end_task import ClaimEndTask
 from quetzaldeck.gateway.dispatch_task import DispatchTask
 from quetzaldeck.gateway.exchange_task import EXCHANGE_ERRORS, ExchangeTask
 from quetzaldeck.gateway.release_task import Release, ReleaseTask
@@ -42,6 +43,7 @@
                 await engine.cancel(release.held_id)
 
         releases = ReleaseTask(cancel, self.metrics.upstreams)
+        claim_ends = ClaimEndTask(client, self._settings.agent_address)
         dispatch = DispatchTask(self._build_scheduler(), self.metrics, self._clock)
         self._state = GatewayState(
             settings=self._settings,
@@ -51,11 +53,17 @@
             dispatch=dispatch,
             connections=connections,
             releases=releases,
+            claim_ends=claim_ends,
             agent_client=client,
         )
         self._exchange = ExchangeTask(self._state, client)
         await self._stack.enter_async_context(
-            run_tasks(dispatch.run(), self._exchange.run(), releases.run())
+            run_tasks(
+                dispatch.run(),
+                self._exchange.run(),
+                releases.run(),
+                claim_ends.run(),
+            )
         )
         await self._stack.enter_async_context(self._state.detached_calls)
 
--- a/src/quetzaldeck/gateway/state.py
+++ b/src/quetzaldeck/gateway/state.py
@@ -19,6 +19,7 @@
     from quetzaldeck.bundle import Bundle
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.placement import CacheEvents
+    from quetzaldeck.gateway.claim_end_task import ClaimEndTask
     from quetzaldeck.gateway.dispatch_task import DispatchTask
     from quetzaldeck.gateway.release_task import ReleaseTask
     from quetzaldeck.gateway.settings import GatewaySettings
@@ -40,6 +41,7 @@
         dispatch: DispatchTask,
         connections: Connections,
         releases: ReleaseTask,
+        claim_ends: ClaimEndTask,
         agent_client: aiohttp.ClientSession,
     ) -> None:
         self.settings = settings
@@ -49,6 +51,7 @@
         self.dispatch = dispatch
         self.connections = connections
         self.releases = releases
+        self.claim_ends = claim_ends
         self.agent_client = agent_client
         self.in_flight = InFlightRequests()
         self.detached_calls = DetachedCalls(self.in_flight)
