Size parts of long prompts by the gaps that the configuration states

Cause: which prompts keep to the lane and how small parts are follow from the shortest gap between tokens that callers accept. Each VM took the shortest of the requests that it had seen: a VM that has just started, or gets half a request a second, sized the parts of a first long prompt for callers who bear 1,000 ms, and a removed route's gap counted for ever. Two copies of that learner, each with a default of its own (250 ms; 30 ms).

Change: TokenGaps takes the gaps from the bundle (ModelSpec.max_gap_ms; an entry VM takes the shortest of the routes that lead to a service), so all VMs agree from the start. One default, for a bundle that states none.

Tests: tests/decisions/test_token_gaps.py gives two loads and sees two values.

--- a/src/quetzaldeck/bundle/document.py
+++ b/src/quetzaldeck/bundle/document.py
@@ -19,6 +19,14 @@
     adapters: Annotated[
         tuple[str, ...], Option("Adapters that may be requested with the model.")
     ] = ()
+    max_gap_ms: Annotated[
+        float,
+        Option(
+            "Shortest gap between tokens that its callers accept; 0: not stated.",
+            unit="ms",
+            minimum=0,
+        ),
+    ] = 0.0
 
 
 class CustomerLimits(NamedTuple):
--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -13,6 +13,7 @@
 )
 from quetzaldeck.decisions.head_of_line.short_candidates import draw_candidates
 from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
+from quetzaldeck.decisions.token_gaps import TokenGaps
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -29,9 +30,6 @@
 tokens. Two or three prompts of that length at a time then still leave all short answers
 within their gaps."""
 
-DEFAULT_GAP_MS = 250.0
-"""Gap between tokens that is assumed until a request requires one; a reader's pace."""
-
 PREFILL_SHARE_OF_TARGET = 0.3
 """Share of the time-to-first-token target within which the lane should prefill all its
 work: prompts arrive in bursts, and parts wait for other prompts on the same engine."""
@@ -105,10 +103,11 @@
     def __init__(self) -> None:
         self._positions: dict[str, dict[str, int]] = {}
         self._figures: dict[str, EngineFigures] = {}
-        self._min_gap_ms = math.inf
+        self._gaps = TokenGaps()
 
     def configure(self, bundle: Bundle, tuning: Tuning) -> None:
-        """Order the engines of each model by hash."""
+        """Order the engines of each model by hash, and apply its callers' gaps."""
+        self._gaps.configure(bundle)
         names: dict[str, list[str]] = {}
         for spec in bundle.upstreams:
             for model in spec.models:
@@ -123,11 +122,6 @@
             for model, members in names.items()
         }
 
-    def note_arrival(self, request: Request, now_ms: float) -> None:
-        """Record the shortest gap between tokens that callers accept."""
-        if request.max_gap_ms:
-            self._min_gap_ms = min(self._min_gap_ms, request.max_gap_ms)
-
     def may_start(
         self, request: Request, pool: Sequence[UpstreamState], now_ms: float
     ) -> bool:
@@ -177,9 +171,7 @@
     def _is_long(self, request: Request, figures: EngineFigures) -> bool:
         n_engines = max(1, len(self._positions.get(request.model, ())))
         n_parts = min(n_engines, MAX_HELPERS + 1)
-        gap_ms = self._min_gap_ms
-        if math.isinf(gap_ms):
-            gap_ms = DEFAULT_GAP_MS
+        gap_ms = self._gaps.shortest_ms(request.model)
         part_ms = figures.prefill_ms(request.n_prompt_tokens, n_parts=n_parts)
         return part_ms > gap_ms * MAX_PART_SHARE_OF_GAP
 
--- a/src/quetzaldeck/decisions/placement/api.py
+++ b/src/quetzaldeck/decisions/placement/api.py
@@ -11,6 +11,7 @@
     import random
     from collections.abc import Sequence
 
+    from quetzaldeck.bundle.document import Bundle
     from quetzaldeck.decisions.placement.cache_events import CacheEvents
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
@@ -37,6 +38,9 @@
         """:returns: source of random choices"""
         return self._random_state
 
+    def configure(self, bundle: Bundle) -> None:  # noqa: B027
+        """Apply what the bundle in force states about its models."""
+
     @abstractmethod
     def choose(
         self, request: Request, candidates: Sequence[UpstreamState], now_ms: float
--- a/src/quetzaldeck/decisions/placement/first_token.py
+++ b/src/quetzaldeck/decisions/placement/first_token.py
@@ -10,9 +10,9 @@
 
 Number of parts: the smallest with which the prefill of one part takes no longer than
 the running sequences of an engine may be delayed. That time is
-:data:`PART_SHARE_OF_GAP` of the shortest gap between tokens that any request has
-required so far; requests get theirs from the configuration. The prefill time of a part
-follows from the engine figures that the operator configures.
+:data:`PART_SHARE_OF_GAP` of the shortest gap between tokens that the callers of the
+model accept. The prefill time of a part follows from the engine figures that the
+operator configures.
 
 Choice of engine: the one with the least work before the first token, in milliseconds
 of prefill, plus random jitter, since many VMs see the same loads.
@@ -25,10 +25,13 @@
 
 from quetzaldeck.decisions.placement.api import PlacementPolicy, placement_policies
 from quetzaldeck.decisions.placement.median_latency import median_ms_per_token
+from quetzaldeck.decisions.token_gaps import TokenGaps
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Sequence
 
+    from quetzaldeck.bundle.document import Bundle
     from quetzaldeck.bundle.engine_figures import EngineFigures
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
@@ -40,9 +43,6 @@
 """Share of the shortest gap between tokens for which one prompt part may delay the
 running sequences. An engine may prefill parts of several prompts within one pass."""
 
-DEFAULT_PART_MS = 30.0
-"""Longest prefill of a part until a request requires a maximum gap between tokens."""
-
 OTHER_ZONE_MS = 1.0
 """Round trip to another availability zone; among engines with equal work it keeps the
 traffic within the zone."""
@@ -60,14 +60,21 @@
     """Chooses the engine with the earliest first token; splits long prompts."""
 
     max_helpers = MAX_HELPERS
-    _min_gap_ms: float = math.inf
+
+    def __init__(
+        self, *, random_state: random.Random, availability_zone: str = ""
+    ) -> None:
+        super().__init__(random_state=random_state, availability_zone=availability_zone)
+        self._gaps = TokenGaps()
+
+    def configure(self, bundle: Bundle) -> None:
+        """Apply the gaps between tokens that callers accept."""
+        self._gaps.configure(bundle)
 
     def choose(
         self, request: Request, candidates: Sequence[UpstreamState], now_ms: float
     ) -> str | None:
         """:returns: the candidate with the least work before this request"""
-        if request.max_gap_ms:
-            self._min_gap_ms = min(self._min_gap_ms, request.max_gap_ms)
         return self._sort_by_cost(candidates, now_ms)[0].spec.name
 
     def choose_helpers(
@@ -116,9 +123,7 @@
         figures = pool[0].spec.figures if pool else None
         if figures is None or request.service:
             return 1
-        part_ms = DEFAULT_PART_MS
-        if math.isfinite(self._min_gap_ms):
-            part_ms = self._min_gap_ms * PART_SHARE_OF_GAP
+        part_ms = self._gaps.shortest_ms(request.model) * PART_SHARE_OF_GAP
         whole_ms = figures.prefill_ms(request.n_prompt_tokens)
         return min(MAX_HELPERS + 1, math.ceil(whole_ms / part_ms))
 
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -77,6 +77,7 @@
         self._learner = AnswerLearner(self._admission, self._tokens)
         self._upstreams = table = UpstreamTable()
         self._poison = poison = PoisonRegistry()
+        self._placement = placement
         self._placer = Placer(
             table=table,
             policy=placement,
@@ -168,6 +169,7 @@
         self._limits.configure(bundle, now_ms)
         tuning = tune(bundle)
         self._queue.configure(tuning)
+        self._placement.configure(bundle)
         self._admission.configure(bundle, tuning)
         self._head_of_line.configure(bundle, tuning)
         self._waiting.note_capacity_freed()
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -124,11 +124,9 @@
             self._view = build_view(configuration)
             self._has_view.set()
             self.metrics.bundle_version.set(configuration.version)
-        bundle = build_bundle(self.belief)
-        if bundle is not None:
-            self.dispatch.send(ApplyBundle(bundle))
-            self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
-            self.dispatch.send(Observe((), list_leaving(self.belief)))
+        self.dispatch.send(ApplyBundle(build_bundle(self.belief, self._view)))
+        self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
+        self.dispatch.send(Observe((), list_leaving(self.belief)))
 
 
 def build_shutdown(bounds: EntryBounds) -> ShutdownSettings:
--- a/src/quetzaldeck/entry/upstream_pool.py
+++ b/src/quetzaldeck/entry/upstream_pool.py
@@ -4,31 +4,30 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.bundle.document import Bundle, UpstreamSpec
+from quetzaldeck.bundle.document import Bundle, ModelSpec, UpstreamSpec
 
 if TYPE_CHECKING:
     from quetzaldeck.belief import FleetBelief
-    from quetzaldeck.routing import Replica, RoutingConfiguration
+    from quetzaldeck.entry.view import RoutingView
+    from quetzaldeck.routing import Replica
 
 NO_EXPIRY_MS = 1 << 53
 """End of validity of bundles built here: the platform's configuration never expires."""
 
 
-def build_bundle(belief: FleetBelief) -> Bundle | None:
-    """:returns: the fleet state as a bundle; ``None`` before the first configuration
+def build_bundle(belief: FleetBelief, view: RoutingView) -> Bundle:
+    """Describe the fleet state as a bundle.
 
     Replicas of services that the configuration does not list are omitted, as no route
     can lead to them.
+
+    :param view: the configuration in force
     """
-    configuration = belief.configuration
-    if configuration is None:
-        return None
-    specs = (
-        _build_spec(replica, configuration) for replica in belief.replicas.values()
-    )
+    specs = (_build_spec(replica, view) for replica in belief.replicas.values())
     return Bundle(
-        configuration.version,
+        view.version,
         NO_EXPIRY_MS,
+        models=_list_models(view),
         upstreams=tuple(spec for spec in specs if spec is not None),
     )
 
@@ -49,10 +48,17 @@
     )
 
 
-def _build_spec(
-    replica: Replica, configuration: RoutingConfiguration
-) -> UpstreamSpec | None:
-    service = configuration.services.get(replica.service)
+def _list_models(view: RoutingView) -> tuple[ModelSpec, ...]:
+    """:returns: the models of the engines, each with the shortest gap of its routes"""
+    return tuple(
+        ModelSpec(name, version="", max_gap_ms=view.min_gaps_ms.get(name, 0.0))
+        for name, service in view.services.items()
+        if service.engine is not None
+    )
+
+
+def _build_spec(replica: Replica, view: RoutingView) -> UpstreamSpec | None:
+    service = view.services.get(replica.service)
     if service is None:
         return None
     engine = service.engine
