State the callers' stream timeouts in the platform adapter

Cause: decisions/caller_idle_timeout.py called them inferred, so that its constants read like guesses about one client. The platform's protocol states them (two seconds, four times the target or eight times the gap, whichever is longest), so they belong at the boundary that speaks the protocol; the decision modules take the timeout of a request as an input.

Change: platform/caller_timeouts.py; the margin for the network stays in decisions/request.py. No behaviour differs, the tests are the same.

--- a/src/quetzaldeck/bench/call.py
+++ b/src/quetzaldeck/bench/call.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple
 
-from quetzaldeck.decisions.caller_idle_timeout import infer_idle_timeout_ms
 from quetzaldeck.decisions.prefix import PREFIX_TOKENS
+from quetzaldeck.platform.caller_timeouts import stream_idle_timeout_ms
 
 
 class Call(NamedTuple):
@@ -63,7 +63,7 @@
     def caller_idle_timeout_ms(self) -> float:
         """:returns: silence after which the caller disconnects; 0: it does not"""
         return (
-            infer_idle_timeout_ms(self.target_ms, self.max_gap_ms)
+            stream_idle_timeout_ms(self.target_ms, self.max_gap_ms)
             if self.max_gap_ms
             else 0.0
         )
--- a/src/quetzaldeck/decisions/admission/predicted_wait.py
+++ b/src/quetzaldeck/decisions/admission/predicted_wait.py
@@ -256,9 +256,9 @@
     def _caller_idle_deadline_ms(self, request: Request) -> float:
         """Predict when the caller disconnects for lack of a token.
 
-        Unlike the deadline, the idle timeout is inferred rather than stated by the
-        caller. It is ignored for a prompt that even idle engines cannot prefill in
-        time, as such a request could otherwise never be served.
+        Unlike the deadline, the idle timeout is a property of the caller's route. It
+        is ignored for a prompt that even idle engines cannot prefill in time, as such a
+        request could otherwise never be served.
 
         :returns: the time; infinity if the timeout is ignored
         """
--- a/src/quetzaldeck/decisions/request.py
+++ b/src/quetzaldeck/decisions/request.py
@@ -6,7 +6,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from quetzaldeck.decisions.caller_idle_timeout import DISCONNECT_MARGIN_MS
+DISCONNECT_MARGIN_MS = 50.0
+"""A refusal is sent this long before the caller disconnects: several times the network
+delay to the caller, plus the scheduling delay of a busy VM."""
 
 
 class LengthClass(StrEnum):
@@ -102,4 +104,4 @@
         return classify_length(self.n_prompt_tokens)
 
 
-__all__ = ("LengthClass", "Request", "classify_length")
+__all__ = ("DISCONNECT_MARGIN_MS", "LengthClass", "Request", "classify_length")
--- a/src/quetzaldeck/entry/call.py
+++ b/src/quetzaldeck/entry/call.py
@@ -8,9 +8,9 @@
 from aiohttp import web
 
 from quetzaldeck.decisions import Request
-from quetzaldeck.decisions.caller_idle_timeout import infer_idle_timeout_ms
 from quetzaldeck.entry.admission import Admitted
 from quetzaldeck.entry.call_head import CallHead
+from quetzaldeck.platform.caller_timeouts import stream_idle_timeout_ms
 from quetzaldeck.routing import RequestKind, Route
 
 if TYPE_CHECKING:
@@ -71,7 +71,7 @@
     """
     if route.kind is not RequestKind.STREAMING:
         return 0.0
-    return infer_idle_timeout_ms(route.target_latency_ms, route.max_gap_ms)
+    return stream_idle_timeout_ms(route.target_latency_ms, route.max_gap_ms)
 
 
 def _fingerprint(call: Call) -> int:
--- a/tests/decisions/retries/test_silence.py
+++ b/tests/decisions/retries/test_silence.py
@@ -12,7 +12,6 @@
 from tests.support.builders import make_entry_scheduler, make_request, poll_dispatch
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
-from quetzaldeck.decisions.caller_idle_timeout import infer_idle_timeout_ms
 from quetzaldeck.decisions.peer_load import VmLoad
 from quetzaldeck.decisions.retries import ResendBudget
 from quetzaldeck.decisions.retries.silence import (
@@ -20,6 +19,7 @@
     first_byte_threshold_ms,
     stream_gap_threshold_ms,
 )
+from quetzaldeck.platform.caller_timeouts import stream_idle_timeout_ms
 
 if TYPE_CHECKING:
     from quetzaldeck.clock import ManualClock
@@ -43,7 +43,7 @@
     )._replace(
         target_ms=TARGET_MS,
         max_gap_ms=GAP_MS,
-        caller_idle_timeout_ms=infer_idle_timeout_ms(TARGET_MS, GAP_MS),
+        caller_idle_timeout_ms=stream_idle_timeout_ms(TARGET_MS, GAP_MS),
         is_repeatable=is_repeatable,
         max_attempts=2,
     )
--- a/tests/decisions/test_caller_idle_timeout.py
+++ b/tests/decisions/test_caller_idle_timeout.py
@@ -21,11 +21,9 @@
     Rejection,
     Request,
 )
-from quetzaldeck.decisions.caller_idle_timeout import (
-    DISCONNECT_MARGIN_MS,
-    infer_idle_timeout_ms,
-)
+from quetzaldeck.decisions.request import DISCONNECT_MARGIN_MS
 from quetzaldeck.outcomes import Failure, Ran, Reason
+from quetzaldeck.platform.caller_timeouts import stream_idle_timeout_ms
 
 if TYPE_CHECKING:
     from quetzaldeck.clock import ManualClock
@@ -112,17 +110,17 @@
 @pytest.fixture
 def simulation(clock: ManualClock) -> Simulation:
     simulation = Simulation(
-        clock, idle_timeout_ms=infer_idle_timeout_ms(TARGET_MS, GAP_MS)
+        clock, idle_timeout_ms=stream_idle_timeout_ms(TARGET_MS, GAP_MS)
     )
     simulation.run(6_000, per_s=32)
     simulation.run(4_000, per_s=0)
     return simulation
 
 
-def test_idle_timeout_is_inferred_from_target_and_gap() -> None:
-    assert infer_idle_timeout_ms(300.0, 250.0) == 2_000.0
-    assert infer_idle_timeout_ms(1_500.0, 600.0) == 6_000.0
-    assert infer_idle_timeout_ms(0.0, 1_000.0) == 8_000.0
+def test_idle_timeout_follows_from_target_and_gap() -> None:
+    assert stream_idle_timeout_ms(300.0, 250.0) == 2_000.0
+    assert stream_idle_timeout_ms(1_500.0, 600.0) == 6_000.0
+    assert stream_idle_timeout_ms(0.0, 1_000.0) == 8_000.0
 
 
 def test_request_without_idle_timeout_is_limited_by_its_deadline_only() -> None:
@@ -168,7 +166,7 @@
     be refused although the caller is still connected.
     """
     simulation = Simulation(
-        clock, idle_timeout_ms=infer_idle_timeout_ms(TARGET_MS, GAP_MS)
+        clock, idle_timeout_ms=stream_idle_timeout_ms(TARGET_MS, GAP_MS)
     )
     simulation.arrive()
     (decision,) = simulation.scheduler.poll()
@@ -187,7 +185,7 @@
 ) -> None:
     """An engine fails before its first event, just as the caller disconnects."""
     simulation = Simulation(
-        clock, idle_timeout_ms=infer_idle_timeout_ms(TARGET_MS, GAP_MS)
+        clock, idle_timeout_ms=stream_idle_timeout_ms(TARGET_MS, GAP_MS)
     )
     simulation.arrive()
     (decision,) = simulation.scheduler.poll()
@@ -200,10 +198,10 @@
 def test_idle_timeout_shorter_than_the_fastest_prefill_is_ignored(
     clock: ManualClock,
 ) -> None:
-    """Even idle engines need longer for the prompt than the inferred idle timeout.
+    """Even idle engines need longer for the prompt than the idle timeout of the route.
 
-    Its deadline leaves enough time. If the request were refused for a timeout that is
-    only inferred, it could never be served.
+    Its deadline leaves enough time. If the request were refused for the idle timeout,
+    it could never be served.
     """
     simulation = Simulation(clock, idle_timeout_ms=DISCONNECT_MARGIN_MS + 10.0)
     simulation.arrive()
