Charge the work budget only for retries that the resend budget allows

While one service fails all its requests, each refused retry used up work that requests of other services could have been retried with.

Change: the resend budget is asked first, and charged last.

Measured: the new test fails on the old code (retried_tokens above 0).

--- a/src/quetzaldeck/decisions/retries/policy.py
+++ b/src/quetzaldeck/decisions/retries/policy.py
@@ -144,11 +144,16 @@
 
         :returns: whether they allow it
         """
+        resend_budget = self._resend_budget if end.was_sent else None
+        # Both are checked before either is charged: a retry that one budget refuses
+        # must not use up the other.
+        if resend_budget is not None and not resend_budget.can_spend(
+            request.target, now_ms
+        ):
+            return False
         if end.may_have_run and not self._budget.try_spend(request.n_kv_tokens, now_ms):
             return False
-        if self._resend_budget is None or not end.was_sent:
-            return True
-        return self._resend_budget.try_spend(request.target, now_ms)
+        return resend_budget is None or resend_budget.try_spend(request.target, now_ms)
 
     def _delay(self, end: AttemptEnd, history: AttemptHistory) -> float:
         """:returns: delay before the next attempt, in milliseconds
--- a/tests/decisions/retries/test_retry_policy.py
+++ b/tests/decisions/retries/test_retry_policy.py
@@ -10,6 +10,7 @@
 from quetzaldeck.decisions import AttemptEnd, AttemptFault
 from quetzaldeck.decisions.retries import (
     AttemptHistory,
+    ResendBudget,
     Retry,
     RetryBounds,
     RetryBudget,
@@ -20,8 +21,12 @@
 NOW_MS = 1_000.0
 
 
-def make_policy(bounds: RetryBounds | None = None) -> RetryPolicy:
-    return RetryPolicy(random_state=random.Random(1), bounds=bounds)
+def make_policy(
+    bounds: RetryBounds | None = None, resend_budget: ResendBudget | None = None
+) -> RetryPolicy:
+    return RetryPolicy(
+        random_state=random.Random(1), bounds=bounds, resend_budget=resend_budget
+    )
 
 
 def decide(
@@ -142,3 +147,16 @@
     assert not budget.try_spend(1, 0.0)
     assert budget.try_spend(1, 2_000.0)
     assert budget.allowed_tokens == pytest.approx(1_500)
+
+
+def test_retry_that_the_resend_budget_refuses_uses_up_no_work_budget() -> None:
+    """Guards against retries that are refused although their work is within its budget.
+
+    A service fails all its requests, so that its resends are spent. The requests of
+    another service are retried by the same VM.
+    """
+    resends = ResendBudget(ratio=0.0, window_ms=10_000.0, min_resends=0)
+    policy = make_policy(RetryBounds(min_retry_tokens=2_500), resends)
+    end = AttemptEnd("a", AttemptFault.BROKEN)
+    assert all(isinstance(decide(end, policy=policy), Failure) for _ in range(5))
+    assert policy.budget.retried_tokens == 0
