--- a/tests/decisions/placement/test_placer.py
+++ b/tests/decisions/placement/test_placer.py
@@ -19,6 +19,7 @@
 from quetzaldeck.decisions.placement import RoundRobin
 from quetzaldeck.decisions.placement.candidates import N_SAMPLED, CandidateFilter
 from quetzaldeck.decisions.queueing import FifoQueue
+from quetzaldeck.outcomes import Ran, Reason
 
 
 def test_admission_does_not_advance_round_robin() -> None:
@@ -68,3 +69,13 @@
         for index in range(320)
     ]
     assert len(filter_.list_candidates(make_request(), pool, 0.0)) == 320 - n_full
+
+
+def test_request_for_which_all_upstreams_leave_is_refused_on_arrival() -> None:
+    """Guards against a request that waits for its deadline though nothing serves it."""
+    scheduler = make_scheduler(ManualClock(1_000.0), ("e0",))
+    scheduler.fleet.observe((), ("e0",))
+    failure = scheduler.submit(make_request())
+    assert failure is not None
+    assert (failure.reason, failure.ran) == (Reason.NO_UPSTREAM, Ran.NO)
+    assert failure.retry_after_ms
--- a/tests/decisions/retries/test_retry_policy.py
+++ b/tests/decisions/retries/test_retry_policy.py
@@ -160,3 +160,9 @@
     end = AttemptEnd("a", AttemptFault.BROKEN)
     assert all(isinstance(decide(end, policy=policy), Failure) for _ in range(5))
     assert policy.budget.retried_tokens == 0
+
+
+def test_silent_attempt_without_a_retry_is_reported_as_silent() -> None:
+    failure = decide(AttemptEnd("a", AttemptFault.SILENT), is_repeatable=False)
+    assert isinstance(failure, Failure)
+    assert (failure.reason, failure.ran) == (Reason.UPSTREAM_SILENT, Ran.UNKNOWN)
