Open the callers' socket of an entry VM before its modules are imported

Change: start_entry listens on the callers' address as its first act and hands the socket to the service; requests wait in the kernel's queue and are served late rather than not at all. The readiness address stays closed, so the balancer prefers VMs that are ready.

Ways: refuse until loaded (as before), listen first.

Tests: tests/cli/test_early_listener.py; test_entry.py names click and difflib among what an entry VM does not load.

--- a/src/quetzaldeck/cli/agent.py
+++ b/src/quetzaldeck/cli/agent.py
@@ -7,13 +7,8 @@
 import click
 
 from quetzaldeck.agent import AgentService, AgentSettings
-from quetzaldeck.cli.common import (
-    EPILOG,
-    load_settings,
-    run_services,
-    settings_option,
-    version_option,
-)
+from quetzaldeck.cli.common import EPILOG, settings_option, version_option
+from quetzaldeck.cli.running import load_settings, run_services
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/src/quetzaldeck/cli/bundle_commands.py
+++ b/src/quetzaldeck/cli/bundle_commands.py
@@ -20,8 +20,9 @@
 )
 from quetzaldeck.bundle.summary import render_summary
 from quetzaldeck.cli.bundle_files import load_any_bundle, load_bundle
-from quetzaldeck.cli.common import EPILOG, print_findings
+from quetzaldeck.cli.common import EPILOG
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.cli.running import print_findings
 from quetzaldeck.config import FindingsError
 
 KEY_FILE_MODE = 0o600
--- a/src/quetzaldeck/cli/bundle_files.py
+++ b/src/quetzaldeck/cli/bundle_files.py
@@ -9,8 +9,8 @@
 
 from quetzaldeck.bundle import Bundle, check_bundle, decode_bundle
 from quetzaldeck.bundle.signing import SignatureError, decode_envelope
-from quetzaldeck.cli.common import load_settings, print_findings
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.cli.running import load_settings, print_findings
 from quetzaldeck.config import FindingsError, raise_findings
 
 if TYPE_CHECKING:
--- a/src/quetzaldeck/cli/common.py
+++ b/src/quetzaldeck/cli/common.py
@@ -1,28 +1,17 @@
-"""Options and functions shared by all command-line interfaces."""
+"""Options shared by all command-line interfaces."""
 
 from __future__ import annotations
 
-import asyncio
-import signal
-import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, NoReturn, TextIO, TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
-import aiomisc
 import click
 
-from quetzaldeck.cli.exit_codes import ExitCode
-from quetzaldeck.config import FindingsError, load_file
-from quetzaldeck.tasks import run_tasks
-from quetzaldeck.telemetry import LogWriter, configure_logging, log_event
 from quetzaldeck.version import __version__
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Sequence
+    from collections.abc import Callable
 
-    from quetzaldeck.http import HttpServiceBase
-
-T = TypeVar("T")
 F = TypeVar("F", bound="Callable[..., object]")
 
 EPILOG = (
@@ -51,82 +40,4 @@
     )
 
 
-def print_findings(error: FindingsError) -> None:
-    """Print all findings of a document to standard error, one per line."""
-    for finding in error.findings:
-        click.echo(finding.render(), err=True)
-    click.echo(f"{len(error.findings)} findings", err=True)
-
-
-def load_settings(path: Path, cls: type[T]) -> T:
-    """:returns: the settings in ``path``; exits the program if they have faults"""
-    try:
-        return load_file(path, cls)
-    except FindingsError as error:
-        print_findings(error)
-        sys.exit(ExitCode.BAD_SETTINGS)
-
-
-def run_services(
-    *services: HttpServiceBase,
-    background: Callable[[], Coroutine[Any, Any, None]] | None = None,
-    log_stream: TextIO | None = None,
-) -> NoReturn:
-    """Run services until a signal stops the program.
-
-    The first SIGTERM or SIGINT drains the services; a second one aborts the requests
-    that are still in progress.
-
-    :param background: task that runs as long as the services
-    :param log_stream: destination of log lines; standard error if ``None``
-    """
-    with LogWriter(log_stream or sys.stderr) as writer:
-        configure_logging(writer)
-        log_event("started", version=__version__)
-        with aiomisc.entrypoint(*services, log_config=False) as loop:
-            serving = _serve_until_stopped(services, background)
-            n_aborted = loop.run_until_complete(serving)
-    sys.exit(ExitCode.REQUESTS_ABORTED if n_aborted else ExitCode.OK)
-
-
-async def _serve_until_stopped(
-    services: Sequence[HttpServiceBase],
-    background: Callable[[], Coroutine[Any, Any, None]] | None,
-) -> int:
-    async with run_tasks(*(() if background is None else (background(),))):
-        return await _wait_for_stop(services)
-
-
-async def _wait_for_stop(services: Sequence[HttpServiceBase]) -> int:
-    signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, signals.put_nowait, number)
-    received = await signals.get()
-    log_event("stopping", signal=received.name)
-    aborting = asyncio.create_task(_abort_on_signal(signals, services))
-    try:
-        counts = await asyncio.gather(*(service.drain() for service in services))
-    finally:
-        aborting.cancel()
-    log_event("stopped", n_cut_off=sum(counts))
-    return sum(counts)
-
-
-async def _abort_on_signal(
-    signals: asyncio.Queue[signal.Signals], services: Sequence[HttpServiceBase]
-) -> None:
-    received = await signals.get()
-    log_event("cutting_off", level="WARNING", signal=received.name)
-    for service in services:
-        service.abort_drain()
-
-
-__all__ = (
-    "EPILOG",
-    "load_settings",
-    "print_findings",
-    "run_services",
-    "settings_option",
-    "version_option",
-)
+__all__ = ("EPILOG", "settings_option", "version_option")
--- a/src/quetzaldeck/cli/gateway.py
+++ b/src/quetzaldeck/cli/gateway.py
@@ -6,13 +6,8 @@
 
 import click
 
-from quetzaldeck.cli.common import (
-    EPILOG,
-    load_settings,
-    run_services,
-    settings_option,
-    version_option,
-)
+from quetzaldeck.cli.common import EPILOG, settings_option, version_option
+from quetzaldeck.cli.running import load_settings, run_services
 from quetzaldeck.gateway.service import GatewayService
 from quetzaldeck.gateway.settings import GatewaySettings
 
--- a/src/quetzaldeck/cli/history_commands.py
+++ b/src/quetzaldeck/cli/history_commands.py
@@ -7,8 +7,8 @@
 
 import click
 
-from quetzaldeck.cli.common import print_findings
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.cli.running import print_findings
 from quetzaldeck.config import FindingsError
 from quetzaldeck.history import check_history, history_checks, read_history
 
--- a/src/quetzaldeck/cli/load.py
+++ b/src/quetzaldeck/cli/load.py
@@ -8,8 +8,9 @@
 import click
 import uvloop
 
-from quetzaldeck.cli.common import EPILOG, load_settings, version_option
+from quetzaldeck.cli.common import EPILOG, version_option
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.cli.running import load_settings
 from quetzaldeck.clock import Clock
 from quetzaldeck.load import (
     LoadReport,
--- a/src/quetzaldeck/cli/operator.py
+++ b/src/quetzaldeck/cli/operator.py
@@ -9,10 +9,11 @@
 import uvloop
 
 from quetzaldeck.cli.bundle_commands import bundle_group
-from quetzaldeck.cli.common import EPILOG, print_findings, version_option
+from quetzaldeck.cli.common import EPILOG, version_option
 from quetzaldeck.cli.exit_codes import ExitCode
 from quetzaldeck.cli.history_commands import history_group
 from quetzaldeck.cli.log_commands import logs_group
+from quetzaldeck.cli.running import print_findings
 from quetzaldeck.cli.settings_commands import settings_group
 from quetzaldeck.cli.status_command import status_command
 from quetzaldeck.config import FindingsError
--- a/src/quetzaldeck/cli/standin.py
+++ b/src/quetzaldeck/cli/standin.py
@@ -6,12 +6,8 @@
 
 import click
 
-from quetzaldeck.cli.common import (
-    EPILOG,
-    load_settings,
-    run_services,
-    version_option,
-)
+from quetzaldeck.cli.common import EPILOG, version_option
+from quetzaldeck.cli.running import load_settings, run_services
 from quetzaldeck.standin import StandinSettings, build_standins
 
 
--- a/src/quetzaldeck/cli/start_entry.py
+++ b/src/quetzaldeck/cli/start_entry.py
@@ -1,8 +1,18 @@
-"""Fast start of ``quetzaldeck-entry``, for which callers wait after a power failure."""
+"""Fast start of an entry VM, for which callers wait after a power failure.
+
+The path of the settings comes from ``QUETZALDECK_SETTINGS``; ``quetzaldeck-entry`` has
+the command line.
+"""
 
 from __future__ import annotations
 
 import gc
+import os
+import sys
+from pathlib import Path
+
+from quetzaldeck.cli.early_listener import open_early_listener
+from quetzaldeck.cli.exit_codes import ExitCode
 
 
 def main() -> None:
@@ -12,11 +22,16 @@
     take a sixth of the processor time until the first request can be served.
     """
     gc.disable()
-    from quetzaldeck.cli.entry import main as run_entry
+    path = os.environ.get("QUETZALDECK_SETTINGS")
+    if not path:
+        print('environment variable "QUETZALDECK_SETTINGS" is not set', file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+    listener = open_early_listener(path)
+    from quetzaldeck.cli.entry_program import run_entry
 
     gc.freeze()
     gc.enable()
-    run_entry()
+    run_entry(Path(path), listener)
 
 
 if __name__ == "__main__":
--- a/src/quetzaldeck/config/convert.py
+++ b/src/quetzaldeck/config/convert.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import difflib
 import math
 import re
 from collections.abc import Callable, Iterable
@@ -142,6 +141,9 @@
         names = [field.name for field in fields]
         if value.keys() <= set(names):
             return
+        # Only faulty settings need it, and callers wait for the start of a program.
+        import difflib
+
         for key in value:
             if key in names:
                 continue
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -9,12 +9,16 @@
 from aiohttp import web
 
 if TYPE_CHECKING:
+    from socket import socket
+
     from aiohttp.web_protocol import RequestHandler
 
     from quetzaldeck.http.address import ListenAddress
 
 MAX_HEADER_BYTES = 16_384
 """Maximum length of a request line or header; twice the usual limit of servers."""
+MAX_QUEUED = 512
+"""Connections that the kernel queues until they are accepted."""
 KEEP_ALIVE_S = 75.0
 """Time for which an idle connection of a caller is kept open; longer than load
 balancers usually keep theirs."""
@@ -29,18 +33,22 @@
     tasks in :meth:`close`.
 
     :param listen: address and port to listen on
+    :param listener: socket that is open already; it belongs to the service from then on
     """
 
     shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
     """Time for connections to close after the last request has ended."""
 
     _runner: web.AppRunner | None = None
-    _site: web.TCPSite | None = None
+    _site: web.BaseSite | None = None
     _port = 0
 
-    def __init__(self, listen: ListenAddress, **kwargs: Any) -> None:
+    def __init__(
+        self, listen: ListenAddress, *, listener: socket | None = None, **kwargs: Any
+    ) -> None:
         super().__init__(**kwargs)
         self._listen = listen
+        self._listener = listener
 
     @property
     def port(self) -> int:
@@ -101,10 +109,18 @@
     async def listen(self) -> None:
         """Start to listen; after :meth:`stop_listening`, on the same port as before."""
         assert self._runner is not None
-        port = self._port or self._listen.port
-        self._site = web.TCPSite(
-            self._runner, self._listen.host, port, reuse_address=True
-        )
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            self._site = web.SockSite(self._runner, listener, backlog=MAX_QUEUED)
+        else:
+            port = self._port or self._listen.port
+            self._site = web.TCPSite(
+                self._runner,
+                self._listen.host,
+                port,
+                backlog=MAX_QUEUED,
+                reuse_address=True,
+            )
         await self._site.start()
         self._port = int(self._runner.addresses[0][1])
 
--- a/tests/cli/test_entry.py
+++ b/tests/cli/test_entry.py
@@ -9,7 +9,7 @@
 
 PRINT_MODULES = """
 import sys
-import quetzaldeck.cli.entry
+import quetzaldeck.cli.entry_program
 print(*sys.modules)
 """
 
@@ -29,7 +29,9 @@
 @pytest.mark.parametrize(
     "module",
     [
+        "click",
         "cryptography",
+        "difflib",
         "quetzaldeck.agent",
         "quetzaldeck.bench",
         "quetzaldeck.bundle.signing",
@@ -40,5 +42,5 @@
     loaded: frozenset[str], module: str
 ) -> None:
     """Guards against entry VMs that keep unused libraries in memory."""
-    assert "quetzaldeck.cli.entry" in loaded
+    assert "quetzaldeck.cli.entry_program" in loaded
     assert module not in loaded
