--- a/src/quetzaldeck/cli/start_entry.py
+++ b/src/quetzaldeck/cli/start_entry.py
@@ -11,8 +11,8 @@
 import sys
 from pathlib import Path
 
-from quetzaldeck.cli.early_listener import open_early_listener
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.early_listener import open_early_listener
 
 
 def main() -> None:
--- a/src/quetzaldeck/cli/early_listener.py
+++ b/src/quetzaldeck/early_listener.py
@@ -18,8 +18,8 @@
 import yaml
 
 MAX_QUEUED_CONNECTIONS = 512
-"""Connections that may wait until the program has started; the kernel drops the first
-packet of others, which their callers repeat only after a second."""
+"""Connections that may wait to be accepted, also while a program starts; the kernel
+drops the first packet of others, which their callers repeat only after a second."""
 
 _FAULTS = (
     OSError,
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -8,6 +8,8 @@
 import aiomisc
 from aiohttp import web
 
+from quetzaldeck.early_listener import MAX_QUEUED_CONNECTIONS
+
 if TYPE_CHECKING:
     from socket import socket
 
@@ -17,8 +19,6 @@
 
 MAX_HEADER_BYTES = 16_384
 """Maximum length of a request line or header; twice the usual limit of servers."""
-MAX_QUEUED = 512
-"""Connections that the kernel queues until they are accepted."""
 KEEP_ALIVE_S = 75.0
 """Time for which an idle connection of a caller is kept open; longer than load
 balancers usually keep theirs."""
@@ -111,14 +111,16 @@
         assert self._runner is not None
         listener, self._listener = self._listener, None
         if listener is not None:
-            self._site = web.SockSite(self._runner, listener, backlog=MAX_QUEUED)
+            self._site = web.SockSite(
+                self._runner, listener, backlog=MAX_QUEUED_CONNECTIONS
+            )
         else:
             port = self._port or self._listen.port
             self._site = web.TCPSite(
                 self._runner,
                 self._listen.host,
                 port,
-                backlog=MAX_QUEUED,
+                backlog=MAX_QUEUED_CONNECTIONS,
                 reuse_address=True,
             )
         await self._site.start()
--- a/tests/cli/test_early_listener.py
+++ b/tests/test_early_listener.py
@@ -10,7 +10,7 @@
 import uvloop
 from aiohttp import ClientSession, web
 
-from quetzaldeck.cli.early_listener import open_early_listener
+from quetzaldeck.early_listener import open_early_listener
 from quetzaldeck.http import HttpServiceBase, ListenAddress
 
 if TYPE_CHECKING:
