--- a/src/quetzaldeck/cli/start_entry.py
+++ b/src/quetzaldeck/cli/start_entry.py
@@ -1,17 +1,16 @@
 """Fast start of an entry VM, for which callers wait after a power failure.
 
-The path of the settings comes from ``QUETZALDECK_SETTINGS``; ``quetzaldeck-entry`` has
-the command line.
+It takes the same settings as ``quetzaldeck-entry``, without the import of the library
+for command lines.
 """
 
 from __future__ import annotations
 
+import argparse
 import gc
 import os
-import sys
 from pathlib import Path
 
-from quetzaldeck.cli.exit_codes import ExitCode
 from quetzaldeck.early_listener import open_early_listener
 
 
@@ -22,10 +21,7 @@
     take a sixth of the processor time until the first request can be served.
     """
     gc.disable()
-    path = os.environ.get("QUETZALDECK_SETTINGS")
-    if not path:
-        print('environment variable "QUETZALDECK_SETTINGS" is not set', file=sys.stderr)
-        sys.exit(ExitCode.USAGE)
+    path = _read_arguments().settings
     listener = open_early_listener(path)
     from quetzaldeck.cli.entry_program import run_entry
 
@@ -34,6 +30,13 @@
     run_entry(Path(path), listener)
 
 
+def _read_arguments() -> argparse.Namespace:
+    default = os.environ.get("QUETZALDECK_SETTINGS")
+    parser = argparse.ArgumentParser("quetzaldeck-entry")
+    parser.add_argument("--settings", default=default, required=default is None)
+    return parser.parse_args()
+
+
 if __name__ == "__main__":
     main()
 
