--- a/tests/test_early_listener.py
+++ b/tests/test_early_listener.py
@@ -32,9 +32,12 @@
         return web.Response(text="hello")
 
 
-def write_settings(path: Path, callers: str) -> str:
+def write_settings(path: Path, callers: str, *, peer_port: int = 1) -> str:
     settings = path / "entry.yaml"
-    settings.write_text(f'vm: a\nlisten:\n  callers: "{callers}"\n')
+    settings.write_text(
+        f'vm: a\nlisten:\n  callers: "{callers}"\n'
+        f'seeds: ["127.0.0.1:1", "127.0.0.2:1"]\npeer_port: {peer_port}\n'
+    )
     return str(settings)
 
 
@@ -66,6 +69,17 @@
     assert later == "hello"
 
 
+def test_callers_are_left_to_other_vms_while_these_run(tmp_path: Path) -> None:
+    """Guards against callers that wait for a restart although others could serve."""
+    with socket.create_server(("127.0.0.2", 0)) as peer:
+        port = peer.getsockname()[1]
+        settings = write_settings(tmp_path, "127.0.0.1:0", peer_port=port)
+        assert open_early_listener(settings) is None
+    listener = open_early_listener(settings)
+    assert listener is not None
+    listener.close()
+
+
 @pytest.mark.parametrize(
     "callers", ["", "127.0.0.1:http", "127.0.0.1:99999", "256.0.0.1:80"]
 )
