Repeat reports of claimed calls' ends one at a time

Change: unconfirmed reports wait in one queue, bounded at 10,000, and one is tried at a time with backoff; none is lost when the task is cancelled in a try.

--- a/src/quetzaldeck/gateway/claim_end_task.py
+++ b/src/quetzaldeck/gateway/claim_end_task.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -21,9 +23,8 @@
 RETRY_TIMEOUT_MS = 1_000.0
 INITIAL_BACKOFF_MS = 100.0
 MAX_BACKOFF_MS = 2_000.0
-MAX_REPORT_MS = 120_000.0
-"""Time after which a report is given up; an agent restarts sooner, and it has lost the
-claim then."""
+MAX_UNCONFIRMED = 10_000
+"""Reports that wait for an agent; the oldest is dropped for a further one."""
 STOP_TIMEOUT_MS = 1_000.0
 """Timeout of unconfirmed reports at shutdown."""
 
@@ -45,43 +46,50 @@
     def __init__(self, client: aiohttp.ClientSession, agent_address: str) -> None:
         self._client = client
         self._agent_address = agent_address
-        self._running: set[asyncio.Task[None]] = set()
+        self._unconfirmed: deque[ClaimEnd] = deque()
+        self._has_unconfirmed = asyncio.Event()
 
     async def report(self, end: ClaimEnd) -> None:
         """Report an end; returns after the first try, later ones follow unattended."""
-        if not await self._try_report(end, FIRST_TIMEOUT_MS):
-            task = asyncio.create_task(self._repeat(end))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
+        if await self._try_report(end, FIRST_TIMEOUT_MS):
+            return
+        if len(self._unconfirmed) >= MAX_UNCONFIRMED:
+            dropped = self._unconfirmed.popleft()
+            log_event(
+                "claim_end_given_up",
+                level="WARNING",
+                claim_request=dropped.claim_request_id,
+                has_run=dropped.has_run,
+            )
+        self._unconfirmed.append(end)
+        self._has_unconfirmed.set()
 
     async def run(self) -> None:
-        """Wait until cancelled, then finish the reports that are not confirmed."""
+        """Repeat reports until cancelled, then try for a while to finish them."""
         try:
-            await asyncio.get_running_loop().create_future()
+            while True:
+                await self._has_unconfirmed.wait()
+                await self._repeat_all()
         finally:
-            if self._running:
-                _, pending = await asyncio.wait(
-                    self._running, timeout=STOP_TIMEOUT_MS / 1_000
-                )
-                for task in pending:
-                    task.cancel()
-
-    async def _repeat(self, end: ClaimEnd) -> None:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(STOP_TIMEOUT_MS / 1_000):
+                    await self._repeat_all()
+
+    async def _repeat_all(self) -> None:
+        """Repeat one report at a time: an agent that is late is not loaded further."""
         backoff_ms = INITIAL_BACKOFF_MS
-        try:
-            async with asyncio.timeout(MAX_REPORT_MS / 1_000):
-                while True:
-                    await asyncio.sleep(backoff_ms / 1_000)
-                    if await self._try_report(end, RETRY_TIMEOUT_MS):
-                        return
-                    backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
-        except TimeoutError:
-            log_event(
-                "claim_end_given_up",
-                level="WARNING",
-                claim_request=end.claim_request_id,
-                has_run=end.has_run,
-            )
+        while self._unconfirmed:
+            # It stays in the queue meanwhile, so that a shutdown does not lose it.
+            end = self._unconfirmed[0]
+            if await self._try_report(end, RETRY_TIMEOUT_MS):
+                if self._unconfirmed and self._unconfirmed[0] is end:
+                    self._unconfirmed.popleft()
+                backoff_ms = INITIAL_BACKOFF_MS
+                continue
+            self._unconfirmed.rotate(-1)
+            await asyncio.sleep(backoff_ms / 1_000)
+            backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
+        self._has_unconfirmed.clear()
 
     async def _try_report(self, end: ClaimEnd, timeout_ms: float) -> bool:
         try:
