Let claims wait for voters that are joining

A claim request held four rounds about 100 ms in all, though the abstaining voters had stated a wait of a sync interval, and the caller was told to come back after 1 s, in which voters synchronise twice. The claim now asks again four times in a sync interval, for as long as the caller would have stayed away; an abstention that lasts longer than that is refused at once as before.

Ruled out: a lost vote (no time-out passed), an early "ready" (the set of one voter is legitimate; sets grow by one round each). Before: test_claim_waits_until_voters_have_joined fails; after: passes.

--- a/src/quetzaldeck/agent/claim_coordinator.py
+++ b/src/quetzaldeck/agent/claim_coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -34,11 +35,18 @@
     from quetzaldeck.telemetry import AgentMetrics
 
 MAX_ROUNDS = 4
-"""Rounds per claim request: competing claimants rarely split the votes in all four."""
+"""Lost rounds per claim request: competitors rarely split the votes in all four."""
 BACKOFF_MS = 40.0
 """Longest wait between two rounds: tens of one-way latencies between zones."""
 RETRY_AFTER_MS = 1_000.0
 """Retry delay without a majority: voters synchronise twice within it."""
+MAX_JOIN_WAIT_MS = RETRY_AFTER_MS
+"""Longest wait for voters that are joining a voter set.
+
+A caller that was refused instead would not return earlier.
+"""
+N_ROUNDS_PER_SYNC = 4
+"""Rounds of votes in a sync interval while voters are joining."""
 
 _VOTE = msgspec.json.Decoder(Vote)
 _encode = msgspec.json.encode
@@ -132,7 +140,9 @@
     async def _decide(
         self, claim_request: ClaimRequest, deadline_ms: float
     ) -> ClaimDecision:
-        for n_round in range(MAX_ROUNDS):
+        joined_by_ms = self._clock.now_ms() + MAX_JOIN_WAIT_MS
+        n_lost = 0
+        for n_round in itertools.count():
             started_ms = self._clock.now_ms()
             tally = await self._hold_round(claim_request, n_round)
             if self._tracker.win(tally.claim.claim_id):
@@ -148,11 +158,17 @@
                     return decision
             elif tally.retry_after_ms > self._settings.sync_interval_ms:
                 break
-            if self._clock.now_ms() + BACKOFF_MS >= deadline_ms:
+            is_joining = not tally.holders and tally.retry_after_ms > 0
+            if is_joining and self._clock.now_ms() < joined_by_ms:
+                wait_ms = self._settings.sync_interval_ms / N_ROUNDS_PER_SYNC
+            else:
+                n_lost += 1
+                # Random, because two claimants that split the votes and retry at the
+                # same time would split them again.
+                wait_ms = self._random.uniform(0.2, 1) * BACKOFF_MS
+            if n_lost == MAX_ROUNDS or self._clock.now_ms() + wait_ms >= deadline_ms:
                 break
-            # Random, because two claimants that split the votes and retry at the same
-            # time would split them again.
-            await asyncio.sleep(self._random.uniform(0.2, 1) * BACKOFF_MS / 1_000)
+            await asyncio.sleep(wait_ms / 1_000)
         return self._refuse(_build_no_quorum(tally))
 
     async def _hold_round(self, claim_request: ClaimRequest, n_round: int) -> VoteTally:
