Let requests wait for a starting gateway's first bundle

The known red rolling replacement was refused three calls with no_bundle by a VM that had just started. The test's balancer, like the users' platform, uses all VMs while fewer than half of its probes succeed, which is so when the one event loop of the test is late by more than the probe's second; a gateway refused at once until its first exchange with the agent. An entry VM already waits for its first configuration (startup_wait); the gateway now does the same, by the same rule: a third of the deadline, a second at most.

Not reproduced by pauses of 0.9 to 1.2 s of the test's process (three runs on the old code passed).

--- a/src/quetzaldeck/gateway/request_headers.py
+++ b/src/quetzaldeck/gateway/request_headers.py
@@ -70,6 +70,7 @@
 __all__ = (
     "DEADLINE_HEADER",
     "KEY_HEADER",
+    "MAX_DEADLINE_MS",
     "PRIORITY_HEADER",
     "read_deadline_ms",
     "read_idempotency_key",
--- a/src/quetzaldeck/gateway/service.py
+++ b/src/quetzaldeck/gateway/service.py
@@ -9,8 +9,10 @@
 from aiohttp import web
 
 from quetzaldeck.clock import Clock
+from quetzaldeck.decisions.admission.startup_wait import startup_wait_ms
 from quetzaldeck.gateway.completions import CompletionHandler
 from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.gateway.request_headers import MAX_DEADLINE_MS, read_deadline_ms
 from quetzaldeck.gateway.responses import error_response
 from quetzaldeck.gateway.services import ServiceHandler
 from quetzaldeck.gateway.session import GatewaySession
@@ -147,6 +149,7 @@
             raise RequestError(failure)
         try:
             with state.in_flight.track(request_id):
+                await self._wait_for_bundle(request)
                 response = await handler(request, request_id)
         except RequestError:
             raise
@@ -156,6 +159,15 @@
         self._close_if_leaving(response)
         return response
 
+    async def _wait_for_bundle(self, request: web.Request) -> None:
+        """Let a request that reached a VM that just started wait for its bundle.
+
+        A load balancer uses VMs that are not ready while most of its probes fail.
+        """
+        if self._session.state.bundle_version == 0:
+            deadline_ms = read_deadline_ms(request.headers, MAX_DEADLINE_MS)
+            await self._session.state.wait_for_bundle(startup_wait_ms(deadline_ms))
+
     def _close_if_leaving(self, response: web.StreamResponse) -> None:
         """Close the connection, so that the load balancer opens one to another VM.
 
--- a/src/quetzaldeck/gateway/state.py
+++ b/src/quetzaldeck/gateway/state.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.placement import CacheCursor
 from quetzaldeck.gateway.customers import CustomerIndex
 from quetzaldeck.gateway.detached_calls import DetachedCalls
@@ -61,6 +64,7 @@
         self._cache_cursors: dict[str, CacheCursor] = {}
         self._bundle: Bundle | None = None
         self._customers: CustomerIndex | None = None
+        self._has_bundle = asyncio.Event()
 
     @property
     def bundle_version(self) -> int:
@@ -89,6 +93,12 @@
         assert self._customers is not None
         return self._customers
 
+    async def wait_for_bundle(self, timeout_ms: float) -> None:
+        """Wait for the first bundle; return without one if none arrives in time."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                await self._has_bundle.wait()
+
     def cache_cursor(self, upstream: str) -> CacheCursor:
         """:returns: the position up to which cache events of an engine are known"""
         return self._cache_cursors.get(upstream, CacheCursor())
@@ -103,6 +113,7 @@
         """Put a newer bundle in force for new requests."""
         self._bundle = bundle
         self._customers = CustomerIndex(bundle)
+        self._has_bundle.set()
         self.connections.apply_specs(bundle.upstreams)
         self.metrics.bundle_version.set(bundle.version)
         self.dispatch.send(ApplyBundle(bundle))
