Remember released claims, so that none is stored again

Events: entry-4 refused the booking (no_quorum, ran=no) at 218.49 s and stopped at 219.25 s; later claimants found its claim at voters and could ask nobody.

Not covered: a release that never reaches a voter at all; it is repaired as before when the next claimant asks the holder, unless the holder has stopped.

--- a/src/quetzaldeck/claims/voter.py
+++ b/src/quetzaldeck/claims/voter.py
@@ -33,6 +33,8 @@
         claim = request.claim
         if not self.can_vote:
             return self._abstain("not in a voter set", self._settings.sync_interval_ms)
+        if self.table.is_released(claim.claim_id):
+            return self._abstain("the claimant has abandoned the claim", 0.0)
         others = tuple(
             other
             for other in self.table.find(claim.key)
@@ -54,7 +56,7 @@
 
     def release(self, release: Release) -> None:
         """Remove a claim that its claimant abandoned before running the call."""
-        self.table.remove(release.key, release.claim_id)
+        self.table.release(release.key, release.claim_id)
 
     def _abstain(self, why: str, retry_after_ms: float) -> Vote:
         return Vote(
--- a/tests/claims/faulty.py
+++ b/tests/claims/faulty.py
@@ -191,7 +191,7 @@
 class _SecondGrantVoter(UncheckedRemovalVoter):
     def vote(self, request):  # type: ignore[no-untyped-def]
         for other in self.table.find(request.claim.key):
-            self.table.remove(other.key, other.claim_id)
+            self.table.release(other.key, other.claim_id)
         return super().vote(request)
 
 
