Bound the wait for a majority of voters by time, not by rounds

Voters abstain so after a voter set was changed with a retired voter counted as an adopter, which is meant for a lost majority and was allowed after 20 rounds. Rounds follow each other while sets change: with the test's interval of 50 ms the 20 take one second, which one pause of the process exceeds, so a voter that was only late was counted out; with the default interval it is 10 to 37 s.

--- a/src/quetzaldeck/claims/voter_rounds.py
+++ b/src/quetzaldeck/claims/voter_rounds.py
@@ -15,10 +15,11 @@
     from quetzaldeck.claims.fleet_view import FleetView
 
 
-MAX_MAJORITY_WAIT_ROUNDS = 20
-"""Rounds for which a pending set waits for a majority of voters that are not retired.
+MAX_MAJORITY_WAIT_MS = 30_000.0
+"""Time for which a pending set waits for a majority of voters that are not retired.
 
-After that retired voters are counted as adopters.
+After that retired voters are counted as adopters. A time, since rounds are held more
+often while they make progress, and voters that are only late should not count as lost.
 """
 
 
@@ -240,14 +241,17 @@
         Snapshots of claims are requested only after a round without them has shown that
         the commit is possible, so a minority, which cannot commit, transfers no claims.
         """
-        self._n_pending_rounds += 1 if self._chain.pending else 0
+        if not self._chain.pending:
+            self._pending_since_ms = None
+        elif self._pending_since_ms is None:
+            self._pending_since_ms = self._clock.now_ms()
         commit = self._chain.find_commit(replies, self._list_countable_ids())
         if commit is None:
             return
         if not all(reply.has_claims for reply in commit.adopters):
             self._needs_claims = True
             return
-        self._n_pending_rounds = 0
+        self._pending_since_ms = None
         self._merge_claims(commit.adopters)
         if commit.loses_grants:
             self._abstention.begin()
@@ -264,7 +268,10 @@
             len(item.members - retired) < item.quorum
             for item in self._chain.required_sets
         )
-        if is_majority_retired or self._n_pending_rounds > MAX_MAJORITY_WAIT_ROUNDS:
+        waited_ms = 0.0
+        if self._pending_since_ms is not None:
+            waited_ms = self._clock.now_ms() - self._pending_since_ms
+        if is_majority_retired or waited_ms > MAX_MAJORITY_WAIT_MS:
             return retired
         return frozenset()
 
@@ -295,4 +302,4 @@
     return () if request.committed is None else (request.committed, *request.pending)
 
 
-__all__ = ("MAX_MAJORITY_WAIT_ROUNDS", "VoterRounds")
+__all__ = ("MAX_MAJORITY_WAIT_MS", "VoterRounds")
--- a/src/quetzaldeck/claims/voter_state.py
+++ b/src/quetzaldeck/claims/voter_state.py
@@ -48,7 +48,7 @@
         self._abstention = self.abstention_period_class(clock, settings)
         self._is_leaving = False
         self._needs_claims = False
-        self._n_pending_rounds = 0
+        self._pending_since_ms: float | None = None
         self._successors: frozenset[VoterId] = frozenset()
         self._awaited_voter_id: VoterId | None = None
         self.table = ClaimTable(clock, settings.window_ms)
