--- a/src/quetzaldeck/cli/running.py
+++ b/src/quetzaldeck/cli/running.py
@@ -9,9 +9,10 @@
 import asyncio
 import signal
 import sys
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any, NoReturn, TextIO, TypeVar
 
-import aiomisc
+import uvloop
 
 from quetzaldeck.cli.exit_codes import ExitCode
 from quetzaldeck.config import FindingsError, load_file
@@ -60,9 +61,8 @@
     with LogWriter(log_stream or sys.stderr) as writer:
         configure_logging(writer)
         log_event("started", version=__version__)
-        with aiomisc.entrypoint(*services, log_config=False) as loop:
-            serving = _serve_until_stopped(services, background)
-            n_aborted = loop.run_until_complete(serving)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            n_aborted = runner.run(_serve_until_stopped(services, background))
     sys.exit(ExitCode.REQUESTS_ABORTED if n_aborted else ExitCode.OK)
 
 
@@ -70,7 +70,10 @@
     services: Sequence[HttpServiceBase],
     background: Callable[[], Coroutine[Any, Any, None]] | None,
 ) -> int:
-    async with run_tasks(*(() if background is None else (background(),))):
+    async with AsyncExitStack() as stack:
+        await asyncio.gather(*map(stack.enter_async_context, services))
+        tasks = () if background is None else (background(),)
+        await stack.enter_async_context(run_tasks(*tasks))
         return await _wait_for_stop(services)
 
 
--- a/src/quetzaldeck/demo/session.py
+++ b/src/quetzaldeck/demo/session.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.agent import AgentService, AgentSettings
@@ -26,10 +26,8 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from pathlib import Path
 
-    from quetzaldeck.http import HttpServiceBase
     from quetzaldeck.load import LoadReport
 
 KEY_ID = "demo"
@@ -66,16 +64,6 @@
     )
 
 
-@asynccontextmanager
-async def start_service(service: HttpServiceBase) -> AsyncIterator[None]:
-    """Run a service while the context is open."""
-    await service.start()
-    try:
-        yield
-    finally:
-        await service.stop()
-
-
 async def run_demo(settings: DemoSettings) -> LoadReport:
     """Start all services, publish the signed bundle and run the load.
 
@@ -86,15 +74,15 @@
     envelope = sign_bundle(settings.bundle, KEY_ID, private_key)
     async with AsyncExitStack() as stack:
         for standin in build_standins(settings.standins):
-            await stack.enter_async_context(start_service(standin))
+            await stack.enter_async_context(standin)
             if isinstance(standin, ConfigurationServiceStandin):
                 await standin.publish(encode_envelope(envelope))
         for agent_settings in settings.agents:
             trusted = agent_settings._replace(bundle_keys={KEY_ID: public_key})
-            await stack.enter_async_context(start_service(AgentService(trusted)))
+            await stack.enter_async_context(AgentService(trusted))
         for gateway_settings in settings.gateways:
             gateway = GatewayService(gateway_settings)
-            await stack.enter_async_context(start_service(gateway))
+            await stack.enter_async_context(gateway)
             await wait_until_ready(gateway)
         results = await run_load(settings.load, Clock())
         executions = await read_executions(settings.load.services)
@@ -115,6 +103,5 @@
     "DemoSettings",
     "load_demo_settings",
     "run_demo",
-    "start_service",
     "wait_until_ready",
 )
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from abc import abstractmethod
-from typing import TYPE_CHECKING, Any
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Self
 
-import aiomisc
 from aiohttp import web
 
 from quetzaldeck.early_listener import MAX_QUEUED_CONNECTIONS
 
 if TYPE_CHECKING:
     from socket import socket
+    from types import TracebackType
 
     from aiohttp.web_protocol import RequestHandler
 
@@ -26,11 +26,12 @@
 """Default of ``HttpServiceBase.shutdown_timeout_s``."""
 
 
-class HttpServiceBase(aiomisc.Service):
+class HttpServiceBase(ABC):
     """Owns one listening socket and serves an application on it.
 
-    A subclass builds its application and starts its tasks in :meth:`open`, and ends the
-    tasks in :meth:`close`.
+    As a context manager it serves while the context is open. A subclass builds its
+    application and starts its tasks in :meth:`open`, and ends the tasks in
+    :meth:`close`.
 
     :param listen: address and port to listen on
     :param listener: socket that is open already; it belongs to the service from then on
@@ -44,12 +45,23 @@
     _port = 0
 
     def __init__(
-        self, listen: ListenAddress, *, listener: socket | None = None, **kwargs: Any
+        self, listen: ListenAddress, *, listener: socket | None = None
     ) -> None:
-        super().__init__(**kwargs)
         self._listen = listen
         self._listener = listener
 
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.stop(exc)
+
     @property
     def port(self) -> int:
         """:returns: the port it listens on, also if it was configured as 0
@@ -87,7 +99,7 @@
         """
         return 0
 
-    def abort_drain(self) -> None:
+    def abort_drain(self) -> None:  # noqa: B027 - most services have no drain
         """End a running :meth:`drain` at once: do not wait for requests in progress."""
 
     async def start(self) -> None:
--- a/tests/cli/test_entry.py
+++ b/tests/cli/test_entry.py
@@ -29,6 +29,7 @@
 @pytest.mark.parametrize(
     "module",
     [
+        "aiomisc",
         "click",
         "cryptography",
         "difflib",
--- a/tests/gateway/test_first_bundle.py
+++ b/tests/gateway/test_first_bundle.py
@@ -9,7 +9,6 @@
 import uvloop
 from tests.support.fleet import API_KEY, Fleet, FleetSettings
 
-from quetzaldeck.demo.session import start_service
 from quetzaldeck.gateway.service import GatewayService
 from quetzaldeck.gateway.settings import GatewaySettings
 from quetzaldeck.http import ListenAddress
@@ -22,7 +21,7 @@
 async def list_models(deadline_ms: int) -> int:
     """:returns: status of a request that arrives before the bundle"""
     gateway = GatewayService(GatewaySettings("entry-1", "ktm-a", FREE_PORT, NO_AGENT))
-    async with start_service(gateway), aiohttp.ClientSession() as client:
+    async with gateway, aiohttp.ClientSession() as client:
         loop = asyncio.get_running_loop()
         bundle = Fleet(FleetSettings(n_vms=0)).build_bundle()
         apply = gateway.session.state.apply_bundle
--- a/tests/soak/own/world.py
+++ b/tests/soak/own/world.py
@@ -17,7 +17,6 @@
 from quetzaldeck.agent import AgentSettings
 from quetzaldeck.agent.settings import PlatformSettings
 from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
-from quetzaldeck.demo.session import start_service
 from quetzaldeck.directory import VmEntry, VmRole, VmState
 from quetzaldeck.engine_model import EngineProfile
 from quetzaldeck.gateway.settings import GatewaySettings
@@ -126,7 +125,7 @@
         self.vm_lists: dict[str, VmListStandin] = {}
 
     async def __aenter__(self) -> World:
-        await self._stack.enter_async_context(start_service(self.configuration))
+        await self._stack.enter_async_context(self.configuration)
         for index in range(self._settings.n_engines):
             await self._start_engine(f"engine-{index + 1}")
         for index in range(self._settings.n_services):
@@ -225,7 +224,7 @@
         vm_list = VmListStandin(
             VmListSettings(FREE_PORT, self._settings.vm_list_lag_ms)
         )
-        await self._stack.enter_async_context(start_service(vm_list))
+        await self._stack.enter_async_context(vm_list)
         self.vm_lists[name] = vm_list
         self.agent_links[name] = await self._stack.enter_async_context(
             Link(self._choose_port(), identify=identify_peer)
@@ -240,7 +239,7 @@
         )
         observer = _RecordingObserver(name, self._recorder)
         engine = EngineStandin(settings, observer=observer)
-        await self._stack.enter_async_context(start_service(engine))
+        await self._stack.enter_async_context(engine)
         self.engines[name] = engine
         await self._open_upstream_link(name, engine.port)
 
@@ -253,7 +252,7 @@
             ServiceSettings(name, FREE_PORT, BOOKING_DURATION_MS),
             on_execution=record_execution,
         )
-        await self._stack.enter_async_context(start_service(service))
+        await self._stack.enter_async_context(service)
         self.services[name] = service
         await self._open_upstream_link(name, service.port)
 
--- a/tests/standin/test_faults.py
+++ b/tests/standin/test_faults.py
@@ -10,7 +10,6 @@
 import pytest
 import uvloop
 
-from quetzaldeck.demo.session import start_service
 from quetzaldeck.engine_model import EngineProfile
 from quetzaldeck.http import ListenAddress
 from quetzaldeck.standin import (
@@ -49,7 +48,7 @@
         "e", FREE_PORT, ("m:1",), FAST, faults=faults or EngineFaults()
     )
     engine = EngineStandin(settings)
-    async with start_service(engine):
+    async with engine:
         yield engine
 
 
@@ -191,7 +190,7 @@
 ) -> None:
     async def check(client: aiohttp.ClientSession) -> None:
         service = PlainServiceStandin(ServiceSettings("s", FREE_PORT, faults=faults))
-        async with start_service(service):
+        async with service:
             with pytest.raises(aiohttp.ClientError):
                 await client.post(
                     service.address + "/x", headers={"Idempotency-Key": "k"}
@@ -204,7 +203,7 @@
 def test_configuration_service_serves_old_revisions_and_catches_up() -> None:
     async def check(client: aiohttp.ClientSession) -> None:
         service = ConfigurationServiceStandin(ConfigurationServiceSettings(FREE_PORT))
-        async with start_service(service):
+        async with service:
             url = service.address + "/v1/keys/bundle"
             await service.publish(b"one")
             await service.publish(b"two")
--- a/tests/support/fleet/fleet.py
+++ b/tests/support/fleet/fleet.py
@@ -23,7 +23,7 @@
 from quetzaldeck.agent.settings import PlatformSettings
 from quetzaldeck.bundle.signing import encode_envelope, generate_key, sign_bundle
 from quetzaldeck.clock import Clock
-from quetzaldeck.demo.session import start_service, wait_until_ready
+from quetzaldeck.demo.session import wait_until_ready
 from quetzaldeck.directory import VmEntry, VmRole, VmState
 from quetzaldeck.gateway.service import GatewayService
 from quetzaldeck.gateway.settings import GatewaySettings
@@ -101,8 +101,8 @@
         )
 
     async def __aenter__(self) -> Fleet:
-        await self._stack.enter_async_context(start_service(self.configuration))
-        await self._stack.enter_async_context(start_service(self.vm_list))
+        await self._stack.enter_async_context(self.configuration)
+        await self._stack.enter_async_context(self.vm_list)
         for index in range(self._settings.n_engines):
             await self._start_engine(f"engine-{index + 1}")
         for index in range(self._settings.n_services):
@@ -276,7 +276,7 @@
             max_models=self._settings.max_models,
         )
         engine = EngineStandin(settings, weight_store=self.weight_store)
-        await self._stack.enter_async_context(start_service(engine))
+        await self._stack.enter_async_context(engine)
         self.engines[name] = engine
         self.set_state(name, VmState.LIVE)
 
@@ -290,7 +290,7 @@
             ServiceSettings(name, FREE_PORT, self._settings.service_duration_ms),
             on_execution=note_execution,
         )
-        await self._stack.enter_async_context(start_service(service))
+        await self._stack.enter_async_context(service)
         self.services[name] = service
         self.set_state(name, VmState.LIVE)
 
