--- a/src/quetzaldeck/decisions/queueing/__init__.py
+++ b/src/quetzaldeck/decisions/queueing/__init__.py
@@ -7,11 +7,13 @@
 from quetzaldeck.decisions.queueing.deadline_heap import DeadlineHeap
 from quetzaldeck.decisions.queueing.fair import FairQueue
 from quetzaldeck.decisions.queueing.fifo import FifoQueue
+from quetzaldeck.decisions.queueing.in_time import InTimeQueue
 
 __all__ = (
     "DeadlineHeap",
     "FairQueue",
     "FifoQueue",
+    "InTimeQueue",
     "QueueCounters",
     "QueuePolicy",
     "QueueSize",
--- a/tests/decisions/conftest.py
+++ b/tests/decisions/conftest.py
@@ -17,8 +17,7 @@
     MakeBundle = Callable[..., Bundle]
 
 
-@pytest.fixture
-def make_request() -> MakeRequest:
+def make_request_factory() -> MakeRequest:
     """:returns: a function that makes requests with unique ids"""
     numbers = itertools.count()
 
@@ -38,6 +37,12 @@
     return make
 
 
+@pytest.fixture
+def make_request() -> MakeRequest:
+    """:returns: a function that makes requests with unique ids"""
+    return make_request_factory()
+
+
 @pytest.fixture
 def make_bundle() -> MakeBundle:
     """:returns: a function that makes a bundle with engines ``e0``, ``e1``, ..."""
