--- a/src/quetzaldeck/agent/claim_coordinator.py
+++ b/src/quetzaldeck/agent/claim_coordinator.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from quetzaldeck.agent.claim_backoff import RETRY_AFTER_MS, ClaimBackoff
 from quetzaldeck.agent.claim_holds import ClaimHolds
 from quetzaldeck.claims import (
     Claim,
@@ -34,20 +35,6 @@
     from quetzaldeck.exchange.claim_messages import ClaimEnd, ClaimRequest
     from quetzaldeck.telemetry import AgentMetrics
 
-MAX_ROUNDS = 4
-"""Lost rounds per claim request: competitors rarely split the votes in all four."""
-BACKOFF_MS = 40.0
-"""Longest wait between two rounds: tens of one-way latencies between zones."""
-RETRY_AFTER_MS = 1_000.0
-"""Retry delay without a majority: voters synchronise twice within it."""
-MAX_JOIN_WAIT_MS = RETRY_AFTER_MS
-"""Longest wait for voters that are joining a voter set.
-
-A caller that was refused instead would not return earlier.
-"""
-N_ROUNDS_PER_SYNC = 4
-"""Rounds of votes in a sync interval while voters are joining."""
-
 _VOTE = msgspec.json.Decoder(Vote)
 _encode = msgspec.json.encode
 
@@ -140,8 +127,7 @@
     async def _decide(
         self, claim_request: ClaimRequest, deadline_ms: float
     ) -> ClaimDecision:
-        joined_by_ms = self._clock.now_ms() + MAX_JOIN_WAIT_MS
-        n_lost = 0
+        backoff = ClaimBackoff(self._clock, self._settings, self._random, deadline_ms)
         for n_round in itertools.count():
             started_ms = self._clock.now_ms()
             tally = await self._hold_round(claim_request, n_round)
@@ -156,17 +142,8 @@
                 decision = await self._wait_for_holders(tally, deadline_ms)
                 if decision is not None:
                     return decision
-            elif tally.retry_after_ms > self._settings.sync_interval_ms:
-                break
-            is_joining = not tally.holders and tally.retry_after_ms > 0
-            if is_joining and self._clock.now_ms() < joined_by_ms:
-                wait_ms = self._settings.sync_interval_ms / N_ROUNDS_PER_SYNC
-            else:
-                n_lost += 1
-                # Random, because two claimants that split the votes and retry at the
-                # same time would split them again.
-                wait_ms = self._random.uniform(0.2, 1) * BACKOFF_MS
-            if n_lost == MAX_ROUNDS or self._clock.now_ms() + wait_ms >= deadline_ms:
+            wait_ms = backoff.next_wait_ms(tally)
+            if wait_ms is None:
                 break
             await asyncio.sleep(wait_ms / 1_000)
         return self._refuse(_build_no_quorum(tally))
