--- a/src/quetzaldeck/decisions/health/upstream_health.py
+++ b/src/quetzaldeck/decisions/health/upstream_health.py
@@ -25,7 +25,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.health.bounds import HealthBounds
@@ -58,7 +57,7 @@
         self._hold_until_ms = 0.0
         self._ejected: HealthState | None = None
         self._warm_up_started_ms: float | None = None
-        self._restarts: deque[float] = deque(maxlen=self._bounds.n_crashes)
+        self._restarts: tuple[float, ...] = ()
         self._ms_per_token: float | None = None
         self._n_latencies = 0
         self._measured_ms = 0.0
@@ -150,7 +149,7 @@
         The process answers again, so an ejected upstream may be probed at once; one
         that restarts over and over stays ejected until it stays up.
         """
-        self._restarts.append(now_ms)
+        self._restarts = (*self._restarts, now_ms)[-self._bounds.n_crashes :]
         self.start_warm_up(now_ms)
         is_loop = (
             len(self._restarts) == self._bounds.n_crashes
@@ -210,7 +209,7 @@
         if self._ejected is not None:
             self._ejected = None
             self._n_holds = 0
-            self._restarts.clear()
+            self._restarts = ()
             self.start_warm_up(now_ms)
 
     def note_first_token(
--- a/src/quetzaldeck/decisions/memory/ledger.py
+++ b/src/quetzaldeck/decisions/memory/ledger.py
@@ -32,7 +32,7 @@
         self._since_report = _Sums()
         self._n_suspects = 0
         self._n_parts = 0
-        self._dropped: set[str] = set()
+        self._dropped: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -105,7 +105,7 @@
         attempt = self._attempts.pop(attempt_id, None)
         if attempt is None:
             was_dropped = attempt_id in self._dropped
-            self._dropped.discard(attempt_id)
+            self._dropped -= {attempt_id}
             return was_dropped
         self._total.subtract(attempt)
         self._n_suspects -= attempt.is_suspect
@@ -121,7 +121,7 @@
         Each attempt ends later, when its connection breaks; the release that follows
         is not counted as a second one.
         """
-        self._dropped.update(self._attempts)
+        self._dropped |= self._attempts.keys()
         self._attempts.clear()
         self._unreported.clear()
         self._total = _Sums()
