Keep late requests before those of a lower priority

Found by reading: with in_time a request of a high priority whose target has passed waited for requests of lower priorities, whose longer targets keep them in time. Before: the new test fails; after: passes.

--- a/src/quetzaldeck/decisions/queueing/fair.py
+++ b/src/quetzaldeck/decisions/queueing/fair.py
@@ -57,6 +57,12 @@
         self._requests: dict[str, Request] = {}
         self._stretch = DEFAULT_STRETCH
 
+    @property
+    def highest_priority(self) -> int | None:
+        """:returns: the highest priority (lowest number) with requests, if any"""
+        priorities = (queue.highest_priority for queue in self._queues.values())
+        return min(priorities, default=None)
+
     def configure(self, tuning: Tuning) -> None:
         """Apply the stretch to requests pushed from now on."""
         self._stretch = tuning.stretch
--- a/src/quetzaldeck/decisions/queueing/in_time.py
+++ b/src/quetzaldeck/decisions/queueing/in_time.py
@@ -39,7 +39,8 @@
     request that has waited too long leaves its place to those that have not.
 
     Late requests still get a share of the places, and all places that the others do
-    not need, so that they are answered late rather than not at all.
+    not need, so that they are answered late rather than not at all. They never wait for
+    requests of a lower priority, whose longer targets keep them in time.
     """
 
     def __init__(self) -> None:
@@ -73,7 +74,7 @@
     ) -> tuple[Request, tuple[str, ...]] | None:
         """:returns: the next request that can be placed, and its upstreams"""
         self._move_late(now_ms)
-        if self._late_credit >= 1.0:
+        if self._late_credit >= 1.0 or self._is_late_more_urgent():
             return self._take_late(now_ms, place) or self._take_in_time(now_ms, place)
         return self._take_in_time(now_ms, place) or self._take_late(now_ms, place)
 
@@ -95,6 +96,10 @@
             if request is not None:
                 self._late.push(request)
 
+    def _is_late_more_urgent(self) -> bool:
+        late, in_time = self._late.highest_priority, self._in_time.highest_priority
+        return late is not None and in_time is not None and late < in_time
+
     def _take_in_time(
         self, now_ms: float, place: PlaceFunction
     ) -> tuple[Request, tuple[str, ...]] | None:
--- a/src/quetzaldeck/decisions/queueing/target_queue.py
+++ b/src/quetzaldeck/decisions/queueing/target_queue.py
@@ -40,6 +40,14 @@
         for queue in self._queues.values():
             yield from queue
 
+    @property
+    def highest_priority(self) -> int:
+        """:returns: the highest priority (lowest number) with requests
+
+        :raises ValueError: if the queue is empty
+        """
+        return min(self._queues)
+
     def push(self, request: Request, due_ms: float) -> None:
         """Add a request that is due at ``due_ms``."""
         queue = self._queues.get(request.priority)
--- a/tests/decisions/queueing/test_in_time.py
+++ b/tests/decisions/queueing/test_in_time.py
@@ -73,6 +73,22 @@
     assert len(first) - count_in_time(first) >= 10
 
 
+def test_late_request_goes_before_those_of_a_lower_priority(
+    make_request: MakeRequest,
+) -> None:
+    """Guards against urgent requests that lose their place because they are late.
+
+    Less urgent requests have longer targets and stay in time for longer.
+    """
+    queue = InTimeQueue()
+    urgent = make_request(priority=1, target_ms=TARGET_MS)
+    queue.push(urgent)
+    queue.push(make_request(priority=2, target_ms=10 * TARGET_MS))
+    taken = queue.take(TARGET_MS, lambda _: ("e0",))
+    assert taken is not None
+    assert taken[0] == urgent
+
+
 def test_request_without_target_is_never_late(make_request: MakeRequest) -> None:
     queue = InTimeQueue()
     queue.push(make_request())
