Hold rounds for joining voters at most ten times a second

A claim that waits for joining voters held rounds four times in a sync interval, 12.5 ms in that test, each with a message to every voter: the votes of 160 calls kept the event loop late, so that no voter joined. Now each 100 ms, whatever the interval.

--- a/src/quetzaldeck/agent/claim_backoff.py
+++ b/src/quetzaldeck/agent/claim_backoff.py
@@ -21,8 +21,9 @@
 
 A caller that was refused instead would not return earlier.
 """
-N_ROUNDS_PER_SYNC = 4
-"""Rounds of votes in a sync interval while voters are joining."""
+JOIN_ROUND_MS = 100.0
+"""Wait between two rounds while voters are joining: some rounds in a sync interval, and
+few enough that the votes of all waiting claims do not delay the voters further."""
 
 
 class ClaimBackoff:
@@ -58,7 +59,7 @@
             return None
         now_ms = self._clock.now_ms()
         if is_abstaining and now_ms < self._join_until_ms:
-            wait_ms = self._sync_interval_ms / N_ROUNDS_PER_SYNC
+            wait_ms = JOIN_ROUND_MS
         else:
             self._n_lost += 1
             # Random, because two claimants that split the votes and retry at the same
