--- a/src/quetzaldeck/decisions/admission/predicted_wait.py
+++ b/src/quetzaldeck/decisions/admission/predicted_wait.py
@@ -20,7 +20,6 @@
 from quetzaldeck.decisions.estimation import BiasCorrection, ServiceTimes
 from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
 from quetzaldeck.decisions.queueing.fair import DEFAULT_STRETCH
-from quetzaldeck.decisions.queueing.in_time import latest_wait_ms
 from quetzaldeck.decisions.request import LengthClass
 from quetzaldeck.outcomes import Failure, Ran, Reason
 
@@ -196,11 +195,7 @@
     def note_unqueued(
         self, request: Request, now_ms: float, *, is_dispatched: bool
     ) -> None:
-        """Remove a request that no longer waits and learn from its wait.
-
-        A request that was served in time ahead of late ones says nothing about how
-        long the whole queue takes.
-        """
+        """Remove a request that no longer waits and learn from its wait."""
         super().note_unqueued(request, now_ms, is_dispatched=is_dispatched)
         load = self._load_of(request, now_ms)
         load.discard(request, now_ms, is_dispatched=is_dispatched)
@@ -208,9 +203,7 @@
         if predicted_ms is not None:
             # An expired or withdrawn request would have waited at least this long.
             waited_ms = now_ms - request.arrived_ms
-            has_overtaken = waited_ms < latest_wait_ms(request) < predicted_ms
-            if not (is_dispatched and has_overtaken):
-                self._correction(request).learn(predicted_ms, waited_ms, now_ms)
+            self._correction(request).learn(predicted_ms, waited_ms, now_ms)
 
     def note_first_token(
         self, request: Request, elapsed_ms: float, now_ms: float
--- a/src/quetzaldeck/decisions/policies.py
+++ b/src/quetzaldeck/decisions/policies.py
@@ -31,7 +31,7 @@
 BASELINE_ROUND_ROBIN = Policies("fifo", "round_robin", "bounds", "none")
 BASELINE_LEAST_REPORTED = Policies("fifo", "least_reported", "bounds", "none")
 
-ENTRY_POLICIES = Policies("in_time", "first_token", "predicted_wait", "reading_lane")
+ENTRY_POLICIES = Policies("fair", "first_token", "predicted_wait", "reading_lane")
 """Policies of an entry VM, whose engines have a configured speed and can prefill
 prompts in parts."""
 
--- a/src/quetzaldeck/decisions/queueing/in_time.py
+++ b/src/quetzaldeck/decisions/queueing/in_time.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.queueing.api import QueuePolicy, queue_policies
@@ -24,11 +23,6 @@
 """Requests taken from the late ones, per request taken in time."""
 
 
-def latest_wait_ms(request: Request) -> float:
-    """:returns: wait after which a request counts as late; infinity without a target"""
-    return START_SHARE_OF_TARGET * request.target_ms if request.target_ms else math.inf
-
-
 @queue_policies.register("in_time")
 class InTimeQueue(QueuePolicy):
     """Two fair queues: requests that can still meet their target, and late ones.
@@ -57,8 +51,9 @@
     def push(self, request: Request) -> None:
         """Add ``request``."""
         self._in_time.push(request)
-        latest_ms = request.arrived_ms + latest_wait_ms(request)
-        self._latest_starts.add(request.request_id, latest_ms)
+        if request.target_ms:
+            latest_ms = request.arrived_ms + START_SHARE_OF_TARGET * request.target_ms
+            self._latest_starts.add(request.request_id, latest_ms)
 
     def requeue(self, request: Request) -> None:
         """Add a request whose attempt failed."""
@@ -119,4 +114,4 @@
         return taken
 
 
-__all__ = ("LATE_SHARE", "START_SHARE_OF_TARGET", "InTimeQueue", "latest_wait_ms")
+__all__ = ("LATE_SHARE", "START_SHARE_OF_TARGET", "InTimeQueue")
