--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -21,8 +21,7 @@
     """Keeps the scheduler's view of the fleet up to date.
 
     Each update may mean that capacity has become free, so placement of waiting
-    requests is retried after it; for capacity that another VM has freed, at this VM's
-    turn.
+    requests is retried after it.
 
     :param table: all upstreams
     :param policy: receives events of the engines' prefix caches
@@ -82,7 +81,7 @@
             state = self._table.get(name)
             if state is not None and not state.is_other_incarnation(load.incarnation):
                 state.update_peer_load(vm, load, now_ms)
-        self._waiting.note_capacity_freed_elsewhere(now_ms)
+        self._waiting.note_capacity_freed()
 
     def observe_paces(self, paces: Iterable[tuple[str, float]]) -> None:
         """Apply the paces that engines report; see ``health.pace``."""
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -72,7 +72,7 @@
         random_state = placement.random_state
         self._admission = admission or BoundsOnly(random_state=random_state)
         self._head_of_line = head_of_line or Unprotected()
-        self._waiting = WaitingRequests(queue, self._admission, random_state)
+        self._waiting = WaitingRequests(queue, self._admission)
         self._tokens = TokenEstimator()
         self._learner = AnswerLearner(self._admission, self._tokens)
         self._upstreams = table = UpstreamTable()
--- a/src/quetzaldeck/decisions/waiting.py
+++ b/src/quetzaldeck/decisions/waiting.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.queueing import DeadlineHeap
 from quetzaldeck.decisions.retries import DelayedRequests
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Iterator
 
     from quetzaldeck.decisions.admission import AdmissionPolicy
@@ -22,42 +20,20 @@
 """Interval at which placement is retried without an event, because the states of
 upstreams also change with time: reports age and ejections end."""
 
-IN_TIME_TURN_MS = 40.0
-"""Longest wait before a VM tries for capacity that another VM has freed. It is twice
-the time in which VMs learn that the capacity is taken again."""
-
-LATE_TURN_MS = (60.0, 160.0)
-"""Shortest and longest such wait of a VM whose waiting requests are all late."""
-
 
 class WaitingRequests:
     """Keeps the queue, backoffs, latest start times and admission in sync.
 
-    Load pattern: all engines are full, and requests wait on most of the VMs. A VM that
-    frees a place and has no request for it tells the others, and without turns all of
-    them would send a request to that place at the same moment; all but one would wait
-    inside the engine, out of reach of the order in which requests should be served. So
-    each VM tries after a random wait, within which the first one tells the others, and
-    VMs with requests that can still be served in time try before the rest.
-
     :param queue: chooses the next request
     :param admission: counts waiting requests and sets their latest start times
-    :param random_state: random source of the waits
     """
 
-    def __init__(
-        self,
-        queue: QueuePolicy,
-        admission: AdmissionPolicy,
-        random_state: random.Random,
-    ) -> None:
+    def __init__(self, queue: QueuePolicy, admission: AdmissionPolicy) -> None:
         self._queue = queue
         self._admission = admission
-        self._random_state = random_state
         self._delayed = DelayedRequests()
         self._latest_starts = DeadlineHeap()
         self._next_placement_ms = 0.0
-        self._turn_ms = math.inf
 
     def __len__(self) -> int:
         return len(self._queue) + len(self._delayed)
@@ -74,18 +50,6 @@
         """
         self._next_placement_ms = 0.0
 
-    def note_capacity_freed_elsewhere(self, now_ms: float) -> None:
-        """Allow a ``take`` after a random wait, as another VM has freed capacity.
-
-        A wait that has begun goes on: one drawn for each of many such notes would end
-        at once, and nothing would be spread.
-        """
-        if self._turn_ms < math.inf or not len(self._queue):
-            return
-        is_in_time = self._queue.has_in_time(now_ms)
-        shortest_ms, longest_ms = (0.0, IN_TIME_TURN_MS) if is_in_time else LATE_TURN_MS
-        self._turn_ms = now_ms + self._random_state.uniform(shortest_ms, longest_ms)
-
     def add(self, request: Request, now_ms: float) -> None:
         """Queue a request."""
         self._queue.push(request)
@@ -110,11 +74,10 @@
 
         :returns: the request and its upstreams, ``None`` if none can be placed
         """
-        if now_ms < min(self._next_placement_ms, self._turn_ms):
+        if now_ms < self._next_placement_ms:
             return None
         taken = self._queue.take(now_ms, place)
         if taken is None:
-            self._turn_ms = math.inf
             self._next_placement_ms = now_ms + PLACEMENT_RETRY_MS
         else:
             self._unregister(taken[0], now_ms, is_dispatched=True)
