--- a/src/quetzaldeck/decisions/queueing/api.py
+++ b/src/quetzaldeck/decisions/queueing/api.py
@@ -30,10 +30,6 @@
     def requeue(self, request: Request) -> None:
         """Add a request whose attempt failed; it keeps its place in the order."""
 
-    def has_in_time(self, now_ms: float) -> bool:
-        """:returns: whether a request may still meet its target"""
-        return len(self) > 0
-
     @abstractmethod
     def take(
         self, now_ms: float, place: PlaceFunction
--- a/src/quetzaldeck/decisions/queueing/in_time.py
+++ b/src/quetzaldeck/decisions/queueing/in_time.py
@@ -59,11 +59,6 @@
         """Add a request whose attempt failed."""
         self.push(request)
 
-    def has_in_time(self, now_ms: float) -> bool:
-        """:returns: whether a request can still meet its target"""
-        self._move_late(now_ms)
-        return len(self._in_time) > 0
-
     def take(
         self, now_ms: float, place: PlaceFunction
     ) -> tuple[Request, tuple[str, ...]] | None:
--- a/tests/decisions/queueing/test_in_time.py
+++ b/tests/decisions/queueing/test_in_time.py
@@ -91,8 +91,12 @@
 
 def test_request_without_target_is_never_late(make_request: MakeRequest) -> None:
     queue = InTimeQueue()
-    queue.push(make_request())
-    assert queue.has_in_time(1e9)
+    first = make_request()
+    queue.push(first)
+    queue.push(make_request(arrived_ms=1e9, target_ms=TARGET_MS))
+    taken = queue.take(1e9, lambda _: ("e0",))
+    assert taken is not None
+    assert taken[0] == first
 
 
 @given(st.lists(st.tuples(st.booleans(), st.integers(0, 2_000)), max_size=40))
