--- a/tests/agent/test_claim_coordinator.py
+++ b/tests/agent/test_claim_coordinator.py
@@ -94,7 +94,7 @@
     Four rounds, as many as competing claimants need, ended before the second of the
     voters had joined.
     """
-    decision, _ = uvloop.run(decide(_Voter(6, SETTINGS.sync_interval_ms), 5_000.0))
+    decision, _ = uvloop.run(decide(_Voter(8, SETTINGS.sync_interval_ms), 5_000.0))
     assert decision.verdict is ClaimVerdict.GRANTED
 
 
