Log and count the rate limits that upstreams name

Now an entry VM logs rate_limit_named and rate_limit_ended with the value, the one before, since when, and the request whose answer said so; gauges show the limits in force and a counter the requests sent to such an upstream. No decision changes.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -114,6 +114,9 @@
             try:
                 head = read_response_head(response.status, response.headers)
                 self._report_load(name, head)
+                self._state.rate_limits.note_response(
+                    name, self._incarnation, head, call_id=self._call.head.call_id
+                )
                 self._check_head(name, head)
                 yield OpenResponse(head, response)
             except BaseException:
@@ -141,6 +144,7 @@
         self._incarnation = replica.incarnation
         headers = build_request_headers(http_request.headers, parameters)
         self._may_have_run = True
+        self._state.rate_limits.note_sent(name)
         return await self._state.upstreams.send(
             replica.address,
             http_request.method,
--- a/src/quetzaldeck/entry/response_head.py
+++ b/src/quetzaldeck/entry/response_head.py
@@ -25,6 +25,8 @@
     :param replica_id: the responding replica; ``""`` if it does not say
     :param faulty_address: address of the replica that failed, if it is not the one
         addressed; ``""`` otherwise
+    :param rate_limit: requests a second that the replica takes from all VMs together;
+        ``None`` if it names no limit
     """
 
     status: int
@@ -36,6 +38,7 @@
     load: ReplicaLoad | None = None
     replica_id: str = ""
     faulty_address: str = ""
+    rate_limit: float | None = None
 
 
 __all__ = ("ReplicaLoad", "ResponseHead")
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -8,6 +8,7 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
+from quetzaldeck.entry.rate_limits import RateLimits
 from quetzaldeck.entry.upstream_pool import (
     build_bundle,
     list_incarnations,
@@ -67,6 +68,7 @@
         self.belief = belief
         self.orders = orders
         self.group_bounds = group_bounds
+        self.rate_limits = RateLimits(clock, metrics.upstreams)
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.random_state = random.Random(settings.random_state or None)
         self.in_flight = InFlightRequests()
@@ -127,6 +129,7 @@
         self.dispatch.send(ApplyBundle(build_bundle(self.belief, self._view)))
         self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
         self.dispatch.send(Observe((), list_leaving(self.belief)))
+        self.rate_limits.expire(self.belief.replicas)
 
 
 def build_shutdown(bounds: EntryBounds) -> ShutdownSettings:
--- a/src/quetzaldeck/platform/headers.py
+++ b/src/quetzaldeck/platform/headers.py
@@ -30,6 +30,8 @@
 _NOT_RUN = "Quetzaldeck-Not-Executed"
 _REPLICA = "Quetzaldeck-Instance-Id"
 _LOAD = "Quetzaldeck-Instance-Load"
+_RATE_LIMIT = "Server-Limit"
+"""Requests a second that the replica takes from all VMs together."""
 _FAULTY_ADDRESS = "At-Server"
 WRONG_REPLICA_STATUS = 421
 
@@ -80,6 +82,7 @@
         _read_load(headers.get(_LOAD)),
         headers.get(_REPLICA, ""),
         headers.get(_FAULTY_ADDRESS, ""),
+        _read_rate(headers.get(_RATE_LIMIT)),
     )
 
 
@@ -173,6 +176,15 @@
     return ReplicaLoad(n_running, n_waiting, n_slots)
 
 
+def _read_rate(text: str | None) -> float | None:
+    """:returns: requests a second; ``None`` if absent or not a valid rate"""
+    try:
+        rate = float(text or "nan")
+    except ValueError:
+        return None
+    return rate if 0 <= rate <= MAX_NUMBER else None
+
+
 __all__ = (
     "CALL_ID",
     "EXPECTED_REPLICA",
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -75,6 +75,24 @@
             ["verdict"],
             registry=registry,
         )
+        self.rate_limits = Gauge(
+            "quetzaldeck_rate_limit",
+            "Requests a second that an upstream takes from all VMs, where it says so",
+            ["upstream"],
+            registry=registry,
+        )
+        self.rate_limited_since = Gauge(
+            "quetzaldeck_rate_limited_since_seconds",
+            "Unix time at which the upstream first named the limit in force",
+            ["upstream"],
+            registry=registry,
+        )
+        self.rate_limited_sends = Counter(
+            "quetzaldeck_rate_limited_sends",
+            "Requests sent to an upstream while it names a limit",
+            ["upstream"],
+            registry=registry,
+        )
 
 
 __all__ = ("UpstreamMetrics",)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -53,6 +53,21 @@
     assert head.load == ReplicaLoad(3, 1, 8)
 
 
+@pytest.mark.parametrize(
+    ("text", "rate"),
+    [
+        ("1.1", 1.1),
+        ("0", 0.0),
+        ("-1", None),
+        ("nan", None),
+        ("1e99", None),
+        ("x", None),
+    ],
+)
+def test_only_a_valid_rate_limit_is_read(text: str, rate: float | None) -> None:
+    assert read_response_head(200, {"Server-Limit": text}).rate_limit == rate
+
+
 def test_status_of_a_wrong_replica_means_that_nothing_ran() -> None:
     assert read_response_head(421, {}).has_not_run
     assert not read_response_head(503, {}).has_not_run
--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -30,10 +30,20 @@
 
 
 class Connection:
-    """One connection on which a replica responds."""
+    """One connection on which a replica responds.
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    :param fields: returns header fields to add to each response
+    """
+
+    def __init__(
+        self, writer: asyncio.StreamWriter, fields: Callable[[], tuple[str, ...]]
+    ) -> None:
         self._writer = writer
+        self._fields = fields
+
+    def build_head(self, arrival: Arrival, status: int, *fields: str) -> bytes:
+        """:returns: a head with the fields that the replica adds to each response"""
+        return build_head(arrival, status, *fields, *self._fields())
 
     async def send(self, data: bytes) -> None:
         """Write bytes as they are."""
@@ -50,19 +60,19 @@
     ) -> None:
         """Write a complete response with a seal header."""
         await self.send(
-            build_head(arrival, status, f"Content-Length: {len(body)}", SEAL, head)
+            self.build_head(arrival, status, f"Content-Length: {len(body)}", SEAL, head)
             + body
         )
 
     async def answer_not_executed(self, arrival: Arrival, status: int = 503) -> None:
         """Write a response which says that the request was not executed."""
         fields = ("Content-Length: 0", "Quetzaldeck-Not-Executed: 1")
-        await self.send(build_head(arrival, status, *fields))
+        await self.send(self.build_head(arrival, status, *fields))
 
     async def begin_stream(self, arrival: Arrival) -> None:
         """Write the head of an event stream with chunked transfer encoding."""
         fields = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked", SEAL)
-        await self.send(build_head(arrival, 200, *fields))
+        await self.send(self.build_head(arrival, 200, *fields))
 
     async def send_chunk(self, data: bytes) -> None:
         """Write one chunk."""
@@ -97,7 +107,10 @@
 
 
 class StandInReplica:
-    """Accepts connections and passes each request to ``handler``; a context manager."""
+    """Accepts connections and passes each request to ``handler``; a context manager.
+
+    ``rate_limit`` is named in each response while it is not ``None``.
+    """
 
     def __init__(
         self,
@@ -111,6 +124,7 @@
         self.n_closed = 0
         self.n_reports = 0
         self.pace = 1.0
+        self.rate_limit: float | None = None
         self.report: bytes | None = None
         self.is_silent_on_reports = False
         self.address = ""
@@ -142,7 +156,7 @@
         assert task is not None
         self._tasks.add(task)
         self.n_connections += 1
-        connection = Connection(writer)
+        connection = Connection(writer, self._list_fields)
         try:
             while True:
                 arrival = await read_arrival(reader)
@@ -159,6 +173,11 @@
         finally:
             writer.close()
 
+    def _list_fields(self) -> tuple[str, ...]:
+        if self.rate_limit is None:
+            return ()
+        return (f"Server-Limit: {self.rate_limit:g}",)
+
     async def _report(self, arrival: Arrival, connection: Connection) -> None:
         """Answer a pace query; it takes no slot and is not passed to ``handler``."""
         self.n_reports += 1
