--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
+    from contextlib import AbstractAsyncContextManager
 
     from quetzaldeck.entry.belief_sources import BeliefSources
     from quetzaldeck.entry.state import EntryState
@@ -37,6 +38,7 @@
 
     def __init__(self, host: str, settings: EntrySettings) -> None:
         self.host = host
+        self.address = settings.listen.callers
         self.entry = EntryService(settings)
         listen = ListenAddress(host, settings.peer_port)
         self.belief_service = BeliefService(listen, lambda: self.entry.session.feed)
@@ -95,6 +97,10 @@
             await self.stop(host)
         await self._stack.aclose()
 
+    async def enter(self, resource: AbstractAsyncContextManager[object]) -> None:
+        """Enter a context that is left after the VMs have stopped."""
+        await self._stack.enter_async_context(resource)
+
     def put_replica(self, name: str, service: str, *, state: str = "ready") -> None:
         """Write a replica's entry to the store."""
         entry = build_entry(service, "127.0.0.1:9", state=state)
