--- a/src/quetzaldeck/decisions/attempt_starter.py
+++ b/src/quetzaldeck/decisions/attempt_starter.py
@@ -41,10 +41,15 @@
         self._tracked = tracked
 
     def start(
-        self, request: Request, upstreams: tuple[str, ...], now_ms: float
+        self,
+        request: Request,
+        upstreams: tuple[str, ...],
+        latest_turn_ms: float,
+        now_ms: float,
     ) -> Dispatch:
         """Start the next attempt of a request on the upstreams the placer just chose.
 
+        :param latest_turn_ms: latest time at which the request may get its turn
         :returns: the dispatch of the attempt
         """
         tracked = self._tracked[request.request_id]
@@ -55,12 +60,13 @@
         helpers = self._placer.list_helpers(attempt_id)
         rank = self._head_of_line.rank(request, upstreams[-1])
         backlog_ms = self._table.max_prefill_backlog_ms((*upstreams, *helpers), now_ms)
+        max_permit_wait_ms = self._reserve_turns(upstreams, latest_turn_ms, now_ms)
         self._tracked.update(
             tracked._replace(
                 history=tracked.history._replace(n_dispatched=n_attempt),
                 attempt_id=attempt_id,
                 upstreams=upstreams,
-                dispatched_ms=now_ms,
+                dispatched_ms=now_ms + max_permit_wait_ms,
                 backlog_ms=backlog_ms,
                 first_token_ms=None,
             )
@@ -75,7 +81,22 @@
             helpers,
             backlog_ms,
             self._table.predict_first_token_ms(upstreams[-1], backlog_ms, now_ms),
+            max_permit_wait_ms,
         )
 
+    def _reserve_turns(
+        self, upstreams: tuple[str, ...], latest_turn_ms: float, now_ms: float
+    ) -> float:
+        """Note the attempt at upstreams that limit their rate.
+
+        :returns: how long it can wait for its turn; 0 if they should take it now
+        """
+        states = [self._table.get(name) for name in upstreams]
+        pacings = [state.pacing for state in states if state is not None]
+        has_to_wait = any(pacing.is_blocked(now_ms) for pacing in pacings)
+        for pacing in pacings:
+            pacing.note_dispatch(now_ms)
+        return max(0.0, latest_turn_ms - now_ms) if has_to_wait else 0.0
+
 
 __all__ = ("AttemptStarter",)
--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -22,6 +22,8 @@
     :param backlog_ms: time that the busiest upstream or helper needs to prefill all
         prompts sent to it, this one included; 0: unknown
     :param first_token_ms: predicted time to the first token; 0: unknown
+    :param max_permit_wait_ms: how long the request can wait for its turn at upstreams
+        that limit their rate; 0: it is better placed elsewhere
     """
 
     request: Request
@@ -33,6 +35,7 @@
     helpers: tuple[str, ...] = ()
     backlog_ms: float = 0.0
     first_token_ms: float = 0.0
+    max_permit_wait_ms: float = 0.0
 
 
 class Rejection(NamedTuple):
@@ -53,7 +56,8 @@
     tokens than estimated, which does not fit into the memory reserved for it.
     ``NO_ROOM`` is a refused memory reservation: nothing was run. ``HELPER`` is an
     engine that did not prefill its prompt part: it is unreachable, or already prefills
-    parts for as many other engines as it has slots.
+    parts for as many other engines as it has slots. ``RATE_LIMITED`` is a permit that
+    was refused: the upstream takes no more requests now, and none was sent.
     """
 
     CONNECT = "connect"
@@ -66,6 +70,7 @@
     REFUSED = "refused"
     BAD_ANSWER = "bad_answer"
     HELPER = "helper"
+    RATE_LIMITED = "rate_limited"
 
 
 class AttemptEnd(NamedTuple):
--- a/src/quetzaldeck/decisions/failed_attempts.py
+++ b/src/quetzaldeck/decisions/failed_attempts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.decision import AttemptFault
+from quetzaldeck.decisions.rate_limits import latest_turn_ms
 from quetzaldeck.decisions.retries import grow_estimate
 from quetzaldeck.decisions.tracked import TrackedRequest
 from quetzaldeck.outcomes import Failure, Ran
@@ -62,6 +63,11 @@
             # The caller received tokens, so its idle timeout starts again.
             request = request._replace(last_token_ms=now_ms)
         failure = self._placer.check(request, now_ms)
+        if failure is None:
+            latest_start_ms = self._admission.latest_start_ms(request)
+            failure = self._placer.check_rate_limits(
+                request, latest_turn_ms(latest_start_ms, now_ms), now_ms
+            )
         if failure is not None:
             self._tracked.forget(request.request_id, now_ms)
             return failure._replace(ran=history.ran)
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -91,6 +91,17 @@
             if state is not None:
                 state.pace.note(pace, now_ms)
 
+    def observe_rate_limit(self, name: str, requests_per_s: float | None) -> None:
+        """Apply the limit that an upstream names; ``None``: it names none."""
+        self._table.set_rate_limit(name, requests_per_s, self._clock.now_ms())
+        self._waiting.note_capacity_freed()
+
+    def note_permit_refused(self, name: str, wait_ms: float) -> None:
+        """Keep requests away from an upstream that takes none for some time."""
+        state = self._table.get(name)
+        if state is not None:
+            state.pacing.note_refused(wait_ms, self._clock.now_ms())
+
     def observe_cache(self, events: CacheEvents) -> None:
         """Apply events of an engine's prefix cache."""
         self._policy.note_cache_events(events)
--- a/src/quetzaldeck/decisions/memory/ledger.py
+++ b/src/quetzaldeck/decisions/memory/ledger.py
@@ -97,6 +97,13 @@
         self._n_suspects += attempt.is_suspect
         self._n_parts += attempt.is_part
 
+    def note_sent(self, attempt_id: str, now_ms: float) -> None:
+        """Record that an attempt was sent later than it was reserved."""
+        for attempts in (self._attempts, self._unreported):
+            attempt = attempts.get(attempt_id)
+            if attempt is not None:
+                attempts[attempt_id] = attempt._replace(started_ms=now_ms)
+
     def release(self, attempt_id: str) -> bool:
         """Remove an attempt and release what it holds.
 
--- a/src/quetzaldeck/decisions/placement/candidates.py
+++ b/src/quetzaldeck/decisions/placement/candidates.py
@@ -100,8 +100,32 @@
         ]
 
     def can_accept(self, state: UpstreamState, request: Request, now_ms: float) -> bool:
-        """:returns: whether an upstream is not leaving and has capacity"""
-        return not state.is_leaving and self._has_capacity(state, request, now_ms)
+        """Check whether an upstream is not leaving, has capacity and takes requests."""
+        if state.is_leaving or state.pacing.is_blocked(now_ms):
+            return False
+        return self._has_capacity(state, request, now_ms)
+
+    def find_next_turn(
+        self,
+        request: Request,
+        pool: Sequence[UpstreamState],
+        latest_turn_ms: float,
+        now_ms: float,
+    ) -> UpstreamState | None:
+        """Find the upstream whose rate limit allows a request soonest.
+
+        :param latest_turn_ms: latest time at which the request may get its turn
+        :returns: ``None`` if none does in time, or if another upstream need only free
+            capacity
+        """
+        if find_soonest(pool, now_ms) is None:
+            return None
+        free = [s for s in pool if self._has_capacity(s, request, now_ms)]
+        soonest = find_soonest(free, now_ms)
+        if soonest is None:
+            return None
+        turn_ms = now_ms + soonest.pacing.wait_ms(now_ms)
+        return soonest if turn_ms <= latest_turn_ms else None
 
     def _has_capacity(
         self, state: UpstreamState, request: Request, now_ms: float
@@ -115,6 +139,17 @@
         return n_needed <= state.spec.kv_tokens
 
 
+def find_soonest(pool: Sequence[UpstreamState], now_ms: float) -> UpstreamState | None:
+    """Find the upstream that takes a request soonest, if all limit their rate.
+
+    :returns: ``None`` if one of the usable upstreams has no limit
+    """
+    usable = [state for state in list_usable(pool) if not state.is_leaving]
+    if not all(state.pacing.is_limited for state in usable):
+        return None
+    return min(usable, key=lambda state: state.pacing.wait_ms(now_ms), default=None)
+
+
 def _probe_delay_ms(request: Request, state: UpstreamState) -> float:
     """:returns: how long overdue a probe must be before this request may make it
 
@@ -128,4 +163,4 @@
     return PROBE_OVERDUE_MS if state.health.was_refused else PROBE_ANY_REQUEST_MS
 
 
-__all__ = ("CandidateFilter",)
+__all__ = ("CandidateFilter", "find_soonest")
--- a/src/quetzaldeck/decisions/placement/group_plans.py
+++ b/src/quetzaldeck/decisions/placement/group_plans.py
@@ -67,7 +67,8 @@
         """
         if self.is_at_limit:
             return None
-        usable = [state for state in _list_not_leaving(pool) if state.may_help(now_ms)]
+        available = _list_available(pool, now_ms)
+        usable = [state for state in available if state.may_help(now_ms)]
         untried = [state for state in usable if state.spec.name not in avoided]
         plan = self._planner.plan(request, untried, now_ms)
         if plan is None and len(untried) < len(usable):
@@ -80,11 +81,17 @@
         """:returns: a reservation on one engine for a long request that has aged"""
         if request.service or self.is_at_limit:
             return None
-        return self._planner.plan_single(request, _list_not_leaving(pool), now_ms)
+        return self._planner.plan_single(request, _list_available(pool, now_ms), now_ms)
 
 
-def _list_not_leaving(pool: Sequence[UpstreamState]) -> list[UpstreamState]:
-    return [state for state in list_usable(pool) if not state.is_leaving]
+def _list_available(
+    pool: Sequence[UpstreamState], now_ms: float
+) -> list[UpstreamState]:
+    return [
+        state
+        for state in list_usable(pool)
+        if not state.is_leaving and not state.pacing.is_blocked(now_ms)
+    ]
 
 
 __all__ = ("GroupPlans",)
--- a/src/quetzaldeck/decisions/placement/helper_selector.py
+++ b/src/quetzaldeck/decisions/placement/helper_selector.py
@@ -29,8 +29,14 @@
     def list_prefill_engines(
         self, request: Request, pool: Sequence[UpstreamState], now_ms: float
     ) -> Sequence[UpstreamState]:
-        """:returns: engines that may prefill a part of the prompt"""
-        fast = exclude_slow(pool, pool, now_ms)
+        """:returns: engines that may prefill a part of the prompt
+
+        An engine that limits its requests is left to answer those that it takes.
+        """
+        unlimited = [state for state in pool if not state.pacing.is_limited]
+        if not unlimited:
+            return ()
+        fast = exclude_slow(unlimited, unlimited, now_ms)
         return self._head_of_line.restrict_helpers(request, fast, now_ms)
 
     def choose(
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.groups import GroupPlanner
@@ -14,7 +15,7 @@
 from quetzaldeck.decisions.health.pace import exclude_slow
 from quetzaldeck.decisions.health.partial_failures import exclude_failing
 from quetzaldeck.decisions.memory import InFlightAttempt
-from quetzaldeck.decisions.placement.candidates import CandidateFilter
+from quetzaldeck.decisions.placement.candidates import CandidateFilter, find_soonest
 from quetzaldeck.decisions.placement.group_plans import GroupPlans
 from quetzaldeck.decisions.placement.helper_accounting import HelperAccounting
 from quetzaldeck.decisions.placement.helper_selector import HelperSelector
@@ -99,6 +100,37 @@
             return Failure(Reason.PROMPT_TOO_LARGE)
         return self.check_poison(request, now_ms)
 
+    def check_rate_limits(
+        self, request: Request, latest_turn_ms: float, now_ms: float
+    ) -> Failure | None:
+        """Refuse a request that no upstream takes in time, as all limit their rate.
+
+        The callers of such requests are told different times to come back, so that they
+        do not all compete for the next turn.
+
+        :param latest_turn_ms: latest time at which the request may get its turn
+        """
+        if not self._table.has_rate_limits:
+            return None
+        pool = self._table.list_serving(request)
+        soonest = find_soonest(pool, now_ms)
+        if soonest is None:
+            return None
+        wait_ms = soonest.pacing.wait_ms(now_ms)
+        if now_ms + wait_ms <= latest_turn_ms:
+            return None
+        jitter_ms = self._policy.random_state.uniform(0.0, soonest.pacing.interval_ms)
+        detail = (
+            f"{request.target}: all upstreams limit their rate, and the next one takes "
+            f"a request in {wait_ms:.0f} ms; the caller can wait "
+            f"{max(0.0, latest_turn_ms - now_ms):.0f} ms"
+        )
+        return Failure(
+            Reason.UPSTREAM_RATE_LIMITED,
+            retry_after_ms=wait_ms + jitter_ms,
+            detail=detail,
+        )
+
     def check_poison(self, request: Request, now_ms: float) -> Failure | None:
         """:returns: the refusal of a request that is suspected of too many crashes"""
         fingerprint = request.fingerprint
@@ -109,10 +141,14 @@
         retry_after_ms = self._poison.retry_after_ms(fingerprint, now_ms)
         return Failure(Reason.POISON_SUSPECTED, retry_after_ms=retry_after_ms)
 
-    def can_start(self, request: Request, now_ms: float) -> bool:
-        """:returns: whether a request could be dispatched if no other were queued
+    def can_start(
+        self, request: Request, now_ms: float, latest_turn_ms: float = math.inf
+    ) -> bool:
+        """Check whether a request could be dispatched if no other were queued.
 
         The policy is not consulted: each call would advance round robin by one turn.
+
+        :param latest_turn_ms: latest time at which the request may get its turn
         """
         pool = self._table.list_serving(request)
         if self._suspects.is_suspect(request, now_ms):
@@ -124,7 +160,9 @@
             and self._plans.plan(request, pool, now_ms) is not None
         ):
             return True
-        return bool(self._list_allowed(request, pool, (), now_ms))
+        if self._list_allowed(request, pool, (), now_ms):
+            return True
+        return self._find_next_turn(request, latest_turn_ms, now_ms) is not None
 
     def has_alternative(self, request: Request, avoided: Sequence[str]) -> bool:
         """:returns: whether another upstream could run a request, now or later
@@ -137,10 +175,20 @@
         )
 
     def place(
-        self, request: Request, avoided: Sequence[str], now_ms: float
+        self,
+        request: Request,
+        avoided: Sequence[str],
+        now_ms: float,
+        latest_turn_ms: float = math.inf,
     ) -> tuple[str, ...] | None:
-        """:returns: the upstreams for a request; ``None`` if it has to wait"""
+        """Place a request.
+
+        :param latest_turn_ms: latest time at which the request may get its turn
+        :returns: the upstreams for the request; ``None`` if it has to wait
+        """
         placement = self._find_placement(request, avoided, now_ms)
+        if placement is None:
+            placement = self._find_next_turn(request, latest_turn_ms, now_ms)
         if placement is None:
             return None
         self._unreserved[request.request_id] = placement
@@ -232,6 +280,24 @@
                 return None
         return self._place_single(request, pool, avoided, now_ms)
 
+    def _find_next_turn(
+        self, request: Request, latest_turn_ms: float, now_ms: float
+    ) -> Placement | None:
+        """:returns: the upstream whose rate limit allows the request soonest, if any
+
+        Prompts that need several engines wait until their permits are free, since they
+        would need turns at the same time.
+        """
+        if not self._table.has_rate_limits:
+            return None
+        pool = self._table.list_serving(request)
+        if self._plans.is_needed(request, pool):
+            return None
+        if self._suspects.is_suspect(request, now_ms):
+            return None
+        state = self._candidates.find_next_turn(request, pool, latest_turn_ms, now_ms)
+        return None if state is None else Placement((state.spec.name,))
+
     def _place_group(
         self,
         request: Request,
--- a/src/quetzaldeck/decisions/rate_limits/__init__.py
+++ b/src/quetzaldeck/decisions/rate_limits/__init__.py
@@ -2,7 +2,20 @@
 
 from __future__ import annotations
 
+from quetzaldeck.decisions.rate_limits.bounds import latest_turn_ms
+from quetzaldeck.decisions.rate_limits.pacing import Pacing
+from quetzaldeck.decisions.rate_limits.permit_issuer import PermitIssuer, rank_issuers
 from quetzaldeck.decisions.rate_limits.registry import RateLimitRegistry
+from quetzaldeck.decisions.rate_limits.send_schedule import Permit, SendSchedule
 from quetzaldeck.decisions.rate_limits.statement import RateLimitStatement
 
-__all__ = ("RateLimitRegistry", "RateLimitStatement")
+__all__ = (
+    "Pacing",
+    "Permit",
+    "PermitIssuer",
+    "RateLimitRegistry",
+    "RateLimitStatement",
+    "SendSchedule",
+    "latest_turn_ms",
+    "rank_issuers",
+)
--- /dev/null
+++ b/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
@@ -0,0 +1,132 @@
+"""Issues permits for requests to limited upstreams on behalf of all VMs.
+
+Load pattern: seven to two hundred VMs, each with a small part of the traffic, in front
+of upstreams that take less than one request a second from all of them together. If each
+VM kept an equal share, hundreds of VMs would all send their first request at once, and
+afterwards most of the limit would go unused, as requests do not arrive where the shares
+are. So one VM issues all permits of an upstream. All VMs choose the issuer by
+rendezvous hashing, without messages; it keeps a schedule in memory, and nobody else
+needs to know it.
+
+If the issuer does not answer, VMs ask its deputy, the next in the ranking. The deputy
+issues at half the rate, so that both together stay within one and a half times the
+limit while some VMs reach the issuer and others do not.
+
+A VM that has just started, or has just found the first other VM, may rank itself first
+because it does not know the issuer yet. It issues nothing until it has had time to
+learn of the other VMs, and they of it. An issuer that restarts has forgotten its
+schedule and starts a new one without unused time to make up for, which cannot exceed
+the limit together with the permits issued before.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.rate_limits.send_schedule import Permit, SendSchedule
+from quetzaldeck.rendezvous import rank_members
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Container, Sequence
+
+DEPUTY_RATE_SHARE = 0.5
+"""The tolerance of upstreams is one and a half times their limit."""
+
+SMALL_FLEET_SIZE = 48
+"""Number of VMs up to which each greeting between VMs can list all of them."""
+
+SETTLING_MS = 2_000.0
+"""Time in which the VMs of a small fleet learn of a new one: four greetings."""
+
+LARGE_FLEET_SETTLING_MS = 10_000.0
+"""The same in a large fleet, where a greeting lists a part of the VMs."""
+
+MAX_ALONE_MS = 20_000.0
+"""Time after which other VMs have removed one that they do not hear of. From then on it
+issues permits to itself, since no other VM does."""
+
+
+class PermitIssuer:
+    """Issues permits for the upstreams that this VM is the issuer or deputy of.
+
+    :param own: address of this VM
+    """
+
+    def __init__(self, own: str) -> None:
+        self._own = own
+        self._schedules: dict[tuple[str, str], SendSchedule] = {}
+        self._alone_since_ms: float | None = None
+        self._alone_until_ms = float("-inf")
+
+    def note_fleet(self, n_peers: int, now_ms: float) -> None:
+        """Record that this VM expects other VMs and knows ``n_peers`` of them now."""
+        if n_peers:
+            self._alone_since_ms = None
+            return
+        if self._alone_since_ms is None:
+            self._alone_since_ms = now_ms
+        self._alone_until_ms = now_ms
+
+    def issue(
+        self,
+        upstream: str,
+        incarnation: str,
+        requests_per_s: float,
+        max_wait_ms: float,
+        peers: Collection[str],
+        now_ms: float,
+    ) -> Permit | None:
+        """Answer a VM that wants to send a request to an upstream.
+
+        :param requests_per_s: the limit in force
+        :param max_wait_ms: how long the request can wait for its turn
+        :param peers: addresses of the other VMs
+        :param now_ms: uptime of this VM, which goes on while the VM is suspended
+        :returns: ``None`` if this VM issues no permits for the upstream
+        """
+        share = self._rate_share(upstream, peers, now_ms)
+        if not share:
+            return None
+        key = (upstream, incarnation)
+        schedule = self._schedules.get(key)
+        if schedule is None:
+            schedule = SendSchedule(requests_per_s * share, now_ms)
+            self._schedules[key] = schedule
+        schedule.set_rate(requests_per_s * share, now_ms)
+        return schedule.reserve(max_wait_ms, now_ms)
+
+    def is_settled(self, n_peers: int, now_ms: float) -> bool:
+        """:returns: whether this VM and the others have had time to learn of each other
+
+        :param n_peers: number of other VMs known
+        """
+        alone_since_ms = self._alone_since_ms
+        if alone_since_ms is not None:
+            return now_ms - alone_since_ms >= MAX_ALONE_MS
+        is_small = n_peers < SMALL_FLEET_SIZE
+        settling_ms = SETTLING_MS if is_small else LARGE_FLEET_SETTLING_MS
+        return now_ms - self._alone_until_ms >= settling_ms
+
+    def expire(self, upstreams: Container[str]) -> None:
+        """Forget the schedules of upstreams that are gone."""
+        for key in [key for key in self._schedules if key[0] not in upstreams]:
+            del self._schedules[key]
+
+    def _rate_share(
+        self, upstream: str, peers: Collection[str], now_ms: float
+    ) -> float:
+        """:returns: share of the limit that this VM issues; 0: none"""
+        if not self.is_settled(len(peers), now_ms):
+            return 0.0
+        ranked = rank_issuers(upstream, (self._own, *peers))
+        if self._own == ranked[0]:
+            return 1.0
+        return DEPUTY_RATE_SHARE if self._own == ranked[1] else 0.0
+
+
+def rank_issuers(upstream: str, vms: Sequence[str]) -> tuple[str, ...]:
+    """:returns: the issuer of an upstream's permits and, if there is one, its deputy"""
+    return rank_members(upstream, vms)[:2]
+
+
+__all__ = ("PermitIssuer", "rank_issuers")
--- a/src/quetzaldeck/decisions/rate_limits/registry.py
+++ b/src/quetzaldeck/decisions/rate_limits/registry.py
@@ -7,7 +7,7 @@
 from quetzaldeck.decisions.rate_limits.statement import RateLimitStatement
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Mapping
 
 ENDED_TTL_MS = 30_000.0
 """How long the end of a limit is remembered, so that an older statement which arrives
@@ -37,10 +37,12 @@
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
 
-    def find(self, upstream: str) -> float | None:
-        """:returns: requests a second that an upstream takes; ``None``: no limit"""
+    def find(self, upstream: str) -> RateLimitStatement | None:
+        """:returns: the limit in force of an upstream; ``None``: it names none"""
         entry = self._entries.get(upstream)
-        return None if entry is None else entry.statement.requests_per_s
+        if entry is None or entry.statement.requests_per_s is None:
+            return None
+        return entry.statement
 
     def list_statements(self) -> list[RateLimitStatement]:
         """:returns: the latest statement of each upstream, ends of limits included"""
@@ -67,13 +69,17 @@
             return None
         return RateLimitChange(statement, before, since_ms)
 
-    def expire(self, upstreams: Container[str], now_ms: float) -> list[str]:
-        """Forget upstreams that are gone, and limits that ended long ago.
+    def expire(self, incarnations: Mapping[str, str], now_ms: float) -> list[str]:
+        """Forget upstreams that are gone or restarted, and limits that ended long ago.
 
-        :param upstreams: names of the upstreams that exist
-        :returns: names of the upstreams that are gone
+        :param incarnations: incarnations of the upstreams that exist, by name
+        :returns: names of the upstreams that are gone or have restarted
         """
-        gone = [name for name in self._entries if name not in upstreams]
+        gone = [
+            name
+            for name, (statement, _) in self._entries.items()
+            if incarnations.get(name) != statement.incarnation
+        ]
         for name in gone:
             del self._entries[name]
         for name, (statement, _) in tuple(self._entries.items()):
--- a/src/quetzaldeck/decisions/retries/history.py
+++ b/src/quetzaldeck/decisions/retries/history.py
@@ -43,12 +43,12 @@
 
         An upstream that refused a reservation for lack of capacity is not avoided: it
         may have capacity next time. Nor is one that refused a prompt longer than
-        estimated.
+        estimated, or that takes no more requests now.
         """
         if end.fault is AttemptFault.NO_ROOM:
             return self._replace(n_no_room=self.n_no_room + 1)
         failed = (end.upstream,) if end.upstream else upstreams
-        if end.fault is AttemptFault.TOO_LONG:
+        if end.fault in (AttemptFault.TOO_LONG, AttemptFault.RATE_LIMITED):
             failed = ()
         return self._replace(
             n_maybe_run=self.n_maybe_run + end.may_have_run,
--- a/src/quetzaldeck/decisions/retries/policy.py
+++ b/src/quetzaldeck/decisions/retries/policy.py
@@ -158,9 +158,13 @@
     def _delay(self, end: AttemptEnd, history: AttemptHistory) -> float:
         """:returns: delay before the next attempt, in milliseconds
 
+        None after a refused permit: the request was not sent and goes elsewhere.
+
         The backoff has full jitter: with a fixed part, requests that failed in the same
         crash would be retried nearly at the same time.
         """
+        if end.fault is AttemptFault.RATE_LIMITED:
+            return 0.0
         n_failed = history.n_maybe_run + history.n_not_run + history.n_no_room
         bounds = self._bounds
         ceiling_ms = bounds.max_delay_ms
@@ -190,6 +194,8 @@
         return Reason.UPSTREAM_SILENT
     if fault is AttemptFault.NO_ROOM:
         return Reason.NO_UPSTREAM
+    if fault is AttemptFault.RATE_LIMITED:
+        return Reason.UPSTREAM_RATE_LIMITED
     if fault is AttemptFault.TOO_LONG:
         return Reason.PROMPT_TOO_LARGE
     return Reason.UPSTREAM_FAILED
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -7,7 +7,7 @@
 from quetzaldeck.decisions.admission import BoundsOnly
 from quetzaldeck.decisions.answer_learner import AnswerLearner
 from quetzaldeck.decisions.attempt_starter import AttemptStarter
-from quetzaldeck.decisions.decision import Rejection
+from quetzaldeck.decisions.decision import AttemptFault, Rejection
 from quetzaldeck.decisions.estimation import TokenEstimator
 from quetzaldeck.decisions.failed_attempts import FailedAttemptHandler
 from quetzaldeck.decisions.fleet_observer import FleetObserver
@@ -17,6 +17,7 @@
 from quetzaldeck.decisions.limits import CustomerLimiter
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.poison import PoisonRegistry
+from quetzaldeck.decisions.rate_limits import latest_turn_ms
 from quetzaldeck.decisions.retries import RetryPolicy
 from quetzaldeck.decisions.retries.silence import SilencePolicy, SilenceVerdict
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
@@ -211,9 +212,11 @@
         self._waiting.end_delays(now_ms)
         decisions: list[Decision] = list(self._expire(now_ms))
         decisions.extend(self._reject_poison(now_ms))
+        decisions.extend(self._reject_rate_limited(now_ms))
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
-            decisions.append(self._starter.start(request, upstreams, now_ms))
+            latest_ms = self._latest_turn_ms(request, now_ms)
+            decisions.append(self._starter.start(request, upstreams, latest_ms, now_ms))
         return decisions
 
     def note_first_token(self, attempt_id: str) -> None:
@@ -230,6 +233,18 @@
         self._placer.release_helpers(attempt_id)
         self._waiting.note_capacity_freed()
 
+    def note_sent(self, attempt_id: str) -> None:
+        """Record that an attempt was sent after it had waited for its turn."""
+        tracked = self._tracked.find(attempt_id)
+        if tracked is None:
+            return
+        now_ms = self._clock.now_ms()
+        self._tracked.update(tracked._replace(dispatched_ms=now_ms))
+        for name in tracked.upstreams:
+            state = self._upstreams.get(name)
+            if state is not None:
+                state.ledger.note_sent(attempt_id, now_ms)
+
     def note_reserved(self, attempt_id: str) -> None:
         """Record that an attempt obtained the reservation its dispatch requested."""
         self._placer.note_reserved(attempt_id)
@@ -256,6 +271,8 @@
             return None
         now_ms = self._clock.now_ms()
         self._monitor.note_end(tracked.request, end, tracked.upstreams, now_ms)
+        if end.fault is AttemptFault.RATE_LIMITED:
+            self._fleet.note_permit_refused(end.upstream, end.retry_after_ms or 0.0)
         self._release(tracked)
         if end.fault is None:
             self._learner.note_answer(tracked, end, now_ms)
@@ -267,10 +284,12 @@
         if request.deadline_ms <= now_ms:
             return Failure(Reason.DEADLINE_EXCEEDED)
         refusal = self._placer.check(request, now_ms)
+        latest_ms = self._latest_turn_ms(request, now_ms)
+        refusal = refusal or self._placer.check_rate_limits(request, latest_ms, now_ms)
         refusal = refusal or self._limits.check(request, now_ms)
         if refusal is not None:
             return refusal
-        can_start = self._placer.can_start(request, now_ms)
+        can_start = self._placer.can_start(request, now_ms, latest_ms)
         return self._admission.check(request, now_ms, can_start=can_start)
 
     def _expire(self, now_ms: float) -> Iterable[Rejection]:
@@ -286,6 +305,16 @@
             if failure is not None:
                 yield self._reject(request, failure)
 
+    def _reject_rate_limited(self, now_ms: float) -> Iterable[Rejection]:
+        """Reject waiting requests that no upstream takes in time any more."""
+        if not self._upstreams.has_rate_limits:
+            return
+        for request in tuple(self._waiting):
+            latest_ms = self._latest_turn_ms(request, now_ms)
+            failure = self._placer.check_rate_limits(request, latest_ms, now_ms)
+            if failure is not None:
+                yield self._reject(request, failure)
+
     def _reject(self, request: Request, failure: Failure) -> Rejection:
         ran = self._tracked[request.request_id].history.ran
         self.withdraw(request.request_id)
@@ -293,7 +322,14 @@
 
     def _place(self, request: Request) -> tuple[str, ...] | None:
         avoided = self._tracked[request.request_id].history.avoided
-        return self._placer.place(request, avoided, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        latest_ms = self._latest_turn_ms(request, now_ms)
+        return self._placer.place(request, avoided, now_ms, latest_ms)
+
+    def _latest_turn_ms(self, request: Request, now_ms: float) -> float:
+        if not self._upstreams.has_rate_limits:
+            return request.deadline_ms
+        return latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
 
     def _release(self, tracked: TrackedRequest) -> None:
         """Release the resources of the running attempt of a request, if any."""
--- a/src/quetzaldeck/decisions/tracked.py
+++ b/src/quetzaldeck/decisions/tracked.py
@@ -20,7 +20,8 @@
     :param n_uncorrected_tokens: estimate of its prompt tokens before the correction
     :param history: attempts that have ended
     :param attempt_id: running attempt; ``""`` while the request waits
-    :param dispatched_ms: when that attempt was dispatched
+    :param dispatched_ms: when that attempt was dispatched, or will be sent at the
+        latest if it waits for its turn at an upstream that limits its rate
     :param backlog_ms: prefill backlog of the busiest engine of the attempt at dispatch
     :param first_token_ms: when its first token arrived; ``None``: not yet
     """
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -11,6 +11,7 @@
 from quetzaldeck.decisions.memory import InFlightAttempt, MemoryLedger
 from quetzaldeck.decisions.peer_load import PeerLoad, VmLoad
 from quetzaldeck.decisions.prefill_backlog import PrefillBacklog
+from quetzaldeck.decisions.rate_limits import Pacing
 
 if TYPE_CHECKING:
     from quetzaldeck.bundle.document import UpstreamSpec
@@ -47,6 +48,7 @@
         self.peers = PeerLoad()
         self.outcomes = DecayingOutcomes()
         self.pace = Pace()
+        self.pacing = Pacing()
         self._help_refusals = HelpRefusals()
         self._incarnation = ""
         self._backlog = PrefillBacklog()
@@ -73,6 +75,7 @@
         self.peers = PeerLoad()
         self.outcomes = DecayingOutcomes()
         self.pace = Pace()
+        self.pacing = Pacing()
         self._help_refusals = HelpRefusals()
         self._backlog = PrefillBacklog()
 
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -27,6 +27,7 @@
         self._states: dict[str, UpstreamState] = {}
         self._by_target: dict[str, list[UpstreamState]] = {}
         self._retired: dict[str, UpstreamState] = {}
+        self._limited: set[str] = set()
 
     def __iter__(self) -> Iterator[UpstreamState]:
         return iter(self._states.values())
@@ -34,6 +35,11 @@
     def __len__(self) -> int:
         return len(self._states)
 
+    @property
+    def has_rate_limits(self) -> bool:
+        """:returns: whether any upstream limits its rate"""
+        return bool(self._limited)
+
     def get(self, name: str) -> UpstreamState | None:
         """:returns: state of an upstream, also if dropped while attempts still run"""
         return self._states.get(name) or self._retired.get(name)
@@ -76,6 +82,18 @@
         for name, state in self._states.items():
             state.is_leaving = name in names
 
+    def set_rate_limit(
+        self, name: str, requests_per_s: float | None, now_ms: float
+    ) -> None:
+        """Set the limit that an upstream names; ``None``: it names none."""
+        state = self.get(name)
+        if state is not None:
+            state.pacing.set_limit(requests_per_s, now_ms)
+        if state is None or requests_per_s is None:
+            self._limited.discard(name)
+        else:
+            self._limited.add(name)
+
     def count_health(self, now_ms: float) -> Counter[HealthState]:
         """:returns: number of upstreams by health state, each compared to its peers"""
         counts: Counter[HealthState] = Counter()
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -73,6 +73,16 @@
             dispatch, stream_gap_threshold_ms(self._call.admitted.route.max_gap_ms)
         )
 
+    async def acquire_permits(self, dispatch: Dispatch) -> None:
+        """Wait for the turn of an attempt at upstreams that limit their rate.
+
+        :raises UpstreamError: if it does not come in time; nothing was sent
+        """
+        max_wait_ms = dispatch.max_permit_wait_ms
+        for name in dispatch.upstreams:
+            if await self._state.permits.acquire(name, max_wait_ms):
+                self._ticket.note_sent(dispatch.attempt_id)
+
     @asynccontextmanager
     async def open(
         self, dispatch: Dispatch, *, last_event_id: str | None
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -80,6 +80,8 @@
                     return self._failed_response
 
     async def _attempt(self, dispatch: Dispatch) -> web.StreamResponse:
+        await self._runner.acquire_permits(dispatch)
+        # The configuration may have changed while the attempt waited for its turn.
         self._recheck()
         self.n_attempts = dispatch.n_attempt
         self.upstream = dispatch.upstreams[-1]
@@ -155,6 +157,7 @@
             was_sent=error.was_sent,
             upstream=error.upstream,
             incarnation=self._runner.incarnation if is_addressed else "",
+            retry_after_ms=error.retry_after_ms,
         )
         await self._ticket.end_attempt(end)
 
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -8,6 +8,7 @@
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
 from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
 
 
 class LoadUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -50,6 +51,43 @@
     age_ms: float
 
 
+class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream said of its rate limit; see ``RateLimitStatement``.
+
+    :param age_ms: time since a VM received the response that said so
+    """
+
+    upstream: str
+    incarnation: str
+    requests_per_s: float | None
+    age_ms: float
+
+
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for a permit to send a request to an upstream that limits its rate.
+
+    :param number: the answer repeats it
+    :param limit: the limit that the sender knows
+    :param max_wait_ms: how long the request can wait for its turn
+    """
+
+    number: int
+    limit: LimitUpdate
+    max_wait_ms: float
+
+
+class PermitAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answers a :class:`PermitRequest`; see ``Permit`` for the fields.
+
+    :param is_issuer: whether the sender issues permits for the upstream
+    """
+
+    number: int
+    is_issuer: bool
+    is_granted: bool = False
+    wait_ms: float = 0.0
+
+
 class VmUpdate(msgspec.Struct, frozen=True, array_like=True):
     """What one VM announces to all others; may be relayed by other VMs.
 
@@ -57,6 +95,7 @@
     :param sequence: increases with each update of the VM; the highest is the latest
     :param paces: slowdown factors by engine name, for engines that are slow now or were
         slow in the VM's previous update
+    :param limits: what upstreams said of their rate limits
     """
 
     vm: str
@@ -64,11 +103,17 @@
     loads: tuple[LoadUpdate, ...] = ()
     crashes: tuple[CrashUpdate, ...] = ()
     paces: dict[str, float] = {}
+    limits: tuple[LimitUpdate, ...] = ()
 
     @property
     def says_anything(self) -> bool:
         """:returns: whether the update is not empty"""
-        return bool(self.loads or self.crashes or self.paces)
+        return bool(self.loads or self.has_events)
+
+    @property
+    def has_events(self) -> bool:
+        """:returns: whether it contains anything other than loads"""
+        return bool(self.crashes or self.paces or self.limits)
 
 
 Reach = Literal["", "fleet", "members"]
@@ -89,6 +134,10 @@
     :param news: updates of the sender, or of other VMs that it forwards
     :param number: the receiver acknowledges this number; 0: no acknowledgement needed
     :param confirmed: number of a received message that the sender acknowledges; 0: none
+    :param limits: rate limits of upstreams that the sender knows; in greetings, and
+        with permits
+    :param permit_request: asks the receiver for a permit
+    :param permit_answer: answers a permit request of the receiver
     """
 
     vm: str
@@ -100,11 +149,17 @@
     join: Join = ""
     number: int = 0
     confirmed: int = 0
+    limits: tuple[LimitUpdate, ...] = ()
+    permit_request: PermitRequest | None = None
+    permit_answer: PermitAnswer | None = None
 
 
 N_OUTCOME_DIGITS = 2
 """Decimal places of the decaying outcome counts; more would only add bytes."""
 
+N_AGE_DIGITS = 1
+"""Decimal places of ages in milliseconds."""
+
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
 
@@ -149,15 +204,56 @@
     )
 
 
+def build_limit_update(statement: RateLimitStatement, now_ms: float) -> LimitUpdate:
+    """:returns: the update that announces what an upstream said
+
+    :param now_ms: uptime of this VM
+    """
+    age_ms = round(now_ms - statement.heard_ms, N_AGE_DIGITS)
+    return LimitUpdate(
+        statement.upstream, statement.incarnation, statement.requests_per_s, age_ms
+    )
+
+
+def read_limit_update(update: LimitUpdate, now_ms: float) -> RateLimitStatement:
+    """:returns: what an upstream said to another VM
+
+    :param now_ms: uptime of this VM
+    """
+    return RateLimitStatement(
+        update.upstream,
+        update.incarnation,
+        update.requests_per_s,
+        now_ms - update.age_ms,
+    )
+
+
+def build_permit_answer(number: int, permit: Permit | None) -> PermitAnswer:
+    """:returns: the answer to a permit request
+
+    :param permit: ``None`` if this VM issues no permits for the upstream
+    """
+    if permit is None:
+        return PermitAnswer(number, is_issuer=False)
+    wait_ms = round(permit.wait_ms, N_AGE_DIGITS)
+    return PermitAnswer(number, True, permit.is_granted, wait_ms)  # noqa: FBT003
+
+
 __all__ = (
     "CrashUpdate",
     "Join",
+    "LimitUpdate",
     "LoadUpdate",
     "PeerMessage",
+    "PermitAnswer",
+    "PermitRequest",
     "Reach",
     "VmUpdate",
+    "build_limit_update",
     "build_load_update",
+    "build_permit_answer",
     "decode_message",
     "encode_message",
+    "read_limit_update",
     "read_load_update",
 )
--- a/src/quetzaldeck/entry/peers/node.py
+++ b/src/quetzaldeck/entry/peers/node.py
@@ -21,7 +21,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from quetzaldeck.entry.peers.messages import CrashUpdate, Join, LoadUpdate
+    from quetzaldeck.entry.peers.messages import (
+        CrashUpdate,
+        Join,
+        LimitUpdate,
+        LoadUpdate,
+    )
     from quetzaldeck.entry.peers.table import PeerTable
 
 MAX_ENTRIES_PER_DATAGRAM = 20
@@ -116,11 +121,17 @@
         loads: Iterable[LoadUpdate] = (),
         crashes: Iterable[CrashUpdate] = (),
         paces: Mapping[str, float] | None = None,
+        limits: Iterable[LimitUpdate] = (),
     ) -> None:
         """Send an update of this VM to all other VMs."""
         self._sequence += 1
         update = VmUpdate(
-            self._vm, self._sequence, tuple(loads), tuple(crashes), dict(paces or {})
+            self._vm,
+            self._sequence,
+            tuple(loads),
+            tuple(crashes),
+            dict(paces or {}),
+            tuple(limits),
         )
         self._store.merge(update, now_ms)
         if not self.uses_relays:
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -12,12 +12,15 @@
 from quetzaldeck.entry.peers.messages import (
     CrashUpdate,
     PeerMessage,
+    build_limit_update,
     build_load_update,
+    build_permit_answer,
     decode_message,
     encode_message,
+    read_limit_update,
     read_load_update,
 )
-from quetzaldeck.entry.peers.node import PeerNode
+from quetzaldeck.entry.peers.node import MAX_ENTRIES_PER_DATAGRAM, PeerNode
 from quetzaldeck.gateway.messages import (
     ObserveCrashes,
     ObservePaces,
@@ -28,7 +31,12 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from quetzaldeck.entry.peers.messages import VmUpdate
+    from quetzaldeck.decisions.rate_limits import RateLimitStatement
+    from quetzaldeck.entry.peers.messages import (
+        LimitUpdate,
+        PermitRequest,
+        VmUpdate,
+    )
     from quetzaldeck.entry.peers.table import PeerTable
     from quetzaldeck.entry.state import EntryState
 
@@ -75,6 +83,8 @@
             capacity=state.settings.processor.capacity,
         )
         self._changes = LoadChanges()
+        state.permits.connect(table, self._send_permit_request)
+        state.rate_limits.on_change = self._announce_limit
         self._incarnations: dict[str, str] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -133,11 +143,54 @@
         self._metrics.note_received(_kind_of(message), len(data))
         now_ms = self._state.clock.now_ms()
         self._note_peer(message, addr[0], now_ms)
+        self._handle_permits(message, addr[0])
         for update in self._node.receive(message, addr[0], now_ms):
             self._observe(update)
         self._send_outgoing()
         self._schedule(now_ms)
 
+    def _handle_permits(self, message: PeerMessage, address: str) -> None:
+        """Handle what a message says of rate limits, and of permits to send."""
+        uptime_ms = self._state.clock.uptime_ms()
+        limits = self._state.rate_limits
+        for limit in message.limits:
+            limits.note_peer(read_limit_update(limit, uptime_ms), peer=address)
+        request, answer = message.permit_request, message.permit_answer
+        if request is not None:
+            statement = read_limit_update(request.limit, uptime_ms)
+            limits.note_peer(statement, peer=address)
+            permit = self._state.permits.issue(statement, request.max_wait_ms)
+            reply = PeerMessage(
+                self._vm,
+                limits=self._list_limits(statement.upstream),
+                permit_answer=build_permit_answer(request.number, permit),
+            )
+            self._send(reply, (address,))
+        if answer is not None:
+            self._state.permits.note_answer(answer)
+
+    def _send_permit_request(self, address: str, request: PermitRequest) -> None:
+        self._send(PeerMessage(self._vm, permit_request=request), (address,))
+
+    def _announce_limit(self, statement: RateLimitStatement) -> None:
+        """Announce what an upstream said to all other VMs."""
+        update = build_limit_update(statement, self._state.clock.uptime_ms())
+        self._node.announce(self._state.clock.now_ms(), limits=(update,))
+        self._send_outgoing()
+
+    def _list_limits(self, upstream: str = "") -> tuple[LimitUpdate, ...]:
+        """:returns: what upstreams said of their limits, as far as one message holds
+
+        :param upstream: the only one to list; ``""``: all
+        """
+        uptime_ms = self._state.clock.uptime_ms()
+        statements = self._state.rate_limits.list_statements()
+        return tuple(
+            build_limit_update(statement, uptime_ms)
+            for statement in statements
+            if upstream in ("", statement.upstream)
+        )[:MAX_ENTRIES_PER_DATAGRAM]
+
     def error_received(self, exc: Exception) -> None:
         """Log that a VM is not listening; it may come back, otherwise it expires."""
         log_event("peer_unreachable", level="DEBUG", error=repr(exc))
@@ -183,11 +236,15 @@
                 for c in update.crashes
             )
             dispatch.send_deferrable(ObserveCrashes(crashes))
+        for limit in update.limits:
+            statement = read_limit_update(limit, self._state.clock.uptime_ms())
+            self._state.rate_limits.note_peer(statement, peer=update.vm)
         if update.paces:
             dispatch.send_deferrable(ObservePaces(tuple(update.paces.items())))
 
     def _greet(self, now_ms: float) -> None:
         expired = self._table.expire(now_ms)
+        self._state.permits.note_fleet()
         for peer in expired:
             self._incarnations.pop(peer, None)
             log_event("peer_lost", peer=peer, n_peers=len(self._table))
@@ -204,6 +261,7 @@
             settings.availability_zone,
             settings.processor.capacity,
             self._table.sample_heard(now_ms),
+            limits=self._list_limits(),
         )
 
     def _send_state_to_new_peer(self, address: str, now_ms: float) -> None:
@@ -271,6 +329,8 @@
         return "relayed" if message.reach else "news"
     if message.join:
         return "join"
+    if message.permit_request or message.permit_answer:
+        return "permit"
     return "confirmation" if message.confirmed else "greeting"
 
 
--- a/src/quetzaldeck/entry/peers/update_store.py
+++ b/src/quetzaldeck/entry/peers/update_store.py
@@ -60,18 +60,24 @@
                 continue
             stored[load.upstream] = _StoredLoad(update.sequence, load, now_ms)
             new_loads.append(load)
-        if update.crashes or update.paces:
+        if update.has_events:
             seen = self._seen_updates.setdefault(
                 update.vm, deque(maxlen=N_REMEMBERED_UPDATES)
             )
-            key = hash((update.sequence, update.crashes, tuple(update.paces.items())))
+            paces = tuple(update.paces.items())
+            key = hash((update.sequence, update.crashes, paces, update.limits))
             if key in seen:
                 return VmUpdate(update.vm, update.sequence, tuple(new_loads))
             seen.append(key)
         if len(new_loads) == len(update.loads):
             return update
         return VmUpdate(
-            update.vm, update.sequence, tuple(new_loads), update.crashes, update.paces
+            update.vm,
+            update.sequence,
+            tuple(new_loads),
+            update.crashes,
+            update.paces,
+            update.limits,
         )
 
     def list_current(self, now_ms: float) -> Iterator[VmUpdate]:
@@ -126,10 +132,15 @@
             queued = self._loads.get(key)
             if queued is None or queued[0] < update.sequence:
                 self._loads[key] = (update.sequence, load)
-        if update.crashes or update.paces:
-            crashes, paces = update.crashes, update.paces
+        if update.has_events:
             self._others.append(
-                VmUpdate(update.vm, update.sequence, crashes=crashes, paces=paces)
+                VmUpdate(
+                    update.vm,
+                    update.sequence,
+                    crashes=update.crashes,
+                    paces=update.paces,
+                    limits=update.limits,
+                )
             )
 
     def take(self) -> list[VmUpdate]:
@@ -154,7 +165,7 @@
 ) -> Iterator[tuple[VmUpdate, ...]]:
     """Split updates into parts that each fit into a datagram.
 
-    :param n_entries: maximum number of loads, crashes and paces in a part
+    :param n_entries: maximum number of loads, crashes, paces and limits in a part
     """
     part: list[VmUpdate] = []
     capacity = n_entries
@@ -173,11 +184,9 @@
 def _split_update(update: VmUpdate, n_entries: int) -> Iterator[VmUpdate]:
     """Split the update of one VM into pieces of at most ``n_entries`` of one kind."""
     paces = list(update.paces.items())
-    length = max(len(update.loads), len(update.crashes), len(paces))
-    if (
-        length <= n_entries
-        and len(update.loads) + len(update.crashes) + len(paces) <= n_entries
-    ):
+    kinds = (update.loads, update.crashes, paces, update.limits)
+    length = max(len(entries) for entries in kinds)
+    if _size(update) <= n_entries:
         yield update
         return
     for begin in range(0, length, n_entries):
@@ -186,13 +195,15 @@
             VmUpdate(update.vm, update.sequence, loads=update.loads[part]),
             VmUpdate(update.vm, update.sequence, crashes=update.crashes[part]),
             VmUpdate(update.vm, update.sequence, paces=dict(paces[part])),
+            VmUpdate(update.vm, update.sequence, limits=update.limits[part]),
         ):
             if _size(piece):
                 yield piece
 
 
 def _size(update: VmUpdate) -> int:
-    return len(update.loads) + len(update.crashes) + len(update.paces)
+    n_events = len(update.crashes) + len(update.paces) + len(update.limits)
+    return len(update.loads) + n_events
 
 
 __all__ = (
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -8,6 +8,7 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
+from quetzaldeck.entry.permits import Permits
 from quetzaldeck.entry.rate_limits import RateLimits
 from quetzaldeck.entry.upstream_pool import (
     build_bundle,
@@ -20,6 +21,7 @@
 from quetzaldeck.gateway.messages import ApplyBundle, Observe, ObserveIncarnations
 from quetzaldeck.gateway.release_task import Release, ReleaseTask
 from quetzaldeck.gateway.settings import ShutdownSettings
+from quetzaldeck.http import parse_listen_address
 
 if TYPE_CHECKING:
     from quetzaldeck.belief import FleetBelief
@@ -68,7 +70,9 @@
         self.belief = belief
         self.orders = orders
         self.group_bounds = group_bounds
-        self.rate_limits = RateLimits(clock, metrics.upstreams)
+        self.rate_limits = RateLimits(clock, dispatch, metrics.upstreams)
+        own_address = parse_listen_address(settings.listen.callers).host
+        self.permits = Permits(own_address, self.rate_limits, clock, metrics.upstreams)
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.random_state = random.Random(settings.random_state or None)
         self.in_flight = InFlightRequests()
@@ -129,7 +133,8 @@
         self.dispatch.send(ApplyBundle(build_bundle(self.belief, self._view)))
         self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
         self.dispatch.send(Observe((), list_leaving(self.belief)))
-        self.rate_limits.expire(self.belief.replicas)
+        self.rate_limits.apply_replicas(self.belief.replicas)
+        self.permits.expire(self.belief.replicas)
 
 
 def build_shutdown(bounds: EntryBounds) -> ShutdownSettings:
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -15,6 +15,7 @@
     JudgeSilence,
     NoteFirstToken,
     NoteReserved,
+    NoteSent,
     Observe,
     ObserveCache,
     ObserveCrashes,
@@ -22,6 +23,7 @@
     ObserveLoad,
     ObservePaces,
     ObservePeerLoad,
+    ObserveRateLimit,
     ObserveUsage,
     Submit,
     Withdraw,
@@ -171,7 +173,7 @@
             case EndAttempt():
                 self._end_attempt(message)
                 self._load_changed.set()
-            case NoteFirstToken() | NoteReserved() | JudgeSilence():
+            case NoteFirstToken() | NoteReserved() | NoteSent() | JudgeSilence():
                 self._note_progress(message)
             case Withdraw():
                 self._scheduler.withdraw(message.request_id)
@@ -183,13 +185,15 @@
                 self._observe(message)
             case ObserveIncarnations():
                 self._scheduler.fleet.observe_incarnations(message.incarnations)
-            case ObserveLoad() | ObservePeerLoad() | ObservePaces():
+            case (
+                ObserveLoad() | ObservePeerLoad() | ObservePaces() | ObserveRateLimit()
+            ):
                 self._observe_load(message)
             case ObserveCache() | ObserveCrashes() | ObserveUsage():
                 self._observe_update(message)
 
     def _note_progress(
-        self, message: NoteFirstToken | NoteReserved | JudgeSilence
+        self, message: NoteFirstToken | NoteReserved | NoteSent | JudgeSilence
     ) -> None:
         """Handle the progress of a running attempt."""
         match message:
@@ -198,6 +202,8 @@
                 self._load_changed.set()
             case NoteReserved():
                 self._scheduler.note_reserved(message.attempt_id)
+            case NoteSent():
+                self._scheduler.note_sent(message.attempt_id)
             case JudgeSilence():
                 verdict = self._scheduler.judge_silence(
                     message.attempt_id, message.silent_ms
@@ -205,9 +211,10 @@
                 _reply(message.reply, verdict)
 
     def _observe_load(
-        self, message: ObserveLoad | ObservePeerLoad | ObservePaces
+        self,
+        message: ObserveLoad | ObservePeerLoad | ObservePaces | ObserveRateLimit,
     ) -> None:
-        """Handle loads and paces reported by upstreams or other VMs."""
+        """Handle loads, paces and limits reported by upstreams or other VMs."""
         match message:
             case ObserveLoad():
                 self._scheduler.fleet.observe_load(message.report)
@@ -215,6 +222,10 @@
                 self._scheduler.fleet.observe_peer(message.vm, message.loads)
             case ObservePaces():
                 self._scheduler.fleet.observe_paces(message.paces)
+            case ObserveRateLimit():
+                self._scheduler.fleet.observe_rate_limit(
+                    message.upstream, message.requests_per_s
+                )
 
     def _observe_update(
         self, message: ObserveCache | ObserveCrashes | ObserveUsage
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -29,6 +29,12 @@
     attempt_id: str
 
 
+class NoteSent(NamedTuple):
+    """An attempt was sent after it had waited for its turn at an upstream."""
+
+    attempt_id: str
+
+
 class NoteReserved(NamedTuple):
     """An attempt was granted the reservation that its dispatch needs."""
 
@@ -89,6 +95,13 @@
     loads: tuple[tuple[str, VmLoad], ...]
 
 
+class ObserveRateLimit(NamedTuple):
+    """An upstream names a limit of requests a second; ``None``: it names none."""
+
+    upstream: str
+    requests_per_s: float | None
+
+
 class ObservePaces(NamedTuple):
     """Slowdown of some engines, as a multiple of their configured times."""
 
@@ -118,6 +131,7 @@
     Submit
     | NoteFirstToken
     | NoteReserved
+    | NoteSent
     | JudgeSilence
     | EndAttempt
     | Withdraw
@@ -125,6 +139,7 @@
     | Observe
     | ObserveLoad
     | ObservePaces
+    | ObserveRateLimit
     | ObserveIncarnations
     | ObservePeerLoad
     | ObserveCache
@@ -139,6 +154,7 @@
     "Message",
     "NoteFirstToken",
     "NoteReserved",
+    "NoteSent",
     "Observe",
     "ObserveCache",
     "ObserveCrashes",
@@ -146,6 +162,7 @@
     "ObserveLoad",
     "ObservePaces",
     "ObservePeerLoad",
+    "ObserveRateLimit",
     "ObserveUsage",
     "Submit",
     "Withdraw",
--- a/src/quetzaldeck/gateway/ticket.py
+++ b/src/quetzaldeck/gateway/ticket.py
@@ -12,6 +12,7 @@
     JudgeSilence,
     NoteFirstToken,
     NoteReserved,
+    NoteSent,
     Submit,
     Withdraw,
 )
@@ -81,6 +82,10 @@
         """Notify the scheduler that the attempt no longer waits for memory."""
         self._send(NoteReserved(attempt_id))
 
+    def note_sent(self, attempt_id: str) -> None:
+        """Notify the scheduler that the attempt no longer waits for its turn."""
+        self._send(NoteSent(attempt_id))
+
     async def judge_silence(self, attempt_id: str, silent_ms: float) -> SilenceVerdict:
         """:returns: whether to abandon a silent attempt, or why not"""
         loop = asyncio.get_running_loop()
--- a/src/quetzaldeck/outcomes/reason.py
+++ b/src/quetzaldeck/outcomes/reason.py
@@ -31,6 +31,7 @@
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
+    UPSTREAM_RATE_LIMITED = "upstream_rate_limited"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     POISON_SUSPECTED = "poison_suspected"
     SHUTTING_DOWN = "shutting_down"
@@ -137,6 +138,12 @@
     Reason.UPSTREAM_SILENT: ReasonInfo(
         504, _UPSTREAM, "the upstream stopped responding", DEFAULT_RETRY_AFTER_MS
     ),
+    Reason.UPSTREAM_RATE_LIMITED: ReasonInfo(
+        503,
+        _CAPACITY,
+        "the upstreams take no more requests in the time left",
+        DEFAULT_RETRY_AFTER_MS,
+    ),
     Reason.RETRY_BUDGET_SPENT: ReasonInfo(
         503,
         _UPSTREAM,
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -93,6 +93,18 @@
             ["upstream"],
             registry=registry,
         )
+        self.permits = Counter(
+            "quetzaldeck_permits",
+            "Permits for requests to upstreams that name a limit, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+        self.permits_issued = Counter(
+            "quetzaldeck_permits_issued",
+            "Permits that this VM has issued to all VMs",
+            ["upstream"],
+            registry=registry,
+        )
 
 
 __all__ = ("UpstreamMetrics",)
