--- a/tests/entry/test_rate_limits.py
+++ b/tests/entry/test_rate_limits.py
@@ -8,8 +8,8 @@
 
 import aiohttp
 from tests.support.platform.fleet import run_fleet
-from tests.support.platform.rate_limit_check import Arrival, Naming, ReplicaRecord
-from tests.support.platform.replica import StandInReplica, event
+from tests.support.platform.rate_limit_check import Naming, Received, ReplicaRecord
+from tests.support.platform.replica import Arrival, Connection, StandInReplica, event
 from tests.support.platform.site import (
     BOOK_PATH,
     DESK,
@@ -21,7 +21,6 @@
 )
 
 if TYPE_CHECKING:
-    from tests.support.platform import replica as stand_in
     from tests.support.platform.fleet import EntryFleet
 
 BEGIN_S = 0.5
@@ -38,12 +37,10 @@
         self.server = StandInReplica(name, self._handle)
         self.record = ReplicaRecord()
 
-    async def _handle(
-        self, arrival: stand_in.Arrival, connection: stand_in.Connection
-    ) -> None:
+    async def _handle(self, arrival: Arrival, connection: Connection) -> None:
         loop = asyncio.get_running_loop()
         vm = arrival.call_id.partition("/")[0]
-        self.record.arrivals.append(Arrival(loop.time() * 1_000, vm))
+        self.record.received.append(Received(loop.time() * 1_000, vm))
         await asyncio.sleep(ANSWER_MS / 1_000)
         rate = self.server.rate_limit
         self.record.namings.append(Naming(loop.time() * 1_000, vm, rate))
@@ -132,7 +129,7 @@
             assert list(engine.record.find_excess()) == []
         assert set(traffic.statuses) == {200}
         for engine in engines[:2]:
-            assert engine.record.arrivals[-1].at_ms - engine.record.namings[0].at_ms > (
+            assert engine.record.received[-1].at_ms - engine.record.namings[0].at_ms > (
                 3_000
             ), "a limited replica still gets what it takes"
 
--- a/tests/soak/entry/callers.py
+++ b/tests/soak/entry/callers.py
@@ -87,7 +87,7 @@
         known = [*world.keys, *world.history.revoked_ms]
         key = random_state.choice(known)
         self._n_calls += 1
-        call_id = f"c{self._n_calls}"
+        call_id = f"{vm.name}/c{self._n_calls}"
         deadline_ms = DEADLINES_MS[kind]
         n_prompt_tokens = (
             500_000 if random_state.random() < LONG_PROMPT_PROBABILITY else 3_000
--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -114,6 +114,17 @@
             )
 
 
+@register
+def rate_limits(history: History) -> Iterator[str]:
+    """VMs together send a replica no more requests than it names.
+
+    A VM that restarted or froze is excused; an outage of the store excuses none.
+    """
+    for replica, record in history.rate_limits.items():
+        for excess in record.find_excess(history.is_disturbed):
+            yield f"{replica}: {excess}"
+
+
 @register
 def processes_stop(history: History) -> Iterator[str]:
     """A VM that receives SIGTERM ends within its grace period."""
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -208,6 +208,27 @@
     replica.set_pace(1.0)
 
 
+@register
+async def limit_replicas(world: SoakWorld, random_state: random.Random) -> None:
+    """Replicas name a rate limit, change it, and name none any more.
+
+    One replica of each service stays without a limit.
+    """
+    not_leaving = [r for r in world.replicas if r not in world.history.leaving_ms]
+    limited = []
+    for service in sorted(set(world.services.values())):
+        names = [r for r in not_leaving if world.services[r] == service]
+        n_limited = random_state.randint(0, max(0, len(names) - 1))
+        limited += random_state.sample(names, n_limited)
+    for _ in range(2):
+        for name in limited:
+            rate = random_state.choice([0.0, 0.4, 1.0, 3.0, 8.0])
+            world.replicas[name].server.rate_limit = rate
+        await asyncio.sleep(random_state.uniform(3.0, 5.0))
+    for name in limited:
+        world.replicas[name].server.rate_limit = None
+
+
 @register
 async def replace_replica(world: SoakWorld, random_state: random.Random) -> None:
     """A replica is replaced: marked as draining, it serves for a while, then goes."""
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import time
+from collections import defaultdict
 from enum import StrEnum
 from typing import NamedTuple
 
+from tests.support.platform.rate_limit_check import ReplicaRecord
+
+VM_FAULTS = ("kill_vm", "kill_all", "stop_vm", "freeze_vm")
+"""Faults that restart or freeze VMs."""
+
 
 class RequestKind(StrEnum):
     """Kinds of request: a stream, a call that must not run twice, and a look-up."""
@@ -56,7 +62,8 @@
     """Everything that the checks read.
 
     ``revoked_ms`` has the time of revocation by API key, ``leaving_ms`` the time at
-    which a replica was marked as leaving, by replica.
+    which a replica was marked as leaving, by replica, and ``rate_limits`` what each
+    replica received and named.
     """
 
     def __init__(self) -> None:
@@ -66,6 +73,17 @@
         self.stop_failures: list[str] = []
         self.revoked_ms: dict[str, float] = {}
         self.leaving_ms: dict[str, float] = {}
+        self.rate_limits: defaultdict[str, ReplicaRecord] = defaultdict(ReplicaRecord)
+
+    def is_disturbed(self, vm: str, begin_ms: float, end_ms: float) -> bool:
+        """:returns: whether a VM restarted or froze in a time span"""
+        return any(
+            item.name in VM_FAULTS
+            and item.target in (vm, "")
+            and item.begin_ms < end_ms
+            and item.end_ms > begin_ms
+            for item in self.fault_intervals
+        )
 
     def is_affected(self, target: str, begin_ms: float, end_ms: float) -> bool:
         """:returns: whether a fault affected a VM, or all VMs, in a time span"""
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from tests.soak.entry.history import Execution, now_ms
-from tests.support.platform.replica import StandInReplica, build_head, event
+from tests.support.platform.rate_limit_check import Naming, Received
+from tests.support.platform.replica import StandInReplica, event
 
 if TYPE_CHECKING:
     import random
@@ -40,6 +41,7 @@
         self._pace = 1.0
         self.reserved_until_ms: dict[str, float] = {}
         self._history = history
+        self._record = history.rate_limits[replica_id]
         self._random_state = random_state
 
     @property
@@ -67,11 +69,12 @@
         if arrival.target == "/order":
             await self._handle_order(arrival, connection)
             return
-        is_other = arrival.headers["quetzaldeck-expect-instance"] != self.replica_id
-        if is_other or self._draw(self.p_refused):
-            await connection.answer_not_executed(
-                arrival, status=421 if is_other else 503
-            )
+        if arrival.headers["quetzaldeck-expect-instance"] != self.replica_id:
+            await connection.answer_not_executed(arrival, status=421)
+            return
+        self._record.received.append(Received(now_ms(), read_vm(arrival.call_id)))
+        if self._draw(self.p_refused):
+            await connection.answer_not_executed(arrival)
             return
         after = arrival.headers.get("last-event-id", "")
         owner = arrival.headers.get("quetzaldeck-tenant", "")
@@ -89,7 +92,9 @@
     async def _answer(self, arrival: Arrival, connection: Connection) -> None:
         await asyncio.sleep(self._pace * RUN_MS / 1_000)
         body = arrival.call_id.encode()
-        head = build_head(arrival, 200, f"Content-Length: {len(body)}", SEAL_FIELD)
+        length = f"Content-Length: {len(body)}"
+        self._note_naming(arrival)
+        head = connection.build_head(arrival, 200, length, SEAL_FIELD)
         await connection.send(head + body)
         if self._draw(self.p_response_repeated):
             await connection.send(head + body)
@@ -97,6 +102,7 @@
     async def _stream(
         self, arrival: Arrival, connection: Connection, first: int
     ) -> None:
+        self._note_naming(arrival)
         await connection.begin_stream(arrival)
         for number in range(first + 1, N_EVENTS + 1):
             await asyncio.sleep(self._pace * EVENT_INTERVAL_MS / 1_000)
@@ -111,10 +117,19 @@
             self.reserved_until_ms.pop(order["id"], None)
         await connection.answer(arrival, body=b'{"free":1}')
 
+    def _note_naming(self, arrival: Arrival) -> None:
+        naming = Naming(now_ms(), read_vm(arrival.call_id), self.server.rate_limit)
+        self._record.namings.append(naming)
+
     def _draw(self, probability: float) -> bool:
         return self._random_state.random() < probability
 
 
+def read_vm(call_id: str) -> str:
+    """:returns: name of the VM that a call was sent to"""
+    return call_id.partition("/")[0]
+
+
 def build_complete_stream(call_id: str) -> bytes:
     """:returns: body of a complete stream, as its caller must receive it"""
     numbers = range(1, N_EVENTS + 1)
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -26,6 +26,9 @@
 NEWER_FAULTS = frozenset({"mute_replica", "slow_engine"})
 """Faults added later; drawing from them would change the plans of ``SEEDS``."""
 
+NEWEST_FAULTS = frozenset({"limit_replicas"})
+"""Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
+
 NEWER_SEEDS = {720: "first seed with replicas that do not answer and slow engines"}
 
 PLANS = {
@@ -51,7 +54,7 @@
     Three VMs run as real processes. Kills, stops, pauses, cut and silent connections,
     outages of the store, loss of its history and configuration changes overlap.
     """
-    names = tuple(FAULTS.keys() - NEWER_FAULTS)
+    names = tuple(FAULTS.keys() - NEWER_FAULTS - NEWEST_FAULTS)
     plan = plan_faults(random.Random(seed), DURATION_S, names)
     result = uvloop.run(run_soak(seed, duration_s=DURATION_S, plan=plan))
     assert result.findings == ()
@@ -61,12 +64,28 @@
 @pytest.mark.parametrize("seed", NEWER_SEEDS)
 def test_invariants_hold_with_mute_replicas_and_slow_engines(seed: int) -> None:
     """As above, with replicas that never answer and engines that slow down."""
-    result = uvloop.run(run_soak(seed, duration_s=DURATION_S))
+    names = tuple(FAULTS.keys() - NEWEST_FAULTS)
+    plan = plan_faults(random.Random(seed), DURATION_S, names)
+    result = uvloop.run(run_soak(seed, duration_s=DURATION_S, plan=plan))
     assert set(result.faults) & NEWER_FAULTS
     assert result.findings == ()
     assert result.n_calls > 200
 
 
+def test_rate_limits_hold_while_vms_restart_and_freeze() -> None:
+    """Replicas get no more than they name though the VMs that issue permits change."""
+    plan = (
+        PlannedFault(0.2, "limit_replicas", 5),
+        PlannedFault(2.0, "kill_vm", 1),
+        PlannedFault(3.5, "freeze_vm", 2),
+        PlannedFault(4.5, "limit_replicas", 6),
+        PlannedFault(6.0, "stop_vm", 3),
+    )
+    result = uvloop.run(run_soak(1, duration_s=10.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
 @pytest.mark.parametrize("name", PLANS)
 def test_invariants_hold_when_faults_overlap(name: str) -> None:
     """Overlapping faults restart a VM twice, or start it while the store is down."""
--- a/tests/support/platform/rate_limit_check.py
+++ b/tests/support/platform/rate_limit_check.py
@@ -20,8 +20,8 @@
 N_EXTRA = 5
 
 
-class Arrival(NamedTuple):
-    """A request that reached a replica.
+class Received(NamedTuple):
+    """A request that a replica received.
 
     :param vm: VM that sent it
     """
@@ -46,7 +46,7 @@
     """What one incarnation of a replica got and what it named, in order of time."""
 
     def __init__(self) -> None:
-        self.arrivals: list[Arrival] = []
+        self.received: list[Received] = []
         self.namings: list[Naming] = []
 
     def find_excess(
@@ -61,7 +61,7 @@
             told_ms = self._list_told(begin_ms, end_ms)
             counted = [
                 arrival
-                for arrival in self.arrivals
+                for arrival in self.received
                 if begin_ms <= arrival.at_ms <= end_ms
                 and arrival.at_ms >= told_ms[arrival.vm] + TOLD_MS
             ]
@@ -127,4 +127,4 @@
         return allowed
 
 
-__all__ = ("Arrival", "Naming", "ReplicaRecord")
+__all__ = ("Naming", "Received", "ReplicaRecord")
