Bound how many limited upstreams a request asks for a permit

With many limited upstreams a request asked one after the other, a round trip each, and failed after twenty refusals although others had no limit. After two it goes to an upstream without a limit or, if all limit their rate, queues for its turn at one of them. A permit whose answer was read late (a VM that was paused meanwhile) is not used; a VM issues none before its first greeting; a greeting lists limits at random if there are too many for one datagram.

Tests: the two new ones in tests/decisions/rate_limits/test_scheduler.py failed before.

--- a/src/quetzaldeck/decisions/attempt_starter.py
+++ b/src/quetzaldeck/decisions/attempt_starter.py
@@ -6,6 +6,7 @@
 
 from quetzaldeck.decisions.decision import Dispatch
 from quetzaldeck.decisions.expiry import mark_expiry
+from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS
 
 if TYPE_CHECKING:
     from quetzaldeck.clock import Clock
@@ -60,7 +61,9 @@
         helpers = self._placer.list_helpers(attempt_id)
         rank = self._head_of_line.rank(request, upstreams[-1])
         backlog_ms = self._table.max_prefill_backlog_ms((*upstreams, *helpers), now_ms)
-        max_permit_wait_ms = self._reserve_turns(upstreams, latest_turn_ms, now_ms)
+        has_to_wait = self._reserve_turns(upstreams, now_ms)
+        has_to_wait |= tracked.history.n_rate_limited >= MAX_OPTIONAL_PERMITS
+        max_permit_wait_ms = latest_turn_ms - now_ms if has_to_wait else 0.0
         self._tracked.update(
             tracked._replace(
                 history=tracked.history._replace(n_dispatched=n_attempt),
@@ -84,19 +87,17 @@
             max_permit_wait_ms,
         )
 
-    def _reserve_turns(
-        self, upstreams: tuple[str, ...], latest_turn_ms: float, now_ms: float
-    ) -> float:
+    def _reserve_turns(self, upstreams: tuple[str, ...], now_ms: float) -> bool:
         """Note the attempt at upstreams that limit their rate.
 
-        :returns: how long it can wait for its turn; 0 if they should take it now
+        :returns: whether it is expected to wait for its turn
         """
         states = [self._table.get(name) for name in upstreams]
         pacings = [state.pacing for state in states if state is not None]
         has_to_wait = any(pacing.is_blocked(now_ms) for pacing in pacings)
         for pacing in pacings:
             pacing.note_dispatch(now_ms)
-        return max(0.0, latest_turn_ms - now_ms) if has_to_wait else 0.0
+        return has_to_wait
 
 
 __all__ = ("AttemptStarter",)
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -180,13 +180,20 @@
         avoided: Sequence[str],
         now_ms: float,
         latest_turn_ms: float = math.inf,
+        *,
+        prefers_unlimited: bool = False,
     ) -> tuple[str, ...] | None:
         """Place a request.
 
         :param latest_turn_ms: latest time at which the request may get its turn
+        :param prefers_unlimited: whether upstreams that limit their rate are left out
+            as long as there are others
         :returns: the upstreams for the request; ``None`` if it has to wait
         """
-        placement = self._find_placement(request, avoided, now_ms)
+        pool = self._table.list_serving(request)
+        if prefers_unlimited:
+            pool = [state for state in pool if not state.pacing.is_limited] or pool
+        placement = self._find_placement(request, pool, avoided, now_ms)
         if placement is None:
             placement = self._find_next_turn(request, latest_turn_ms, now_ms)
         if placement is None:
@@ -259,9 +266,12 @@
                 self._n_double_releases += 1
 
     def _find_placement(
-        self, request: Request, avoided: Sequence[str], now_ms: float
+        self,
+        request: Request,
+        pool: Sequence[UpstreamState],
+        avoided: Sequence[str],
+        now_ms: float,
     ) -> Placement | None:
-        pool = self._table.list_serving(request)
         if request.service:
             return self._place_single(request, pool, avoided, now_ms)
         if self._suspects.is_suspect(request, now_ms):
--- a/src/quetzaldeck/decisions/rate_limits/__init__.py
+++ b/src/quetzaldeck/decisions/rate_limits/__init__.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from quetzaldeck.decisions.rate_limits.bounds import latest_turn_ms
+from quetzaldeck.decisions.rate_limits.bounds import (
+    MAX_OPTIONAL_PERMITS,
+    latest_turn_ms,
+)
 from quetzaldeck.decisions.rate_limits.pacing import Pacing
 from quetzaldeck.decisions.rate_limits.permit_issuer import PermitIssuer, rank_issuers
 from quetzaldeck.decisions.rate_limits.registry import RateLimitRegistry
@@ -10,6 +13,7 @@
 from quetzaldeck.decisions.rate_limits.statement import RateLimitStatement
 
 __all__ = (
+    "MAX_OPTIONAL_PERMITS",
     "Pacing",
     "Permit",
     "PermitIssuer",
--- a/src/quetzaldeck/decisions/rate_limits/bounds.py
+++ b/src/quetzaldeck/decisions/rate_limits/bounds.py
@@ -20,6 +20,11 @@
 its turn when hardly any time is left for the answer."""
 
 
+MAX_OPTIONAL_PERMITS = 2
+"""Refused permits after which a request goes to an upstream without a limit or, if all
+limit their rate, queues for its turn. Each refusal costs a round trip to another VM."""
+
+
 def latest_turn_ms(latest_start_ms: float, now_ms: float) -> float:
     """:returns: latest time at which a request may get its turn at a limited upstream
 
@@ -28,4 +33,9 @@
     return now_ms + MAX_TURN_WAIT_SHARE * max(0.0, latest_start_ms - now_ms)
 
 
-__all__ = ("MIN_REQUESTS_PER_S", "interval_ms", "latest_turn_ms")
+__all__ = (
+    "MAX_OPTIONAL_PERMITS",
+    "MIN_REQUESTS_PER_S",
+    "interval_ms",
+    "latest_turn_ms",
+)
--- a/src/quetzaldeck/decisions/retries/history.py
+++ b/src/quetzaldeck/decisions/retries/history.py
@@ -18,6 +18,7 @@
     :param n_maybe_run: failed attempts that an upstream may have started to run
     :param n_not_run: failed attempts that no upstream started to run
     :param n_no_room: reservations refused for lack of capacity
+    :param n_rate_limited: refused permits for upstreams that limit their rate
     :param avoided: upstreams on which the request failed, oldest first
     :param may_have_run: whether any upstream may have started to run the request
     :param has_output: whether any upstream generated a part of the answer
@@ -27,6 +28,7 @@
     n_maybe_run: int = 0
     n_not_run: int = 0
     n_no_room: int = 0
+    n_rate_limited: int = 0
     avoided: tuple[str, ...] = ()
     may_have_run: bool = False
     has_output: bool = False
@@ -47,8 +49,10 @@
         """
         if end.fault is AttemptFault.NO_ROOM:
             return self._replace(n_no_room=self.n_no_room + 1)
+        if end.fault is AttemptFault.RATE_LIMITED:
+            return self._replace(n_rate_limited=self.n_rate_limited + 1)
         failed = (end.upstream,) if end.upstream else upstreams
-        if end.fault in (AttemptFault.TOO_LONG, AttemptFault.RATE_LIMITED):
+        if end.fault is AttemptFault.TOO_LONG:
             failed = ()
         return self._replace(
             n_maybe_run=self.n_maybe_run + end.may_have_run,
--- a/src/quetzaldeck/decisions/retries/policy.py
+++ b/src/quetzaldeck/decisions/retries/policy.py
@@ -104,7 +104,7 @@
             return failure
         if (
             history.n_maybe_run >= self._max_attempts(request)
-            or history.n_not_run >= MAX_NOT_RUN_ATTEMPTS
+            or history.n_not_run + history.n_rate_limited >= MAX_NOT_RUN_ATTEMPTS
         ):
             return failure
         due_ms = now_ms + self._delay(end, history)
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -17,7 +17,7 @@
 from quetzaldeck.decisions.limits import CustomerLimiter
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.poison import PoisonRegistry
-from quetzaldeck.decisions.rate_limits import latest_turn_ms
+from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
 from quetzaldeck.decisions.retries import RetryPolicy
 from quetzaldeck.decisions.retries.silence import SilencePolicy, SilenceVerdict
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
@@ -321,10 +321,15 @@
         return Rejection(request, failure._replace(ran=ran))
 
     def _place(self, request: Request) -> tuple[str, ...] | None:
-        avoided = self._tracked[request.request_id].history.avoided
+        history = self._tracked[request.request_id].history
         now_ms = self._clock.now_ms()
-        latest_ms = self._latest_turn_ms(request, now_ms)
-        return self._placer.place(request, avoided, now_ms, latest_ms)
+        return self._placer.place(
+            request,
+            history.avoided,
+            now_ms,
+            self._latest_turn_ms(request, now_ms),
+            prefers_unlimited=history.n_rate_limited >= MAX_OPTIONAL_PERMITS,
+        )
 
     def _latest_turn_ms(self, request: Request, now_ms: float) -> float:
         if not self._upstreams.has_rate_limits:
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -179,17 +179,21 @@
         self._send_outgoing()
 
     def _list_limits(self, upstream: str = "") -> tuple[LimitUpdate, ...]:
-        """:returns: what upstreams said of their limits, as far as one message holds
+        """:returns: what upstreams said of their limits, at random if too many for one
+            message
 
         :param upstream: the only one to list; ``""``: all
         """
         uptime_ms = self._state.clock.uptime_ms()
         statements = self._state.rate_limits.list_statements()
+        if upstream:
+            statements = [s for s in statements if s.upstream == upstream]
+        if len(statements) > MAX_ENTRIES_PER_DATAGRAM:
+            random_state = self._state.random_state
+            statements = random_state.sample(statements, MAX_ENTRIES_PER_DATAGRAM)
         return tuple(
-            build_limit_update(statement, uptime_ms)
-            for statement in statements
-            if upstream in ("", statement.upstream)
-        )[:MAX_ENTRIES_PER_DATAGRAM]
+            build_limit_update(statement, uptime_ms) for statement in statements
+        )
 
     def error_received(self, exc: Exception) -> None:
         """Log that a VM is not listening; it may come back, otherwise it expires."""
--- a/src/quetzaldeck/entry/permits.py
+++ b/src/quetzaldeck/entry/permits.py
@@ -70,6 +70,7 @@
         """
         self._table = table
         self._send = send
+        self.note_fleet()
 
     def note_fleet(self) -> None:
         """Record whether this VM knows any of the others that it should know."""
@@ -94,16 +95,18 @@
         statement = self._limits.find(upstream)
         if statement is None:
             return False
+        asked_ms = self._clock.uptime_ms()
         permit = await self._obtain(statement, max_wait_ms)
-        turn_ms = self._clock.uptime_ms() + permit.wait_ms
-        if permit.is_granted and permit.wait_ms:
-            await asyncio.sleep(permit.wait_ms / MS_PER_SECOND)
-        is_late = self._clock.uptime_ms() - turn_ms > MAX_LATENESS_MS
-        is_granted = permit.is_granted and not is_late
-        outcome = "late" if is_late else "granted" if is_granted else "refused"
-        self._metrics.permits.labels(outcome).inc()
-        if not is_granted:
+        if not permit.is_granted:
+            self._metrics.permits.labels("refused").inc()
             raise _refused(upstream, permit.wait_ms)
+        if permit.wait_ms:
+            await asyncio.sleep(permit.wait_ms / MS_PER_SECOND)
+        late_ms = self._clock.uptime_ms() - asked_ms - permit.wait_ms
+        if late_ms > MAX_LATENESS_MS:
+            self._metrics.permits.labels("late").inc()
+            raise _refused(upstream, 0.0)
+        self._metrics.permits.labels("granted").inc()
         return permit.wait_ms > 0
 
     def issue(self, statement: RateLimitStatement, max_wait_ms: float) -> Permit | None:
--- a/tests/decisions/rate_limits/test_scheduler.py
+++ b/tests/decisions/rate_limits/test_scheduler.py
@@ -11,6 +11,7 @@
 from tests.support.builders import make_entry_scheduler, make_request, poll_dispatch
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
+from quetzaldeck.decisions.peer_load import VmLoad
 from quetzaldeck.outcomes import Failure, Ran, Reason
 
 if TYPE_CHECKING:
@@ -175,3 +176,36 @@
     state = scheduler.upstreams.get(dispatch.upstreams[-1])
     assert state is not None
     assert not state.outcomes_at(clock.now_ms()).n_failed
+
+
+def test_request_does_not_try_one_limited_engine_after_the_other(
+    clock: ManualClock,
+) -> None:
+    """Each refused permit costs a round trip; twenty of them failed the request."""
+    scheduler = make_entry_scheduler(clock, NAMES)
+    limit(scheduler, NAMES[:5], 1.0)
+    for name in NAMES[5:]:
+        scheduler.fleet.observe_peer("other", [(name, VmLoad(3, 9_000, 20_000))])
+    dispatch = submit(scheduler, clock)
+    for _ in range(2):
+        assert isinstance(dispatch, Dispatch)
+        upstream = dispatch.upstreams[-1]
+        assert upstream in NAMES[:5]
+        assert refuse_permit(scheduler, dispatch, upstream, 500.0) is None
+        dispatch = poll_dispatch(scheduler)
+    assert isinstance(dispatch, Dispatch)
+    assert dispatch.upstreams == NAMES[5:]
+
+
+def test_request_queues_for_its_turn_after_two_refusals(clock: ManualClock) -> None:
+    scheduler = make_entry_scheduler(clock, NAMES)
+    limit(scheduler, NAMES, 1.0)
+    dispatch = submit(scheduler, clock)
+    for _ in range(2):
+        assert isinstance(dispatch, Dispatch)
+        assert dispatch.max_permit_wait_ms == 0
+        upstream = dispatch.upstreams[-1]
+        assert refuse_permit(scheduler, dispatch, upstream, 500.0) is None
+        dispatch = poll_dispatch(scheduler)
+    assert isinstance(dispatch, Dispatch)
+    assert dispatch.max_permit_wait_ms > 0
