Let prompts that one engine can hold queue for their turn as well

A long prompt that is usually read by several engines got no turn when all engines limited their rate, and waited in the queue until it expired, although one engine could hold it. Also: an attempt whose limit had ended meanwhile was noted as sent in the future; an update of another VM with a negative age could block later ones; a greeting lists at most eight limits, so that it stays one packet; the check of waiting requests stops at the first upstream without a limit.

--- a/src/quetzaldeck/decisions/attempt_starter.py
+++ b/src/quetzaldeck/decisions/attempt_starter.py
@@ -45,8 +45,8 @@
         self,
         request: Request,
         upstreams: tuple[str, ...],
-        latest_turn_ms: float,
         now_ms: float,
+        latest_turn_ms: float,
     ) -> Dispatch:
         """Start the next attempt of a request on the upstreams the placer just chose.
 
@@ -61,8 +61,8 @@
         helpers = self._placer.list_helpers(attempt_id)
         rank = self._head_of_line.rank(request, upstreams[-1])
         backlog_ms = self._table.max_prefill_backlog_ms((*upstreams, *helpers), now_ms)
-        has_to_wait = self._reserve_turns(upstreams, now_ms)
-        has_to_wait |= tracked.history.n_rate_limited >= MAX_OPTIONAL_PERMITS
+        queues = tracked.history.n_rate_limited >= MAX_OPTIONAL_PERMITS
+        has_to_wait = self._reserve_turns(upstreams, now_ms, queues=queues)
         max_permit_wait_ms = latest_turn_ms - now_ms if has_to_wait else 0.0
         self._tracked.update(
             tracked._replace(
@@ -87,17 +87,24 @@
             max_permit_wait_ms,
         )
 
-    def _reserve_turns(self, upstreams: tuple[str, ...], now_ms: float) -> bool:
-        """Note the attempt at upstreams that limit their rate.
+    def _reserve_turns(
+        self, upstreams: tuple[str, ...], now_ms: float, *, queues: bool
+    ) -> bool:
+        """Note the attempt at those upstreams that limit their rate.
 
-        :returns: whether it is expected to wait for its turn
+        :param queues: whether the request waits for its turn wherever it has to
+        :returns: whether it may have to wait
         """
         states = [self._table.get(name) for name in upstreams]
-        pacings = [state.pacing for state in states if state is not None]
-        has_to_wait = any(pacing.is_blocked(now_ms) for pacing in pacings)
-        for pacing in pacings:
+        limited = [
+            state.pacing
+            for state in states
+            if state is not None and state.pacing.is_limited
+        ]
+        is_blocked = any(pacing.is_blocked(now_ms) for pacing in limited)
+        for pacing in limited:
             pacing.note_dispatch(now_ms)
-        return has_to_wait
+        return is_blocked or (queues and bool(limited))
 
 
 __all__ = ("AttemptStarter",)
--- a/src/quetzaldeck/decisions/failed_attempts.py
+++ b/src/quetzaldeck/decisions/failed_attempts.py
@@ -66,7 +66,7 @@
         if failure is None:
             latest_start_ms = self._admission.latest_start_ms(request)
             failure = self._placer.check_rate_limits(
-                request, latest_turn_ms(latest_start_ms, now_ms), now_ms
+                request, now_ms, latest_turn_ms(latest_start_ms, now_ms)
             )
         if failure is not None:
             self._tracked.forget(request.request_id, now_ms)
--- a/src/quetzaldeck/decisions/placement/candidates.py
+++ b/src/quetzaldeck/decisions/placement/candidates.py
@@ -109,8 +109,8 @@
         self,
         request: Request,
         pool: Sequence[UpstreamState],
-        latest_turn_ms: float,
         now_ms: float,
+        latest_turn_ms: float,
     ) -> UpstreamState | None:
         """Find the upstream whose rate limit allows a request soonest.
 
@@ -144,6 +144,12 @@
 
     :returns: ``None`` if one of the usable upstreams has no limit
     """
+    is_unlimited_known = any(
+        not (state.pacing.is_limited or state.is_leaving or state.health.is_ejected)
+        for state in pool
+    )
+    if is_unlimited_known:
+        return None
     usable = [state for state in list_usable(pool) if not state.is_leaving]
     if not all(state.pacing.is_limited for state in usable):
         return None
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -101,7 +101,7 @@
         return self.check_poison(request, now_ms)
 
     def check_rate_limits(
-        self, request: Request, latest_turn_ms: float, now_ms: float
+        self, request: Request, now_ms: float, latest_turn_ms: float
     ) -> Failure | None:
         """Refuse a request that no upstream takes in time, as all limit their rate.
 
@@ -162,7 +162,7 @@
             return True
         if self._list_allowed(request, pool, (), now_ms):
             return True
-        return self._find_next_turn(request, latest_turn_ms, now_ms) is not None
+        return self._find_next_turn(request, now_ms, latest_turn_ms) is not None
 
     def has_alternative(self, request: Request, avoided: Sequence[str]) -> bool:
         """:returns: whether another upstream could run a request, now or later
@@ -195,7 +195,7 @@
             pool = [state for state in pool if not state.pacing.is_limited] or pool
         placement = self._find_placement(request, pool, avoided, now_ms)
         if placement is None:
-            placement = self._find_next_turn(request, latest_turn_ms, now_ms)
+            placement = self._find_next_turn(request, now_ms, latest_turn_ms)
         if placement is None:
             return None
         self._unreserved[request.request_id] = placement
@@ -291,21 +291,19 @@
         return self._place_single(request, pool, avoided, now_ms)
 
     def _find_next_turn(
-        self, request: Request, latest_turn_ms: float, now_ms: float
+        self, request: Request, now_ms: float, latest_turn_ms: float
     ) -> Placement | None:
         """:returns: the upstream whose rate limit allows the request soonest, if any
 
-        Prompts that need several engines wait until their permits are free, since they
-        would need turns at the same time.
+        A prompt that no single engine can hold waits until enough engines take one: it
+        would need turns at all of them at the same time.
         """
         if not self._table.has_rate_limits:
             return None
         pool = self._table.list_serving(request)
-        if self._plans.is_needed(request, pool):
-            return None
         if self._suspects.is_suspect(request, now_ms):
             return None
-        state = self._candidates.find_next_turn(request, pool, latest_turn_ms, now_ms)
+        state = self._candidates.find_next_turn(request, pool, now_ms, latest_turn_ms)
         return None if state is None else Placement((state.spec.name,))
 
     def _place_group(
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -216,7 +216,7 @@
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
             latest_ms = self._latest_turn_ms(request, now_ms)
-            decisions.append(self._starter.start(request, upstreams, latest_ms, now_ms))
+            decisions.append(self._starter.start(request, upstreams, now_ms, latest_ms))
         return decisions
 
     def note_first_token(self, attempt_id: str) -> None:
@@ -285,7 +285,7 @@
             return Failure(Reason.DEADLINE_EXCEEDED)
         refusal = self._placer.check(request, now_ms)
         latest_ms = self._latest_turn_ms(request, now_ms)
-        refusal = refusal or self._placer.check_rate_limits(request, latest_ms, now_ms)
+        refusal = refusal or self._placer.check_rate_limits(request, now_ms, latest_ms)
         refusal = refusal or self._limits.check(request, now_ms)
         if refusal is not None:
             return refusal
@@ -311,7 +311,7 @@
             return
         for request in tuple(self._waiting):
             latest_ms = self._latest_turn_ms(request, now_ms)
-            failure = self._placer.check_rate_limits(request, latest_ms, now_ms)
+            failure = self._placer.check_rate_limits(request, now_ms, latest_ms)
             if failure is not None:
                 yield self._reject(request, failure)
 
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -80,8 +80,9 @@
         """
         max_wait_ms = dispatch.max_permit_wait_ms
         for name in dispatch.upstreams:
-            if await self._state.permits.acquire(name, max_wait_ms):
-                self._ticket.note_sent(dispatch.attempt_id)
+            await self._state.permits.acquire(name, max_wait_ms)
+        if max_wait_ms:
+            self._ticket.note_sent(dispatch.attempt_id)
 
     @asynccontextmanager
     async def open(
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -220,11 +220,9 @@
 
     :param now_ms: uptime of this VM
     """
+    heard_ms = now_ms - max(0.0, update.age_ms)
     return RateLimitStatement(
-        update.upstream,
-        update.incarnation,
-        update.requests_per_s,
-        now_ms - update.age_ms,
+        update.upstream, update.incarnation, update.requests_per_s, heard_ms
     )
 
 
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -20,7 +20,7 @@
     read_limit_update,
     read_load_update,
 )
-from quetzaldeck.entry.peers.node import MAX_ENTRIES_PER_DATAGRAM, PeerNode
+from quetzaldeck.entry.peers.node import PeerNode
 from quetzaldeck.gateway.messages import (
     ObserveCrashes,
     ObservePaces,
@@ -50,6 +50,9 @@
 N_GREETED_STABLE = 2
 """The same number in a stable fleet; see ``PeerTable``."""
 
+MAX_LISTED_LIMITS = 8
+"""Rate limits in one greeting, so that it fits into one packet with the addresses."""
+
 UNDECODABLE_LOG_INTERVAL_MS = 10_000.0
 """Minimum time between two log lines about undecodable datagrams of one peer."""
 MAX_UNDECODABLE_PEERS = 256
@@ -179,18 +182,18 @@
         self._send_outgoing()
 
     def _list_limits(self, upstream: str = "") -> tuple[LimitUpdate, ...]:
-        """:returns: what upstreams said of their limits, at random if too many for one
-            message
+        """List what upstreams said of their limits.
 
-        :param upstream: the only one to list; ``""``: all
+        :param upstream: the only one to list; ``""``: all, a random choice if there are
+            too many for a message
         """
         uptime_ms = self._state.clock.uptime_ms()
         statements = self._state.rate_limits.list_statements()
         if upstream:
             statements = [s for s in statements if s.upstream == upstream]
-        if len(statements) > MAX_ENTRIES_PER_DATAGRAM:
+        if len(statements) > MAX_LISTED_LIMITS:
             random_state = self._state.random_state
-            statements = random_state.sample(statements, MAX_ENTRIES_PER_DATAGRAM)
+            statements = random_state.sample(statements, MAX_LISTED_LIMITS)
         return tuple(
             build_limit_update(statement, uptime_ms) for statement in statements
         )
--- a/src/quetzaldeck/entry/permits.py
+++ b/src/quetzaldeck/entry/permits.py
@@ -85,16 +85,15 @@
         ]:
             del self._unavailable_until_ms[key]
 
-    async def acquire(self, upstream: str, max_wait_ms: float) -> bool:
+    async def acquire(self, upstream: str, max_wait_ms: float) -> None:
         """Wait until a request may be sent to an upstream.
 
         :param max_wait_ms: how long the request can wait for its turn
-        :returns: whether it had to wait for its turn
         :raises UpstreamError: if it may not be sent in time; it was not sent
         """
         statement = self._limits.find(upstream)
         if statement is None:
-            return False
+            return
         asked_ms = self._clock.uptime_ms()
         permit = await self._obtain(statement, max_wait_ms)
         if not permit.is_granted:
@@ -107,7 +106,6 @@
             self._metrics.permits.labels("late").inc()
             raise _refused(upstream, 0.0)
         self._metrics.permits.labels("granted").inc()
-        return permit.wait_ms > 0
 
     def issue(self, statement: RateLimitStatement, max_wait_ms: float) -> Permit | None:
         """Issue a permit to a VM, if this VM is the one to do so.
