Keep the ranking of permit issuers until the fleet changes

Ranking 195 VMs by hash for each request to a limited upstream, at the VM that asks and at the one that answers, takes longer than placing the request.

--- a/src/quetzaldeck/decisions/rate_limits/__init__.py
+++ b/src/quetzaldeck/decisions/rate_limits/__init__.py
@@ -7,7 +7,7 @@
     latest_turn_ms,
 )
 from quetzaldeck.decisions.rate_limits.pacing import Pacing
-from quetzaldeck.decisions.rate_limits.permit_issuer import PermitIssuer, rank_issuers
+from quetzaldeck.decisions.rate_limits.permit_issuer import PermitIssuer
 from quetzaldeck.decisions.rate_limits.registry import RateLimitRegistry
 from quetzaldeck.decisions.rate_limits.send_schedule import Permit, SendSchedule
 from quetzaldeck.decisions.rate_limits.statement import RateLimitStatement
@@ -21,5 +21,4 @@
     "RateLimitStatement",
     "SendSchedule",
     "latest_turn_ms",
-    "rank_issuers",
 )
--- a/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
+++ b/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
@@ -23,11 +23,11 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.rate_limits.issuer_ranking import IssuerRanking
 from quetzaldeck.decisions.rate_limits.send_schedule import Permit, SendSchedule
-from quetzaldeck.rendezvous import rank_members
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Container, Sequence
+    from collections.abc import Container, Sequence
 
 DEPUTY_RATE_SHARE = 0.5
 """The tolerance of upstreams is one and a half times their limit."""
@@ -54,6 +54,7 @@
 
     def __init__(self, own: str) -> None:
         self._own = own
+        self._ranking = IssuerRanking(own)
         self._schedules: dict[tuple[str, str], SendSchedule] = {}
         self._alone_since_ms: float | None = None
         self._alone_until_ms = float("-inf")
@@ -73,7 +74,7 @@
         incarnation: str,
         requests_per_s: float,
         max_wait_ms: float,
-        peers: Collection[str],
+        peers: Sequence[str],
         now_ms: float,
     ) -> Permit | None:
         """Answer a VM that wants to send a request to an upstream.
@@ -107,26 +108,26 @@
         settling_ms = SETTLING_MS if is_small else LARGE_FLEET_SETTLING_MS
         return now_ms - self._alone_until_ms >= settling_ms
 
+    def rank(self, upstream: str, peers: Sequence[str]) -> tuple[str, ...]:
+        """:returns: the issuer of an upstream's permits and, if there is one, its deputy
+
+        :param peers: addresses of the other VMs
+        """
+        return self._ranking.rank(upstream, peers)
+
     def expire(self, upstreams: Container[str]) -> None:
         """Forget the schedules of upstreams that are gone."""
         for key in [key for key in self._schedules if key[0] not in upstreams]:
             del self._schedules[key]
 
-    def _rate_share(
-        self, upstream: str, peers: Collection[str], now_ms: float
-    ) -> float:
+    def _rate_share(self, upstream: str, peers: Sequence[str], now_ms: float) -> float:
         """:returns: share of the limit that this VM issues; 0: none"""
         if not self.is_settled(len(peers), now_ms):
             return 0.0
-        ranked = rank_issuers(upstream, (self._own, *peers))
+        ranked = self.rank(upstream, peers)
         if self._own == ranked[0]:
             return 1.0
         return DEPUTY_RATE_SHARE if self._own == ranked[1] else 0.0
 
 
-def rank_issuers(upstream: str, vms: Sequence[str]) -> tuple[str, ...]:
-    """:returns: the issuer of an upstream's permits and, if there is one, its deputy"""
-    return rank_members(upstream, vms)[:2]
-
-
-__all__ = ("PermitIssuer", "rank_issuers")
+__all__ = ("PermitIssuer",)
--- a/src/quetzaldeck/entry/permits.py
+++ b/src/quetzaldeck/entry/permits.py
@@ -8,7 +8,7 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions import AttemptFault
-from quetzaldeck.decisions.rate_limits import Permit, PermitIssuer, rank_issuers
+from quetzaldeck.decisions.rate_limits import Permit, PermitIssuer
 from quetzaldeck.entry.peers.messages import PermitRequest, build_limit_update
 from quetzaldeck.telemetry import log_event
 from quetzaldeck.upstreams import UpstreamError
@@ -139,7 +139,7 @@
         self, statement: RateLimitStatement, max_wait_ms: float
     ) -> Permit:
         """:returns: the permit of the issuer or, if it does not answer, its deputy"""
-        for vm in rank_issuers(statement.upstream, (self._own, *self._peers)):
+        for vm in self._issuer.rank(statement.upstream, self._peers):
             if vm == self._own:
                 permit = self.issue(statement, max_wait_ms)
             else:
--- a/tests/decisions/rate_limits/test_permit_issuer.py
+++ b/tests/decisions/rate_limits/test_permit_issuer.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from quetzaldeck.decisions.rate_limits import Permit, PermitIssuer, rank_issuers
+from quetzaldeck.decisions.rate_limits import Permit, PermitIssuer
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
 UPSTREAM = "e0"
 STEP_MS = 20.0
@@ -23,6 +23,11 @@
 """Time after which VMs remove one that they do not hear of."""
 
 
+def rank(vms: Sequence[str]) -> tuple[str, ...]:
+    """:returns: the issuer and the deputy among some VMs"""
+    return PermitIssuer(vms[0]).rank(UPSTREAM, vms[1:])
+
+
 class Fleet:
     """VMs that know each other; stopped ones are removed after a while."""
 
@@ -66,7 +71,7 @@
                     self._call(vm, rate, known)
 
     def _call(self, vm: str, rate: float, known: tuple[str, ...]) -> None:
-        for asked in rank_issuers(UPSTREAM, known):
+        for asked in rank(known):
             issuer = self.issuers.get(asked)
             if issuer is None:
                 continue
@@ -107,7 +112,7 @@
     rate = 5.0
     fleet = Fleet(n_vms)
     fleet.run(rate, 12_000.0, calls_per_s=60.0 / n_vms)
-    issuer, deputy = rank_issuers(UPSTREAM, fleet.list_known())
+    issuer, deputy = rank(fleet.list_known())
     for vm in (issuer, deputy, issuer):
         n_before = len(fleet.sent_ms)
         fleet.stop(vm)
@@ -127,7 +132,7 @@
     sent_ms = []
     for _ in range(1_000):
         fleet.now_ms += STEP_MS
-        for vm in rank_issuers(UPSTREAM, known):
+        for vm in rank(known):
             peers = [other for other in known if other != vm]
             issuer = fleet.issuers[vm]
             permit = issuer.issue(UPSTREAM, "", rate, 0.0, peers, fleet.now_ms)
@@ -154,7 +159,7 @@
 def test_vm_that_is_neither_issuer_nor_deputy_issues_nothing() -> None:
     """VMs whose views of the fleet differ must not each find another issuer."""
     vms = [f"10.0.0.{index}" for index in range(9)]
-    ranked = rank_issuers(UPSTREAM, vms)
+    ranked = rank(vms)
     for vm in vms:
         peers = [other for other in vms if other != vm]
         assert (ask(PermitIssuer(vm), peers, 0.0) is None) == (vm not in ranked)
