--- a/src/quetzaldeck/decisions/rate_limits/issuer_ranking.py
+++ b/src/quetzaldeck/decisions/rate_limits/issuer_ranking.py
@@ -24,9 +24,10 @@
         self._ranked: dict[str, tuple[str, ...]] = {}
 
     def rank(self, upstream: str, peers: Sequence[str]) -> tuple[str, ...]:
-        """:returns: the issuer of an upstream's permits and, if there is one, its deputy
+        """Rank the VMs that may issue an upstream's permits.
 
         :param peers: addresses of the other VMs
+        :returns: the issuer and, if there is another VM, its deputy
         """
         if peers != self._peers:
             self._peers = peers
--- a/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
+++ b/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
@@ -109,9 +109,10 @@
         return now_ms - self._alone_until_ms >= settling_ms
 
     def rank(self, upstream: str, peers: Sequence[str]) -> tuple[str, ...]:
-        """:returns: the issuer of an upstream's permits and, if there is one, its deputy
+        """Rank the VMs that may issue an upstream's permits.
 
         :param peers: addresses of the other VMs
+        :returns: the issuer and, if there is another VM, its deputy
         """
         return self._ranking.rank(upstream, peers)
 
