--- /dev/null
+++ b/src/quetzaldeck/entry/peers/rate_limit_exchange.py
@@ -0,0 +1,88 @@
+"""Rate limits of upstreams, and permits for them, in the messages between VMs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzaldeck.entry.peers.messages import (
+    PeerMessage,
+    build_limit_update,
+    build_permit_answer,
+    read_limit_update,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from quetzaldeck.entry.peers.messages import LimitUpdate, PermitRequest
+    from quetzaldeck.entry.state import EntryState
+
+MAX_LISTED_LIMITS = 8
+"""Rate limits in one greeting, so that it fits into one packet with the addresses."""
+
+
+class RateLimitExchange:
+    """Tells other VMs what upstreams say of their limits, and answers permit requests.
+
+    :param vm: id of this incarnation of this VM
+    :param send: sends a message to the VM at an address
+    """
+
+    def __init__(
+        self, state: EntryState, vm: str, send: Callable[[PeerMessage, str], None]
+    ) -> None:
+        self._clock = state.clock
+        self._limits = state.rate_limits
+        self._permits = state.permits
+        self._random_state = state.random_state
+        self._vm = vm
+        self._send = send
+
+    def handle(self, message: PeerMessage, address: str) -> None:
+        """Handle what a message says of rate limits and permits."""
+        self.note_updates(message.limits, address)
+        request, answer = message.permit_request, message.permit_answer
+        if request is not None:
+            self._answer(request, address)
+        if answer is not None:
+            self._permits.client.note_answer(answer)
+
+    def note_updates(self, updates: Iterable[LimitUpdate], peer: str) -> None:
+        """Note what upstreams said to another VM."""
+        uptime_ms = self._clock.uptime_ms()
+        for update in updates:
+            self._limits.note_peer(read_limit_update(update, uptime_ms), peer=peer)
+
+    def request_permit(self, address: str, request: PermitRequest) -> None:
+        """Send a permit request to the VM at an address."""
+        self._send(PeerMessage(self._vm, permit_request=request), address)
+
+    def list_updates(self, upstream: str = "") -> tuple[LimitUpdate, ...]:
+        """List what upstreams said of their limits.
+
+        :param upstream: the only one to list; ``""``: all, a random choice if there are
+            too many for a message
+        """
+        uptime_ms = self._clock.uptime_ms()
+        statements = self._limits.list_statements()
+        if upstream:
+            statements = [s for s in statements if s.upstream == upstream]
+        if len(statements) > MAX_LISTED_LIMITS:
+            statements = self._random_state.sample(statements, MAX_LISTED_LIMITS)
+        return tuple(
+            build_limit_update(statement, uptime_ms) for statement in statements
+        )
+
+    def _answer(self, request: PermitRequest, address: str) -> None:
+        upstream = request.limit.upstream
+        self.note_updates((request.limit,), address)
+        permit = self._permits.issue(upstream, request.max_wait_ms)
+        answer = PeerMessage(
+            self._vm,
+            limits=self.list_updates(upstream),
+            permit_answer=build_permit_answer(request.number, permit),
+        )
+        self._send(answer, address)
+
+
+__all__ = ("RateLimitExchange",)
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -14,13 +14,12 @@
     PeerMessage,
     build_limit_update,
     build_load_update,
-    build_permit_answer,
     decode_message,
     encode_message,
-    read_limit_update,
     read_load_update,
 )
 from quetzaldeck.entry.peers.node import PeerNode
+from quetzaldeck.entry.peers.rate_limit_exchange import RateLimitExchange
 from quetzaldeck.gateway.messages import (
     ObserveCrashes,
     ObservePaces,
@@ -32,11 +31,7 @@
     from collections.abc import Mapping
 
     from quetzaldeck.decisions.rate_limits import RateLimitStatement
-    from quetzaldeck.entry.peers.messages import (
-        LimitUpdate,
-        PermitRequest,
-        VmUpdate,
-    )
+    from quetzaldeck.entry.peers.messages import VmUpdate
     from quetzaldeck.entry.peers.table import PeerTable
     from quetzaldeck.entry.state import EntryState
 
@@ -50,9 +45,6 @@
 N_GREETED_STABLE = 2
 """The same number in a stable fleet; see ``PeerTable``."""
 
-MAX_LISTED_LIMITS = 8
-"""Rate limits in one greeting, so that it fits into one packet with the addresses."""
-
 UNDECODABLE_LOG_INTERVAL_MS = 10_000.0
 """Minimum time between two log lines about undecodable datagrams of one peer."""
 MAX_UNDECODABLE_PEERS = 256
@@ -86,7 +78,10 @@
             capacity=state.settings.processor.capacity,
         )
         self._changes = LoadChanges()
-        state.permits.connect(table, self._send_permit_request)
+        self._rate_limits = RateLimitExchange(
+            state, vm, lambda message, address: self._send(message, (address,))
+        )
+        state.permits.connect(table, self._rate_limits.request_permit)
         state.rate_limits.on_change = self._announce_limit
         self._incarnations: dict[str, str] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -146,58 +141,18 @@
         self._metrics.note_received(_kind_of(message), len(data))
         now_ms = self._state.clock.now_ms()
         self._note_peer(message, addr[0], now_ms)
-        self._handle_permits(message, addr[0])
+        self._rate_limits.handle(message, addr[0])
         for update in self._node.receive(message, addr[0], now_ms):
             self._observe(update)
         self._send_outgoing()
         self._schedule(now_ms)
 
-    def _handle_permits(self, message: PeerMessage, address: str) -> None:
-        """Handle what a message says of rate limits, and of permits to send."""
-        uptime_ms = self._state.clock.uptime_ms()
-        limits = self._state.rate_limits
-        for limit in message.limits:
-            limits.note_peer(read_limit_update(limit, uptime_ms), peer=address)
-        request, answer = message.permit_request, message.permit_answer
-        if request is not None:
-            statement = read_limit_update(request.limit, uptime_ms)
-            limits.note_peer(statement, peer=address)
-            permit = self._state.permits.issue(statement, request.max_wait_ms)
-            reply = PeerMessage(
-                self._vm,
-                limits=self._list_limits(statement.upstream),
-                permit_answer=build_permit_answer(request.number, permit),
-            )
-            self._send(reply, (address,))
-        if answer is not None:
-            self._state.permits.note_answer(answer)
-
-    def _send_permit_request(self, address: str, request: PermitRequest) -> None:
-        self._send(PeerMessage(self._vm, permit_request=request), (address,))
-
     def _announce_limit(self, statement: RateLimitStatement) -> None:
         """Announce what an upstream said to all other VMs."""
         update = build_limit_update(statement, self._state.clock.uptime_ms())
         self._node.announce(self._state.clock.now_ms(), limits=(update,))
         self._send_outgoing()
 
-    def _list_limits(self, upstream: str = "") -> tuple[LimitUpdate, ...]:
-        """List what upstreams said of their limits.
-
-        :param upstream: the only one to list; ``""``: all, a random choice if there are
-            too many for a message
-        """
-        uptime_ms = self._state.clock.uptime_ms()
-        statements = self._state.rate_limits.list_statements()
-        if upstream:
-            statements = [s for s in statements if s.upstream == upstream]
-        if len(statements) > MAX_LISTED_LIMITS:
-            random_state = self._state.random_state
-            statements = random_state.sample(statements, MAX_LISTED_LIMITS)
-        return tuple(
-            build_limit_update(statement, uptime_ms) for statement in statements
-        )
-
     def error_received(self, exc: Exception) -> None:
         """Log that a VM is not listening; it may come back, otherwise it expires."""
         log_event("peer_unreachable", level="DEBUG", error=repr(exc))
@@ -243,9 +198,7 @@
                 for c in update.crashes
             )
             dispatch.send_deferrable(ObserveCrashes(crashes))
-        for limit in update.limits:
-            statement = read_limit_update(limit, self._state.clock.uptime_ms())
-            self._state.rate_limits.note_peer(statement, peer=update.vm)
+        self._rate_limits.note_updates(update.limits, update.vm)
         if update.paces:
             dispatch.send_deferrable(ObservePaces(tuple(update.paces.items())))
 
@@ -268,7 +221,7 @@
             settings.availability_zone,
             settings.processor.capacity,
             self._table.sample_heard(now_ms),
-            limits=self._list_limits(),
+            limits=self._rate_limits.list_updates(),
         )
 
     def _send_state_to_new_peer(self, address: str, now_ms: float) -> None:
