Derive the times of permit issuers from those of the exchange between VMs

Four numbers of the issuer restated how fast VMs learn of each other (a tenth of a second more in one place would have gone unnoticed in the other); they are now built from the constants of greetings and of the table of VMs.

--- a/src/quetzaldeck/decisions/rate_limits/__init__.py
+++ b/src/quetzaldeck/decisions/rate_limits/__init__.py
@@ -6,6 +6,7 @@
     MAX_OPTIONAL_PERMITS,
     latest_turn_ms,
 )
+from quetzaldeck.decisions.rate_limits.issuer_bounds import IssuerBounds
 from quetzaldeck.decisions.rate_limits.pacing import Pacing
 from quetzaldeck.decisions.rate_limits.permit_issuer import PermitIssuer
 from quetzaldeck.decisions.rate_limits.registry import RateLimitRegistry
@@ -14,6 +15,7 @@
 
 __all__ = (
     "MAX_OPTIONAL_PERMITS",
+    "IssuerBounds",
     "Pacing",
     "Permit",
     "PermitIssuer",
--- a/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
+++ b/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
@@ -29,31 +29,22 @@
 if TYPE_CHECKING:
     from collections.abc import Container, Sequence
 
+    from quetzaldeck.decisions.rate_limits.issuer_bounds import IssuerBounds
+
 DEPUTY_RATE_SHARE = 0.5
 """The tolerance of upstreams is one and a half times their limit."""
 
-SMALL_FLEET_SIZE = 48
-"""Number of VMs up to which each greeting between VMs can list all of them."""
-
-SETTLING_MS = 2_000.0
-"""Time in which the VMs of a small fleet learn of a new one: four greetings."""
-
-LARGE_FLEET_SETTLING_MS = 10_000.0
-"""The same in a large fleet, where a greeting lists a part of the VMs."""
-
-MAX_ALONE_MS = 20_000.0
-"""Time after which other VMs have removed one that they do not hear of. From then on it
-issues permits to itself, since no other VM does."""
-
 
 class PermitIssuer:
     """Issues permits for the upstreams that this VM is the issuer or deputy of.
 
     :param own: address of this VM
+    :param bounds: how fast the VMs learn of each other
     """
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, bounds: IssuerBounds) -> None:
         self._own = own
+        self._bounds = bounds
         self._ranking = IssuerRanking(own)
         self._schedules: dict[tuple[str, str], SendSchedule] = {}
         self._alone_since_ms: float | None = None
@@ -97,15 +88,18 @@
         return schedule.reserve(max_wait_ms, now_ms)
 
     def is_settled(self, n_peers: int, now_ms: float) -> bool:
-        """:returns: whether this VM and the others have had time to learn of each other
+        """Check whether this VM and the others have had time to learn of each other.
+
+        A VM that knows no other for so long that the others have removed it issues
+        permits to itself, since no other VM does.
 
         :param n_peers: number of other VMs known
         """
-        alone_since_ms = self._alone_since_ms
-        if alone_since_ms is not None:
-            return now_ms - alone_since_ms >= MAX_ALONE_MS
-        is_small = n_peers < SMALL_FLEET_SIZE
-        settling_ms = SETTLING_MS if is_small else LARGE_FLEET_SETTLING_MS
+        bounds = self._bounds
+        if self._alone_since_ms is not None:
+            return now_ms - self._alone_since_ms >= bounds.removal_ms
+        is_small = n_peers < bounds.n_small_fleet
+        settling_ms = bounds.settling_ms if is_small else bounds.large_settling_ms
         return now_ms - self._alone_until_ms >= settling_ms
 
     def rank(self, upstream: str, peers: Sequence[str]) -> tuple[str, ...]:
--- a/src/quetzaldeck/entry/peers/table.py
+++ b/src/quetzaldeck/entry/peers/table.py
@@ -228,4 +228,4 @@
     return True
 
 
-__all__ = ("MAX_SHARED_ADDRESSES", "PEER_TTL_MS", "PeerTable")
+__all__ = ("MAX_SHARED_ADDRESSES", "PEER_TTL_MS", "STABLE_AFTER_MS", "PeerTable")
--- a/src/quetzaldeck/entry/permits.py
+++ b/src/quetzaldeck/entry/permits.py
@@ -7,7 +7,13 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions import AttemptFault
-from quetzaldeck.decisions.rate_limits import Permit, PermitIssuer
+from quetzaldeck.decisions.rate_limits import IssuerBounds, Permit, PermitIssuer
+from quetzaldeck.entry.peers.table import (
+    MAX_SHARED_ADDRESSES,
+    PEER_TTL_MS,
+    STABLE_AFTER_MS,
+)
+from quetzaldeck.entry.peers.task import GREETING_INTERVAL_MS
 from quetzaldeck.entry.permit_client import UNAVAILABLE_MS, PermitClient
 from quetzaldeck.upstreams import UpstreamError
 
@@ -21,6 +27,16 @@
     from quetzaldeck.entry.rate_limits import RateLimits
     from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
+N_SETTLING_GREETINGS = 4
+"""Greetings after which all VMs of a small fleet know a new one."""
+
+ISSUER_BOUNDS = IssuerBounds(
+    n_small_fleet=MAX_SHARED_ADDRESSES,
+    settling_ms=N_SETTLING_GREETINGS * GREETING_INTERVAL_MS,
+    large_settling_ms=STABLE_AFTER_MS,
+    removal_ms=PEER_TTL_MS,
+)
+
 MAX_LATENESS_MS = 500.0
 """Time after its turn for which a permit is valid. A VM that was paused or suspended
 meanwhile must not use it, since the permits of others have followed."""
@@ -40,7 +56,7 @@
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
-        self._issuer = PermitIssuer(own)
+        self._issuer = PermitIssuer(own, ISSUER_BOUNDS)
         self._client = PermitClient(clock, metrics)
         self._table: PeerTable | None = None
 
--- a/tests/decisions/rate_limits/test_permit_issuer.py
+++ b/tests/decisions/rate_limits/test_permit_issuer.py
@@ -12,6 +12,7 @@
 import pytest
 
 from quetzaldeck.decisions.rate_limits import Permit, PermitIssuer
+from quetzaldeck.entry.permits import ISSUER_BOUNDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -19,13 +20,11 @@
 UPSTREAM = "e0"
 STEP_MS = 20.0
 WINDOW_MS = 4_000.0
-REMOVED_MS = 20_000.0
-"""Time after which VMs remove one that they do not hear of."""
 
 
 def rank(vms: Sequence[str]) -> tuple[str, ...]:
     """:returns: the issuer and the deputy among some VMs"""
-    return PermitIssuer(vms[0]).rank(UPSTREAM, vms[1:])
+    return PermitIssuer(vms[0], ISSUER_BOUNDS).rank(UPSTREAM, vms[1:])
 
 
 class Fleet:
@@ -43,7 +42,7 @@
     def start(self, vm: str) -> None:
         """Start a VM; it has no schedule and knows no other VM for a moment."""
         self.stopped_ms.pop(vm, None)
-        self.issuers[vm] = PermitIssuer(vm)
+        self.issuers[vm] = PermitIssuer(vm, ISSUER_BOUNDS)
         self.issuers[vm].note_fleet(0, self.now_ms)
 
     def stop(self, vm: str) -> None:
@@ -56,7 +55,7 @@
         gone = [
             vm
             for vm, at_ms in self.stopped_ms.items()
-            if self.now_ms - at_ms < REMOVED_MS
+            if self.now_ms - at_ms < ISSUER_BOUNDS.removal_ms
         ]
         return (*self.issuers, *gone)
 
@@ -149,7 +148,7 @@
 
 def test_vm_that_knows_no_other_yet_issues_nothing() -> None:
     """A VM that has just started ranks itself first for each upstream."""
-    issuer = PermitIssuer("10.0.0.1")
+    issuer = PermitIssuer("10.0.0.1", ISSUER_BOUNDS)
     issuer.note_fleet(0, 100.0)
     assert ask(issuer, (), 150.0) is None
     issuer.note_fleet(0, 20_200.0)
@@ -162,4 +161,6 @@
     ranked = rank(vms)
     for vm in vms:
         peers = [other for other in vms if other != vm]
-        assert (ask(PermitIssuer(vm), peers, 0.0) is None) == (vm not in ranked)
+        assert (ask(PermitIssuer(vm, ISSUER_BOUNDS), peers, 0.0) is None) == (
+            vm not in ranked
+        )
