--- /dev/null
+++ b/src/quetzaldeck/decisions/queue_sweep.py
@@ -0,0 +1,88 @@
+"""Rejects waiting requests that can no longer be served."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.decision import Rejection
+from quetzaldeck.decisions.rate_limits import latest_turn_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from quetzaldeck.decisions.admission import AdmissionPolicy
+    from quetzaldeck.decisions.placement.placer import Placer
+    from quetzaldeck.decisions.poison import PoisonRegistry
+    from quetzaldeck.decisions.request import Request
+    from quetzaldeck.decisions.tracked import TrackedRequests
+    from quetzaldeck.decisions.upstream_table import UpstreamTable
+    from quetzaldeck.decisions.waiting import WaitingRequests
+    from quetzaldeck.outcomes import Failure
+
+
+class QueueSweep:
+    """Finds waiting requests that expired, crash engines, or get no turn in time.
+
+    :param tracked: stores admitted requests
+    :param waiting: holds the requests that wait
+    :param admission: sets the latest start of a request
+    :param placer: checks whether any upstream can serve a request
+    :param poison: knows which requests have crashed too many engines
+    :param table: knows whether any upstream limits its rate
+    :param withdraw: removes a request by its id
+    """
+
+    def __init__(
+        self,
+        *,
+        tracked: TrackedRequests,
+        waiting: WaitingRequests,
+        admission: AdmissionPolicy,
+        placer: Placer,
+        poison: PoisonRegistry,
+        table: UpstreamTable,
+        withdraw: Callable[[str], None],
+    ) -> None:
+        self._tracked = tracked
+        self._waiting = waiting
+        self._admission = admission
+        self._placer = placer
+        self._poison = poison
+        self._table = table
+        self._withdraw = withdraw
+
+    def run(self, now_ms: float) -> Iterable[Rejection]:
+        """:returns: a rejection for each request that cannot be served any more"""
+        yield from self._reject_expired(now_ms)
+        yield from self._reject_poison(now_ms)
+        yield from self._reject_rate_limited(now_ms)
+
+    def _reject_expired(self, now_ms: float) -> Iterable[Rejection]:
+        for request_id in self._waiting.pop_expired(now_ms):
+            request = self._tracked[request_id].request
+            yield self._reject(request, self._admission.expiry_failure(request, now_ms))
+
+    def _reject_poison(self, now_ms: float) -> Iterable[Rejection]:
+        """Reject requests that have crashed too many engines of the fleet."""
+        waiting = tuple(self._waiting) if self._poison.pop_newly_refused(now_ms) else ()
+        for request in waiting:
+            failure = self._placer.check_poison(request, now_ms)
+            if failure is not None:
+                yield self._reject(request, failure)
+
+    def _reject_rate_limited(self, now_ms: float) -> Iterable[Rejection]:
+        """Reject requests that no upstream takes in time, as all limit their rate."""
+        waiting = tuple(self._waiting) if self._table.has_rate_limits else ()
+        for request in waiting:
+            latest_ms = latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
+            failure = self._placer.check_rate_limits(request, now_ms, latest_ms)
+            if failure is not None:
+                yield self._reject(request, failure)
+
+    def _reject(self, request: Request, failure: Failure) -> Rejection:
+        ran = self._tracked[request.request_id].history.ran
+        self._withdraw(request.request_id)
+        return Rejection(request, failure._replace(ran=ran))
+
+
+__all__ = ("QueueSweep",)
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -7,7 +7,7 @@
 from quetzaldeck.decisions.admission import BoundsOnly
 from quetzaldeck.decisions.answer_learner import AnswerLearner
 from quetzaldeck.decisions.attempt_starter import AttemptStarter
-from quetzaldeck.decisions.decision import AttemptFault, Rejection
+from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.estimation import TokenEstimator
 from quetzaldeck.decisions.failed_attempts import FailedAttemptHandler
 from quetzaldeck.decisions.fleet_observer import FleetObserver
@@ -17,6 +17,7 @@
 from quetzaldeck.decisions.limits import CustomerLimiter
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.poison import PoisonRegistry
+from quetzaldeck.decisions.queue_sweep import QueueSweep
 from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
 from quetzaldeck.decisions.retries import RetryPolicy
 from quetzaldeck.decisions.retries.silence import SilencePolicy, SilenceVerdict
@@ -28,8 +29,6 @@
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from quetzaldeck.bundle.document import Bundle
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.admission import AdmissionPolicy
@@ -109,6 +108,15 @@
             admission=self._admission,
             poison=poison,
         )
+        self._sweep = QueueSweep(
+            tracked=self._tracked,
+            waiting=self._waiting,
+            admission=self._admission,
+            placer=self._placer,
+            poison=poison,
+            table=table,
+            withdraw=self.withdraw,
+        )
         self._fleet = FleetObserver(
             clock=clock,
             table=table,
@@ -210,9 +218,7 @@
         """:returns: decisions to carry out now: rejections first, then dispatches"""
         now_ms = self._clock.now_ms()
         self._waiting.end_delays(now_ms)
-        decisions: list[Decision] = list(self._expire(now_ms))
-        decisions.extend(self._reject_poison(now_ms))
-        decisions.extend(self._reject_rate_limited(now_ms))
+        decisions: list[Decision] = list(self._sweep.run(now_ms))
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
             latest_ms = self._latest_turn_ms(request, now_ms)
@@ -292,34 +298,6 @@
         can_start = self._placer.can_start(request, now_ms, latest_ms)
         return self._admission.check(request, now_ms, can_start=can_start)
 
-    def _expire(self, now_ms: float) -> Iterable[Rejection]:
-        for request_id in self._waiting.pop_expired(now_ms):
-            request = self._tracked[request_id].request
-            yield self._reject(request, self._admission.expiry_failure(request, now_ms))
-
-    def _reject_poison(self, now_ms: float) -> Iterable[Rejection]:
-        """Reject waiting requests that have crashed too many engines of the fleet."""
-        waiting = tuple(self._waiting) if self._poison.pop_newly_refused(now_ms) else ()
-        for request in waiting:
-            failure = self._placer.check_poison(request, now_ms)
-            if failure is not None:
-                yield self._reject(request, failure)
-
-    def _reject_rate_limited(self, now_ms: float) -> Iterable[Rejection]:
-        """Reject waiting requests that no upstream takes in time any more."""
-        if not self._upstreams.has_rate_limits:
-            return
-        for request in tuple(self._waiting):
-            latest_ms = self._latest_turn_ms(request, now_ms)
-            failure = self._placer.check_rate_limits(request, now_ms, latest_ms)
-            if failure is not None:
-                yield self._reject(request, failure)
-
-    def _reject(self, request: Request, failure: Failure) -> Rejection:
-        ran = self._tracked[request.request_id].history.ran
-        self.withdraw(request.request_id)
-        return Rejection(request, failure._replace(ran=ran))
-
     def _place(self, request: Request) -> tuple[str, ...] | None:
         history = self._tracked[request.request_id].history
         now_ms = self._clock.now_ms()
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -82,7 +82,7 @@
             state, vm, lambda message, address: self._send(message, (address,))
         )
         state.permits.connect(table, self._rate_limits.request_permit)
-        state.rate_limits.on_change = self._announce_limit
+        state.rate_limits.connect(self._announce_limit)
         self._incarnations: dict[str, str] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
--- a/src/quetzaldeck/entry/rate_limits.py
+++ b/src/quetzaldeck/entry/rate_limits.py
@@ -34,8 +34,14 @@
         self._dispatch = dispatch
         self._metrics = metrics
         self._registry = RateLimitRegistry()
-        self.on_change: Callable[[RateLimitStatement], None] | None = None
-        """Called with each change that a response to this VM has shown."""
+        self._announce: Callable[[RateLimitStatement], None] | None = None
+
+    def connect(self, announce: Callable[[RateLimitStatement], None]) -> None:
+        """Use the connection to the other VMs.
+
+        :param announce: tells them of a change that a response has shown
+        """
+        self._announce = announce
 
     def find(self, upstream: str) -> RateLimitStatement | None:
         """:returns: the limit in force of an upstream; ``None``: it names none"""
@@ -61,8 +67,8 @@
         if change is None:
             return
         self._apply(change, request=call_id)
-        if self.on_change is not None:
-            self.on_change(statement)
+        if self._announce is not None:
+            self._announce(statement)
 
     def note_peer(self, statement: RateLimitStatement, *, peer: str) -> None:
         """Record what an upstream said to another VM."""
