Let a VM that has just started issue permits after three seconds

In the simulation of messages between VMs, views of a fleet of 45 that starts as a whole agree after 3 s (1.5 s at 7, 3.5 at 78, 6.5 at 195 VMs); two seconds left a second in which two of them could take themselves for the issuer. After one VM had joined, two did for 1 s at most at any size.

--- a/src/quetzaldeck/entry/permits.py
+++ b/src/quetzaldeck/entry/permits.py
@@ -27,7 +27,7 @@
     from quetzaldeck.entry.rate_limits import RateLimits
     from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
-N_SETTLING_GREETINGS = 4
+N_SETTLING_GREETINGS = 6
 """Greetings after which all VMs of a small fleet know a new one."""
 
 ISSUER_BOUNDS = IssuerBounds(
