--- a/tests/support/platform/rate_limit_check.py
+++ b/tests/support/platform/rate_limit_check.py
@@ -60,24 +60,24 @@
         for begin_ms, end_ms in self._list_spans():
             told_ms = self._list_told(begin_ms, end_ms)
             counted = [
-                arrival
-                for arrival in self.received
-                if begin_ms <= arrival.at_ms <= end_ms
-                and arrival.at_ms >= told_ms[arrival.vm] + TOLD_MS
+                request
+                for request in self.received
+                if begin_ms <= request.at_ms <= end_ms
+                and request.at_ms >= told_ms[request.vm] + TOLD_MS
             ]
             for last in counted:
                 if last.at_ms < begin_ms + GRACE_MS:
                     continue
                 first_ms = last.at_ms - WINDOW_MS
-                n_arrived = sum(
-                    first_ms < arrival.at_ms <= last.at_ms
-                    and not is_excused(arrival.vm, first_ms, last.at_ms)
-                    for arrival in counted
+                n_received = sum(
+                    first_ms < request.at_ms <= last.at_ms
+                    and not is_excused(request.vm, first_ms, last.at_ms)
+                    for request in counted
                 )
                 n_allowed = FACTOR * self._max_allowed(first_ms, last.at_ms) + N_EXTRA
-                if n_arrived > n_allowed:
+                if n_received > n_allowed:
                     yield (
-                        f"{n_arrived} requests in {WINDOW_MS:.0f} ms, "
+                        f"{n_received} requests in {WINDOW_MS:.0f} ms, "
                         f"allowed {n_allowed:.1f}"
                     )
 
