Log the fingerprint of requests, and which are suspected of crashes

The timeline of the incident can't tell why a request goes on crashing replicas: no line shows whether two attempts are of the same request, or what a VM makes of a crash. Logs the hash in dispatched and attempt_failed, and each change of the verdict on a request. Decisions are unchanged: plain services still get no fingerprint.

--- a/src/quetzaldeck/decisions/poison/__init__.py
+++ b/src/quetzaldeck/decisions/poison/__init__.py
@@ -8,6 +8,7 @@
     decode_crash_record,
     encode_crash_record,
 )
+from quetzaldeck.decisions.poison.fingerprint import format_fingerprint
 from quetzaldeck.decisions.poison.registry import PoisonRegistry, Verdict
 from quetzaldeck.decisions.poison.sighting import CrashSighting
 
@@ -19,4 +20,5 @@
     "Verdict",
     "decode_crash_record",
     "encode_crash_record",
+    "format_fingerprint",
 )
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -95,9 +95,16 @@
 
     def count_verdicts(self, now_ms: float) -> Counter[Verdict]:
         """:returns: number of requests that were in a crash, by verdict"""
-        return Counter(
-            self.verdict(fingerprint, now_ms) for fingerprint in self._crashes
-        )
+        return Counter(self.list_verdicts(now_ms).values())
+
+    def list_verdicts(self, now_ms: float) -> dict[int, Verdict]:
+        """:returns: verdicts on the requests that were in a crash, by fingerprint"""
+        return {item: self.verdict(item, now_ms) for item in self._crashes}
+
+    def list_crashed(self, fingerprint: int) -> list[str]:
+        """:returns: upstreams that crashed while they ran a request, in that order"""
+        crashes = self._crashes.get(fingerprint, {})
+        return [crash.upstream for crash in sorted(crashes, key=crashes.__getitem__)]
 
     def pop_newly_refused(self, now_ms: float) -> list[int]:
         """:returns: refused requests with new sightings since the last call"""
--- a/src/quetzaldeck/entry/call.py
+++ b/src/quetzaldeck/entry/call.py
@@ -26,6 +26,7 @@
     :param request_id: assigned by this VM, because callers may reuse their own ids
     :param body: ``None`` if the request has none
     :param arrived_ms: monotonic time of its arrival
+    :param fingerprint: hash of what a replica runs; equal for repeated requests
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     admitted: Admitted
     body: bytes | None
     arrived_ms: float
+    fingerprint: int
 
 
 def build_request(call: Call, view: RoutingView) -> Request:
@@ -55,7 +57,7 @@
         priority=admitted.priority,
         arrived_ms=call.arrived_ms,
         deadline_ms=admitted.deadline_ms,
-        fingerprint=_fingerprint(call) if is_engine else 0,
+        fingerprint=call.fingerprint if is_engine else 0,
         is_repeatable=route.is_repeatable,
         max_attempts=route.max_attempts,
         target_ms=route.target_latency_ms,
@@ -74,12 +76,12 @@
     return stream_idle_timeout_ms(route.target_latency_ms, route.max_gap_ms)
 
 
-def _fingerprint(call: Call) -> int:
+def compute_fingerprint(customer: str, raw_path: str, body: bytes | None) -> int:
     """:returns: a hash of customer, path and body, equal for repeated requests"""
-    digest = xxhash.xxh3_64(call.admitted.customer.encode())
-    digest.update(call.http_request.raw_path.encode())
-    digest.update(call.body or b"")
+    digest = xxhash.xxh3_64(customer.encode())
+    digest.update(raw_path.encode())
+    digest.update(body or b"")
     return digest.intdigest()
 
 
-__all__ = ("Call", "build_request")
+__all__ = ("Call", "build_request", "compute_fingerprint")
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault
+from quetzaldeck.decisions.poison import format_fingerprint
 from quetzaldeck.entry.admission import recheck_call
 from quetzaldeck.entry.attempt import AttemptRunner
 from quetzaldeck.entry.stream_relay import StreamRelay
@@ -142,6 +143,7 @@
             "attempt_failed",
             level="WARNING",
             request=self._call.head.call_id,
+            fingerprint=format_fingerprint(self._call.fingerprint),
             n_attempt=dispatch.n_attempt,
             upstream=error.upstream or dispatch.upstreams[-1],
             fault=error.fault.value,
@@ -172,6 +174,7 @@
         log_event(
             "dispatched",
             request=self._call.head.call_id,
+            fingerprint=format_fingerprint(self._call.fingerprint),
             n_attempt=dispatch.n_attempt,
             upstream=dispatch.upstreams[-1],
             readers=",".join((*dispatch.upstreams[:-1], *dispatch.helpers)),
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -13,7 +13,7 @@
     startup_wait_ms,
 )
 from quetzaldeck.entry.admission import RETRY_ELSEWHERE_MS, admit_call
-from quetzaldeck.entry.call import Call, build_request
+from quetzaldeck.entry.call import Call, build_request, compute_fingerprint
 from quetzaldeck.entry.call_run import CallRun
 from quetzaldeck.entry.error_response import error_response, http_status
 from quetzaldeck.gateway.body import read_body
@@ -86,6 +86,7 @@
                 admitted,
                 body if http_request.body_exists else None,
                 arrived_ms,
+                compute_fingerprint(admitted.customer, http_request.raw_path, body),
             )
             return await self._run(call, view)
         except RequestError as error:
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -8,6 +8,7 @@
 from quetzaldeck.decisions import AttemptFault, Rejection
 from quetzaldeck.decisions.health import HealthState
 from quetzaldeck.decisions.poison import Verdict
+from quetzaldeck.gateway.crash_log import CrashLog
 from quetzaldeck.gateway.degraded_upstreams import DegradedUpstreamsLog
 from quetzaldeck.gateway.messages import (
     ApplyBundle,
@@ -59,6 +60,7 @@
         self._clock = clock
         self._metrics = metrics
         self._degraded_log = DegradedUpstreamsLog(scheduler)
+        self._crash_log = CrashLog(scheduler.poison)
         self._mailbox: asyncio.Queue[Message] = asyncio.Queue()
         self._deferred: list[Message] = []
         self._outboxes: dict[str, asyncio.Queue[Decision]] = {}
@@ -135,7 +137,9 @@
         while True:
             await self._handle_mailbox()
             self._deliver_decisions()
-            self._degraded_log.check(self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            self._degraded_log.check(now_ms)
+            self._crash_log.check(now_ms)
             self._metrics.queued.set(self._scheduler.n_queued)
             self._metrics.running.set(self._scheduler.n_running)
 
