--- /dev/null
+++ b/tests/support/platform/crash_check.py
@@ -0,0 +1,63 @@
+"""Checks from what replicas get that a request stops ending them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+N_CRASHES = 3
+"""Crashes after which a request counts as one that ends what runs it."""
+
+GRACE_MS = 3_000.0
+"""Time after the last of these crashes from which on further sends count."""
+
+MAX_SENDS = 3
+"""Further sends that are allowed, of all VMs together."""
+
+
+class Sending(NamedTuple):
+    """A request reached a replica.
+
+    :param vm: VM that sent it
+    """
+
+    at_ms: float
+    vm: str
+
+
+class CrashRecord:
+    """What replicas got of requests that end them, by request, in order of time."""
+
+    def __init__(self) -> None:
+        self.crashes_ms: defaultdict[str, list[float]] = defaultdict(list)
+        self.sendings: defaultdict[str, list[Sending]] = defaultdict(list)
+
+    def find_excess(
+        self, is_excused: Callable[[str, float, float], bool] = lambda *_: False
+    ) -> Iterator[str]:
+        """Find requests that were sent on after they had ended several replicas.
+
+        :param is_excused: whether a VM was disturbed in a time span, by its bounds
+        :returns: a description of each
+        """
+        for name, crashes_ms in self.crashes_ms.items():
+            if len(crashes_ms) < N_CRASHES:
+                continue
+            counted_ms = crashes_ms[N_CRASHES - 1] + GRACE_MS
+            late = [
+                sending
+                for sending in self.sendings[name]
+                if sending.at_ms > counted_ms
+                and not is_excused(sending.vm, sending.at_ms - GRACE_MS, sending.at_ms)
+            ]
+            if len(late) > MAX_SENDS:
+                yield (
+                    f"{name}: sent {len(late)} times more after {N_CRASHES} crashes, "
+                    f"{len(crashes_ms)} crashes in all"
+                )
+
+
+__all__ = ("CrashRecord", "Sending")
--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -130,6 +130,7 @@
         self.address = ""
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._connections: set[Connection] = set()
 
     async def __aenter__(self) -> StandInReplica:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -144,6 +145,19 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def crash(self) -> None:
+        """End as a process does that is killed: nothing listens, connections break."""
+        assert self._server is not None
+        self._server.close()
+        for connection in tuple(self._connections):
+            connection.reset()
+
+    async def restart(self, replica_id: str) -> None:
+        """Start again at the same address, under a new id."""
+        self.replica_id = replica_id
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
     @property
     def calls(self) -> list[Arrival]:
         """:returns: the received requests except reserve and release orders"""
@@ -157,6 +171,7 @@
         self._tasks.add(task)
         self.n_connections += 1
         connection = Connection(writer, self._list_fields)
+        self._connections.add(connection)
         try:
             while True:
                 arrival = await read_arrival(reader)
@@ -171,6 +186,7 @@
             # The test ended with this request open; asyncio would log the exception.
             return
         finally:
+            self._connections.discard(connection)
             writer.close()
 
     def _list_fields(self) -> tuple[str, ...]:
