Count crashes against requests to plain services too

Cause: requests to plain services had no fingerprint, and the registry, the placer and the monitor left them out besides, since bodies there are often empty and alike. Class: a protection that holds for one kind of service only. The same stood in the own interface: its calls had the hash of their body alone, and were left out as well.

The hash now covers all that the upstream is sent: customer, method, host or service, path with query, and body, each with its length.

--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -80,7 +80,7 @@
         state = self._table.get(name)
         if state is None:
             return None
-        if end.fault is AttemptFault.BROKEN and _can_be_suspected(request):
+        if end.fault is AttemptFault.BROKEN and request.fingerprint:
             incarnation = end.incarnation or state.incarnation
             self._poison.note_crash(request.fingerprint, name, incarnation, now_ms)
         if _is_help_refused(end, upstreams):
@@ -123,7 +123,7 @@
         answering = self._table.get(upstreams[-1])
         if answering is not None:
             answering.outcomes.note(now_ms, is_answered=True)
-        if _can_be_suspected(request):
+        if request.fingerprint:
             self._poison.note_answered(request.fingerprint, now_ms)
 
 
@@ -137,12 +137,4 @@
     return end.fault is AttemptFault.HELPER
 
 
-def _can_be_suspected(request: Request) -> bool:
-    """:returns: whether engine crashes are attributed to this request
-
-    This needs a fingerprint, and does not apply to requests to services.
-    """
-    return bool(request.fingerprint) and not request.service
-
-
 __all__ = ("AttemptMonitor",)
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -134,7 +134,7 @@
     def check_poison(self, request: Request, now_ms: float) -> Failure | None:
         """:returns: the refusal of a request that is suspected of too many crashes"""
         fingerprint = request.fingerprint
-        if not fingerprint or request.service:
+        if not fingerprint:
             return None
         if self._poison.verdict(fingerprint, now_ms) is not Verdict.REFUSED:
             return None
@@ -272,10 +272,10 @@
         avoided: Sequence[str],
         now_ms: float,
     ) -> Placement | None:
-        if request.service:
-            return self._place_single(request, pool, avoided, now_ms)
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, avoided, now_ms)
+        if request.service:
+            return self._place_single(request, pool, avoided, now_ms)
         if not self._head_of_line.may_start(request, pool, now_ms):
             return None
         if self._plans.is_needed(request, pool):
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -40,7 +40,7 @@
 
     def is_suspect(self, request: Request, now_ms: float) -> bool:
         """:returns: whether a request is suspected of crashing engines"""
-        if request.service or not request.fingerprint or not len(self._poison):
+        if not request.fingerprint or not len(self._poison):
             return False
         return self._poison.verdict(request.fingerprint, now_ms) is not Verdict.CLEAR
 
--- a/src/quetzaldeck/decisions/poison/__init__.py
+++ b/src/quetzaldeck/decisions/poison/__init__.py
@@ -8,7 +8,10 @@
     decode_crash_record,
     encode_crash_record,
 )
-from quetzaldeck.decisions.poison.fingerprint import format_fingerprint
+from quetzaldeck.decisions.poison.fingerprint import (
+    compute_fingerprint,
+    format_fingerprint,
+)
 from quetzaldeck.decisions.poison.registry import PoisonRegistry, Verdict
 from quetzaldeck.decisions.poison.sighting import CrashSighting
 
@@ -18,6 +21,7 @@
     "PoisonBounds",
     "PoisonRegistry",
     "Verdict",
+    "compute_fingerprint",
     "decode_crash_record",
     "encode_crash_record",
     "format_fingerprint",
--- a/src/quetzaldeck/entry/call.py
+++ b/src/quetzaldeck/entry/call.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-import xxhash
 from aiohttp import web
 
 from quetzaldeck.decisions import Request
@@ -57,7 +56,7 @@
         priority=admitted.priority,
         arrived_ms=call.arrived_ms,
         deadline_ms=admitted.deadline_ms,
-        fingerprint=call.fingerprint if is_engine else 0,
+        fingerprint=call.fingerprint,
         is_repeatable=route.is_repeatable,
         max_attempts=route.max_attempts,
         target_ms=route.target_latency_ms,
@@ -76,12 +75,4 @@
     return stream_idle_timeout_ms(route.target_latency_ms, route.max_gap_ms)
 
 
-def compute_fingerprint(customer: str, raw_path: str, body: bytes | None) -> int:
-    """:returns: a hash of customer, path and body, equal for repeated requests"""
-    digest = xxhash.xxh3_64(customer.encode())
-    digest.update(raw_path.encode())
-    digest.update(body or b"")
-    return digest.intdigest()
-
-
-__all__ = ("Call", "build_request", "compute_fingerprint")
+__all__ = ("Call", "build_request")
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -12,8 +12,9 @@
     STARTUP_RETRY_AFTER_MS,
     startup_wait_ms,
 )
+from quetzaldeck.decisions.poison import compute_fingerprint
 from quetzaldeck.entry.admission import RETRY_ELSEWHERE_MS, admit_call
-from quetzaldeck.entry.call import Call, build_request, compute_fingerprint
+from quetzaldeck.entry.call import Call, build_request
 from quetzaldeck.entry.call_run import CallRun
 from quetzaldeck.entry.error_response import error_response, http_status
 from quetzaldeck.gateway.body import read_body
@@ -86,7 +87,7 @@
                 admitted,
                 body if http_request.body_exists else None,
                 arrived_ms,
-                compute_fingerprint(admitted.customer, http_request.raw_path, body),
+                _fingerprint(http_request, admitted.customer, body),
             )
             return await self._run(call, view)
         except RequestError as error:
@@ -227,6 +228,13 @@
         raise RequestError(failure) from error
 
 
+def _fingerprint(http_request: web.Request, customer: str, body: bytes) -> int:
+    """:returns: a hash of what a replica is sent; equal for repeated requests"""
+    return compute_fingerprint(
+        customer, http_request.method, http_request.host, http_request.raw_path, body
+    )
+
+
 def _n_prompt_tokens(call: Call) -> int | None:
     prompt = call.head.prompt
     return None if prompt is None else prompt.n_prompt_tokens
--- a/src/quetzaldeck/gateway/services.py
+++ b/src/quetzaldeck/gateway/services.py
@@ -6,10 +6,10 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-import xxhash
 from aiohttp import web
 
 from quetzaldeck.decisions import AttemptEnd, Request
+from quetzaldeck.decisions.poison import compute_fingerprint
 from quetzaldeck.exchange.claim_messages import ClaimRequest
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.claimed_call import ClaimedCall, new_claim_request_id
@@ -73,7 +73,9 @@
             weight=customer.weight,
             arrived_ms=arrived_ms,
             deadline_ms=deadline_ms,
-            fingerprint=xxhash.xxh3_64_intdigest(body),
+            fingerprint=compute_fingerprint(
+                customer.name, service.name, http_request.method, path, body
+            ),
             is_repeatable=is_repeatable,
         )
         if is_repeatable:
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -4,6 +4,7 @@
 
 from tests.support.builders import make_request, make_scheduler, poll_dispatch
 
+from quetzaldeck.bundle.document import Bundle, UpstreamSpec
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
 from quetzaldeck.decisions.poison import (
@@ -209,6 +210,31 @@
     assert refusal.ran is Ran.NO
 
 
+def test_scheduler_refuses_a_call_that_crashed_three_replicas_of_a_service() -> None:
+    """Guards against a check-in that goes on crashing the replicas of its service."""
+    clock = ManualClock(1_000.0)
+    scheduler = make_scheduler(clock, ())
+    specs = {
+        name: UpstreamSpec(name, "http://127.0.0.1:1", kind="service", service="desk")
+        for name in ENGINES
+    }
+    call = make_request(fingerprint=CULPRIT)._replace(model="", service="desk")
+    for index in range(3):
+        scheduler.apply_bundle(Bundle(1, 1, upstreams=tuple(specs.values())))
+        request = call._replace(request_id=f"r{index}", is_repeatable=False)
+        assert scheduler.submit(request) is None
+        clock.advance(2_000.0)
+        dispatch = poll_dispatch(scheduler)
+        del specs[dispatch.upstreams[0]]
+        failure = scheduler.end_attempt(break_attempt(dispatch))
+        assert failure is not None
+        assert failure.ran is Ran.UNKNOWN
+    refusal = scheduler.submit(call)
+    assert refusal is not None
+    assert refusal.reason is Reason.POISON_SUSPECTED
+    assert scheduler.submit(call._replace(fingerprint=BYSTANDER)) is None
+
+
 def test_scheduler_never_runs_two_suspects_on_one_engine() -> None:
     """Guards against a second crash that cannot tell the culprit from a bystander.
 
