--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -84,6 +84,7 @@
     :param retry_after_ms: retry delay requested by the upstream, if any
     :param upstream: group member or helper that failed; ``""``: the only upstream
     :param incarnation: incarnation reported by that upstream; ``""``: none
+    :param is_gone: whether nothing listens at the address of that upstream
     """
 
     attempt_id: str
@@ -95,6 +96,7 @@
     retry_after_ms: float | None = None
     upstream: str = ""
     incarnation: str = ""
+    is_gone: bool = False
 
 
 __all__ = ("AttemptEnd", "AttemptFault", "Decision", "Dispatch", "Rejection")
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -110,6 +110,16 @@
         """Apply what other VMs reported about requests and engine crashes."""
         self._poison.observe(sightings, self._clock.now_ms())
 
+    def observe_check(self, name: str, *, has_ended: bool, at_ms: float) -> None:
+        """Apply the result of a check of an upstream whose connections have broken.
+
+        :param at_ms: when they broke as it crashed, or when it was alive after that
+        """
+        if has_ended:
+            self._poison.note_ended(name, at_ms)
+        else:
+            self._poison.note_survived(name, at_ms)
+
     def pop_crash_sightings(self) -> list[tuple[CrashSighting, ...]]:
         """:returns: new crash sightings to send to the other VMs, grouped by request"""
         return self._poison.pop_changed_sightings(self._clock.now_ms())
--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -80,9 +80,16 @@
         state = self._table.get(name)
         if state is None:
             return None
+        if end.is_gone:
+            self._poison.note_ended(name, now_ms)
         if end.fault is AttemptFault.BROKEN and request.fingerprint:
-            incarnation = end.incarnation or state.incarnation
-            self._poison.note_crash(request.fingerprint, name, incarnation, now_ms)
+            self._poison.note_crash(
+                request.fingerprint,
+                name,
+                end.incarnation or state.incarnation,
+                now_ms,
+                is_proven=not (request.service or self._poison.bounds.needs_proof),
+            )
         if _is_help_refused(end, upstreams):
             state.note_help_refused(now_ms)
         if end.fault in _FAILURES:
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -1,4 +1,4 @@
-"""Thresholds for detecting requests that crash engines."""
+"""Thresholds for detecting requests that crash upstreams."""
 
 from __future__ import annotations
 
@@ -8,35 +8,48 @@
 class PoisonBounds(NamedTuple):
     """Thresholds of the detection.
 
-    :param n_crashes: a request is refused after it was running in this many engine
-        crashes. Two may be coincidence: a usual day has 20 VM failures, and a request
-        runs for seconds. Three that hit the same request are not.
-    :param max_crashes: takes the place of ``n_crashes`` while about as many engines
-        crash without the request, since three may then be coincidence, as in a series
-        of crashes that reaches every engine
+    :param n_crashes: a request is refused after it was running in this many crashes.
+        Two may be coincidence: a usual day has 20 VM failures, and a request runs for
+        seconds. Three that hit the same request are not.
+    :param max_crashes: takes the place of ``n_crashes`` where three crashes may be
+        coincidence: about as many upstreams crash without the request, as in a series
+        of crashes that reaches every upstream, or the request was answered before
+    :param max_chance: crashes without the request raise the limit only if one run of
+        it would be hit by such a crash with at least this probability
     :param wave_ms: crashes of other requests are counted from this long before the
         first crash of a request until this long after its last
     :param forget_ms: how long a sighting counts; longer than any deadline plus the
         time within which callers retry
+    :param unproven_ms: how long a broken connection waits for proof that its upstream
+        crashed; longer than an upstream takes to start again
+    :param answered_ms: how long an answer shows that a request does no harm
     :param alive_margin_ms: a report refutes a crash if it was measured at least this
         much later; the age of a report that came through other VMs omits part of its
         network delay
-    :param same_crash_ms: sightings on one engine within this time count as one crash,
+    :param same_crash_ms: sightings on one upstream within this time count as one crash,
         even if some name an older incarnation because they rest on an older report
     :param propagation_ms: pause before a suspect runs again, so that the other VMs
         learn of the crash first
+    :param needs_proof: whether the broken connection of an engine counts only once it
+        is proven that the engine crashed; those of plain services always need proof
     :param max_fingerprints: maximum number of requests remembered
+    :param max_answered: maximum number of answered requests remembered
     :param max_crashes_held: maximum number of crashes remembered
     """
 
     n_crashes: int = 3
     max_crashes: int = 6
-    wave_ms: float = 30_000.0
+    max_chance: float = 0.1
+    wave_ms: float = 5_000.0
     forget_ms: float = 600_000.0
+    unproven_ms: float = 10_000.0
+    answered_ms: float = 60_000.0
     alive_margin_ms: float = 3_000.0
     same_crash_ms: float = 3_000.0
     propagation_ms: float = 500.0
+    needs_proof: bool = False
     max_fingerprints: int = 10_000
+    max_answered: int = 4_096
     max_crashes_held: int = 1_000
 
 
--- /dev/null
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -0,0 +1,114 @@
+"""Crashes by request and by upstream, within bounds of number and age."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.poison.crash import Crash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from quetzaldeck.decisions.poison.bounds import PoisonBounds
+    from quetzaldeck.decisions.poison.crash import Involvement
+
+
+class CrashTable:
+    """Stores which requests ran in which crashes; the oldest are dropped first.
+
+    :param bounds: limits of number and age
+    """
+
+    def __init__(self, bounds: PoisonBounds) -> None:
+        self._bounds = bounds
+        self._by_request: OrderedDict[int, dict[Crash, Involvement]] = OrderedDict()
+        self._by_upstream: dict[str, list[Crash]] = {}
+        self._crashes: OrderedDict[Crash, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._by_request)
+
+    def __iter__(self) -> Iterator[int]:
+        return iter(self._by_request)
+
+    def __contains__(self, fingerprint: int) -> bool:
+        return fingerprint in self._by_request
+
+    @property
+    def crashes(self) -> Iterator[Crash]:
+        """:returns: all crashes, in the order in which they were noted"""
+        return iter(self._crashes)
+
+    def find(self, fingerprint: int) -> Mapping[Crash, Involvement]:
+        """:returns: the crashes in which a request ran"""
+        return self._by_request.get(fingerprint, {})
+
+    def list_of(self, upstream: str) -> tuple[Crash, ...]:
+        """:returns: crashes of an upstream"""
+        return tuple(self._by_upstream.get(upstream, ()))
+
+    def open(
+        self, upstream: str, incarnation: str, at_ms: float, *, is_proven: bool
+    ) -> Crash:
+        """:returns: the crash of an upstream at a point in time, a new one if needed"""
+        for crash in self._by_upstream.get(upstream, ()):
+            if abs(crash.at_ms - at_ms) <= self._bounds.same_crash_ms:
+                return crash
+        crash = Crash(upstream, incarnation, at_ms, is_proven=is_proven)
+        self._crashes[crash] = None
+        self._by_upstream.setdefault(upstream, []).append(crash)
+        while len(self._crashes) > self._bounds.max_crashes_held:
+            self.drop(self._find_least_useful())
+        return crash
+
+    def add(self, fingerprint: int, crash: Crash, involvement: Involvement) -> None:
+        """Record that a request ran in a crash."""
+        known = self._by_request.setdefault(fingerprint, {})
+        before = known.get(crash)
+        if before is None or involvement.seen_ms < before.seen_ms:
+            known[crash] = involvement
+        crash.fingerprints.add(fingerprint)
+        self._by_request.move_to_end(fingerprint)
+        while len(self._by_request) > self._bounds.max_fingerprints:
+            self.forget(next(iter(self._by_request)))
+
+    def discard(self, fingerprint: int, crash: Crash) -> None:
+        """Record that a request did not run in a crash, or does not count in it."""
+        known = self._by_request[fingerprint]
+        del known[crash]
+        if not known:
+            del self._by_request[fingerprint]
+        crash.fingerprints.discard(fingerprint)
+
+    def forget(self, fingerprint: int) -> None:
+        """Forget all crashes of a request."""
+        for crash in tuple(self.find(fingerprint)):
+            self.discard(fingerprint, crash)
+
+    def drop(self, crash: Crash) -> None:
+        """Forget a crash."""
+        for fingerprint in tuple(crash.fingerprints):
+            self.discard(fingerprint, crash)
+        del self._crashes[crash]
+        siblings = self._by_upstream[crash.upstream]
+        siblings.remove(crash)
+        if not siblings:
+            del self._by_upstream[crash.upstream]
+
+    def expire(self, now_ms: float) -> None:
+        """Forget old crashes, and connections for which no proof has come."""
+        for crash in tuple(self._crashes):
+            ttl_ms = (
+                self._bounds.forget_ms if crash.is_proven else self._bounds.unproven_ms
+            )
+            if now_ms - crash.at_ms > ttl_ms:
+                self.drop(crash)
+
+    def _find_least_useful(self) -> Crash:
+        """:returns: the oldest unproven crash, or the oldest one"""
+        unproven = (crash for crash in self._crashes if not crash.is_proven)
+        return next(unproven, next(iter(self._crashes)))
+
+
+__all__ = ("CrashTable",)
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -1,23 +1,27 @@
-"""Identifies requests that crash engines, and clears those that only ran alongside.
+"""Identifies requests that crash upstreams, and clears those that only ran alongside.
 
-Failure scenario: one request crashes each engine that runs it, and its caller retries
+Failure scenario: one request crashes each upstream that runs it, and its caller retries
 it, each time through whichever VM the load balancer picks. Without this module the
-request crashes an engine every few seconds, and all requests running there fail, until
-no engine of the pool is left.
+request crashes an upstream every few seconds, and all requests running there fail,
+until no upstream of the pool is left.
 
-A crash makes suspects of all requests that were running on the engine. Suspects are
-isolated: an engine runs at most one of them, and a VM runs only one copy of a suspect
+A crash makes suspects of all requests that were running on the upstream. Suspects are
+isolated: an upstream runs at most one of them, and a VM runs only one copy of a suspect
 at a time. The next crash then separates the culprit from the bystanders, because a
 crash counts only against those of its requests that were in the most crashes. One
 complete answer clears a request. A request is refused once ``n_crashes`` crashes count
-against it, unless about as many engines crashed without it at the time: when engine
-after engine crashes for another reason, the requests that are retried are in several
+against it, unless about as many upstreams crashed without it at the time: when one
+after the other crashes for another reason, the requests that are retried are in several
 crashes and caused none.
 
+A broken connection alone proves no crash: a network device may have cut it, or the
+upstream lost one answer. Where ``needs_proof`` is set, it makes a suspect, but counts
+only once it is proven that the upstream has ended.
+
 Guarantee: if the VMs share their sightings, a request that is resent over and over
-crashes at most ``n_crashes`` engines over all VMs. Copies that run through ``c`` VMs at
-the same time, or before the updates arrive, can each crash one more engine, at most
-``n_crashes - 1 + c`` in total. While other engines crash without it as well,
+crashes at most ``n_crashes`` upstreams over all VMs. Copies that run through ``c`` VMs
+at the same time, or before the updates arrive, can each crash one more, at most
+``n_crashes - 1 + c`` in total. While other upstreams crash without it as well,
 ``max_crashes`` takes the place of ``n_crashes``. While VMs cannot exchange updates,
 each enforces the limit by itself.
 """
@@ -26,14 +30,18 @@
 
 from collections import Counter, OrderedDict
 from enum import StrEnum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
+from quetzaldeck.decisions.poison.crash import Involvement
+from quetzaldeck.decisions.poison.crash_table import CrashTable
 from quetzaldeck.decisions.poison.sighting import CrashSighting
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from quetzaldeck.decisions.poison.crash import Crash
+
 
 class Verdict(StrEnum):
     """How a request is treated, by the crashes that count against it."""
@@ -43,30 +51,21 @@
     REFUSED = "refused"
 
 
-class _Crash(NamedTuple):
-    """One crash of one incarnation of an engine."""
-
-    upstream: str
-    incarnation: str
-
-
 class PoisonRegistry:
-    """Stores crash sightings by fingerprint; the oldest are dropped first.
+    """Judges requests by the crashes in which they ran.
 
     :param bounds: thresholds
     """
 
     def __init__(self, bounds: PoisonBounds | None = None) -> None:
         self._bounds = bounds or PoisonBounds()
-        self._crashes: OrderedDict[int, dict[_Crash, float]] = OrderedDict()
-        self._requests_by_crash: dict[_Crash, set[int]] = {}
+        self._table = CrashTable(self._bounds)
         self._cleared: OrderedDict[int, float] = OrderedDict()
-        self._crash_times_ms: OrderedDict[_Crash, float] = OrderedDict()
         self._unannounced: set[int] = set()
         self._newly_sighted: set[int] = set()
 
     def __len__(self) -> int:
-        return len(self._crashes)
+        return len(self._table)
 
     @property
     def bounds(self) -> PoisonBounds:
@@ -79,19 +78,23 @@
         A crash does not count against a request while another request of that crash
         was in more crashes; it counts again once the other one is cleared.
         """
-        crashes = self._crashes.get(fingerprint)
-        if crashes is None:
-            return 0
         oldest_ms = now_ms - self._bounds.forget_ms
-        recent = [crash for crash, seen_ms in crashes.items() if seen_ms >= oldest_ms]
-        return sum(len(crashes) >= self._highest_crash_count(crash) for crash in recent)
+        return sum(
+            involvement.seen_ms >= oldest_ms
+            and crash.is_proven
+            and self._n_proven(fingerprint) >= self._highest_crash_count(crash)
+            for crash, involvement in self._table.find(fingerprint).items()
+        )
 
     def verdict(self, fingerprint: int, now_ms: float) -> Verdict:
         """:returns: whether a request runs normally, isolated, or not at all"""
+        if fingerprint not in self._table:
+            return Verdict.CLEAR
         n_crashes = self.n_crashes(fingerprint, now_ms)
         if n_crashes >= self._crash_limit(fingerprint, n_crashes):
             return Verdict.REFUSED
-        return Verdict.SUSPECT if n_crashes else Verdict.CLEAR
+        is_suspect = n_crashes or self._has_unproven(fingerprint, now_ms)
+        return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
 
     def count_verdicts(self, now_ms: float) -> Counter[Verdict]:
         """:returns: number of requests that were in a crash, by verdict"""
@@ -99,12 +102,12 @@
 
     def list_verdicts(self, now_ms: float) -> dict[int, Verdict]:
         """:returns: verdicts on the requests that were in a crash, by fingerprint"""
-        return {item: self.verdict(item, now_ms) for item in self._crashes}
+        return {item: self.verdict(item, now_ms) for item in self._table}
 
     def list_crashed(self, fingerprint: int) -> list[str]:
         """:returns: upstreams that crashed while they ran a request, in that order"""
-        crashes = self._crashes.get(fingerprint, {})
-        return [crash.upstream for crash in sorted(crashes, key=crashes.__getitem__)]
+        proven = [crash for crash in self._table.find(fingerprint) if crash.is_proven]
+        return [crash.upstream for crash in sorted(proven, key=_time_of)]
 
     def pop_newly_refused(self, now_ms: float) -> list[int]:
         """:returns: refused requests with new sightings since the last call"""
@@ -116,53 +119,92 @@
         """:returns: pause before a suspect runs; 0 for any other request
 
         The pause starts at the last known crash. Without it, a copy that arrives at
-        this VM while another VM runs one could crash an engine before this VM learns of
-        the other crash.
+        this VM while another VM runs one could crash an upstream before this VM learns
+        of the other crash.
         """
         if self.verdict(fingerprint, now_ms) is not Verdict.SUSPECT:
             return 0.0
-        last_ms = max(self._crashes[fingerprint].values())
-        return max(0.0, last_ms + self._bounds.propagation_ms - now_ms)
+        involvements = self._table.find(fingerprint).items()
+        proven_ms = [item.seen_ms for crash, item in involvements if crash.is_proven]
+        if not proven_ms:
+            return 0.0
+        return max(0.0, max(proven_ms) + self._bounds.propagation_ms - now_ms)
 
     def retry_after_ms(self, fingerprint: int, now_ms: float) -> float:
         """:returns: time until a refused request may be admitted again"""
-        seen = sorted(self._crashes.get(fingerprint, {}).values(), reverse=True)
+        involvements = self._table.find(fingerprint).items()
+        seen = sorted(
+            (item.seen_ms for crash, item in involvements if crash.is_proven),
+            reverse=True,
+        )
         if len(seen) < self._bounds.n_crashes:
             return 0.0
         decisive_ms = seen[self._bounds.n_crashes - 1]
         return max(0.0, decisive_ms + self._bounds.forget_ms - now_ms)
 
     def note_crash(
-        self, fingerprint: int, upstream: str, incarnation: str, now_ms: float
+        self,
+        fingerprint: int,
+        upstream: str,
+        incarnation: str,
+        now_ms: float,
+        *,
+        is_proven: bool = True,
     ) -> None:
-        """Record a request that was running on an engine when it crashed."""
-        self._unannounced.add(fingerprint)
-        self._add(fingerprint, _Crash(upstream, incarnation), now_ms)
+        """Record a request that was running on an upstream when its connection broke.
+
+        :param is_proven: whether a broken connection is taken as proof of a crash
+        """
+        self._table.expire(now_ms)
+        crash = self._table.open(upstream, incarnation, now_ms, is_proven=is_proven)
+        self._add(fingerprint, crash, Involvement(now_ms))
+        if is_proven:
+            self._prove(crash)
+        if crash.is_proven:
+            self._unannounced.add(fingerprint)
+
+    def note_ended(self, upstream: str, at_ms: float) -> None:
+        """Record proof that an upstream has crashed.
+
+        :param at_ms: when connections broke as it crashed; those that had broken well
+            before did so for another reason
+        """
+        for crash in self._table.list_of(upstream):
+            if crash.at_ms >= at_ms - self._bounds.same_crash_ms:
+                self._prove(crash)
+
+    def note_survived(self, upstream: str, measured_ms: float) -> None:
+        """Drop unproven sightings: the upstream was alive at a later point in time."""
+        for crash in self._table.list_of(upstream):
+            if not crash.is_proven and crash.at_ms <= measured_ms:
+                self._table.drop(crash)
 
     def note_answered(self, fingerprint: int, now_ms: float) -> bool:
-        """Clear a request that an engine answered.
+        """Clear a request that an upstream answered.
 
         :returns: whether it was a suspect
         """
-        if fingerprint not in self._crashes:
+        if fingerprint not in self._table:
             return False
         self._unannounced.add(fingerprint)
-        self._forget(fingerprint)
+        self._table.forget(fingerprint)
         self._clear(fingerprint, now_ms)
         return True
 
     def note_alive(self, upstream: str, incarnation: str, measured_ms: float) -> None:
         """Drop sightings that a later report of the same incarnation refutes.
 
-        A connection that a network device cut looks like a crash of the engine. A
+        A connection that a network device cut looks like a crash of the upstream. A
         report that the same incarnation measured after that moment proves that it did
         not crash.
         """
-        crash = _Crash(upstream, incarnation)
         refuted_before_ms = measured_ms - self._bounds.alive_margin_ms
-        for fingerprint in tuple(self._requests_by_crash.get(crash, ())):
-            if self._crashes[fingerprint][crash] < refuted_before_ms:
-                self._discard(fingerprint, crash)
+        for crash in self._table.list_of(upstream):
+            if crash.incarnation != incarnation:
+                continue
+            for fingerprint in tuple(crash.fingerprints):
+                if self._table.find(fingerprint)[crash].seen_ms < refuted_before_ms:
+                    self._table.discard(fingerprint, crash)
 
     def pop_changed_sightings(self, now_ms: float) -> list[tuple[CrashSighting, ...]]:
         """:returns: sightings of the requests that this VM has to announce, by request
@@ -177,8 +219,14 @@
     def _list_sightings(
         self, fingerprint: int, now_ms: float
     ) -> Iterator[CrashSighting]:
-        for crash, seen_ms in self._crashes.get(fingerprint, {}).items():
-            yield CrashSighting(fingerprint, *crash, now_ms - seen_ms)
+        for crash, involvement in self._table.find(fingerprint).items():
+            if crash.is_proven:
+                yield CrashSighting(
+                    fingerprint,
+                    crash.upstream,
+                    crash.incarnation,
+                    now_ms - involvement.seen_ms,
+                )
         if fingerprint in self._cleared:
             age_ms = now_ms - self._cleared[fingerprint]
             yield CrashSighting(fingerprint, "", "", age_ms)
@@ -190,85 +238,66 @@
             if sighting.age_ms > self._bounds.forget_ms:
                 continue
             if sighting.upstream:
-                crash = _Crash(sighting.upstream, sighting.incarnation)
-                self._add(sighting.fingerprint, crash, seen_ms)
+                crash = self._table.open(
+                    sighting.upstream, sighting.incarnation, seen_ms, is_proven=True
+                )
+                self._add(sighting.fingerprint, crash, Involvement(seen_ms))
+                self._prove(crash)
             else:
                 self._merge_cleared(sighting.fingerprint, seen_ms)
 
-    def _add(self, fingerprint: int, crash: _Crash, seen_ms: float) -> None:
+    def _prove(self, crash: Crash) -> None:
+        if not crash.is_proven:
+            crash.is_proven = True
+            self._unannounced |= crash.fingerprints
+            self._newly_sighted |= crash.fingerprints
+
+    def _add(self, fingerprint: int, crash: Crash, involvement: Involvement) -> None:
         # Another VM may still report a crash from before the request was cleared;
         # without this check the request would become a suspect again.
-        if seen_ms <= self._cleared.get(fingerprint, float("-inf")):
+        cleared_ms = self._cleared.get(fingerprint, float("-inf"))
+        if involvement.seen_ms <= cleared_ms:
             return
         self._newly_sighted.add(fingerprint)
-        crashes = self._crashes.setdefault(fingerprint, {})
-        crashes[crash] = min(seen_ms, crashes.get(crash, seen_ms))
-        self._requests_by_crash.setdefault(crash, set()).add(fingerprint)
-        self._crashes.move_to_end(fingerprint)
-        while len(self._crashes) > self._bounds.max_fingerprints:
-            self._forget(next(iter(self._crashes)))
-        self._crash_times_ms[crash] = min(
-            seen_ms, self._crash_times_ms.get(crash, seen_ms)
-        )
-        while len(self._crash_times_ms) > self._bounds.max_crashes_held:
-            self._crash_times_ms.popitem(last=False)
+        self._table.add(fingerprint, crash, involvement)
 
     def _merge_cleared(self, fingerprint: int, cleared_ms: float) -> None:
-        for crash, seen_ms in tuple(self._crashes.get(fingerprint, {}).items()):
-            if seen_ms <= cleared_ms:
-                self._discard(fingerprint, crash)
+        for crash, involvement in tuple(self._table.find(fingerprint).items()):
+            if involvement.seen_ms <= cleared_ms:
+                self._table.discard(fingerprint, crash)
         self._clear(fingerprint, cleared_ms)
 
     def _crash_limit(self, fingerprint: int, n_crashes: int) -> int:
         """:returns: number of crashes at which a request is refused
 
-        This is ``max_crashes`` while about as many engines crash without the request.
+        This is ``max_crashes`` while about as many upstreams crash without the request.
         """
         if n_crashes < self._bounds.n_crashes:
             return self._bounds.n_crashes
-        own = self._crashes[fingerprint]
-        first_ms = min(own.values()) - self._bounds.wave_ms
-        last_ms = max(own.values()) + self._bounds.wave_ms
+        own = self._table.find(fingerprint)
+        times_ms = [involvement.seen_ms for involvement in own.values()]
+        first_ms = min(times_ms) - self._bounds.wave_ms
+        last_ms = max(times_ms) + self._bounds.wave_ms
         n_others = sum(
-            first_ms <= seen_ms <= last_ms
-            and not self._is_own_crash(own, crash, seen_ms)
-            for crash, seen_ms in self._crash_times_ms.items()
+            crash.is_proven and first_ms <= crash.at_ms <= last_ms and crash not in own
+            for crash in self._table.crashes
         )
         is_wave = n_others >= n_crashes - 1
         return self._bounds.max_crashes if is_wave else self._bounds.n_crashes
 
-    def _is_own_crash(
-        self, own: dict[_Crash, float], crash: _Crash, seen_ms: float
-    ) -> bool:
-        """:returns: whether a crash is one of a request's own crashes
-
-        The crash may be recorded under another incarnation, see ``same_crash_ms``.
-        """
-        return crash in own or any(
-            other.upstream == crash.upstream
-            and abs(own_ms - seen_ms) <= self._bounds.same_crash_ms
-            for other, own_ms in own.items()
-        )
-
-    def _highest_crash_count(self, crash: _Crash) -> int:
-        """:returns: most crashes that any one request of ``crash`` was in"""
-        return max(
-            len(self._crashes[other]) for other in self._requests_by_crash[crash]
+    def _has_unproven(self, fingerprint: int, now_ms: float) -> bool:
+        oldest_ms = now_ms - self._bounds.unproven_ms
+        return any(
+            not crash.is_proven and involvement.seen_ms >= oldest_ms
+            for crash, involvement in self._table.find(fingerprint).items()
         )
 
-    def _forget(self, fingerprint: int) -> None:
-        for crash in tuple(self._crashes[fingerprint]):
-            self._discard(fingerprint, crash)
+    def _n_proven(self, fingerprint: int) -> int:
+        return sum(crash.is_proven for crash in self._table.find(fingerprint))
 
-    def _discard(self, fingerprint: int, crash: _Crash) -> None:
-        crashes = self._crashes[fingerprint]
-        del crashes[crash]
-        if not crashes:
-            del self._crashes[fingerprint]
-        requests = self._requests_by_crash[crash]
-        requests.discard(fingerprint)
-        if not requests:
-            del self._requests_by_crash[crash]
+    def _highest_crash_count(self, crash: Crash) -> int:
+        """:returns: most crashes that any one request of ``crash`` was in"""
+        return max(self._n_proven(other) for other in crash.fingerprints)
 
     def _clear(self, fingerprint: int, cleared_ms: float) -> None:
         known_ms = self._cleared.get(fingerprint, cleared_ms)
@@ -278,4 +307,8 @@
             self._cleared.popitem(last=False)
 
 
+def _time_of(crash: Crash) -> float:
+    return crash.at_ms
+
+
 __all__ = ("PoisonRegistry", "Verdict")
--- a/src/quetzaldeck/decisions/policies.py
+++ b/src/quetzaldeck/decisions/policies.py
@@ -9,6 +9,7 @@
 from quetzaldeck.decisions.groups import GroupBounds
 from quetzaldeck.decisions.head_of_line import head_of_line_policies
 from quetzaldeck.decisions.placement import placement_policies
+from quetzaldeck.decisions.poison import PoisonBounds
 from quetzaldeck.decisions.queueing import queue_policies
 from quetzaldeck.decisions.scheduler import Scheduler
 
@@ -39,6 +40,9 @@
 """Reservation requests cost little, while refused memory fails a long prompt. After
 ``max_wait_ms``, other members with free memory are tried."""
 
+ENTRY_POISON = PoisonBounds(needs_proof=True)
+"""Replicas there send no reports by which a crash could be refuted later."""
+
 
 def build_scheduler(
     policies: Policies,
@@ -48,6 +52,7 @@
     availability_zone: str = "",
     resend_budget: ResendBudget | None = None,
     groups: GroupBounds | None = None,
+    poison: PoisonBounds | None = None,
 ) -> Scheduler:
     """:returns: the scheduler of one VM, in the gateway and in the bench alike
 
@@ -65,6 +70,7 @@
         head_of_line=head_of_line_policies.get(policies.head_of_line)(),
         resend_budget=resend_budget,
         groups=groups,
+        poison=poison,
     )
 
 
@@ -72,6 +78,7 @@
     "BASELINE_LEAST_REPORTED",
     "BASELINE_ROUND_ROBIN",
     "ENTRY_GROUPS",
+    "ENTRY_POISON",
     "ENTRY_POLICIES",
     "Policies",
     "build_scheduler",
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -36,6 +36,7 @@
     from quetzaldeck.decisions.groups import GroupBounds
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.placement import PlacementPolicy
+    from quetzaldeck.decisions.poison import PoisonBounds
     from quetzaldeck.decisions.queueing import QueuePolicy
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import ResendBudget
@@ -53,6 +54,7 @@
     :param head_of_line: restricts the upstreams of a request
     :param resend_budget: budget of sends of a request after its first
     :param groups: parameters of engine groups that share the memory of long prompts
+    :param poison: thresholds for requests that crash upstreams
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         bounds: SchedulerBounds | None = None,
         resend_budget: ResendBudget | None = None,
         groups: GroupBounds | None = None,
+        poison: PoisonBounds | None = None,
     ) -> None:
         self._clock = clock
         self._queue = queue
@@ -76,17 +79,17 @@
         self._tokens = TokenEstimator()
         self._learner = AnswerLearner(self._admission, self._tokens)
         self._upstreams = table = UpstreamTable()
-        self._poison = poison = PoisonRegistry()
+        self._poison = registry = PoisonRegistry(poison)
         self._placement = placement
         self._placer = Placer(
             table=table,
             policy=placement,
-            poison=poison,
+            poison=registry,
             head_of_line=self._head_of_line,
             max_requests=(bounds or SchedulerBounds()).max_requests_per_upstream,
             planner=GroupPlanner(groups),
         )
-        self._monitor = AttemptMonitor(table=table, policy=placement, poison=poison)
+        self._monitor = AttemptMonitor(table=table, policy=placement, poison=registry)
         self._retries = RetryPolicy(
             random_state=random_state, resend_budget=resend_budget
         )
@@ -106,14 +109,14 @@
             placer=self._placer,
             retries=self._retries,
             admission=self._admission,
-            poison=poison,
+            poison=registry,
         )
         self._sweep = QueueSweep(
             tracked=self._tracked,
             waiting=self._waiting,
             admission=self._admission,
             placer=self._placer,
-            poison=poison,
+            poison=registry,
             table=table,
             withdraw=self.withdraw,
         )
@@ -121,7 +124,7 @@
             clock=clock,
             table=table,
             policy=placement,
-            poison=poison,
+            poison=registry,
             monitor=self._monitor,
             waiting=self._waiting,
         )
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -51,6 +51,12 @@
         self._may_have_run = False
         self._members: frozenset[str] = frozenset()
         self._incarnation = ""
+        self._replica: Replica | None = None
+
+    @property
+    def replica(self) -> Replica | None:
+        """:returns: the last replica sent to; ``None``: none yet"""
+        return self._replica
 
     @property
     def incarnation(self) -> str:
@@ -153,6 +159,7 @@
         )
         replica = self._find_replica(name)
         self._incarnation = replica.incarnation
+        self._replica = replica
         headers = build_request_headers(http_request.headers, parameters)
         self._may_have_run = True
         self._state.rate_limits.note_sent(name)
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -150,7 +150,8 @@
             may_have_run=error.may_have_run,
             error=error,
         )
-        is_addressed = error.upstream in ("", dispatch.upstreams[-1])
+        name = dispatch.upstreams[-1]
+        is_addressed = error.upstream in ("", name)
         end = AttemptEnd(
             dispatch.attempt_id,
             error.fault,
@@ -158,10 +159,16 @@
             may_have_run=error.may_have_run,
             was_sent=error.was_sent,
             upstream=error.upstream,
-            incarnation=self._runner.incarnation if is_addressed else "",
+            incarnation=(self._runner.incarnation or name) if is_addressed else "",
             retry_after_ms=error.retry_after_ms,
+            is_gone=error.is_gone,
         )
-        await self._ticket.end_attempt(end)
+        try:
+            await self._ticket.end_attempt(end)
+        finally:
+            replica = self._runner.replica
+            if error.fault is AttemptFault.BROKEN and replica is not None:
+                self._state.crash_checks.note_broken(replica)
 
     def _record_dispatch(self, dispatch: Dispatch) -> None:
         wait_ms = self._state.clock.now_ms() - self._call.arrived_ms
--- /dev/null
+++ b/src/quetzaldeck/entry/crash_checks.py
@@ -0,0 +1,169 @@
+"""Checks whether a replica has crashed after a connection to it has broken.
+
+A connection breaks when its replica crashes, but also when a network device cuts it,
+when the replica loses one response, or when it closes an idle connection at the moment
+of its next use. Which requests crash replicas is judged by crashes only, so each broken
+connection is followed up by a health check at once: a port on which nothing listens, or
+where another replica responds, proves a crash. A check that gets no answer proves
+nothing. Then it counts as proof if another incarnation registers at the address.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.entry.liveness import Liveness
+from quetzaldeck.gateway.messages import ObserveCheck
+from quetzaldeck.routing import Replica
+from quetzaldeck.telemetry import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine, Mapping
+
+    from quetzaldeck.clock import Clock
+    from quetzaldeck.gateway.dispatch_task import DispatchTask
+    from quetzaldeck.telemetry import UpstreamMetrics
+
+    CheckReplica = Callable[[Replica], Coroutine[object, object, Liveness]]
+    ReadReplicas = Callable[[], Mapping[str, Replica]]
+
+MIN_INTERVAL_MS = 100.0
+"""Least time between two checks of one replica, which may break each connection."""
+
+
+class _Break(NamedTuple):
+    """Connections to one incarnation of a replica that have broken.
+
+    :param first_ms: when the first of them broke
+    :param registered: incarnations that were registered at its address at that time
+    """
+
+    replica: Replica
+    first_ms: float
+    registered: frozenset[tuple[str, int]]
+
+
+class CrashChecks:
+    """Owns the checks that run; at most one of each replica.
+
+    :param read_replicas: returns the replicas that are known, by id
+    :param check: asks a replica whether it lives
+    :param dispatch: is told of the results
+    :param proof_ms: how long another incarnation at the address counts as proof
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        read_replicas: ReadReplicas,
+        check: CheckReplica,
+        dispatch: DispatchTask,
+        metrics: UpstreamMetrics,
+        *,
+        proof_ms: float,
+    ) -> None:
+        self._clock = clock
+        self._read_replicas = read_replicas
+        self._check = check
+        self._dispatch = dispatch
+        self._metrics = metrics
+        self._proof_ms = proof_ms
+        self._mailbox: asyncio.Queue[Replica] = asyncio.Queue()
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self._breaks: dict[str, _Break] = {}
+        self._repeated: set[str] = set()
+
+    def note_broken(self, replica: Replica) -> None:
+        """Check a replica to which a connection has just broken."""
+        self._mailbox.put_nowait(replica)
+
+    def apply_replicas(self) -> None:
+        """Take another incarnation at the address of a replica as proof."""
+        oldest_ms = self._clock.now_ms() - self._proof_ms
+        for name, broken in tuple(self._breaks.items()):
+            if broken.first_ms < oldest_ms:
+                del self._breaks[name]
+            elif self._list_registered(broken.replica) - broken.registered:
+                self._conclude(broken, Liveness.ENDED, "replaced")
+
+    async def run(self) -> None:
+        """Start checks until cancelled."""
+        try:
+            while True:
+                self._start(await self._mailbox.get())
+        finally:
+            for task in self._running.values():
+                task.cancel()
+
+    def _start(self, replica: Replica) -> None:
+        name = replica.replica_id
+        broken = self._breaks.get(name)
+        if broken is None or broken.replica.incarnation != replica.incarnation:
+            now_ms = self._clock.now_ms()
+            broken = _Break(replica, now_ms, self._list_registered(replica))
+            self._breaks[name] = broken
+        current = self._read_replicas().get(name)
+        if current is not None and current.is_leaving:
+            self._conclude(broken, Liveness.ALIVE, "leaving")
+        elif name in self._running:
+            self._repeated.add(name)
+        else:
+            task = asyncio.create_task(self._run_checks(name))
+            self._running[name] = task
+            task.add_done_callback(lambda _: self._running.pop(name, None))
+
+    async def _run_checks(self, name: str) -> None:
+        """Check a replica, once more if connections broke after a check began."""
+        while (broken := self._breaks.get(name)) is not None:
+            self._repeated.discard(name)
+            begun_ms = self._clock.now_ms()
+            liveness = await self._check(broken.replica)
+            if name in self._breaks:
+                self._conclude(broken, liveness, "checked", begun_ms)
+            await asyncio.sleep(MIN_INTERVAL_MS / MS_PER_SECOND)
+            if name not in self._repeated:
+                return
+            self._breaks.setdefault(name, broken._replace(first_ms=begun_ms))
+
+    def _conclude(
+        self,
+        broken: _Break,
+        liveness: Liveness,
+        how: str,
+        alive_ms: float | None = None,
+    ) -> None:
+        """Report a result, and forget the break unless nothing is known.
+
+        :param alive_ms: when the replica lives, if it does; ``None``: now
+        """
+        name = broken.replica.replica_id
+        now_ms = self._clock.now_ms()
+        self._metrics.crash_checks.labels(liveness.value).inc()
+        log_event(
+            "lost_connection_checked",
+            upstream=name,
+            incarnation=broken.replica.incarnation,
+            address=broken.replica.address,
+            liveness=liveness.value,
+            how=how,
+            age_ms=now_ms - broken.first_ms,
+        )
+        if liveness is Liveness.UNKNOWN:
+            return
+        del self._breaks[name]
+        has_ended = liveness is Liveness.ENDED
+        at_ms = broken.first_ms if has_ended else alive_ms or now_ms
+        self._dispatch.send(ObserveCheck(name, has_ended, at_ms))
+
+    def _list_registered(self, replica: Replica) -> frozenset[tuple[str, int]]:
+        """:returns: ids and starts of the replicas at the address of a replica"""
+        return frozenset(
+            (other.replica_id, other.started_ms)
+            for other in self._read_replicas().values()
+            if other.address == replica.address
+        )
+
+
+__all__ = ("CrashChecks",)
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -9,7 +9,11 @@
 import aiohttp
 
 from quetzaldeck.belief import FleetBelief
-from quetzaldeck.decisions.policies import ENTRY_GROUPS, build_scheduler
+from quetzaldeck.decisions.policies import (
+    ENTRY_GROUPS,
+    ENTRY_POISON,
+    build_scheduler,
+)
 from quetzaldeck.decisions.retries import ResendBudget
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.belief_sources import BeliefSources
@@ -23,6 +27,7 @@
 from quetzaldeck.http import parse_listen_address
 from quetzaldeck.platform import (
     CALL_ID,
+    HealthChecks,
     PlatformStore,
     ReplicaOrders,
     ReplicaReports,
@@ -69,6 +74,9 @@
         upstreams = await self._stack.enter_async_context(
             UpstreamClient(echo_header=CALL_ID)
         )
+        check_client = await self._stack.enter_async_context(
+            UpstreamClient(echo_header=CALL_ID, reuses_connections=False)
+        )
         dispatch = DispatchTask(self._build_scheduler(), self.metrics, self._clock)
         self._state = EntryState(
             settings=self._settings,
@@ -78,6 +86,7 @@
             upstreams=upstreams,
             belief=FleetBelief(build_belief_bounds(self._settings.bounds)),
             orders=ReplicaOrders(upstreams),
+            health_checks=HealthChecks(check_client),
             group_bounds=ENTRY_GROUPS,
         )
         self._peer_table = self._build_table()
@@ -109,6 +118,7 @@
                 belief_task.run_expiry(),
                 pace_task.run(),
                 self._state.releases.run(),
+                self._state.crash_checks.run(),
             )
         )
 
@@ -139,6 +149,7 @@
             random_state=random.Random(self._settings.random_state or None),
             availability_zone=self._settings.availability_zone,
             groups=ENTRY_GROUPS,
+            poison=ENTRY_POISON,
             resend_budget=ResendBudget(
                 ratio=bounds.retry_ratio, window_ms=bounds.retry_window_s * 1_000
             ),
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -8,6 +8,8 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
+from quetzaldeck.entry.crash_checks import CrashChecks
+from quetzaldeck.entry.liveness import Liveness
 from quetzaldeck.entry.permits import Permits
 from quetzaldeck.entry.rate_limits import RateLimits
 from quetzaldeck.entry.upstream_pool import (
@@ -31,7 +33,8 @@
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.entry.view import RoutingView
     from quetzaldeck.gateway.dispatch_task import DispatchTask
-    from quetzaldeck.platform import ReplicaOrders
+    from quetzaldeck.platform import HealthChecks, ReplicaOrders
+    from quetzaldeck.routing import Replica
     from quetzaldeck.telemetry import GatewayMetrics
 
 BALANCER_LAG_MS = 3_000
@@ -60,6 +63,7 @@
         upstreams: UpstreamClient,
         belief: FleetBelief,
         orders: ReplicaOrders,
+        health_checks: HealthChecks,
         group_bounds: GroupBounds,
     ) -> None:
         self.settings = settings
@@ -69,10 +73,19 @@
         self.upstreams = upstreams
         self.belief = belief
         self.orders = orders
+        self._health_checks = health_checks
         self.group_bounds = group_bounds
         self.rate_limits = RateLimits(clock, dispatch, metrics.upstreams)
         own_address = parse_listen_address(settings.listen.callers).host
         self.permits = Permits(own_address, self.rate_limits, clock, metrics.upstreams)
+        self.crash_checks = CrashChecks(
+            clock,
+            lambda: belief.replicas,
+            self._check_health,
+            dispatch,
+            metrics.upstreams,
+            proof_ms=dispatch.poison_bounds.unproven_ms,
+        )
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.random_state = random.Random(settings.random_state or None)
         self.in_flight = InFlightRequests()
@@ -116,6 +129,14 @@
         if replica is not None:
             await self.orders.release(replica, release.held_id)
 
+    async def _check_health(self, replica: Replica) -> Liveness:
+        """:returns: whether a replica lives; unknown if its service is gone"""
+        view = self._view
+        service = None if view is None else view.services.get(replica.service)
+        if service is None:
+            return Liveness.UNKNOWN
+        return await self._health_checks.check(replica, service.health_path)
+
     def apply_settings(self, settings: EntrySettings) -> None:
         """Use changed bounds for decisions from now on."""
         self.settings = settings
@@ -135,6 +156,7 @@
         self.dispatch.send(Observe((), list_leaving(self.belief)))
         self.rate_limits.apply_replicas(self.belief.replicas)
         self.permits.expire(self.belief.replicas)
+        self.crash_checks.apply_replicas()
 
 
 def build_shutdown(bounds: EntryBounds) -> ShutdownSettings:
--- a/src/quetzaldeck/entry/upstream_client.py
+++ b/src/quetzaldeck/entry/upstream_client.py
@@ -34,15 +34,18 @@
     """A context manager that owns the connections to all upstreams.
 
     :param echo_header: header in which an upstream echoes the id of a request
+    :param reuses_connections: whether a connection serves more than one request
     """
 
-    def __init__(self, *, echo_header: str) -> None:
+    def __init__(self, *, echo_header: str, reuses_connections: bool = True) -> None:
         self._echo_header = echo_header
+        self._reuses_connections = reuses_connections
         self._client: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> UpstreamClient:
         connector = UpstreamConnector(
-            echo_header=self._echo_header, max_idle_s=MAX_IDLE_S
+            echo_header=self._echo_header,
+            max_idle_s=MAX_IDLE_S if self._reuses_connections else None,
         )
         self._client = aiohttp.ClientSession(
             connector=connector,
--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -125,11 +125,15 @@
 
 
 class UpstreamConnector(aiohttp.TCPConnector):
-    """Opens connections of :class:`UpstreamProtocol`."""
+    """Opens connections of :class:`UpstreamProtocol`.
 
-    def __init__(self, *, echo_header: str, max_idle_s: float) -> None:
+    :param max_idle_s: how long an idle connection is kept; ``None``: not at all
+    """
+
+    def __init__(self, *, echo_header: str, max_idle_s: float | None) -> None:
         super().__init__(
             limit=0,
+            force_close=max_idle_s is None,
             keepalive_timeout=max_idle_s,
             socket_factory=open_socket,
             use_dns_cache=False,
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -19,6 +19,7 @@
     NoteSent,
     Observe,
     ObserveCache,
+    ObserveCheck,
     ObserveCrashes,
     ObserveIncarnations,
     ObserveLoad,
@@ -193,7 +194,7 @@
                 ObserveLoad() | ObservePeerLoad() | ObservePaces() | ObserveRateLimit()
             ):
                 self._observe_load(message)
-            case ObserveCache() | ObserveCrashes() | ObserveUsage():
+            case ObserveCache() | ObserveCheck() | ObserveCrashes() | ObserveUsage():
                 self._observe_update(message)
 
     def _note_progress(
@@ -232,10 +233,16 @@
                 )
 
     def _observe_update(
-        self, message: ObserveCache | ObserveCrashes | ObserveUsage
+        self, message: ObserveCache | ObserveCheck | ObserveCrashes | ObserveUsage
     ) -> None:
-        """Handle cache events, crash sightings and usage of other VMs."""
+        """Handle cache events, crashes, and usage of other VMs."""
         match message:
+            case ObserveCheck():
+                self._scheduler.fleet.observe_check(
+                    message.upstream, has_ended=message.has_ended, at_ms=message.at_ms
+                )
+                # What it proves about crashes is announced with the loads.
+                self._load_changed.set()
             case ObserveCache():
                 self._scheduler.fleet.observe_cache(message.events)
             case ObserveCrashes():
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -127,6 +127,19 @@
     sightings: tuple[CrashSighting, ...]
 
 
+class ObserveCheck(NamedTuple):
+    """Whether an upstream lives to which connections have broken.
+
+    :param has_ended: whether it has ended; connections that broke from ``at_ms`` on did
+        so as it crashed. Otherwise it was alive at ``at_ms``.
+    :param at_ms: monotonic time
+    """
+
+    upstream: str
+    has_ended: bool
+    at_ms: float
+
+
 Message = (
     Submit
     | NoteFirstToken
@@ -143,6 +156,7 @@
     | ObserveIncarnations
     | ObservePeerLoad
     | ObserveCache
+    | ObserveCheck
     | ObserveCrashes
     | ObserveUsage
 )
@@ -157,6 +171,7 @@
     "NoteSent",
     "Observe",
     "ObserveCache",
+    "ObserveCheck",
     "ObserveCrashes",
     "ObserveIncarnations",
     "ObserveLoad",
--- a/src/quetzaldeck/gateway/services.py
+++ b/src/quetzaldeck/gateway/services.py
@@ -167,7 +167,10 @@
             self._state.metrics.attempt_faults.labels(error.fault.value).inc()
             await ticket.end_attempt(
                 AttemptEnd(
-                    dispatch.attempt_id, error.fault, may_have_run=error.may_have_run
+                    dispatch.attempt_id,
+                    error.fault,
+                    may_have_run=error.may_have_run,
+                    is_gone=error.is_gone,
                 )
             )
             return None
--- a/src/quetzaldeck/platform/__init__.py
+++ b/src/quetzaldeck/platform/__init__.py
@@ -9,12 +9,14 @@
     read_call_head,
     read_response_head,
 )
+from quetzaldeck.platform.health_checks import HealthChecks
 from quetzaldeck.platform.orders import ReplicaOrders
 from quetzaldeck.platform.reports import ReplicaReports
 from quetzaldeck.platform.store import PlatformStore
 
 __all__ = (
     "CALL_ID",
+    "HealthChecks",
     "PlatformStore",
     "ReplicaOrders",
     "ReplicaReports",
--- /dev/null
+++ b/src/quetzaldeck/platform/health_checks.py
@@ -0,0 +1,66 @@
+"""Health checks of replicas, made to learn whether one has ended."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+from multidict import CIMultiDict
+
+from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.entry.liveness import Liveness
+from quetzaldeck.platform.headers import (
+    EXPECTED_REPLICA,
+    WRONG_REPLICA_STATUS,
+    read_response_head,
+)
+from quetzaldeck.upstreams.http import is_refused
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from quetzaldeck.entry.upstream_client import UpstreamClient
+    from quetzaldeck.routing import Replica
+
+CHECK_TIMEOUT_MS = 500.0
+"""Less than a replica takes to start again after a crash, so that no answer can come
+from the next incarnation. A check waits for a slot as a request does."""
+
+
+class HealthChecks:
+    """Asks replicas for their health on a connection of its own.
+
+    :param client: opens a new connection for each request
+    """
+
+    def __init__(self, client: UpstreamClient) -> None:
+        self._client = client
+
+    async def check(self, replica: Replica, path: str) -> Liveness:
+        """:returns: whether a replica lives, whatever it says of its health"""
+        headers = CIMultiDict({EXPECTED_REPLICA: replica.replica_id})
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_MS / MS_PER_SECOND):
+                response = await self._client.send(
+                    replica.address, "GET", path, headers, None
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Liveness.ENDED if is_refused(error) else Liveness.UNKNOWN
+        response.close()
+        return _judge(replica.replica_id, response.status, response.headers)
+
+
+def _judge(replica_id: str, status: int, headers: Mapping[str, str]) -> Liveness:
+    """:returns: whether the replica that responds is the one that was asked for
+
+    A replica without a free slot responds without its id. No other one can have its
+    address so soon.
+    """
+    responding = read_response_head(status, headers).replica_id
+    if status == WRONG_REPLICA_STATUS or responding not in ("", replica_id):
+        return Liveness.ENDED
+    return Liveness.ALIVE
+
+
+__all__ = ("HealthChecks",)
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -75,6 +75,12 @@
             ["verdict"],
             registry=registry,
         )
+        self.crash_checks = Counter(
+            "quetzaldeck_crash_checks",
+            "Checks of upstreams to which a connection has broken, by result",
+            ["liveness"],
+            registry=registry,
+        )
         self.rate_limits = Gauge(
             "quetzaldeck_rate_limit",
             "Requests a second that an upstream takes from all VMs, where it says so",
--- a/src/quetzaldeck/upstreams/errors.py
+++ b/src/quetzaldeck/upstreams/errors.py
@@ -18,6 +18,7 @@
     :param upstream: name of the upstream; ``""`` if no single one is at fault
     :param incarnation: incarnation of the upstream, if it had started to respond
     :param retry_after_ms: wait before a retry, if the upstream gave one
+    :param is_gone: whether nothing listens at the address of the upstream
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         upstream: str = "",
         incarnation: str = "",
         retry_after_ms: float | None = None,
+        is_gone: bool = False,
     ) -> None:
         super().__init__(f"{fault.value}: {detail}")
         self._fault = fault
@@ -38,6 +40,7 @@
         self._upstream = upstream
         self._incarnation = incarnation
         self._retry_after_ms = retry_after_ms
+        self._is_gone = is_gone
 
     @property
     def fault(self) -> AttemptFault:
@@ -69,5 +72,10 @@
         """:returns: wait before a retry, if the upstream gave one"""
         return self._retry_after_ms
 
+    @property
+    def is_gone(self) -> bool:
+        """:returns: whether nothing listens at the address of the upstream"""
+        return self._is_gone
+
 
 __all__ = ("UpstreamError",)
--- a/src/quetzaldeck/upstreams/http.py
+++ b/src/quetzaldeck/upstreams/http.py
@@ -71,6 +71,7 @@
             may_have_run=False,
             was_sent=False,
             upstream=name,
+            is_gone=is_refused(error),
         ) from error
     except TimeoutError as error:
         raise UpstreamError(
@@ -91,6 +92,13 @@
         ) from error
 
 
+def is_refused(error: BaseException) -> bool:
+    """:returns: whether a connection failed since nothing listens at the address"""
+    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
+
+
 def check_status(name: str, response: aiohttp.ClientResponse) -> None:
     """Check the status of an engine's response.
 
@@ -132,5 +140,6 @@
     "ResponseOrigin",
     "build_timeout",
     "check_status",
+    "is_refused",
     "translate_faults",
 )
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -8,6 +8,7 @@
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
 from quetzaldeck.decisions.poison import (
+    CrashSighting,
     PoisonBounds,
     PoisonRegistry,
     Verdict,
@@ -141,6 +142,85 @@
     assert registry.verdict(BYSTANDER, 10.0) is Verdict.CLEAR
 
 
+NEEDS_PROOF = PoisonBounds(needs_proof=True)
+
+
+def note_broken(registry: PoisonRegistry, upstream: str, now_ms: float) -> None:
+    registry.note_crash(CULPRIT, upstream, "i", now_ms, is_proven=False)
+
+
+def test_broken_connections_alone_refuse_no_request() -> None:
+    """Guards against refusing a request whose connections are cut again and again."""
+    registry = PoisonRegistry(NEEDS_PROOF)
+    for index, name in enumerate(ENGINES):
+        note_broken(registry, name, index * 1_000.0)
+    assert registry.verdict(CULPRIT, 4_000.0) is Verdict.SUSPECT
+    assert registry.pause_ms(CULPRIT, 4_000.0) == 0.0
+    assert registry.pop_changed_sightings(4_000.0) == []
+    for name in ENGINES:
+        registry.note_survived(name, 4_500.0)
+    assert registry.verdict(CULPRIT, 4_500.0) is Verdict.CLEAR
+    assert len(registry) == 0
+
+
+def test_proof_that_upstreams_ended_makes_broken_connections_count() -> None:
+    """Guards against a culprit whose crashes are proven late, or by another VM."""
+    registry = PoisonRegistry(NEEDS_PROOF)
+    for index, name in enumerate(ENGINES[:3]):
+        note_broken(registry, name, index * 100.0)
+    registry.note_ended("e0", 300.0)
+    registry.note_ended("e1", 300.0)
+    assert registry.verdict(CULPRIT, 300.0) is Verdict.SUSPECT
+    registry.observe([CrashSighting(BYSTANDER, "e2", "i", 0.0)], 300.0)
+    assert registry.verdict(CULPRIT, 300.0) is Verdict.REFUSED
+    assert registry.pop_newly_refused(300.0) == [CULPRIT]
+    announced = registry.pop_changed_sightings(300.0)
+    assert sorted(item.upstream for item in announced[0]) == ["e0", "e1", "e2"]
+
+
+def test_check_proves_nothing_of_connections_that_broke_well_before() -> None:
+    """Guards against counting a cut connection when its upstream crashes later."""
+    registry = PoisonRegistry(NEEDS_PROOF)
+    note_broken(registry, "e0", 0.0)
+    registry.note_ended("e0", NEEDS_PROOF.same_crash_ms + 1.0)
+    assert registry.n_crashes(CULPRIT, 4_000.0) == 0
+
+
+def test_alive_upstream_says_nothing_of_connections_that_broke_after_it() -> None:
+    registry = PoisonRegistry(NEEDS_PROOF)
+    note_broken(registry, "e0", 100.0)
+    registry.note_survived("e0", 99.0)
+    registry.note_ended("e0", 120.0)
+    assert registry.n_crashes(CULPRIT, 200.0) == 1
+
+
+def test_upstream_that_crashes_again_under_its_name_counts_again() -> None:
+    """Guards against two replicas that one request crashes in turn for ever.
+
+    The store is down, so no VM learns that the replicas have started again.
+    """
+    registry = PoisonRegistry(NEEDS_PROOF)
+    for index in range(3):
+        at_ms = index * (NEEDS_PROOF.same_crash_ms + 1.0)
+        note_broken(registry, f"e{index % 2}", at_ms)
+        registry.note_ended(f"e{index % 2}", at_ms)
+    assert registry.verdict(CULPRIT, at_ms) is Verdict.REFUSED
+
+
+def test_unproven_sightings_are_forgotten() -> None:
+    """Guards against memory that grows with each connection that is ever cut."""
+    registry = PoisonRegistry(NEEDS_PROOF)
+    for index in range(50):
+        registry.note_crash(index, f"e{index}", "i", index * 1_000.0, is_proven=False)
+    assert len(registry) <= NEEDS_PROOF.unproven_ms / 1_000.0 + 1
+    bounds = NEEDS_PROOF._replace(max_crashes_held=5)
+    registry = PoisonRegistry(bounds)
+    registry.note_crash(CULPRIT, "e0", "i", 0.0)
+    for index in range(50):
+        registry.note_crash(2 + index, f"f{index}", "i", 1.0, is_proven=False)
+    assert registry.n_crashes(CULPRIT, 2.0) == 1
+
+
 def test_crash_record_round_trip() -> None:
     sender = PoisonRegistry()
     sender.note_crash(CULPRIT, "e0", "i", 0.0)
@@ -229,6 +309,9 @@
         failure = scheduler.end_attempt(break_attempt(dispatch))
         assert failure is not None
         assert failure.ran is Ran.UNKNOWN
+        scheduler.fleet.observe_check(
+            dispatch.upstreams[0], has_ended=True, at_ms=clock.now_ms()
+        )
     refusal = scheduler.submit(call)
     assert refusal is not None
     assert refusal.reason is Reason.POISON_SUSPECTED
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -245,3 +245,39 @@
             assert sender.count_after(name, settled_ms).keys() == {200}
 
     run_fleet(test, n_vms=4)
+
+
+def test_request_whose_answers_are_lost_is_not_refused() -> None:
+    """Replicas that live on lose the answers to one request; others are answered."""
+
+    async def test(fleet: EntryFleet) -> None:
+        lost = Shape(LOOK_PATH, b"lost")
+        loses = True
+
+        async def handle(arrival: Arrival, connection: Connection) -> None:
+            await asyncio.sleep(RUN_MS / 1_000)
+            if loses and arrival.body == lost.body:
+                connection.reset()
+            else:
+                await connection.answer(arrival)
+
+        for index in range(3):
+            replica = StandInReplica(f"r{index}", handle)
+            await fleet.enter(replica)
+            entry = build_entry(DESK, replica.address)
+            fleet.store.put(f"servers/r{index}", entry)
+        await fleet.wait(
+            lambda: all(len(vm.state.belief.replicas) >= 5 for vm in fleet.vms.values())
+        )
+        fleet.store.delete("servers/d0")
+        sender = Sender(fleet)
+        async with aiohttp.ClientSession() as client:
+            for _ in range(12):
+                assert await sender.send(client, "lost", lost) == 502
+                assert await sender.send(client, "kept", Shape(LOOK_PATH, b"")) == 200
+                await asyncio.sleep(0.1)
+            loses = False
+            for _ in range(4):
+                assert await sender.send(client, "lost", lost) == 200
+
+    run_fleet(test, n_vms=4)
--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -13,6 +13,7 @@
 
 CALL_ID = "quetzaldeck-attempt-id"
 SEAL = "Quetzaldeck-Response-Seal: mark"
+HEALTH_PATH = "/h"
 
 
 class Arrival(NamedTuple):
@@ -123,6 +124,7 @@
         self.n_connections = 0
         self.n_closed = 0
         self.n_reports = 0
+        self.n_health_checks = 0
         self.pace = 1.0
         self.rate_limit: float | None = None
         self.report: bytes | None = None
@@ -178,6 +180,9 @@
                 if arrival.target == "/report":
                     await self._report(arrival, connection)
                     continue
+                if arrival.target == HEALTH_PATH:
+                    await self._answer_health_check(arrival, connection)
+                    continue
                 self.arrivals.append(arrival)
                 await self.handler(arrival, connection)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -203,6 +208,16 @@
         body = json.dumps(report).encode() if self.report is None else self.report
         await connection.answer(arrival, body=body)
 
+    async def _answer_health_check(
+        self, arrival: Arrival, connection: Connection
+    ) -> None:
+        """Answer a health check; it is not passed to ``handler``."""
+        self.n_health_checks += 1
+        if self.is_silent_on_reports:
+            await asyncio.sleep(3_600)
+        head = f"Quetzaldeck-Instance-Id: {self.replica_id}"
+        await connection.answer(arrival, head=head)
+
 
 async def read_arrival(reader: asyncio.StreamReader) -> Arrival:
     """:returns: the next request on a connection"""
@@ -223,4 +238,11 @@
     await connection.answer(arrival)
 
 
-__all__ = ("Arrival", "Connection", "StandInReplica", "build_head", "event")
+__all__ = (
+    "HEALTH_PATH",
+    "Arrival",
+    "Connection",
+    "StandInReplica",
+    "build_head",
+    "event",
+)
--- a/tests/support/platform/site.py
+++ b/tests/support/platform/site.py
@@ -9,7 +9,7 @@
 import aiohttp
 import uvloop
 from tests.ports import choose_port
-from tests.support.platform.replica import StandInReplica
+from tests.support.platform.replica import HEALTH_PATH, StandInReplica
 from tests.support.platform.store import CONFIGURATION_KEY, StandInStore
 from yarl import URL
 
@@ -83,11 +83,11 @@
         "services": [
             {
                 "name": ENGINES,
-                "healthPath": "/h",
+                "healthPath": HEALTH_PATH,
                 "maxConnections": 99,
                 "engine": ENGINE,
             },
-            {"name": DESK, "healthPath": "/h", "maxConnections": 99},
+            {"name": DESK, "healthPath": HEALTH_PATH, "maxConnections": 99},
         ],
         "limits": {"maxBodyBytes": 100_000},
         "tenants": [{"name": CUSTOMER, "apiKeys": [KEY], "priority": 1}],
