Tell VMs that missed them of the crashes of requests

Callers of a plain service lose three replicas more for each VM that starts: a request that all others refuse reached replicas through the new one (test_vm_that_just_started_refuses_what_the_others_refuse failed: 502 in place of 503). The same holds for a VM that was frozen or cut off when the others told each other, and in a small fleet for one whose datagram was lost, since these are sent once.

Cause: crashes were announced once, to the VMs known at that time, and to nobody later. Loads are repeated each second and rate limits with each greeting; crashes were not.

Greetings now carry up to eight sightings, those of refused requests first and otherwise in random order, and clearances of the last ten seconds. A VM that is heard of for the first time gets up to sixty at once.

--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Collection, Iterable
 
     from quetzaldeck.clock import Clock
@@ -120,6 +121,13 @@
         else:
             self._poison.note_survived(name, at_ms)
 
+    def list_crash_state(
+        self, max_sightings: int, *, random_state: random.Random
+    ) -> list[CrashSighting]:
+        """:returns: what a VM has to know that missed what others announced"""
+        now_ms = self._clock.now_ms()
+        return self._poison.list_state(max_sightings, now_ms, random_state=random_state)
+
     def pop_crash_sightings(self) -> list[tuple[CrashSighting, ...]]:
         """:returns: new crash sightings to send to the other VMs, grouped by request"""
         return self._poison.pop_changed_sightings(self._clock.now_ms())
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -38,10 +38,14 @@
 from quetzaldeck.decisions.poison.sighting import CrashSighting
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable, Iterator
 
     from quetzaldeck.decisions.poison.crash import Crash
 
+CLEARANCE_REPEAT_MS = 10_000.0
+"""How long a clearance is repeated to VMs that may have missed it."""
+
 
 class Verdict(StrEnum):
     """How a request is treated, by the crashes that count against it."""
@@ -216,6 +220,28 @@
         by_request = [tuple(self._list_sightings(item, now_ms)) for item in unannounced]
         return [sightings for sightings in by_request if sightings]
 
+    def list_state(
+        self, max_sightings: int, now_ms: float, *, random_state: random.Random
+    ) -> list[CrashSighting]:
+        """List what a VM has to know that missed the announcements.
+
+        Refused requests come first, in random order, then other suspects and requests
+        that were cleared a moment ago.
+
+        :param max_sightings: maximum number; all sightings of a request, or none
+        """
+        recent_ms = now_ms - CLEARANCE_REPEAT_MS
+        cleared = (f for f, at_ms in self._cleared.items() if at_ms > recent_ms)
+        listed = [*self._table, *cleared]
+        random_state.shuffle(listed)
+        listed.sort(key=lambda f: self.verdict(f, now_ms) is not Verdict.REFUSED)
+        sightings: list[CrashSighting] = []
+        for fingerprint in dict.fromkeys(listed):
+            of_request = list(self._list_sightings(fingerprint, now_ms))
+            if len(sightings) + len(of_request) <= max_sightings:
+                sightings += of_request
+        return sightings
+
     def _list_sightings(
         self, fingerprint: int, now_ms: float
     ) -> Iterator[CrashSighting]:
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -8,6 +8,7 @@
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
 from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.poison import CrashSighting
 from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
 
 
@@ -136,6 +137,8 @@
     :param confirmed: number of a received message that the sender acknowledges; 0: none
     :param limits: rate limits of upstreams that the sender knows; in greetings, and
         with permits
+    :param crashes: requests that were in crashes, or were cleared, as the sender knows;
+        in greetings
     :param permit_request: asks the receiver for a permit
     :param permit_answer: answers a permit request of the receiver
     """
@@ -150,6 +153,7 @@
     number: int = 0
     confirmed: int = 0
     limits: tuple[LimitUpdate, ...] = ()
+    crashes: tuple[CrashUpdate, ...] = ()
     permit_request: PermitRequest | None = None
     permit_answer: PermitAnswer | None = None
 
@@ -204,6 +208,19 @@
     )
 
 
+def build_crash_update(sighting: CrashSighting) -> CrashUpdate:
+    """:returns: the update that announces a crash, or the clearing of a request"""
+    age_ms = round(sighting.age_ms, N_AGE_DIGITS)
+    return CrashUpdate(*sighting._replace(age_ms=age_ms))
+
+
+def read_crash_update(update: CrashUpdate) -> CrashSighting:
+    """:returns: what another VM saw"""
+    return CrashSighting(
+        update.fingerprint, update.upstream, update.incarnation, max(0.0, update.age_ms)
+    )
+
+
 def build_limit_update(statement: RateLimitStatement, now_ms: float) -> LimitUpdate:
     """:returns: the update that announces what an upstream said
 
@@ -247,11 +264,13 @@
     "PermitRequest",
     "Reach",
     "VmUpdate",
+    "build_crash_update",
     "build_limit_update",
     "build_load_update",
     "build_permit_answer",
     "decode_message",
     "encode_message",
+    "read_crash_update",
     "read_limit_update",
     "read_load_update",
 )
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -8,17 +8,17 @@
 import msgspec
 
 from quetzaldeck.decisions.load_changes import LoadChanges, max_send_delay_ms
-from quetzaldeck.decisions.poison import CrashSighting
 from quetzaldeck.entry.peers.messages import (
-    CrashUpdate,
     PeerMessage,
+    build_crash_update,
     build_limit_update,
     build_load_update,
     decode_message,
     encode_message,
+    read_crash_update,
     read_load_update,
 )
-from quetzaldeck.entry.peers.node import PeerNode
+from quetzaldeck.entry.peers.node import MAX_ENTRIES_PER_DATAGRAM, PeerNode
 from quetzaldeck.entry.peers.rate_limit_exchange import RateLimitExchange
 from quetzaldeck.gateway.messages import (
     ObserveCrashes,
@@ -28,10 +28,10 @@
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from quetzaldeck.decisions.rate_limits import RateLimitStatement
-    from quetzaldeck.entry.peers.messages import VmUpdate
+    from quetzaldeck.entry.peers.messages import CrashUpdate, VmUpdate
     from quetzaldeck.entry.peers.table import PeerTable
     from quetzaldeck.entry.state import EntryState
 
@@ -45,6 +45,11 @@
 N_GREETED_STABLE = 2
 """The same number in a stable fleet; see ``PeerTable``."""
 
+MAX_LISTED_CRASHES = 8
+"""Crashes in one greeting, so that it fits into one packet with the addresses."""
+MAX_CRASHES_TO_NEW_VM = 60
+"""Crashes that each VM tells a new one at once; the others come with greetings."""
+
 UNDECODABLE_LOG_INTERVAL_MS = 10_000.0
 """Minimum time between two log lines about undecodable datagrams of one peer."""
 MAX_UNDECODABLE_PEERS = 256
@@ -142,6 +147,7 @@
         now_ms = self._state.clock.now_ms()
         self._note_peer(message, addr[0], now_ms)
         self._rate_limits.handle(message, addr[0])
+        self._observe_crashes(message.crashes)
         for update in self._node.receive(message, addr[0], now_ms):
             self._observe(update)
         self._send_outgoing()
@@ -192,16 +198,16 @@
                 (load.upstream, read_load_update(load)) for load in update.loads
             )
             dispatch.send_deferrable(ObservePeerLoad(update.vm, loads))
-        if update.crashes:
-            crashes = tuple(
-                CrashSighting(c.fingerprint, c.upstream, c.incarnation, c.age_ms)
-                for c in update.crashes
-            )
-            dispatch.send_deferrable(ObserveCrashes(crashes))
+        self._observe_crashes(update.crashes)
         self._rate_limits.note_updates(update.limits, update.vm)
         if update.paces:
             dispatch.send_deferrable(ObservePaces(tuple(update.paces.items())))
 
+    def _observe_crashes(self, crashes: Iterable[CrashUpdate]) -> None:
+        sightings = tuple(read_crash_update(update) for update in crashes)
+        if sightings:
+            self._state.dispatch.send_deferrable(ObserveCrashes(sightings))
+
     def _greet(self, now_ms: float) -> None:
         expired = self._table.expire(now_ms)
         self._state.permits.note_fleet()
@@ -222,17 +228,28 @@
             settings.processor.capacity,
             self._table.sample_heard(now_ms),
             limits=self._rate_limits.list_updates(),
+            crashes=self._list_crashes(MAX_LISTED_CRASHES),
+        )
+
+    def _list_crashes(self, max_crashes: int) -> tuple[CrashUpdate, ...]:
+        sightings = self._state.dispatch.list_crash_state(
+            max_crashes, random_state=self._state.random_state
         )
+        return tuple(build_crash_update(sighting) for sighting in sightings)
 
     def _send_state_to_new_peer(self, address: str, now_ms: float) -> None:
-        """Send the known VMs and this VM's loads to a VM that has just started.
+        """Tell a VM that has just started what the others have been told.
 
-        The new VM does not know what the others have sent to the engines. It would
-        place its first requests behind their long prefills until the others repeat
-        their loads, a second later. In a fleet with relays, the new VM receives the
-        loads on joining a relay.
+        It must not let requests crash replicas that have done so before. Nor does it
+        know what the others have sent to the engines: it would place its first requests
+        behind their long prefills until the others repeat their loads, a second later.
+        In a fleet with relays, the new VM receives the loads on joining a relay.
         """
         self._send(self._build_greeting(now_ms), (address,))
+        crashes = self._list_crashes(MAX_CRASHES_TO_NEW_VM)
+        for first in range(0, len(crashes), MAX_ENTRIES_PER_DATAGRAM):
+            part = crashes[first : first + MAX_ENTRIES_PER_DATAGRAM]
+            self._send(PeerMessage(self._vm, crashes=part), (address,))
         own_loads = self._state.dispatch.list_own_loads()
         current = (entry for entry in own_loads if entry[1].says_anything)
         self._node.send_current_loads(
@@ -243,7 +260,7 @@
         own_loads = self._state.dispatch.list_own_loads()
         changed = self._changes.select_due(own_loads, now_ms, len(self._table))
         crashes = [
-            CrashUpdate(*sighting)
+            build_crash_update(sighting)
             for sightings in self._state.dispatch.pop_crash_sightings()
             for sighting in sightings
         ]
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -33,6 +33,8 @@
 from quetzaldeck.gateway.ticket import Ticket
 
 if TYPE_CHECKING:
+    import random
+
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Decision, Request, Scheduler
     from quetzaldeck.decisions.limits import UsageUpdate
@@ -97,6 +99,14 @@
         """:returns: crash sightings to be sent to the other VMs, grouped by request"""
         return self._scheduler.fleet.pop_crash_sightings()
 
+    def list_crash_state(
+        self, max_sightings: int, *, random_state: random.Random
+    ) -> list[CrashSighting]:
+        """:returns: what a VM has to know that missed what others announced"""
+        return self._scheduler.fleet.list_crash_state(
+            max_sightings, random_state=random_state
+        )
+
     def list_own_loads(self) -> list[tuple[str, VmLoad]]:
         """:returns: load of this VM on each upstream"""
         now_ms = self._clock.now_ms()
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from tests.support.builders import make_request, make_scheduler, poll_dispatch
 
 from quetzaldeck.bundle.document import Bundle, UpstreamSpec
@@ -221,6 +223,26 @@
     assert registry.n_crashes(CULPRIT, 2.0) == 1
 
 
+def test_state_for_a_vm_that_missed_updates_has_refused_requests_first() -> None:
+    """Guards against a VM that is told of many suspects, but not of the culprit."""
+    registry = PoisonRegistry(NEEDS_PROOF)
+    for fingerprint in range(10, 60):
+        registry.note_crash(fingerprint, f"x{fingerprint}", "i", 0.0)
+    for name in ENGINES[:3]:
+        registry.note_crash(CULPRIT, name, "i", 20_000.0)
+    registry.note_crash(BYSTANDER, "e0", "i", 20_000.0)
+    registry.note_answered(BYSTANDER, 21_000.0)
+    random_state = random.Random(1)
+    state = registry.list_state(8, 22_000.0, random_state=random_state)
+    assert [item.fingerprint for item in state[:3]] == [CULPRIT] * 3
+    assert len(state) == 8
+    told = PoisonRegistry(NEEDS_PROOF)
+    told.observe(state, 22_000.0)
+    assert told.verdict(CULPRIT, 22_000.0) is Verdict.REFUSED
+    state = registry.list_state(100, 22_000.0, random_state=random_state)
+    assert CrashSighting(BYSTANDER, "", "", 1_000.0) in state
+
+
 def test_crash_record_round_trip() -> None:
     sender = PoisonRegistry()
     sender.note_crash(CULPRIT, "e0", "i", 0.0)
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -281,3 +281,31 @@
                 assert await sender.send(client, "lost", lost) == 200
 
     run_fleet(test, n_vms=4)
+
+
+def test_vm_that_just_started_refuses_what_the_others_refuse() -> None:
+    """A VM that starts after the crashes lets a request end three replicas more."""
+
+    async def test(fleet: EntryFleet) -> None:
+        culprit = Shape(LOOK_PATH, b"")
+        record = CrashRecord()
+        await add_replicas(fleet, DESK, 3, {CULPRIT: culprit}, record)
+        sender = Sender(fleet)
+        async with aiohttp.ClientSession() as client:
+            while len(record.crashes_ms[CULPRIT]) < 3:
+                await sender.send(client, CULPRIT, culprit)
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(1.0)
+            n_sent = len(record.sendings[CULPRIT])
+            for host in sorted(fleet.vms):
+                await fleet.stop(host)
+                await fleet.start(host)
+                await fleet.wait(lambda: all(v.version for v in fleet.vms.values()))
+                await asyncio.sleep(1.0)
+                for _ in fleet.vms:
+                    assert await sender.send(client, CULPRIT, culprit) == 503
+                other = Shape(LOOK_PATH, b"another question")
+                assert await sender.send(client, "other", other) == 200
+        assert len(record.sendings[CULPRIT]) == n_sent
+
+    run_fleet(test, n_vms=3)
