Judge by probability whether other crashes excuse a request

In a test of a request that ends each engine after 80 ms, four other crashes on fourteen engines kept it from being refused (test_other_crashes_do_not_excuse_a_request_that_runs_for_a_moment failed: suspect).

Cause: the rule for waves compared numbers of crashes, not how likely such a crash hits a run. It now asks also for a probability of 2 % or more, from the crashes a second and upstream and the longest run; VMs tell each other how long a run had taken.

The reverse fault had no guard: copies of a frequent request on all three replicas that one cause ends were refused with the culprit, on all VMs, for ten minutes. A request that was answered within the minute before is now refused after four crashes, so that its next run, which is isolated, decides (test_request_that_was_answered_before_gets_one_more_run).

--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -83,11 +83,13 @@
         if end.is_gone:
             self._poison.note_ended(name, now_ms)
         if end.fault is AttemptFault.BROKEN and request.fingerprint:
+            attempt = state.ledger.get(end.attempt_id)
             self._poison.note_crash(
                 request.fingerprint,
                 name,
                 end.incarnation or state.incarnation,
                 now_ms,
+                run_ms=None if attempt is None else now_ms - attempt.started_ms,
                 is_proven=not (request.service or self._poison.bounds.needs_proof),
             )
         if _is_help_refused(end, upstreams):
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -11,9 +11,12 @@
     :param n_crashes: a request is refused after it was running in this many crashes.
         Two may be coincidence: a usual day has 20 VM failures, and a request runs for
         seconds. Three that hit the same request are not.
-    :param max_crashes: takes the place of ``n_crashes`` where three crashes may be
-        coincidence: about as many upstreams crash without the request, as in a series
-        of crashes that reaches every upstream, or the request was answered before
+    :param n_crashes_answered: takes the place of ``n_crashes`` for a request that was
+        answered a moment before: copies of it may run on every upstream that one cause
+        ends at the same time, and the next run alone shows whether it does harm
+    :param max_crashes: takes the place of ``n_crashes`` while about as many upstreams
+        crash without the request, since three may then be coincidence, as in a series
+        of crashes that reaches every upstream
     :param max_chance: crashes without the request raise the limit only if one run of
         it would be hit by such a crash with at least this probability
     :param wave_ms: crashes of other requests are counted from this long before the
@@ -38,8 +41,9 @@
     """
 
     n_crashes: int = 3
+    n_crashes_answered: int = 4
     max_crashes: int = 6
-    max_chance: float = 0.1
+    max_chance: float = 0.02
     wave_ms: float = 5_000.0
     forget_ms: float = 600_000.0
     unproven_ms: float = 10_000.0
--- a/src/quetzaldeck/decisions/poison/crash.py
+++ b/src/quetzaldeck/decisions/poison/crash.py
@@ -32,9 +32,13 @@
     """What is known of a request that ran in a crash.
 
     :param seen_ms: when its run ended
+    :param run_ms: how long it had run; ``None``: unknown
+    :param was_answered: whether it had been answered a moment before
     """
 
     seen_ms: float
+    run_ms: float | None = None
+    was_answered: bool = False
 
 
 __all__ = ("Crash", "Involvement")
--- a/src/quetzaldeck/decisions/poison/crash_record.py
+++ b/src/quetzaldeck/decisions/poison/crash_record.py
@@ -19,11 +19,15 @@
     """One engine crash while a request was running on the engine.
 
     :param age_ms: time from the crash until the record was made
+    :param run_ms: how long the request had run; ``None``: unknown
+    :param was_answered: whether it had been answered a moment before
     """
 
     upstream: str
     incarnation: str
     age_ms: float
+    run_ms: float | None = None
+    was_answered: bool = False
 
 
 class CrashRecord(NamedTuple):
@@ -39,11 +43,7 @@
 def encode_crash_record(sightings: Iterable[CrashSighting]) -> CrashRecord:
     """:returns: the record of one fingerprint's sightings, newest first"""
     ordered = sorted(sightings, key=_age)
-    crashes = [
-        CrashObservation(item.upstream, item.incarnation, item.age_ms)
-        for item in ordered
-        if item.upstream
-    ]
+    crashes = [CrashObservation(*item[1:]) for item in ordered if item.upstream]
     cleared = [item.age_ms for item in ordered if not item.upstream]
     return CrashRecord(
         tuple(crashes[:MAX_CRASHES_IN_RECORD]), cleared[0] if cleared else None
@@ -63,9 +63,7 @@
     except msgspec.ValidationError:
         return ()
     sightings = [
-        CrashSighting(
-            fingerprint, crash.upstream, crash.incarnation, crash.age_ms + travelled_ms
-        )
+        CrashSighting(fingerprint, *crash)._replace(age_ms=crash.age_ms + travelled_ms)
         for crash in record.crashes
     ]
     if record.cleared_age_ms is not None:
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -10,9 +10,10 @@
 at a time. The next crash then separates the culprit from the bystanders, because a
 crash counts only against those of its requests that were in the most crashes. One
 complete answer clears a request. A request is refused once ``n_crashes`` crashes count
-against it, unless about as many upstreams crashed without it at the time: when one
-after the other crashes for another reason, the requests that are retried are in several
-crashes and caused none.
+against it. It takes more of them where they may be coincidence: when one upstream after
+the other crashes for another reason, long requests that are retried are in several
+crashes and caused none; and copies of a frequent request may run on all upstreams that
+one cause ends at the same time.
 
 A broken connection alone proves no crash: a network device may have cut it, or the
 upstream lost one answer. Where ``needs_proof`` is set, it makes a suspect, but counts
@@ -39,7 +40,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from quetzaldeck.decisions.poison.crash import Crash
 
@@ -59,12 +60,20 @@
     """Judges requests by the crashes in which they ran.
 
     :param bounds: thresholds
+    :param count_upstreams: returns how many upstreams there are that may crash
     """
 
-    def __init__(self, bounds: PoisonBounds | None = None) -> None:
+    def __init__(
+        self,
+        bounds: PoisonBounds | None = None,
+        *,
+        count_upstreams: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._bounds = bounds or PoisonBounds()
+        self._count_upstreams = count_upstreams
         self._table = CrashTable(self._bounds)
         self._cleared: OrderedDict[int, float] = OrderedDict()
+        self._answered: OrderedDict[int, float] = OrderedDict()
         self._unannounced: set[int] = set()
         self._newly_sighted: set[int] = set()
 
@@ -153,15 +162,19 @@
         incarnation: str,
         now_ms: float,
         *,
+        run_ms: float | None = None,
         is_proven: bool = True,
     ) -> None:
         """Record a request that was running on an upstream when its connection broke.
 
+        :param run_ms: how long it had run; ``None``: unknown
         :param is_proven: whether a broken connection is taken as proof of a crash
         """
         self._table.expire(now_ms)
         crash = self._table.open(upstream, incarnation, now_ms, is_proven=is_proven)
-        self._add(fingerprint, crash, Involvement(now_ms))
+        answered_ms = self._answered.get(fingerprint, float("-inf"))
+        was_answered = answered_ms >= now_ms - self._bounds.answered_ms
+        self._add(fingerprint, crash, Involvement(now_ms, run_ms, was_answered))
         if is_proven:
             self._prove(crash)
         if crash.is_proven:
@@ -188,6 +201,10 @@
 
         :returns: whether it was a suspect
         """
+        self._answered[fingerprint] = now_ms
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > self._bounds.max_answered:
+            self._answered.popitem(last=False)
         if fingerprint not in self._table:
             return False
         self._unannounced.add(fingerprint)
@@ -252,6 +269,8 @@
                     crash.upstream,
                     crash.incarnation,
                     now_ms - involvement.seen_ms,
+                    involvement.run_ms,
+                    involvement.was_answered,
                 )
         if fingerprint in self._cleared:
             age_ms = now_ms - self._cleared[fingerprint]
@@ -267,7 +286,10 @@
                 crash = self._table.open(
                     sighting.upstream, sighting.incarnation, seen_ms, is_proven=True
                 )
-                self._add(sighting.fingerprint, crash, Involvement(seen_ms))
+                involvement = Involvement(
+                    seen_ms, sighting.run_ms, sighting.was_answered
+                )
+                self._add(sighting.fingerprint, crash, involvement)
                 self._prove(crash)
             else:
                 self._merge_cleared(sighting.fingerprint, seen_ms)
@@ -294,13 +316,24 @@
         self._clear(fingerprint, cleared_ms)
 
     def _crash_limit(self, fingerprint: int, n_crashes: int) -> int:
-        """:returns: number of crashes at which a request is refused
-
-        This is ``max_crashes`` while about as many upstreams crash without the request.
-        """
-        if n_crashes < self._bounds.n_crashes:
-            return self._bounds.n_crashes
+        """:returns: number of crashes at which a request is refused"""
+        bounds = self._bounds
+        if n_crashes < bounds.n_crashes:
+            return bounds.n_crashes
         own = self._table.find(fingerprint)
+        if self._is_wave(own, n_crashes):
+            return bounds.max_crashes
+        if any(involvement.was_answered for involvement in own.values()):
+            return bounds.n_crashes_answered
+        return bounds.n_crashes
+
+    def _is_wave(self, own: Mapping[Crash, Involvement], n_crashes: int) -> bool:
+        """:returns: whether a request may be in crashes of others by chance
+
+        About as many upstreams crash without the request, and one of its runs is long
+        enough to be hit. A request that ends an upstream within a fraction of a second
+        is no bystander because some others crash as well.
+        """
         times_ms = [involvement.seen_ms for involvement in own.values()]
         first_ms = min(times_ms) - self._bounds.wave_ms
         last_ms = max(times_ms) + self._bounds.wave_ms
@@ -308,8 +341,15 @@
             crash.is_proven and first_ms <= crash.at_ms <= last_ms and crash not in own
             for crash in self._table.crashes
         )
-        is_wave = n_others >= n_crashes - 1
-        return self._bounds.max_crashes if is_wave else self._bounds.n_crashes
+        if n_others < n_crashes - 1:
+            return False
+        runs_ms = [involvement.run_ms for involvement in own.values()]
+        known_ms = [run_ms for run_ms in runs_ms if run_ms is not None]
+        if len(known_ms) < len(runs_ms):
+            return True
+        n_upstreams = max(1, self._count_upstreams())
+        crash_rate = n_others / (n_upstreams * (last_ms - first_ms))
+        return crash_rate * max(known_ms) >= self._bounds.max_chance
 
     def _has_unproven(self, fingerprint: int, now_ms: float) -> bool:
         oldest_ms = now_ms - self._bounds.unproven_ms
--- a/src/quetzaldeck/decisions/poison/sighting.py
+++ b/src/quetzaldeck/decisions/poison/sighting.py
@@ -13,12 +13,16 @@
     :param incarnation: incarnation that crashed; with it, a crash that several VMs see
         is counted once
     :param age_ms: time since the crash was seen or the request was cleared
+    :param run_ms: how long the request had run; ``None``: unknown
+    :param was_answered: whether it had been answered a moment before
     """
 
     fingerprint: int
     upstream: str
     incarnation: str
     age_ms: float
+    run_ms: float | None = None
+    was_answered: bool = False
 
 
 __all__ = ("CrashSighting",)
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -79,7 +79,7 @@
         self._tokens = TokenEstimator()
         self._learner = AnswerLearner(self._admission, self._tokens)
         self._upstreams = table = UpstreamTable()
-        self._poison = registry = PoisonRegistry(poison)
+        self._poison = registry = PoisonRegistry(poison, count_upstreams=table.__len__)
         self._placement = placement
         self._placer = Placer(
             table=table,
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -50,6 +50,8 @@
     upstream: str
     incarnation: str
     age_ms: float
+    run_ms: float | None = None
+    was_answered: bool = False
 
 
 class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -210,14 +212,26 @@
 
 def build_crash_update(sighting: CrashSighting) -> CrashUpdate:
     """:returns: the update that announces a crash, or the clearing of a request"""
-    age_ms = round(sighting.age_ms, N_AGE_DIGITS)
-    return CrashUpdate(*sighting._replace(age_ms=age_ms))
+    run_ms = sighting.run_ms
+    return CrashUpdate(
+        sighting.fingerprint,
+        sighting.upstream,
+        sighting.incarnation,
+        round(sighting.age_ms, N_AGE_DIGITS),
+        None if run_ms is None else round(run_ms, N_AGE_DIGITS),
+        sighting.was_answered,
+    )
 
 
 def read_crash_update(update: CrashUpdate) -> CrashSighting:
     """:returns: what another VM saw"""
     return CrashSighting(
-        update.fingerprint, update.upstream, update.incarnation, max(0.0, update.age_ms)
+        update.fingerprint,
+        update.upstream,
+        update.incarnation,
+        max(0.0, update.age_ms),
+        update.run_ms,
+        update.was_answered,
     )
 
 
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -57,6 +57,65 @@
     assert registry.verdict(CULPRIT, 2.0) is Verdict.REFUSED
 
 
+def test_other_crashes_do_not_excuse_a_request_that_runs_for_a_moment() -> None:
+    """Guards against a culprit that goes on while some other upstreams crash.
+
+    Each of its runs takes 80 ms. That three of them were hit by crashes of which there
+    are four in a dozen seconds, on fourteen upstreams, is no coincidence.
+    """
+    registry = PoisonRegistry(count_upstreams=lambda: 14)
+    for index in range(4):
+        registry.note_crash(10 + index, f"x{index}", "i", index * 500.0, run_ms=900.0)
+    for index in range(3):
+        registry.note_crash(CULPRIT, f"e{index}", "i", index * 500.0, run_ms=80.0)
+    assert registry.verdict(CULPRIT, 2_000.0) is Verdict.REFUSED
+
+
+def test_long_requests_are_in_several_crashes_of_a_wave_by_chance() -> None:
+    """Guards against refusing streams of seconds when engine after engine crashes."""
+    registry = PoisonRegistry(count_upstreams=lambda: 6)
+    for index in range(9):
+        registry.note_crash(10 + index, f"x{index}", "i", index * 500.0, run_ms=4_000.0)
+    for index in range(3):
+        registry.note_crash(BYSTANDER, f"e{index}", "i", index * 500.0, run_ms=4_000.0)
+    assert registry.verdict(BYSTANDER, 2_000.0) is Verdict.SUSPECT
+
+
+def test_request_that_was_answered_before_gets_one_more_run() -> None:
+    """Guards against refusing a frequent request that ran beside the culprit.
+
+    Copies of it run on all three replicas when the culprit ends them. Its next run,
+    which is isolated, shows that it does no harm; another crash would show the
+    contrary. A VM that has not answered it itself is told.
+    """
+    registry = PoisonRegistry()
+    registry.note_answered(BYSTANDER, 0.0)
+    for index in range(3):
+        for fingerprint in (CULPRIT, BYSTANDER):
+            registry.note_crash(fingerprint, f"e{index}", "i", 1_000.0)
+    told = PoisonRegistry()
+    for sightings in registry.pop_changed_sightings(1_010.0):
+        told.observe(sightings, 1_010.0)
+    for each in (registry, told):
+        assert each.verdict(CULPRIT, 1_010.0) is Verdict.REFUSED
+        assert each.verdict(BYSTANDER, 1_010.0) is Verdict.SUSPECT
+    told.note_crash(BYSTANDER, "e3", "i", 9_000.0)
+    assert told.verdict(BYSTANDER, 9_000.0) is Verdict.REFUSED
+    registry.note_answered(BYSTANDER, 9_000.0)
+    assert registry.verdict(BYSTANDER, 9_000.0) is Verdict.CLEAR
+
+
+def test_number_of_remembered_answers_is_limited() -> None:
+    registry = PoisonRegistry(PoisonBounds(max_answered=5))
+    for fingerprint in range(10):
+        registry.note_answered(fingerprint, 0.0)
+    for fingerprint in (0, 9):
+        for index in range(3):
+            registry.note_crash(fingerprint, f"{fingerprint}-{index}", "i", 1.0)
+        at_ms = 1.0 + 20_000.0 * fingerprint
+    assert registry.verdict(0, at_ms) is Verdict.SUSPECT
+
+
 def test_verdict_counts_a_crash_under_two_incarnations_once() -> None:
     """Guards against a culprit that may crash three more engines.
 
