Send requests in the soak that crash the replicas which run them

Two faults are new: crash_replica, and send_culprit, a caller that sends up to three copies at once through any VMs, as a stream, a booking or a look-up, with and without a body, beside neighbours of the same path with another customer or body. A crashed replica refuses connections and starts again at its address after 0.5 to 1.5 s, under a new id or, in three of ten, the same one with another start. Checks, from what replicas got: no more than three further sends later than three seconds after the third crash; from what callers got: nobody else is refused for it. VMs that restarted or froze are excused, outages of the store are not.

--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from tests.soak.entry.culprits import REFUSED
 from tests.soak.entry.history import RequestKind
 from tests.soak.entry.replicas import build_complete_stream
 from tests.soak.entry.world import LEAVING_MS, REVOCATION_MS
@@ -129,6 +130,24 @@
             yield f"{replica}: {excess}"
 
 
+@register
+def culprits_stop(history: History) -> Iterator[str]:
+    """A request that has crashed three replicas is not sent on by any VM.
+
+    A VM that restarted or froze is excused; an outage of the store excuses none.
+    """
+    yield from history.crashes.find_excess(history.is_disturbed)
+
+
+@register
+def only_culprits_are_refused(history: History) -> Iterator[str]:
+    """No other request is taken for one that crashes replicas."""
+    yield from history.false_refusals
+    for call in history.calls:
+        if REFUSED in call.body:
+            yield f"{call.call_id} was taken for a request that crashes replicas"
+
+
 @register
 def processes_stop(history: History) -> Iterator[str]:
     """A VM that receives SIGTERM ends within its grace period."""
--- /dev/null
+++ b/tests/soak/entry/culprits.py
@@ -0,0 +1,103 @@
+"""Callers of the soak whose requests crash each replica that runs them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+import aiohttp
+from tests.soak.entry.history import Culprit
+from tests.support.platform.site import HOST
+
+if TYPE_CHECKING:
+    import random
+
+    from tests.soak.entry.world import SoakVm, SoakWorld
+
+MAX_COPIES = 3
+"""Copies that are sent at once, through different VMs."""
+
+MEAN_INTERVAL_S = 0.3
+DEADLINE_MS = 800
+REFUSED = b"poison_suspected"
+"""Reason that a VM gives if it takes a request for one that crashes replicas."""
+
+
+class _Sent(NamedTuple):
+    """A request as its caller sends it."""
+
+    path: str
+    body: bytes
+    key: str
+
+
+class Culprits:
+    """Sends a culprit and its neighbours; records neighbours that are taken for it."""
+
+    def __init__(self, world: SoakWorld, random_state: random.Random) -> None:
+        self._world = world
+        self._random_state = random_state
+        number = len(world.culprits)
+        key = random_state.choice(list(world.keys))
+        other = random_state.choice(
+            [k for k, owner in world.keys.items() if owner != world.keys[key]]
+        )
+        path = f"/{random_state.choice(['plan', 'book', 'look'])}/{number}"
+        body = random_state.choice([b"", b"culprit"])
+        culprit = Culprit(path, body, world.keys[key])
+        self._name = f"culprit {number} {path}"
+        world.culprits[culprit] = self._name
+        self._copy = _Sent(path, body, key)
+        self._neighbours = (
+            self._copy._replace(key=other),
+            self._copy._replace(body=b"neighbour"),
+        )
+
+    async def send(self, duration_s: float) -> None:
+        """Send copies at random times."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        async with aiohttp.ClientSession() as client, asyncio.TaskGroup() as group:
+            while loop.time() < end_s:
+                vms = [vm for vm in self._world.vms if vm.is_in_rotation]
+                n_copies = min(len(vms), self._random_state.randint(1, MAX_COPIES))
+                for vm in self._random_state.sample(vms, n_copies):
+                    group.create_task(self._call(client, vm, self._copy))
+                for neighbour in self._neighbours if vms else ():
+                    vm = self._random_state.choice(vms)
+                    group.create_task(self._call_neighbour(client, vm, neighbour))
+                rate_per_s = 1 / MEAN_INTERVAL_S
+                await asyncio.sleep(self._random_state.expovariate(rate_per_s))
+
+    async def _call_neighbour(
+        self, client: aiohttp.ClientSession, vm: SoakVm, neighbour: _Sent
+    ) -> None:
+        answer = await self._call(client, vm, neighbour)
+        if REFUSED in answer:
+            finding = f"{vm.name} took {neighbour} for {self._name}"
+            self._world.history.false_refusals.append(finding)
+
+    async def _call(
+        self, client: aiohttp.ClientSession, vm: SoakVm, sent: _Sent
+    ) -> bytes:
+        """:returns: the body of the answer; empty if there was none"""
+        headers = {
+            "Host": HOST,
+            "Quetzaldeck-Attempt-Id": f"{vm.name}/x{self._world.new_call_number()}",
+            "Quetzaldeck-Deadline-Ms": str(DEADLINE_MS),
+            "Quetzaldeck-Key": sent.key,
+        }
+        if sent.path.startswith("/plan/"):
+            headers["Quetzaldeck-Token-Counts"] = "3000,100"
+        url = f"http://{vm.address}{sent.path}"
+        try:
+            async with (
+                asyncio.timeout(2 * DEADLINE_MS / 1_000),
+                client.post(url, data=sent.body or None, headers=headers) as response,
+            ):
+                return await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return b""
+
+
+__all__ = ("REFUSED", "Culprits")
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
+from tests.soak.entry.culprits import Culprits
 from tests.soak.entry.history import FaultInterval, now_ms
 from tests.soak.entry.world import GRACE_S, LEAVING_MS
 from tests.soak.own.link import LinkMode
@@ -67,9 +68,8 @@
 
 
 def choose_replica(world: SoakWorld, random_state: random.Random) -> str:
-    """:returns: id of a replica that is not leaving"""
-    not_leaving = [r for r in world.replicas if r not in world.history.leaving_ms]
-    return random_state.choice(not_leaving)
+    """:returns: id of a replica that is neither leaving nor ended"""
+    return random_state.choice(world.serving)
 
 
 async def sleep_randomly(
@@ -135,13 +135,13 @@
     async with record_fault(world, "store_lapse", ""):
         world.store.status = 503
         await sleep_randomly(random_state)
-        not_leaving = [r for r in world.replicas if r not in world.history.leaving_ms]
-        for replica_id in not_leaving:
+        serving = world.serving
+        for replica_id in serving:
             world.store.delete(f"servers/{replica_id}")
         world.store.status = 200
         await sleep_randomly(random_state, 1.0)
-        for replica_id in not_leaving:
-            if replica_id not in world.history.leaving_ms:
+        for replica_id in serving:
+            if replica_id in world.serving:
                 world.register(replica_id)
 
 
@@ -214,10 +214,9 @@
 
     One replica of each service stays without a limit.
     """
-    not_leaving = [r for r in world.replicas if r not in world.history.leaving_ms]
     limited = []
     for service in sorted(set(world.services.values())):
-        names = [r for r in not_leaving if world.services[r] == service]
+        names = [r for r in world.serving if world.services[r] == service]
         n_limited = random_state.randint(0, max(0, len(names) - 1))
         limited += random_state.sample(names, n_limited)
     for _ in range(2):
@@ -229,6 +228,24 @@
         world.replicas[name].server.rate_limit = None
 
 
+@register
+async def crash_replica(world: SoakWorld, random_state: random.Random) -> None:
+    """A replica crashes under whatever it runs, and starts again."""
+    async with record_fault(world, "crash_replica", ""):
+        world.crash_replica(choose_replica(world, random_state))
+        await asyncio.sleep(0.5)
+
+
+@register
+async def send_culprit(world: SoakWorld, random_state: random.Random) -> None:
+    """A caller sends a request again and again that crashes what runs it.
+
+    Several copies come at once, through any VM, beside neighbours that differ from it
+    in their customer or their body.
+    """
+    await Culprits(world, random_state).send(random_state.uniform(5.0, 8.0))
+
+
 @register
 async def replace_replica(world: SoakWorld, random_state: random.Random) -> None:
     """A replica is replaced: marked as draining, it serves for a while, then goes."""
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from tests.support.platform.crash_check import CrashRecord
 from tests.support.platform.rate_limit_check import ReplicaRecord
 
 LOOP_CHECK_INTERVAL_MS = 50.0
@@ -37,6 +38,14 @@
     resumed_after: str = ""
 
 
+class Culprit(NamedTuple):
+    """A request that crashes each replica that runs it, as the replica sees it."""
+
+    path: str
+    body: bytes
+    owner: str
+
+
 class CallRecord(NamedTuple):
     """One request as its caller saw it; status 0: no response."""
 
@@ -72,8 +81,8 @@
     """Everything that the checks read.
 
     ``revoked_ms`` has the time of revocation by API key, ``leaving_ms`` the time at
-    which a replica was marked as leaving, by replica, and ``rate_limits`` what each
-    replica received and named.
+    which a replica was marked as leaving, by replica, ``rate_limits`` what each replica
+    received and named, and ``crashes`` what replicas got of requests that crash them.
     """
 
     def __init__(self) -> None:
@@ -81,9 +90,11 @@
         self.calls: list[CallRecord] = []
         self.fault_intervals: list[FaultInterval] = []
         self.stop_failures: list[str] = []
+        self.false_refusals: list[str] = []
         self.loop_stalls: list[LoopStall] = []
         self.revoked_ms: dict[str, float] = {}
         self.leaving_ms: dict[str, float] = {}
+        self.crashes = CrashRecord()
         self.rate_limits: defaultdict[str, ReplicaRecord] = defaultdict(ReplicaRecord)
 
     def max_loop_stall_ms(self, begin_ms: float, end_ms: float) -> float:
@@ -128,6 +139,7 @@
 
 __all__ = (
     "CallRecord",
+    "Culprit",
     "Execution",
     "FaultInterval",
     "History",
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -6,14 +6,13 @@
 import json
 from typing import TYPE_CHECKING
 
-from tests.soak.entry.history import Execution, now_ms
+from tests.soak.entry.history import Culprit, Execution, now_ms
+from tests.support.platform.crash_check import Sending
 from tests.support.platform.rate_limit_check import Naming, Received
 from tests.support.platform.replica import StandInReplica, event
 
 if TYPE_CHECKING:
-    import random
-
-    from tests.soak.entry.history import History
+    from tests.soak.entry.world import SoakWorld
     from tests.support.platform.replica import Arrival, Connection
 
 N_EVENTS = 12
@@ -30,19 +29,20 @@
     ``p_refused``, that a request is refused without running.
     """
 
-    def __init__(
-        self, replica_id: str, history: History, random_state: random.Random
-    ) -> None:
+    def __init__(self, replica_id: str, world: SoakWorld) -> None:
+        history = world.history
+        self._world = world
         self.replica_id = replica_id
         self.server = StandInReplica(replica_id, self._handle)
         self.p_response_lost = 0.0
         self.p_response_repeated = 0.0
         self.p_refused = 0.0
         self._pace = 1.0
+        self._has_crashed = False
         self.reserved_until_ms: dict[str, float] = {}
         self._history = history
         self._record = history.rate_limits[replica_id]
-        self._random_state = random_state
+        self._random_state = world.random_state
 
     @property
     def is_mute(self) -> bool:
@@ -78,6 +78,11 @@
             return
         after = arrival.headers.get("last-event-id", "")
         owner = arrival.headers.get("quetzaldeck-tenant", "")
+        shape = Culprit(arrival.target, arrival.body, owner)
+        culprit = self._world.culprits.get(shape)
+        if culprit:
+            await self._crash(culprit, arrival, connection)
+            return
         execution = Execution(arrival.call_id, self.replica_id, now_ms(), owner, after)
         self._history.executions.append(execution)
         if self._draw(self.p_response_lost):
@@ -89,6 +94,22 @@
         else:
             await self._answer(arrival, connection)
 
+    async def _crash(
+        self, culprit: str, arrival: Arrival, connection: Connection
+    ) -> None:
+        """Run a request that crashes this replica after a moment."""
+        crashes = self._history.crashes
+        sending = Sending(now_ms(), read_vm(arrival.call_id))
+        crashes.sendings[culprit].append(sending)
+        if arrival.target.startswith("/plan/"):
+            await connection.begin_stream(arrival)
+            await connection.send_chunk(event(1, arrival.call_id + "."))
+        await asyncio.sleep(RUN_MS / 1_000)
+        if self._world.replicas[self.replica_id] is self and not self._has_crashed:
+            self._has_crashed = True
+            crashes.crashes_ms[culprit].append(now_ms())
+            self._world.crash_replica(self.replica_id)
+
     async def _answer(self, arrival: Arrival, connection: Connection) -> None:
         await asyncio.sleep(self._pace * RUN_MS / 1_000)
         body = arrival.call_id.encode()
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -26,7 +26,7 @@
 NEWER_FAULTS = frozenset({"mute_replica", "slow_engine"})
 """Faults added later; drawing from them would change the plans of ``SEEDS``."""
 
-NEWEST_FAULTS = frozenset({"limit_replicas"})
+NEWEST_FAULTS = frozenset({"limit_replicas", "send_culprit", "crash_replica"})
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
 
 NEWER_SEEDS = {720: "first seed with replicas that do not answer and slow engines"}
@@ -86,6 +86,26 @@
     assert result.n_calls > 200
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_requests_that_crash_replicas_are_refused_while_vms_and_replicas_end(
+    seed: int,
+) -> None:
+    """A request goes on crashing replicas through VMs that start, freeze or stop."""
+    plan = (
+        PlannedFault(0.2, "send_culprit", 10 * seed),
+        PlannedFault(0.8, "send_culprit", 10 * seed + 1),
+        PlannedFault(1.5, "crash_replica", 2),
+        PlannedFault(2.5, "kill_vm", 1),
+        PlannedFault(3.5, "freeze_vm", 2),
+        PlannedFault(4.0, "lose_flows", 3),
+        PlannedFault(4.5, "crash_replica", 4),
+        PlannedFault(5.0, "stop_vm", 3),
+    )
+    result = uvloop.run(run_soak(seed, duration_s=10.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
 @pytest.mark.parametrize("name", PLANS)
 def test_invariants_hold_when_faults_overlap(name: str) -> None:
     """Overlapping faults restart a VM twice, or start it while the store is down."""
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import random
+import time
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any
 
 import yaml
 from tests.ports import choose_port
-from tests.soak.entry.history import History, now_ms
+from tests.soak.entry.history import Culprit, History, now_ms
 from tests.soak.entry.replicas import SoakReplica
 from tests.soak.own.link import Link
 from tests.support.platform.site import (
@@ -30,6 +31,9 @@
 LEAVING_MS = 1_200.0
 GRACE_S = 3.0
 FREE_MS = 1_500.0
+RESTART_S = (0.5, 1.5)
+"""How long a replica takes to start again after a crash."""
+KEEPS_ID_PROBABILITY = 0.3
 
 
 class SoakVm:
@@ -76,6 +80,7 @@
         self._directory = directory
         self._stack = AsyncExitStack()
         self._n_replicas = 0
+        self._n_calls = 0
         self.random_state = random.Random(seed)
         self.history = History()
         self.store = StandInStore()
@@ -87,6 +92,10 @@
         self.replicas: dict[str, SoakReplica] = {}
         self.links: dict[str, Link] = {}
         self.services: dict[str, str] = {}
+        self.culprits: dict[Culprit, str] = {}
+        self._ended: set[str] = set()
+        self._started_ms: dict[str, int] = {}
+        self._restarts: set[asyncio.Task[None]] = set()
         self.keys = {f"key{number}": f"gym{number % 3}" for number in range(30)}
         self.version = 0
 
@@ -109,13 +118,60 @@
         return self
 
     async def __aexit__(self, *exc: object) -> None:
+        for task in self._restarts:
+            task.cancel()
+        await asyncio.gather(*self._restarts, return_exceptions=True)
         await self._stack.aclose()
 
+    @property
+    def serving(self) -> list[str]:
+        """:returns: ids of the replicas that are neither leaving nor ended"""
+        gone = self._ended | self.history.leaving_ms.keys()
+        return [replica_id for replica_id in self.replicas if replica_id not in gone]
+
+    def crash_replica(self, replica_id: str) -> None:
+        """End a replica as a crash does; it starts again after a while."""
+        self._ended.add(replica_id)
+        self.replicas[replica_id].reserved_until_ms.clear()
+        self.links[replica_id].stop_listening()
+        task = asyncio.create_task(self._restart_replica(replica_id))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_replica(self, before: str) -> None:
+        """Start a replica again at its address, under a new id or the same one."""
+        await asyncio.sleep(self.random_state.uniform(*RESTART_S))
+        link = self.links[before]
+        keeps_id = self.random_state.random() < KEEPS_ID_PROBABILITY
+        replica_id = before if keeps_id else self._new_replica_id()
+        replica = SoakReplica(replica_id, self)
+        await self._stack.enter_async_context(replica.server)
+        port = int(replica.server.address.rpartition(":")[2])
+        await link.listen_again(port)
+        self.replicas[replica_id] = replica
+        self.links[replica_id] = link
+        self.services[replica_id] = self.services[before]
+        if keeps_id:
+            self._ended.discard(before)
+            self._started_ms[before] = round(time.time() * 1_000)
+        self.register(replica_id)
+        if not keeps_id:
+            await asyncio.sleep(self.random_state.uniform(0.0, 1.0))
+            self.store.delete(f"servers/{before}")
+
+    def new_call_number(self) -> int:
+        """:returns: a number that no other call of a culprit's caller has"""
+        self._n_calls += 1
+        return self._n_calls
+
+    def _new_replica_id(self) -> str:
+        self._n_replicas += 1
+        return f"r{self._n_replicas - 1}"
+
     async def add_replica(self, service: str) -> SoakReplica:
         """Start another replica and register it."""
-        replica_id = f"r{self._n_replicas}"
-        self._n_replicas += 1
-        replica = SoakReplica(replica_id, self.history, self.random_state)
+        replica_id = self._new_replica_id()
+        replica = SoakReplica(replica_id, self)
         await self._stack.enter_async_context(replica.server)
         port = int(replica.server.address.rpartition(":")[2])
         link = await self._stack.enter_async_context(Link(port))
@@ -129,7 +185,8 @@
         """Write a replica's entry with the address of its link."""
         address = self.links[replica_id].address.removeprefix("http://")
         service = self.services[replica_id]
-        entry = build_entry(service, address, slots=16, state=state)
+        started_ms = self._started_ms.setdefault(replica_id, round(time.time() * 1_000))
+        entry = build_entry(service, address, slots=16, state=state, born=started_ms)
         self.store.put(f"servers/{replica_id}", entry)
 
     def publish(self, **changes: Any) -> None:
--- a/tests/soak/own/link.py
+++ b/tests/soak/own/link.py
@@ -57,15 +57,16 @@
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._port = 0
 
     @property
     def address(self) -> str:
         """:returns: base URL of the target through the link"""
-        assert self._server is not None
-        return f"http://{HOST}:{self._server.sockets[0].getsockname()[1]}"
+        return f"http://{HOST}:{self._port}"
 
     async def __aenter__(self) -> Link:
         self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self._port = self._server.sockets[0].getsockname()[1]
         return self
 
     async def __aexit__(
@@ -82,6 +83,18 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def stop_listening(self) -> None:
+        """Refuse connections, as the port of a process that has ended does."""
+        assert self._server is not None
+        self._server.close()
+        for connection in tuple(self._connections):
+            connection.abort()
+
+    async def listen_again(self, target_port: int) -> None:
+        """Forward connections at the same address to another port."""
+        self.target_port = target_port
+        self._server = await asyncio.start_server(self._accept, HOST, self._port)
+
     def set_mode(self, mode: LinkMode) -> None:
         """Change the mode of the link.
 
