Check in a model of 1 to 195 VMs that they stop requests that crash replicas

The exchange of crashes moves from the task that owns the socket to a class of its own, so that the model of the exchange between VMs runs the same code. With a hundred such requests greetings fit into one packet, no more datagrams are sent, and a VM that starts knows all of them within three seconds.

Choosing what to tell judges at most 200 requests.

--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -47,6 +47,9 @@
 CLEARANCE_REPEAT_MS = 10_000.0
 """How long a clearance is repeated to VMs that may have missed it."""
 
+MAX_SAMPLED = 200
+"""Requests that are judged at a time to choose those to tell of."""
+
 
 class Verdict(StrEnum):
     """How a request is treated, by the crashes that count against it."""
@@ -248,9 +251,9 @@
         :param max_sightings: maximum number; all sightings of a request, or none
         """
         recent_ms = now_ms - CLEARANCE_REPEAT_MS
-        cleared = (f for f, at_ms in self._cleared.items() if at_ms > recent_ms)
-        listed = [*self._table, *cleared]
-        random_state.shuffle(listed)
+        listed = [f for f in self._table if self._n_proven(f)]
+        listed += [f for f, at_ms in self._cleared.items() if at_ms > recent_ms]
+        listed = random_state.sample(listed, min(len(listed), MAX_SAMPLED))
         listed.sort(key=lambda f: self.verdict(f, now_ms) is not Verdict.REFUSED)
         sightings: list[CrashSighting] = []
         for fingerprint in dict.fromkeys(listed):
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -8,30 +8,28 @@
 import msgspec
 
 from quetzaldeck.decisions.load_changes import LoadChanges, max_send_delay_ms
+from quetzaldeck.entry.peers.crash_exchange import CrashExchange
 from quetzaldeck.entry.peers.messages import (
     PeerMessage,
-    build_crash_update,
     build_limit_update,
     build_load_update,
     decode_message,
     encode_message,
-    read_crash_update,
     read_load_update,
 )
-from quetzaldeck.entry.peers.node import MAX_ENTRIES_PER_DATAGRAM, PeerNode
+from quetzaldeck.entry.peers.node import PeerNode
 from quetzaldeck.entry.peers.rate_limit_exchange import RateLimitExchange
 from quetzaldeck.gateway.messages import (
-    ObserveCrashes,
     ObservePaces,
     ObservePeerLoad,
 )
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
     from quetzaldeck.decisions.rate_limits import RateLimitStatement
-    from quetzaldeck.entry.peers.messages import CrashUpdate, VmUpdate
+    from quetzaldeck.entry.peers.messages import VmUpdate
     from quetzaldeck.entry.peers.table import PeerTable
     from quetzaldeck.entry.state import EntryState
 
@@ -45,11 +43,6 @@
 N_GREETED_STABLE = 2
 """The same number in a stable fleet; see ``PeerTable``."""
 
-MAX_LISTED_CRASHES = 8
-"""Crashes in one greeting, so that it fits into one packet with the addresses."""
-MAX_CRASHES_TO_NEW_VM = 60
-"""Crashes that each VM tells a new one at once; the others come with greetings."""
-
 UNDECODABLE_LOG_INTERVAL_MS = 10_000.0
 """Minimum time between two log lines about undecodable datagrams of one peer."""
 MAX_UNDECODABLE_PEERS = 256
@@ -83,6 +76,7 @@
             capacity=state.settings.processor.capacity,
         )
         self._changes = LoadChanges()
+        self._crashes = CrashExchange(state.dispatch, vm, state.random_state)
         self._rate_limits = RateLimitExchange(
             state, vm, lambda message, address: self._send(message, (address,))
         )
@@ -147,7 +141,7 @@
         now_ms = self._state.clock.now_ms()
         self._note_peer(message, addr[0], now_ms)
         self._rate_limits.handle(message, addr[0])
-        self._observe_crashes(message.crashes)
+        self._crashes.observe(message.crashes)
         for update in self._node.receive(message, addr[0], now_ms):
             self._observe(update)
         self._send_outgoing()
@@ -198,16 +192,11 @@
                 (load.upstream, read_load_update(load)) for load in update.loads
             )
             dispatch.send_deferrable(ObservePeerLoad(update.vm, loads))
-        self._observe_crashes(update.crashes)
+        self._crashes.observe(update.crashes)
         self._rate_limits.note_updates(update.limits, update.vm)
         if update.paces:
             dispatch.send_deferrable(ObservePaces(tuple(update.paces.items())))
 
-    def _observe_crashes(self, crashes: Iterable[CrashUpdate]) -> None:
-        sightings = tuple(read_crash_update(update) for update in crashes)
-        if sightings:
-            self._state.dispatch.send_deferrable(ObserveCrashes(sightings))
-
     def _greet(self, now_ms: float) -> None:
         expired = self._table.expire(now_ms)
         self._state.permits.note_fleet()
@@ -228,14 +217,8 @@
             settings.processor.capacity,
             self._table.sample_heard(now_ms),
             limits=self._rate_limits.list_updates(),
-            crashes=self._list_crashes(MAX_LISTED_CRASHES),
-        )
-
-    def _list_crashes(self, max_crashes: int) -> tuple[CrashUpdate, ...]:
-        sightings = self._state.dispatch.list_crash_state(
-            max_crashes, random_state=self._state.random_state
+            crashes=self._crashes.list_updates(),
         )
-        return tuple(build_crash_update(sighting) for sighting in sightings)
 
     def _send_state_to_new_peer(self, address: str, now_ms: float) -> None:
         """Tell a VM that has just started what the others have been told.
@@ -246,10 +229,8 @@
         In a fleet with relays, the new VM receives the loads on joining a relay.
         """
         self._send(self._build_greeting(now_ms), (address,))
-        crashes = self._list_crashes(MAX_CRASHES_TO_NEW_VM)
-        for first in range(0, len(crashes), MAX_ENTRIES_PER_DATAGRAM):
-            part = crashes[first : first + MAX_ENTRIES_PER_DATAGRAM]
-            self._send(PeerMessage(self._vm, crashes=part), (address,))
+        for message in self._crashes.build_messages_for_new_vm():
+            self._send(message, (address,))
         own_loads = self._state.dispatch.list_own_loads()
         current = (entry for entry in own_loads if entry[1].says_anything)
         self._node.send_current_loads(
@@ -259,11 +240,7 @@
     def _announce_changes(self, now_ms: float) -> None:
         own_loads = self._state.dispatch.list_own_loads()
         changed = self._changes.select_due(own_loads, now_ms, len(self._table))
-        crashes = [
-            build_crash_update(sighting)
-            for sightings in self._state.dispatch.pop_crash_sightings()
-            for sighting in sightings
-        ]
+        crashes = self._crashes.take_announcements()
         if changed or crashes:
             loads = [build_load_update(upstream, load) for upstream, load in changed]
             self._node.announce(now_ms, loads=loads, crashes=crashes)
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -107,6 +107,10 @@
             max_sightings, random_state=random_state
         )
 
+    def observe_crashes(self, sightings: tuple[CrashSighting, ...]) -> None:
+        """Apply what another VM knows of crashes, before the next request is placed."""
+        self.send_deferrable(ObserveCrashes(sightings))
+
     def list_own_loads(self) -> list[tuple[str, VmLoad]]:
         """:returns: load of this VM on each upstream"""
         now_ms = self._clock.now_ms()
--- a/tests/entry/peers/peer_fleet.py
+++ b/tests/entry/peers/peer_fleet.py
@@ -9,7 +9,9 @@
 
 from quetzaldeck.decisions.load_changes import LoadChanges
 from quetzaldeck.decisions.peer_load import PeerLoad, VmLoad
+from quetzaldeck.decisions.poison import CrashSighting, PoisonBounds, PoisonRegistry
 from quetzaldeck.decisions.relays import RelayBounds
+from quetzaldeck.entry.peers.crash_exchange import CrashExchange
 from quetzaldeck.entry.peers.messages import (
     LoadUpdate,
     PeerMessage,
@@ -34,6 +36,8 @@
 STEP_MS = 10.0
 SMALL = 0.12
 LARGE = 0.5
+N_UPSTREAMS = 117
+NEEDS_PROOF = PoisonBounds(needs_proof=True)
 LARGE_DIVISOR = 13
 """One VM in this many has a processor of ``LARGE`` cores, the others of ``SMALL``."""
 
@@ -46,6 +50,35 @@
     n_bytes_between_zones: int
 
 
+class RegistryKnowledge:
+    """A registry as the exchange between VMs uses it.
+
+    :param read_now_ms: returns the simulated time
+    """
+
+    def __init__(
+        self, registry: PoisonRegistry, read_now_ms: Callable[[], float]
+    ) -> None:
+        self._registry = registry
+        self._read_now_ms = read_now_ms
+
+    def pop_crash_sightings(self) -> list[tuple[CrashSighting, ...]]:
+        """:returns: sightings to announce"""
+        return self._registry.pop_changed_sightings(self._read_now_ms())
+
+    def list_crash_state(
+        self, max_sightings: int, *, random_state: random.Random
+    ) -> list[CrashSighting]:
+        """:returns: sightings to repeat"""
+        return self._registry.list_state(
+            max_sightings, self._read_now_ms(), random_state=random_state
+        )
+
+    def observe_crashes(self, sightings: tuple[CrashSighting, ...]) -> None:
+        """Apply what another VM knows."""
+        self._registry.observe(sightings, self._read_now_ms())
+
+
 class PeerVm:
     """One VM, with its own loads at upstreams and those that the others announced."""
 
@@ -81,6 +114,11 @@
         self.incarnations: dict[str, str] = {}
         self.n_datagrams = 0
         self.received: list[tuple[float, LoadUpdate]] = []
+        self.registry = PoisonRegistry(NEEDS_PROOF, count_upstreams=lambda: N_UPSTREAMS)
+        self._crashes = CrashExchange(
+            RegistryKnowledge(self.registry, lambda: self.now_ms), self.vm, random_state
+        )
+        self.now_ms = 0.0
         self._changes = LoadChanges()
 
     def total(self, upstream: str, now_ms: float) -> VmLoad:
@@ -89,22 +127,25 @@
         return VmLoad() if load is None else load.total(now_ms)
 
     def announce(self, now_ms: float) -> None:
-        """Announce the loads that have changed."""
+        """Announce the loads that have changed, and crashes."""
+        self.now_ms = now_ms
         changed = self._changes.select_due(
             self.own_loads.items(), now_ms, len(self.table)
         )
-        if changed:
-            self.node.announce(
-                now_ms, loads=[build_load_update(*entry) for entry in changed]
-            )
+        crashes = self._crashes.take_announcements()
+        if changed or crashes:
+            loads = [build_load_update(*entry) for entry in changed]
+            self.node.announce(now_ms, loads=loads, crashes=crashes)
 
     def receive(
         self, message: PeerMessage, sender: str, now_ms: float
-    ) -> PeerMessage | None:
+    ) -> list[PeerMessage]:
         """Handle a message.
 
-        :returns: a greeting, if the sender's incarnation is new
+        :returns: what the sender is told at once, if its incarnation is new
         """
+        self.now_ms = now_ms
+        self._crashes.observe(message.crashes)
         n_known = len(self.table)
         zone, capacity = message.availability_zone, message.capacity
         self.table.note_heard(sender, now_ms, zone, capacity)
@@ -119,18 +160,23 @@
                 sender, [build_load_update(*entry) for entry in current]
             )
         for update in self.node.receive(message, sender, now_ms):
+            self._crashes.observe(update.crashes)
             for load_update in update.loads:
                 load = read_load_update(load_update)
                 self.peer_loads.setdefault(load_update.upstream, PeerLoad()).update(
                     update.vm, load, now_ms
                 )
                 self.received.append((now_ms, load_update))
-        return self.build_greeting(now_ms) if is_new else None
+        if not is_new:
+            return []
+        greeting = self.build_greeting(now_ms)
+        return [greeting, *self._crashes.build_messages_for_new_vm()]
 
     def build_greeting(self, now_ms: float) -> PeerMessage:
         """:returns: a greeting"""
         known = self.table.sample_heard(now_ms)
-        return PeerMessage(self.vm, self.zone, self.capacity, known)
+        crashes = self._crashes.list_updates()
+        return PeerMessage(self.vm, self.zone, self.capacity, known, crashes=crashes)
 
 
 class PeerFleet:
@@ -163,6 +209,7 @@
         self._order = itertools.count()
         self._in_flight: list[tuple[float, int, str, str, bytes]] = []
         self._counts = Counts(0, 0, 0)
+        self.max_bytes = 0
         places = [(f"10.{i % n_zones}.0.{i}", f"z{i % n_zones}") for i in range(n_vms)]
         self.zones = dict(places)
         self._seeds = tuple(address for address, _ in places[:N_SEEDS])
@@ -255,9 +302,8 @@
             if vm.paused_until_ms > self.now_ms:
                 waiting.append((vm.paused_until_ms, *entry[1:]))
                 continue
-            greeting = vm.receive(decode_message(data), sender, self.now_ms)
-            if greeting is not None:
-                self._send(vm, greeting, sender)
+            for message in vm.receive(decode_message(data), sender, self.now_ms):
+                self._send(vm, message, sender)
             self._send_outgoing(vm)
         for entry in waiting:
             heapq.heappush(self._in_flight, entry)
@@ -270,6 +316,7 @@
     def _send(self, vm: PeerVm, message: PeerMessage, address: str) -> None:
         data = encode_message(message)
         vm.n_datagrams += 1
+        self.max_bytes = max(self.max_bytes, len(data))
         is_between = vm.zone != self.zones.get(address)
         n_datagrams, n_bytes, n_between = self._counts
         self._counts = Counts(
--- /dev/null
+++ b/tests/entry/peers/test_crash_exchange.py
@@ -0,0 +1,154 @@
+"""VMs together stop requests that crash replicas, over a faulty network."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.entry.peers.peer_fleet import PeerFleet
+from tests.support.platform.crash_check import GRACE_MS, CrashRecord, Sending
+
+from quetzaldeck.decisions.poison import Verdict
+
+if TYPE_CHECKING:
+    from tests.entry.peers.peer_fleet import PeerVm
+
+SETTLE_MS = 12_000.0
+"""Time after which all VMs of a fleet know each other."""
+
+RUN_MS = 60.0
+RESTART_MS = 2_000.0
+INTERVAL_MS = 250.0
+N_REPLICAS = 4
+CULPRIT = 7
+PACKET_BYTES = 1_472
+"""Largest datagram that is not split on the way."""
+
+
+class CrashingPool:
+    """Replicas of one service that a request crashes, and a caller that repeats it."""
+
+    def __init__(self, fleet: PeerFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._random_state = random.Random(seed)
+        self._runs: list[tuple[float, PeerVm, str]] = []
+        self._down_until_ms = dict.fromkeys(range(N_REPLICAS), 0.0)
+        self._n_starts = dict.fromkeys(range(N_REPLICAS), 0)
+        self._next_ms = fleet.now_ms
+        self.record = CrashRecord()
+        self.disturbed_ms: dict[str, float] = {}
+        self.n_refused = 0
+
+    def run(self, duration_ms: float) -> None:
+        """Send copies for some time, a few at once."""
+        end_ms = self._fleet.now_ms + duration_ms
+        while self._fleet.now_ms < end_ms:
+            if self._fleet.now_ms >= self._next_ms:
+                self._next_ms += INTERVAL_MS
+                self._send_copies()
+            self._fleet.run(10.0)
+            self._end_runs()
+
+    def note_disturbed(self, address: str) -> None:
+        """Excuse a VM that has just started, or may do what it likes now."""
+        self.disturbed_ms[address] = self._fleet.now_ms
+
+    def _send_copies(self) -> None:
+        now_ms = self._fleet.now_ms
+        running = [v for v in self._fleet.vms.values() if v.paused_until_ms <= now_ms]
+        n_copies = min(len(running), self._random_state.randint(1, 3))
+        for vm in self._random_state.sample(running, n_copies):
+            up = [r for r, until_ms in self._down_until_ms.items() if until_ms < now_ms]
+            if vm.registry.verdict(CULPRIT, now_ms) is Verdict.REFUSED:
+                self.n_refused += 1
+            elif up:
+                number = self._random_state.choice(up)
+                sending = Sending(now_ms, vm.address)
+                self.record.sendings["culprit"].append(sending)
+                name = f"r{number}-{self._n_starts[number]}"
+                self._runs.append((now_ms + RUN_MS, vm, name))
+
+    def _end_runs(self) -> None:
+        now_ms = self._fleet.now_ms
+        ended = [run for run in self._runs if run[0] <= now_ms]
+        self._runs = [run for run in self._runs if run[0] > now_ms]
+        for _, vm, name in ended:
+            number = int(name[1])
+            if name == f"r{number}-{self._n_starts[number]}":
+                self._n_starts[number] += 1
+                self._down_until_ms[number] = now_ms + RESTART_MS
+                self.record.crashes_ms["culprit"].append(now_ms)
+            if self._fleet.vms.get(vm.address) is vm:
+                vm.registry.note_crash(CULPRIT, name, name, now_ms, run_ms=RUN_MS)
+
+    def is_excused(self, address: str, begin_ms: float, end_ms: float) -> bool:
+        """:returns: whether a VM was disturbed in a time span"""
+        return self.disturbed_ms.get(address, float("-inf")) >= begin_ms
+
+
+def make_fleet(n_vms: int, *, loss: float = 0.05) -> PeerFleet:
+    fleet = PeerFleet(n_vms, loss=loss, seed=n_vms)
+    fleet.jitter_ms = 20.0
+    fleet.run(SETTLE_MS if n_vms > 1 else 0.0)
+    return fleet
+
+
+@pytest.mark.parametrize("n_vms", [1, 7, 30, 195])
+def test_vms_together_send_no_request_on_that_crashes_replicas(n_vms: int) -> None:
+    """Copies come at once through all VMs, while one in twenty datagrams is lost."""
+    fleet = make_fleet(n_vms)
+    pool = CrashingPool(fleet, n_vms)
+    pool.run(8_000.0)
+    assert list(pool.record.find_excess()) == []
+    assert len(pool.record.crashes_ms["culprit"]) <= 3 + 2
+    assert pool.n_refused > 20
+
+
+@pytest.mark.parametrize("n_vms", [7, 30])
+def test_vms_that_restart_pause_or_are_cut_off_learn_of_it(n_vms: int) -> None:
+    """Half of the VMs are killed; others were paused or cut off at the crashes."""
+    fleet = make_fleet(n_vms)
+    pool = CrashingPool(fleet, n_vms)
+    addresses = list(fleet.vms)
+    cut_off = addresses[-1]
+    fleet.is_partitioned = lambda a, b: cut_off in (a, b)
+    fleet.vms[addresses[1]].paused_until_ms = fleet.now_ms + 4_000.0
+    pool.note_disturbed(cut_off)
+    pool.run(2_500.0)
+    fleet.is_partitioned = lambda a, b: False
+    pool.note_disturbed(cut_off)
+    for address in addresses[: n_vms // 2]:
+        fleet.stop(address)
+        pool.note_disturbed(address)
+    pool.run(500.0)
+    for address in addresses[: n_vms // 2]:
+        fleet.start(address)
+        pool.note_disturbed(address)
+    pool.run(9_000.0)
+    assert list(pool.record.find_excess(pool.is_excused)) == []
+    verdicts = {vm.registry.verdict(CULPRIT, fleet.now_ms) for vm in fleet.vms.values()}
+    assert verdicts == {Verdict.REFUSED}
+
+
+def test_messages_stay_bounded_however_many_requests_crash_replicas() -> None:
+    """Guards against greetings that no longer fit into a packet."""
+    fleet = make_fleet(30, loss=0.0)
+    vm = next(iter(fleet.vms.values()))
+    fleet.take_counts()
+    fleet.run(3_000.0)
+    before = fleet.take_counts()
+    for fingerprint in range(100, 200):
+        for index in range(3):
+            name = f"r{fingerprint}-{index}"
+            vm.registry.note_crash(fingerprint, name, name, fleet.now_ms, run_ms=60.0)
+    fleet.run(GRACE_MS)
+    fleet.take_counts()
+    fleet.run(3_000.0)
+    after = fleet.take_counts()
+    assert after.n_datagrams <= 1.2 * before.n_datagrams
+    assert fleet.max_bytes <= PACKET_BYTES
+    started = fleet.start(vm.address)
+    fleet.run(GRACE_MS)
+    n_known = len(started.registry.list_verdicts(fleet.now_ms))
+    assert n_known == 100
