Show operators which request is refused for crashes, since and until when

The test of the registry that read the time to come back reads it, and the rest, from find_blocked now: it checks more.

--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -21,7 +21,6 @@
 from quetzaldeck.decisions.placement.helper_selector import HelperSelector
 from quetzaldeck.decisions.placement.placement import Placement
 from quetzaldeck.decisions.placement.suspect_placer import SuspectPlacer
-from quetzaldeck.decisions.poison import PoisonRegistry, Verdict
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
@@ -30,6 +29,7 @@
     from quetzaldeck.decisions.groups import GroupPlan
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.placement.api import PlacementPolicy
+    from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
     from quetzaldeck.decisions.upstream_table import UpstreamTable
@@ -133,13 +133,20 @@
 
     def check_poison(self, request: Request, now_ms: float) -> Failure | None:
         """:returns: the refusal of a request that is suspected of too many crashes"""
-        fingerprint = request.fingerprint
-        if not fingerprint:
+        if not request.fingerprint:
             return None
-        if self._poison.verdict(fingerprint, now_ms) is not Verdict.REFUSED:
+        blocked = self._poison.find_blocked(request.fingerprint, now_ms)
+        if blocked is None:
             return None
-        retry_after_ms = self._poison.retry_after_ms(fingerprint, now_ms)
-        return Failure(Reason.POISON_SUSPECTED, retry_after_ms=retry_after_ms)
+        detail = (
+            f"{request.target}: {', '.join(blocked.crashed)} crashed while running "
+            f"request {blocked.name}, the first {now_ms - blocked.since_ms:.0f} ms ago"
+        )
+        return Failure(
+            Reason.POISON_SUSPECTED,
+            retry_after_ms=max(0.0, blocked.until_ms - now_ms),
+            detail=detail,
+        )
 
     def can_start(
         self, request: Request, now_ms: float, latest_turn_ms: float = math.inf
--- a/src/quetzaldeck/decisions/poison/__init__.py
+++ b/src/quetzaldeck/decisions/poison/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
 from quetzaldeck.decisions.poison.crash_record import (
     CrashRecord,
@@ -16,6 +17,7 @@
 from quetzaldeck.decisions.poison.sighting import CrashSighting
 
 __all__ = (
+    "BlockedRequest",
     "CrashRecord",
     "CrashSighting",
     "PoisonBounds",
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -33,6 +33,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
 from quetzaldeck.decisions.poison.crash import Involvement
 from quetzaldeck.decisions.poison.crash_table import CrashTable
@@ -146,17 +147,19 @@
             return 0.0
         return max(0.0, max(proven_ms) + self._bounds.propagation_ms - now_ms)
 
-    def retry_after_ms(self, fingerprint: int, now_ms: float) -> float:
-        """:returns: time until a refused request may be admitted again"""
-        involvements = self._table.find(fingerprint).items()
-        seen = sorted(
-            (item.seen_ms for crash, item in involvements if crash.is_proven),
-            reverse=True,
+    def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
+        """:returns: a request that is refused, and why; ``None`` if it is not"""
+        if self.verdict(fingerprint, now_ms) is not Verdict.REFUSED:
+            return None
+        limit = self._crash_limit(fingerprint, self.n_crashes(fingerprint, now_ms))
+        own = self._table.find(fingerprint).items()
+        seen_ms = sorted(item.seen_ms for crash, item in own if crash.is_proven)
+        return BlockedRequest(
+            fingerprint,
+            tuple(self.list_crashed(fingerprint)),
+            seen_ms[0],
+            seen_ms[-limit] + self._bounds.forget_ms,
         )
-        if len(seen) < self._bounds.n_crashes:
-            return 0.0
-        decisive_ms = seen[self._bounds.n_crashes - 1]
-        return max(0.0, decisive_ms + self._bounds.forget_ms - now_ms)
 
     def note_crash(
         self,
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -63,7 +63,7 @@
         self._clock = clock
         self._metrics = metrics
         self._degraded_log = DegradedUpstreamsLog(scheduler)
-        self._crash_log = CrashLog(scheduler.poison)
+        self._crash_log = CrashLog(scheduler.poison, clock, metrics.upstreams)
         self._mailbox: asyncio.Queue[Message] = asyncio.Queue()
         self._deferred: list[Message] = []
         self._outboxes: dict[str, asyncio.Queue[Decision]] = {}
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -75,6 +75,24 @@
             ["verdict"],
             registry=registry,
         )
+        self.blocked_crashes = Gauge(
+            "quetzaldeck_blocked_request_crashes",
+            "Crashes of upstreams that ran a request which is refused for it",
+            ["fingerprint"],
+            registry=registry,
+        )
+        self.blocked_since = Gauge(
+            "quetzaldeck_blocked_request_since_seconds",
+            "Unix time of the first of these crashes",
+            ["fingerprint"],
+            registry=registry,
+        )
+        self.blocked_until = Gauge(
+            "quetzaldeck_blocked_request_until_seconds",
+            "Unix time from which on the request is admitted again",
+            ["fingerprint"],
+            registry=registry,
+        )
         self.crash_checks = Counter(
             "quetzaldeck_crash_checks",
             "Checks of upstreams to which a connection has broken, by result",
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -10,6 +10,7 @@
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
 from quetzaldeck.decisions.poison import (
+    BlockedRequest,
     CrashSighting,
     PoisonBounds,
     PoisonRegistry,
@@ -30,7 +31,10 @@
         assert registry.verdict(CULPRIT, 0.0) is not Verdict.REFUSED
         registry.note_crash(CULPRIT, f"e{index}", "i", 0.0)
     assert registry.verdict(CULPRIT, 0.0) is Verdict.REFUSED
-    assert registry.retry_after_ms(CULPRIT, 0.0) == PoisonBounds().forget_ms
+    blocked = registry.find_blocked(CULPRIT, 0.0)
+    assert blocked == BlockedRequest(
+        CULPRIT, ("e0", "e1", "e2"), 0.0, PoisonBounds().forget_ms
+    )
 
 
 def test_verdict_refuses_no_request_for_unrelated_crashes() -> None:
