Break the import circle of the state of an entry VM and its exchange

entry/state imported permits, permits imported entry/peers/task for one constant, and the task imported the state again. Permits and their client speak messages between VMs: they move into entry/peers. The interval of greetings gets a module of its own, and the exchange names what it uses of its VM in a protocol that the state satisfies. A test keeps entry/peers free of the state. No behaviour changes.

--- a/src/quetzaldeck/entry/permits.py
+++ b/src/quetzaldeck/entry/peers/permits.py
@@ -8,13 +8,13 @@
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.rate_limits import IssuerBounds, Permit, PermitIssuer
+from quetzaldeck.entry.peers.greetings import GREETING_INTERVAL_MS
+from quetzaldeck.entry.peers.permit_client import UNAVAILABLE_MS, PermitClient
 from quetzaldeck.entry.peers.table import (
     MAX_SHARED_ADDRESSES,
     PEER_TTL_MS,
     STABLE_AFTER_MS,
 )
-from quetzaldeck.entry.peers.task import GREETING_INTERVAL_MS
-from quetzaldeck.entry.permit_client import UNAVAILABLE_MS, PermitClient
 from quetzaldeck.upstreams import UpstreamError
 
 if TYPE_CHECKING:
@@ -22,8 +22,8 @@
 
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.rate_limits import RateLimitStatement
+    from quetzaldeck.entry.peers.permit_client import SendRequest
     from quetzaldeck.entry.peers.table import PeerTable
-    from quetzaldeck.entry.permit_client import SendRequest
     from quetzaldeck.entry.rate_limits import RateLimits
     from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
--- a/src/quetzaldeck/entry/peers/rate_limit_exchange.py
+++ b/src/quetzaldeck/entry/peers/rate_limit_exchange.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from quetzaldeck.entry.peers.context import PeerContext
     from quetzaldeck.entry.peers.messages import LimitUpdate, PermitRequest
-    from quetzaldeck.entry.state import EntryState
 
 MAX_LISTED_LIMITS = 8
 """Rate limits in one greeting, so that it fits into one packet with the addresses."""
@@ -29,12 +29,12 @@
     """
 
     def __init__(
-        self, state: EntryState, vm: str, send: Callable[[PeerMessage, str], None]
+        self, context: PeerContext, vm: str, send: Callable[[PeerMessage, str], None]
     ) -> None:
-        self._clock = state.clock
-        self._limits = state.rate_limits
-        self._permits = state.permits
-        self._random_state = state.random_state
+        self._clock = context.clock
+        self._limits = context.rate_limits
+        self._permits = context.permits
+        self._random_state = context.random_state
         self._vm = vm
         self._send = send
 
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -9,6 +9,11 @@
 
 from quetzaldeck.decisions.load_changes import LoadChanges, max_send_delay_ms
 from quetzaldeck.entry.peers.crash_exchange import CrashExchange
+from quetzaldeck.entry.peers.greetings import (
+    GREETING_INTERVAL_MS,
+    N_GREETED,
+    N_GREETED_STABLE,
+)
 from quetzaldeck.entry.peers.messages import (
     PeerMessage,
     build_limit_update,
@@ -29,20 +34,13 @@
     from collections.abc import Mapping
 
     from quetzaldeck.decisions.rate_limits import RateLimitStatement
+    from quetzaldeck.entry.peers.context import PeerContext
     from quetzaldeck.entry.peers.messages import VmUpdate
     from quetzaldeck.entry.peers.table import PeerTable
-    from quetzaldeck.entry.state import EntryState
 
 TICK_MS = 20.0
 """Interval at which changes are collected; those within it are sent together."""
 
-GREETING_INTERVAL_MS = 500.0
-"""Interval of greetings: VMs that start together know each other within seconds."""
-N_GREETED = 3
-"""Number of VMs greeted in each interval."""
-N_GREETED_STABLE = 2
-"""The same number in a stable fleet; see ``PeerTable``."""
-
 UNDECODABLE_LOG_INTERVAL_MS = 10_000.0
 """Minimum time between two log lines about undecodable datagrams of one peer."""
 MAX_UNDECODABLE_PEERS = 256
@@ -55,39 +53,40 @@
 
     Updates are soft state: without them, decisions rest on this VM's own view.
 
+    :param context: what tells other VMs something, or is told
     :param own: this VM's address
     :param vm: id of this incarnation of this VM
     :param port: UDP port on which every VM listens
     """
 
     def __init__(
-        self, state: EntryState, table: PeerTable, *, own: str, vm: str, port: int
+        self, context: PeerContext, table: PeerTable, *, own: str, vm: str, port: int
     ) -> None:
-        self._state = state
+        self._context = context
         self._table = table
         self._vm = vm
         self._port = port
-        zone = state.settings.availability_zone
+        zone = context.settings.availability_zone
         self._node = PeerNode(
             own,
             table,
             vm=vm,
             availability_zone=zone,
-            capacity=state.settings.processor.capacity,
+            capacity=context.settings.processor.capacity,
         )
         self._changes = LoadChanges()
-        self._crashes = CrashExchange(state.dispatch, vm, state.random_state)
+        self._crashes = CrashExchange(context.dispatch, vm, context.random_state)
         self._rate_limits = RateLimitExchange(
-            state, vm, lambda message, address: self._send(message, (address,))
+            context, vm, lambda message, address: self._send(message, (address,))
         )
-        state.permits.connect(table, self._rate_limits.request_permit)
-        state.rate_limits.connect(self._announce_limit)
+        context.permits.connect(table, self._rate_limits.request_permit)
+        context.rate_limits.connect(self._announce_limit)
         self._incarnations: dict[str, str] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._due_ms = float("inf")
         self._undecodable_ms: dict[str, float] = {}
-        self._metrics = state.metrics.peers
+        self._metrics = context.metrics.peers
 
     async def run(self, host: str) -> None:
         """Receive and send until cancelled."""
@@ -99,7 +98,7 @@
         greeted_ms = float("-inf")
         try:
             while True:
-                now_ms = self._state.clock.now_ms()
+                now_ms = self._context.clock.now_ms()
                 if now_ms - greeted_ms >= GREETING_INTERVAL_MS:
                     greeted_ms = now_ms
                     self._greet(now_ms)
@@ -119,13 +118,13 @@
             wait_ms = min(wait_ms, max_send_delay_ms(len(self._table)))
         try:
             async with asyncio.timeout(wait_ms / 1_000):
-                await self._state.dispatch.wait_for_load_change()
+                await self._context.dispatch.wait_for_load_change()
         except TimeoutError:
             return
 
     def announce_paces(self, paces: Mapping[str, float]) -> None:
         """Announce the slowdown factors of some engines to all other VMs."""
-        self._node.announce(self._state.clock.now_ms(), paces=paces)
+        self._node.announce(self._context.clock.now_ms(), paces=paces)
         self._send_outgoing()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -138,7 +137,7 @@
         if message.vm == self._vm:
             return
         self._metrics.note_received(_kind_of(message), len(data))
-        now_ms = self._state.clock.now_ms()
+        now_ms = self._context.clock.now_ms()
         self._note_peer(message, addr[0], now_ms)
         self._rate_limits.handle(message, addr[0])
         self._crashes.observe(message.crashes)
@@ -149,8 +148,8 @@
 
     def _announce_limit(self, statement: RateLimitStatement) -> None:
         """Announce what an upstream said to all other VMs."""
-        update = build_limit_update(statement, self._state.clock.uptime_ms())
-        self._node.announce(self._state.clock.now_ms(), limits=(update,))
+        update = build_limit_update(statement, self._context.clock.uptime_ms())
+        self._node.announce(self._context.clock.now_ms(), limits=(update,))
         self._send_outgoing()
 
     def error_received(self, exc: Exception) -> None:
@@ -160,7 +159,7 @@
     def _note_undecodable(self, peer: str, error: Exception) -> None:
         """Log an undecodable datagram, at a limited rate for each peer."""
         self._metrics.note_received("undecodable", 0)
-        now_ms = self._state.clock.now_ms()
+        now_ms = self._context.clock.now_ms()
         if (
             now_ms - self._undecodable_ms.get(peer, float("-inf"))
             < UNDECODABLE_LOG_INTERVAL_MS
@@ -186,7 +185,7 @@
 
     def _observe(self, update: VmUpdate) -> None:
         """Pass the update of a VM to the dispatch task."""
-        dispatch = self._state.dispatch
+        dispatch = self._context.dispatch
         if update.loads:
             loads = tuple(
                 (load.upstream, read_load_update(load)) for load in update.loads
@@ -199,7 +198,7 @@
 
     def _greet(self, now_ms: float) -> None:
         expired = self._table.expire(now_ms)
-        self._state.permits.note_fleet()
+        self._context.permits.note_fleet()
         for peer in expired:
             self._incarnations.pop(peer, None)
             log_event("peer_lost", peer=peer, n_peers=len(self._table))
@@ -210,7 +209,7 @@
         self._send(greeting, self._table.choose_greeted(n_greeted))
 
     def _build_greeting(self, now_ms: float) -> PeerMessage:
-        settings = self._state.settings
+        settings = self._context.settings
         return PeerMessage(
             self._vm,
             settings.availability_zone,
@@ -231,14 +230,14 @@
         self._send(self._build_greeting(now_ms), (address,))
         for message in self._crashes.build_messages_for_new_vm():
             self._send(message, (address,))
-        own_loads = self._state.dispatch.list_own_loads()
+        own_loads = self._context.dispatch.list_own_loads()
         current = (entry for entry in own_loads if entry[1].says_anything)
         self._node.send_current_loads(
             address, [build_load_update(*entry) for entry in current]
         )
 
     def _announce_changes(self, now_ms: float) -> None:
-        own_loads = self._state.dispatch.list_own_loads()
+        own_loads = self._context.dispatch.list_own_loads()
         changed = self._changes.select_due(own_loads, now_ms, len(self._table))
         crashes = self._crashes.take_announcements()
         if changed or crashes:
@@ -247,7 +246,7 @@
 
     def _advance(self) -> None:
         """Do and send what is due, and schedule the next call."""
-        now_ms = self._state.clock.now_ms()
+        now_ms = self._context.clock.now_ms()
         self._node.advance(now_ms)
         self._send_outgoing()
         self._schedule(now_ms)
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -10,7 +10,7 @@
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.crash_checks import CrashChecks
 from quetzaldeck.entry.liveness import Liveness
-from quetzaldeck.entry.permits import Permits
+from quetzaldeck.entry.peers.permits import Permits
 from quetzaldeck.entry.rate_limits import RateLimits
 from quetzaldeck.entry.upstream_pool import (
     build_bundle,
--- a/tests/decisions/rate_limits/test_permit_issuer.py
+++ b/tests/decisions/rate_limits/test_permit_issuer.py
@@ -12,7 +12,7 @@
 import pytest
 
 from quetzaldeck.decisions.rate_limits import Permit, PermitIssuer
-from quetzaldeck.entry.permits import ISSUER_BOUNDS
+from quetzaldeck.entry.peers.permits import ISSUER_BOUNDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/tests/entry/peers/peer_fleet.py
+++ b/tests/entry/peers/peer_fleet.py
@@ -12,6 +12,11 @@
 from quetzaldeck.decisions.poison import CrashSighting, PoisonBounds, PoisonRegistry
 from quetzaldeck.decisions.relays import RelayBounds
 from quetzaldeck.entry.peers.crash_exchange import CrashExchange
+from quetzaldeck.entry.peers.greetings import (
+    GREETING_INTERVAL_MS,
+    N_GREETED,
+    N_GREETED_STABLE,
+)
 from quetzaldeck.entry.peers.messages import (
     LoadUpdate,
     PeerMessage,
@@ -22,11 +27,6 @@
 )
 from quetzaldeck.entry.peers.node import PeerNode
 from quetzaldeck.entry.peers.table import PeerTable
-from quetzaldeck.entry.peers.task import (
-    GREETING_INTERVAL_MS,
-    N_GREETED,
-    N_GREETED_STABLE,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/entry/peers/test_peer_table.py
+++ b/tests/entry/peers/test_peer_table.py
@@ -7,8 +7,8 @@
 import pytest
 
 from quetzaldeck.entry.peers import PeerTable
+from quetzaldeck.entry.peers.greetings import N_GREETED
 from quetzaldeck.entry.peers.table import PEER_TTL_MS, UNKNOWN_CAPACITY
-from quetzaldeck.entry.peers.task import N_GREETED
 
 SEEDS = ("10.0.0.0", "10.0.0.1", "10.0.0.2")
 
--- a/tests/entry/peers/test_rate_limits.py
+++ b/tests/entry/peers/test_rate_limits.py
@@ -22,8 +22,8 @@
     build_permit_answer,
     read_limit_update,
 )
+from quetzaldeck.entry.peers.permit_client import ANSWER_TIMEOUT_MS, PermitClient
 from quetzaldeck.entry.peers.update_store import UpdateQueue, UpdateStore, split_updates
-from quetzaldeck.entry.permit_client import ANSWER_TIMEOUT_MS, PermitClient
 from quetzaldeck.telemetry import GatewayMetrics
 from quetzaldeck.upstreams import UpstreamError
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import pkgutil
 import subprocess
 import sys
@@ -41,3 +42,20 @@
         check=True,
     )
     assert result.stdout == ""
+
+
+def list_imports(path: Path) -> set[str]:
+    """:returns: modules that a module imports, also for annotations only"""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    return {
+        node.module
+        for node in ast.walk(tree)
+        if isinstance(node, ast.ImportFrom) and node.module is not None
+    }
+
+
+def test_exchange_between_vms_does_not_depend_on_the_state_of_its_vm() -> None:
+    """The state holds what the exchange uses; the other way round is a cycle."""
+    package = Path(quetzaldeck.__file__).parent / "entry" / "peers"
+    for path in package.glob("*.py"):
+        assert "quetzaldeck.entry.state" not in list_imports(path), path.name
