Count a deadline from when a request arrived, not from when it is read

Callers whose calls waited in the open socket of a VM that was still starting, frozen or late got their whole deadline again from when the VM read them: they ended late by that wait, and replicas were told more time than was left. A test that keeps the loop busy for half a second ran a call of 300 ms that nobody waited for any more (test_time_that_a_request_waited_in_its_socket_counts failed: 200 in place of 503).

The kernel knows when a connection last received data (TCP_INFO); one system call per request.

--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -20,6 +20,7 @@
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.settings import CallerBounds
+from quetzaldeck.http.socket_wait import read_wait_ms
 from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.platform import CALL_ID, read_call_head
 from quetzaldeck.telemetry import locate_error, log_event
@@ -41,7 +42,9 @@
 
     async def handle(self, http_request: web.Request) -> web.StreamResponse:
         """Serve one request; every outcome becomes a response here."""
-        arrived_ms = self._state.clock.now_ms()
+        # A request may have waited in its socket while this VM started or was late.
+        wait_ms = read_wait_ms(http_request.transport)
+        arrived_ms = self._state.clock.now_ms() - wait_ms
         request_id = uuid.uuid4().hex
         call_id = http_request.headers.get(CALL_ID, "")
         self._state.metrics.requests.labels("call").inc()
--- /dev/null
+++ b/src/quetzaldeck/http/socket_wait.py
@@ -0,0 +1,41 @@
+"""How long the bytes of a request have waited until this process came to read them."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
+
+_INFO_BYTES = 104
+_LAST_DATA_RECEIVED_OFFSET = 52
+"""Of ``tcpi_last_data_recv`` in ``struct tcp_info``, see ``linux/tcp.h``: milliseconds
+since the kernel last received data."""
+
+MAX_WAIT_MS = 60_000.0
+"""Longer times are taken for a fault of the counter."""
+
+
+def read_wait_ms(transport: asyncio.BaseTransport | None) -> float:
+    """Read how long ago the last bytes on a connection arrived at this machine.
+
+    Bytes wait in the kernel while the process starts, is paused, or is late.
+
+    :returns: milliseconds; 0 if the connection is closed or its kernel does not say
+    """
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None:
+        return 0.0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES)
+    except OSError:
+        return 0.0
+    if len(info) < _INFO_BYTES:
+        return 0.0
+    (wait_ms,) = struct.unpack_from("=I", info, _LAST_DATA_RECEIVED_OFFSET)
+    return float(wait_ms) if wait_ms <= MAX_WAIT_MS else 0.0
+
+
+__all__ = ("read_wait_ms",)
--- a/tests/entry/test_starting.py
+++ b/tests/entry/test_starting.py
@@ -8,9 +8,18 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
+import socket
 import time
 
-from tests.support.platform.site import LOOK_PATH, Site, build_configuration, run_site
+from tests.support.platform.site import (
+    HOST,
+    KEY,
+    LOOK_PATH,
+    Site,
+    build_configuration,
+    run_site,
+)
 from tests.support.platform.store import CONFIGURATION_KEY
 
 from quetzaldeck.decisions.admission.startup_wait import (
@@ -55,3 +64,48 @@
         assert startup_wait_ms(DEADLINE_MS) <= elapsed_ms < DEADLINE_MS
 
     run_site(test, publishes=False)
+
+
+def block_loop(duration_s: float) -> None:
+    """Keep the event loop from running."""
+    time.sleep(duration_s)
+
+
+def send_in_background(
+    site: Site, deadline_ms: int
+) -> concurrent.futures.Future[bytes]:
+    """:returns: the response to a request that a thread sends now"""
+    host, _, port = site.entry_address.partition(":")
+    connection = socket.create_connection((host, int(port)))
+    lines = (
+        f"GET {LOOK_PATH} HTTP/1.1",
+        f"Host: {HOST}",
+        "Quetzaldeck-Attempt-Id: waits",
+        f"Quetzaldeck-Deadline-Ms: {deadline_ms}",
+        f"Quetzaldeck-Key: {KEY}",
+        "Connection: close",
+    )
+    connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def read() -> bytes:
+        with connection, connection.makefile("rb") as stream:
+            return stream.read()
+
+    executor = concurrent.futures.ThreadPoolExecutor(1)
+    return executor.submit(read)
+
+
+def test_time_that_a_request_waited_in_its_socket_counts() -> None:
+    """A VM is late, and runs a request whose caller has stopped waiting for it."""
+
+    async def test(site: Site) -> None:
+        late = send_in_background(site, deadline_ms=300)
+        in_time = send_in_background(site, deadline_ms=5_000)
+        block_loop(0.5)
+        answer = await asyncio.wrap_future(late)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert (await asyncio.wrap_future(in_time)).startswith(b"HTTP/1.1 200")
+        (arrival,) = site.desks[0].calls
+        assert int(arrival.headers["quetzaldeck-deadline-ms"]) <= 4_500
+
+    run_site(test)
