--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -10,10 +10,7 @@
 at a time. The next crash then separates the culprit from the bystanders, because a
 crash counts only against those of its requests that were in the most crashes. One
 complete answer clears a request. A request is refused once ``n_crashes`` crashes count
-against it. It takes more of them where they may be coincidence: when one upstream after
-the other crashes for another reason, long requests that are retried are in several
-crashes and caused none; and copies of a frequent request may run on all upstreams that
-one cause ends at the same time.
+against it, or more where they may be coincidence, see :class:`CrashLimit`.
 
 A broken connection alone proves no crash: a network device may have cut it, or the
 upstream lost one answer. Where ``needs_proof`` is set, it makes a suspect, but counts
@@ -29,19 +26,22 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+import math
+from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
 from quetzaldeck.decisions.poison.crash import Involvement
+from quetzaldeck.decisions.poison.crash_limit import CrashLimit
 from quetzaldeck.decisions.poison.crash_table import CrashTable
+from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import CrashSighting
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Iterator
 
     from quetzaldeck.decisions.poison.crash import Crash
 
@@ -74,10 +74,10 @@
         count_upstreams: Callable[[], int] = lambda: 1,
     ) -> None:
         self._bounds = bounds or PoisonBounds()
-        self._count_upstreams = count_upstreams
         self._table = CrashTable(self._bounds)
-        self._cleared: OrderedDict[int, float] = OrderedDict()
-        self._answered: OrderedDict[int, float] = OrderedDict()
+        self._limit = CrashLimit(self._bounds, self._table, count_upstreams)
+        self._cleared = RecentTimes(self._bounds.max_fingerprints)
+        self._answered = RecentTimes(self._bounds.max_answered)
         self._unannounced: set[int] = set()
         self._newly_sighted: set[int] = set()
 
@@ -108,7 +108,7 @@
         if fingerprint not in self._table:
             return Verdict.CLEAR
         n_crashes = self.n_crashes(fingerprint, now_ms)
-        if n_crashes >= self._crash_limit(fingerprint, n_crashes):
+        if n_crashes >= self._limit.find(fingerprint, n_crashes):
             return Verdict.REFUSED
         is_suspect = n_crashes or self._has_unproven(fingerprint, now_ms)
         return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
@@ -151,7 +151,7 @@
         """:returns: a request that is refused, and why; ``None`` if it is not"""
         if self.verdict(fingerprint, now_ms) is not Verdict.REFUSED:
             return None
-        limit = self._crash_limit(fingerprint, self.n_crashes(fingerprint, now_ms))
+        limit = self._limit.find(fingerprint, self.n_crashes(fingerprint, now_ms))
         own = self._table.find(fingerprint).items()
         seen_ms = sorted(item.seen_ms for crash, item in own if crash.is_proven)
         return BlockedRequest(
@@ -178,7 +178,7 @@
         """
         self._table.expire(now_ms)
         crash = self._table.open(upstream, incarnation, now_ms, is_proven=is_proven)
-        answered_ms = self._answered.get(fingerprint, float("-inf"))
+        answered_ms = self._answered.find(fingerprint)
         was_answered = answered_ms >= now_ms - self._bounds.answered_ms
         self._add(fingerprint, crash, Involvement(now_ms, run_ms, was_answered))
         if is_proven:
@@ -207,15 +207,12 @@
 
         :returns: whether it was a suspect
         """
-        self._answered[fingerprint] = now_ms
-        self._answered.move_to_end(fingerprint)
-        if len(self._answered) > self._bounds.max_answered:
-            self._answered.popitem(last=False)
+        self._answered.note(fingerprint, now_ms)
         if fingerprint not in self._table:
             return False
         self._unannounced.add(fingerprint)
         self._table.forget(fingerprint)
-        self._clear(fingerprint, now_ms)
+        self._cleared.note(fingerprint, now_ms)
         return True
 
     def note_alive(self, upstream: str, incarnation: str, measured_ms: float) -> None:
@@ -253,9 +250,8 @@
 
         :param max_sightings: maximum number; all sightings of a request, or none
         """
-        recent_ms = now_ms - CLEARANCE_REPEAT_MS
         listed = [f for f in self._table if self._n_proven(f)]
-        listed += [f for f, at_ms in self._cleared.items() if at_ms > recent_ms]
+        listed += self._cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
         listed = random_state.sample(listed, min(len(listed), MAX_SAMPLED))
         listed.sort(key=lambda f: self.verdict(f, now_ms) is not Verdict.REFUSED)
         sightings: list[CrashSighting] = []
@@ -278,9 +274,9 @@
                     involvement.run_ms,
                     involvement.was_answered,
                 )
-        if fingerprint in self._cleared:
-            age_ms = now_ms - self._cleared[fingerprint]
-            yield CrashSighting(fingerprint, "", "", age_ms)
+        cleared_ms = self._cleared.find(fingerprint)
+        if math.isfinite(cleared_ms):
+            yield CrashSighting(fingerprint, "", "", now_ms - cleared_ms)
 
     def observe(self, sightings: Iterable[CrashSighting], now_ms: float) -> None:
         """Merge sightings of other VMs, which may be late, repeated or known."""
@@ -309,8 +305,7 @@
     def _add(self, fingerprint: int, crash: Crash, involvement: Involvement) -> None:
         # Another VM may still report a crash from before the request was cleared;
         # without this check the request would become a suspect again.
-        cleared_ms = self._cleared.get(fingerprint, float("-inf"))
-        if involvement.seen_ms <= cleared_ms:
+        if involvement.seen_ms <= self._cleared.find(fingerprint):
             return
         self._newly_sighted.add(fingerprint)
         self._table.add(fingerprint, crash, involvement)
@@ -319,43 +314,7 @@
         for crash, involvement in tuple(self._table.find(fingerprint).items()):
             if involvement.seen_ms <= cleared_ms:
                 self._table.discard(fingerprint, crash)
-        self._clear(fingerprint, cleared_ms)
-
-    def _crash_limit(self, fingerprint: int, n_crashes: int) -> int:
-        """:returns: number of crashes at which a request is refused"""
-        bounds = self._bounds
-        if n_crashes < bounds.n_crashes:
-            return bounds.n_crashes
-        own = self._table.find(fingerprint)
-        if self._is_wave(own, n_crashes):
-            return bounds.max_crashes
-        if any(involvement.was_answered for involvement in own.values()):
-            return bounds.n_crashes_answered
-        return bounds.n_crashes
-
-    def _is_wave(self, own: Mapping[Crash, Involvement], n_crashes: int) -> bool:
-        """:returns: whether a request may be in crashes of others by chance
-
-        About as many upstreams crash without the request, and one of its runs is long
-        enough to be hit. A request that ends an upstream within a fraction of a second
-        is no bystander because some others crash as well.
-        """
-        times_ms = [involvement.seen_ms for involvement in own.values()]
-        first_ms = min(times_ms) - self._bounds.wave_ms
-        last_ms = max(times_ms) + self._bounds.wave_ms
-        n_others = sum(
-            crash.is_proven and first_ms <= crash.at_ms <= last_ms and crash not in own
-            for crash in self._table.crashes
-        )
-        if n_others < n_crashes - 1:
-            return False
-        runs_ms = [involvement.run_ms for involvement in own.values()]
-        known_ms = [run_ms for run_ms in runs_ms if run_ms is not None]
-        if len(known_ms) < len(runs_ms):
-            return True
-        n_upstreams = max(1, self._count_upstreams())
-        crash_rate = n_others / (n_upstreams * (last_ms - first_ms))
-        return crash_rate * max(known_ms) >= self._bounds.max_chance
+        self._cleared.note(fingerprint, cleared_ms)
 
     def _has_unproven(self, fingerprint: int, now_ms: float) -> bool:
         oldest_ms = now_ms - self._bounds.unproven_ms
@@ -371,13 +330,6 @@
         """:returns: most crashes that any one request of ``crash`` was in"""
         return max(self._n_proven(other) for other in crash.fingerprints)
 
-    def _clear(self, fingerprint: int, cleared_ms: float) -> None:
-        known_ms = self._cleared.get(fingerprint, cleared_ms)
-        self._cleared[fingerprint] = max(known_ms, cleared_ms)
-        self._cleared.move_to_end(fingerprint)
-        while len(self._cleared) > self._bounds.max_fingerprints:
-            self._cleared.popitem(last=False)
-
 
 def _time_of(crash: Crash) -> float:
     return crash.at_ms
