Let the suspects of one crash run again at different times; list what stays open

Part of the cause: the pause after a crash ended at the same moment for all its suspects, on all VMs, so that they ran together again. The pause is now drawn from the fingerprint, 250 to 500 ms (test_suspects_of_one_crash_run_again_at_different_times).

Tried (trial) and not kept: a limit of four where another request was in the same crashes.

--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -31,8 +31,10 @@
         network delay
     :param same_crash_ms: sightings on one upstream within this time count as one crash,
         even if some name an older incarnation because they rest on an older report
-    :param propagation_ms: pause before a suspect runs again, so that the other VMs
-        learn of the crash first
+    :param propagation_ms: longest pause before a suspect runs again, so that the other
+        VMs learn of the crash first
+    :param min_propagation_ms: shortest such pause; those of different requests lie
+        between the two, so that the suspects of one crash do not run together again
     :param needs_proof: whether the broken connection of an engine counts only once it
         is proven that the engine crashed; those of plain services always need proof
     :param max_fingerprints: maximum number of requests remembered
@@ -51,6 +53,7 @@
     alive_margin_ms: float = 3_000.0
     same_crash_ms: float = 3_000.0
     propagation_ms: float = 500.0
+    min_propagation_ms: float = 250.0
     needs_proof: bool = False
     max_fingerprints: int = 10_000
     max_answered: int = 4_096
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -48,6 +48,9 @@
 CLEARANCE_REPEAT_MS = 10_000.0
 """How long a clearance is repeated to VMs that may have missed it."""
 
+N_PAUSES = 64
+"""Number of different pauses of suspects."""
+
 MAX_SAMPLED = 200
 """Requests that are judged at a time to choose those to tell of."""
 
@@ -137,7 +140,7 @@
 
         The pause starts at the last known crash. Without it, a copy that arrives at
         this VM while another VM runs one could crash an upstream before this VM learns
-        of the other crash.
+        of the other crash. All VMs draw the same pause for a request.
         """
         if self.verdict(fingerprint, now_ms) is not Verdict.SUSPECT:
             return 0.0
@@ -145,7 +148,10 @@
         proven_ms = [item.seen_ms for crash, item in involvements if crash.is_proven]
         if not proven_ms:
             return 0.0
-        return max(0.0, max(proven_ms) + self._bounds.propagation_ms - now_ms)
+        shortest_ms = self._bounds.min_propagation_ms
+        range_ms = self._bounds.propagation_ms - shortest_ms
+        pause_ms = shortest_ms + range_ms * (fingerprint % N_PAUSES) / (N_PAUSES - 1)
+        return max(0.0, max(proven_ms) + pause_ms - now_ms)
 
     def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
         """:returns: a request that is refused, and why; ``None`` if it is not"""
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -109,6 +109,18 @@
     assert registry.verdict(BYSTANDER, 9_000.0) is Verdict.CLEAR
 
 
+def test_suspects_of_one_crash_run_again_at_different_times() -> None:
+    """Guards against suspects that all wait for the same moment and crash together."""
+    registry = PoisonRegistry()
+    for fingerprint in range(1, 33):
+        registry.note_crash(fingerprint, "e0", "i", 0.0)
+    pauses_ms = {registry.pause_ms(fingerprint, 0.0) for fingerprint in range(1, 33)}
+    assert len(pauses_ms) == 32
+    bounds = PoisonBounds()
+    assert min(pauses_ms) >= bounds.min_propagation_ms
+    assert max(pauses_ms) <= bounds.propagation_ms
+
+
 def test_number_of_remembered_answers_is_limited() -> None:
     registry = PoisonRegistry(PoisonBounds(max_answered=5))
     for fingerprint in range(10):
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -106,6 +106,13 @@
     assert result.n_calls > 200
 
 
+def test_neighbours_of_several_culprits_are_not_refused_with_them() -> None:
+    """Neighbours that ran beside a culprit in each of its crashes are refused too."""
+    plan = tuple(PlannedFault(0.2 + 0.3 * i, "send_culprit", 100 + i) for i in range(3))
+    result = uvloop.run(run_soak(1, duration_s=3.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+
+
 @pytest.mark.parametrize("name", PLANS)
 def test_invariants_hold_when_faults_overlap(name: str) -> None:
     """Overlapping faults restart a VM twice, or start it while the store is down."""
