--- /dev/null
+++ b/tests/entry/test_crash_checks.py
@@ -0,0 +1,120 @@
+"""A connection to a replica has broken; whether the replica has ended is found out."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, cast
+
+import pytest
+import uvloop
+from prometheus_client import CollectorRegistry
+
+from quetzaldeck.clock import ManualClock
+from quetzaldeck.entry.crash_checks import CrashChecks
+from quetzaldeck.entry.liveness import Liveness
+from quetzaldeck.gateway.messages import ObserveCheck
+from quetzaldeck.routing import Replica
+from quetzaldeck.telemetry import UpstreamMetrics
+
+if TYPE_CHECKING:
+    from quetzaldeck.gateway.dispatch_task import DispatchTask
+
+PROOF_MS = 10_000.0
+BROKEN_MS = 1_000.0
+REPLICA = Replica("r0", "desk", "10.0.0.1:80", "a", is_leaving=False, n_slots=6)
+PREDECESSOR = REPLICA._replace(replica_id="before")
+
+
+class Setting:
+    """Checks whose replicas answer as a test says."""
+
+    def __init__(self, *answers: Liveness) -> None:
+        self.clock = ManualClock(BROKEN_MS)
+        self.replicas = {r.replica_id: r for r in (PREDECESSOR, REPLICA)}
+        self.answers = list(answers)
+        self.sent: list[ObserveCheck] = []
+        dispatch = cast("DispatchTask", SimpleNamespace(send=self.sent.append))
+        self.checks = CrashChecks(
+            self.clock,
+            lambda: self.replicas,
+            self._check,
+            dispatch,
+            UpstreamMetrics(CollectorRegistry()),
+            proof_ms=PROOF_MS,
+        )
+
+    async def _check(self, replica: Replica) -> Liveness:
+        return self.answers.pop(0)
+
+    async def run(self, n_broken: int = 1) -> None:
+        """Break connections and wait for the checks."""
+        task = asyncio.create_task(self.checks.run())
+        for _ in range(n_broken):
+            self.checks.note_broken(REPLICA)
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (Liveness.ENDED, [ObserveCheck("r0", has_ended=True, at_ms=BROKEN_MS)]),
+        (Liveness.ALIVE, [ObserveCheck("r0", has_ended=False, at_ms=BROKEN_MS)]),
+        (Liveness.UNKNOWN, []),
+    ],
+)
+def test_result_of_a_check_is_reported_unless_nothing_is_known(
+    answer: Liveness, expected: list[ObserveCheck]
+) -> None:
+    setting = Setting(answer)
+    uvloop.run(setting.run())
+    assert setting.sent == expected
+
+
+def test_many_broken_connections_make_one_check() -> None:
+    """Guards against a check for each of hundreds of connections that are cut."""
+    setting = Setting(Liveness.UNKNOWN)
+    uvloop.run(setting.run(n_broken=300))
+    assert setting.answers == []
+
+
+def test_new_incarnation_at_the_address_proves_a_crash() -> None:
+    """Guards against a crash that counts for nobody, since its check got no answer.
+
+    The entry of an earlier replica at the address, which has not lapsed yet, proves
+    nothing.
+    """
+    setting = Setting(Liveness.UNKNOWN)
+    uvloop.run(setting.run())
+    setting.checks.apply_replicas()
+    assert setting.sent == []
+    setting.replicas["next"] = REPLICA._replace(replica_id="next")
+    setting.checks.apply_replicas()
+    assert setting.sent == [ObserveCheck("r0", has_ended=True, at_ms=BROKEN_MS)]
+
+
+def test_restart_under_the_same_id_proves_a_crash() -> None:
+    setting = Setting(Liveness.UNKNOWN)
+    uvloop.run(setting.run())
+    setting.replicas["r0"] = REPLICA._replace(started_ms=5)
+    setting.checks.apply_replicas()
+    assert [message.has_ended for message in setting.sent] == [True]
+
+
+def test_incarnation_that_registers_long_after_proves_nothing() -> None:
+    """Guards against blaming a request whose connection was cut for a later end."""
+    setting = Setting(Liveness.UNKNOWN)
+    uvloop.run(setting.run())
+    setting.clock.advance(PROOF_MS + 1.0)
+    setting.replicas["next"] = REPLICA._replace(replica_id="next")
+    setting.checks.apply_replicas()
+    assert setting.sent == []
+
+
+def test_replica_that_leaves_does_not_crash() -> None:
+    setting = Setting()
+    setting.replicas["r0"] = REPLICA._replace(is_leaving=True)
+    uvloop.run(setting.run())
+    assert [message.has_ended for message in setting.sent] == [False]
