Log the attempts that nobody waits for any more

When a caller leaves or a deadline passes, its attempt is given up without a line: what ran on a replica when it ended can't be told from the logs. No decision changes.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -52,6 +52,12 @@
         self._members: frozenset[str] = frozenset()
         self._incarnation = ""
         self._replica: Replica | None = None
+        self._sent_ms: float | None = None
+
+    @property
+    def sent_ms(self) -> float | None:
+        """:returns: when the current attempt was sent; ``None``: not sent"""
+        return self._sent_ms
 
     @property
     def replica(self) -> Replica | None:
@@ -100,6 +106,7 @@
         :raises UpstreamError: if the upstream did not respond, or not with a valid head
         """
         may_have_run_before = self._may_have_run
+        self._sent_ms = None
         try:
             async with self._open_response(dispatch, last_event_id) as opened:
                 yield opened
@@ -162,6 +169,7 @@
         self._replica = replica
         headers = build_request_headers(http_request.headers, parameters)
         self._may_have_run = True
+        self._sent_ms = self._state.clock.now_ms()
         self._state.rate_limits.note_sent(name)
         return await self._state.upstreams.send(
             replica.address,
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -69,6 +70,9 @@
             self._record_dispatch(dispatch)
             try:
                 return await self._attempt(dispatch)
+            except asyncio.CancelledError:
+                self._record_left(dispatch)
+                raise
             except UpstreamError as error:
                 try:
                     await self._report_fault(dispatch, error)
@@ -170,6 +174,21 @@
             if error.fault is AttemptFault.BROKEN and replica is not None:
                 self._state.crash_checks.note_broken(replica)
 
+    def _record_left(self, dispatch: Dispatch) -> None:
+        """Record an attempt that nobody waits for any more; its replica may run it."""
+        sent_ms = self._runner.sent_ms
+        if sent_ms is None:
+            return
+        self._state.metrics.upstreams.attempts_left.inc()
+        log_event(
+            "attempt_left",
+            request=self._call.head.call_id,
+            fingerprint=format_fingerprint(self._call.fingerprint),
+            n_attempt=dispatch.n_attempt,
+            upstream=dispatch.upstreams[-1],
+            run_ms=self._state.clock.now_ms() - sent_ms,
+        )
+
     def _record_dispatch(self, dispatch: Dispatch) -> None:
         wait_ms = self._state.clock.now_ms() - self._call.arrived_ms
         if dispatch.first_token_ms:
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -93,6 +93,11 @@
             ["fingerprint"],
             registry=registry,
         )
+        self.attempts_left = Counter(
+            "quetzaldeck_attempts_left",
+            "Attempts whose caller left, or whose deadline passed, before they ended",
+            registry=registry,
+        )
         self.crash_checks = Counter(
             "quetzaldeck_crash_checks",
             "Checks of upstreams to which a connection has broken, by result",
