--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import struct
+from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -16,6 +17,18 @@
 HEALTH_PATH = "/h"
 
 
+class Fate(StrEnum):
+    """What is left at the address of a replica that has ended.
+
+    ``REFUSES``: nothing listens there. ``RESETS``: something on the way accepts
+    connections and resets them. ``SILENT``: nothing answers, also on open connections.
+    """
+
+    REFUSES = "refuses"
+    RESETS = "resets"
+    SILENT = "silent"
+
+
 class Arrival(NamedTuple):
     """One request as it arrived; header names are in lower case."""
 
@@ -130,6 +143,7 @@
         self.report: bytes | None = None
         self.is_silent_on_reports = False
         self.address = ""
+        self._fate: Fate | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._connections: set[Connection] = set()
@@ -147,16 +161,20 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def crash(self) -> None:
-        """End as a process does that is killed: nothing listens, connections break."""
+    def crash(self, fate: Fate = Fate.REFUSES) -> None:
+        """End as a process does that is killed, or as a host that is lost."""
         assert self._server is not None
-        self._server.close()
-        for connection in tuple(self._connections):
-            connection.reset()
+        self._fate = fate
+        if fate is Fate.REFUSES:
+            self._server.close()
+        if fate is not Fate.SILENT:
+            for connection in tuple(self._connections):
+                connection.reset()
 
     async def restart(self, replica_id: str) -> None:
         """Start again at the same address, under a new id."""
         self.replica_id = replica_id
+        self._fate = None
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
@@ -177,6 +195,11 @@
         try:
             while True:
                 arrival = await read_arrival(reader)
+                if self._fate is Fate.RESETS:
+                    connection.reset()
+                    return
+                if self._fate is Fate.SILENT:
+                    await asyncio.sleep(3_600)
                 if arrival.target == "/report":
                     await self._report(arrival, connection)
                     continue
@@ -242,6 +265,7 @@
     "HEALTH_PATH",
     "Arrival",
     "Connection",
+    "Fate",
     "StandInReplica",
     "build_head",
     "event",
