Count the end of a replica against requests whose callers had left it

Cause: only the attempt that waits for the answer shows that a request was on board; when its caller leaves or its deadline passes the connection is closed, and the replica ends 3 to 58 ms later.

An attempt that nobody waits for now leaves an open run behind. An answer to a request that was sent half a second later, or a health check then, closes it; the end of the replica, however it is found out, counts against it. It makes no suspect before. Checks: one of a replica each half second at most, none if another answer has shown that it lives.

--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -111,13 +111,16 @@
         """Apply what other VMs reported about requests and engine crashes."""
         self._poison.observe(sightings, self._clock.now_ms())
 
-    def observe_check(self, name: str, *, has_ended: bool, at_ms: float) -> None:
+    def observe_check(
+        self, name: str, *, has_ended: bool, at_ms: float, incarnation: str = ""
+    ) -> None:
         """Apply the result of a check of an upstream whose connections have broken.
 
         :param at_ms: when they broke as it crashed, or when it was alive after that
+        :param incarnation: the incarnation that was checked; ``""`` if not known
         """
         if has_ended:
-            self._poison.note_ended(name, at_ms)
+            self._poison.note_ended(name, at_ms, incarnation)
         else:
             self._poison.note_survived(name, at_ms)
 
--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -7,15 +7,21 @@
 from quetzaldeck.decisions.decision import AttemptFault
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.health.state import HealthState
     from quetzaldeck.decisions.placement import PlacementPolicy
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
+    from quetzaldeck.decisions.upstream_state import UpstreamState
     from quetzaldeck.decisions.upstream_table import UpstreamTable
 
+_BROKEN = AttemptFault.BROKEN
+_UNSEEN_ENDS = frozenset((_BROKEN, AttemptFault.SILENT))
+"""Faults after which upstreams may go on running the request: one that is silent, and
+the other members of a group when the connection to one breaks."""
+
 _FAILURES = frozenset(
     (
         AttemptFault.FAILED,
@@ -53,6 +59,7 @@
             if state is None:
                 continue
             state.health.note_success(attempt_id, now_ms)
+            self._note_survived(state, attempt_id)
             attempt = state.ledger.get(attempt_id)
             if attempt is not None and len(upstreams) == 1:
                 elapsed_ms = now_ms - attempt.started_ms
@@ -77,6 +84,9 @@
             self._note_answered(request, end, upstreams, now_ms)
             return None
         name = end.upstream or upstreams[0]
+        if end.fault in _UNSEEN_ENDS:
+            others = [n for n in upstreams if n != name or end.fault is not _BROKEN]
+            self.note_left(request, end.attempt_id, others, now_ms)
         state = self._table.get(name)
         if state is None:
             return None
@@ -108,6 +118,25 @@
         if state is not None:
             state.outcomes.note(now_ms, is_answered=False)
 
+    def note_left(
+        self, request: Request, attempt_id: str, upstreams: Iterable[str], now_ms: float
+    ) -> None:
+        """Record that nobody waits for an attempt any more, which may go on running."""
+        if not request.fingerprint:
+            return
+        for name in upstreams:
+            state = self._table.get(name)
+            attempt = None if state is None else state.ledger.get(attempt_id)
+            if state is None or attempt is None:
+                continue
+            self._poison.note_left(
+                request.fingerprint,
+                name,
+                state.incarnation,
+                attempt.started_ms,
+                now_ms,
+            )
+
     def note_alive(self) -> None:
         """Discard crashes that later reports of the same incarnation refute."""
         if not len(self._poison):
@@ -129,12 +158,23 @@
             state = self._table.get(name)
             if state is not None:
                 state.health.note_success(end.attempt_id, now_ms)
+                self._note_survived(state, end.attempt_id)
         answering = self._table.get(upstreams[-1])
         if answering is not None:
             answering.outcomes.note(now_ms, is_answered=True)
         if request.fingerprint:
             self._poison.note_answered(request.fingerprint, now_ms)
 
+    def _note_survived(self, state: UpstreamState, attempt_id: str) -> None:
+        """Record that an upstream lived when it was sent an attempt that it answers.
+
+        The answer may have waited in its socket while this VM was paused, so that the
+        time at which it is read proves nothing.
+        """
+        attempt = state.ledger.get(attempt_id)
+        if attempt is not None:
+            self._poison.note_survived(state.spec.name, attempt.started_ms)
+
 
 def _is_help_refused(end: AttemptEnd, upstreams: Sequence[str]) -> bool:
     """:returns: whether an upstream refused to prefill a part of the prompt
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -25,6 +25,8 @@
         time within which callers retry
     :param unproven_ms: how long a broken connection waits for proof that its upstream
         crashed; longer than an upstream takes to start again
+    :param linger_ms: how long an upstream may go on running a request after its
+        connection was closed; most notice it sooner
     :param answered_ms: how long an answer shows that a request does no harm
     :param alive_margin_ms: a report refutes a crash if it was measured at least this
         much later; the age of a report that came through other VMs omits part of its
@@ -40,6 +42,7 @@
     :param max_fingerprints: maximum number of requests remembered
     :param max_answered: maximum number of answered requests remembered
     :param max_crashes_held: maximum number of crashes remembered
+    :param max_open_runs: maximum number of open runs remembered of an upstream
     """
 
     n_crashes: int = 3
@@ -49,6 +52,7 @@
     wave_ms: float = 5_000.0
     forget_ms: float = 600_000.0
     unproven_ms: float = 10_000.0
+    linger_ms: float = 500.0
     answered_ms: float = 60_000.0
     alive_margin_ms: float = 3_000.0
     same_crash_ms: float = 3_000.0
@@ -58,6 +62,7 @@
     max_fingerprints: int = 10_000
     max_answered: int = 4_096
     max_crashes_held: int = 1_000
+    max_open_runs: int = 32
 
 
 __all__ = ("PoisonBounds",)
--- /dev/null
+++ b/src/quetzaldeck/decisions/poison/open_runs.py
@@ -0,0 +1,123 @@
+"""Runs of requests that nobody waits for any more, by the upstream that ran them.
+
+Failure scenario: a caller leaves, or its deadline passes, while an upstream runs its
+request; the upstream ends a moment later. The connection was closed before, so no
+attempt shows that the request was on board. If callers of a request that crashes
+upstreams do not stay, none of its crashes would count.
+
+A run is open until its upstream is known to have lived after the time in which it may
+have run. If the upstream ends before, the request ran in that crash.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from quetzaldeck.decisions.poison.bounds import PoisonBounds
+
+
+class OpenRun(NamedTuple):
+    """A request that was sent to an upstream, and what became of it is not known.
+
+    :param incarnation: incarnation of the upstream, as far as is known
+    :param sent_ms: when it was sent
+    :param until_ms: until when the upstream may run it
+    """
+
+    fingerprint: int
+    upstream: str
+    incarnation: str
+    sent_ms: float
+    until_ms: float
+
+
+class OpenRuns:
+    """Stores open runs, one of a request and upstream; the oldest are dropped first.
+
+    :param bounds: limits of number and age
+    """
+
+    def __init__(self, bounds: PoisonBounds) -> None:
+        self._bounds = bounds
+        self._by_upstream: dict[str, OrderedDict[int, OpenRun]] = {}
+        self._upstreams: dict[int, set[str]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(runs) for runs in self._by_upstream.values())
+
+    def find(self, fingerprint: int) -> Iterator[OpenRun]:
+        """:returns: the open runs of a request"""
+        for upstream in self._upstreams.get(fingerprint, ()):
+            yield self._by_upstream[upstream][fingerprint]
+
+    def list_of(self, upstream: str) -> tuple[OpenRun, ...]:
+        """:returns: the open runs on an upstream"""
+        return tuple(self._by_upstream.get(upstream, {}).values())
+
+    def note(self, run: OpenRun) -> None:
+        """Add a run, which may be known already."""
+        runs = self._by_upstream.setdefault(run.upstream, OrderedDict())
+        known = runs.get(run.fingerprint)
+        if known is not None and known.incarnation == run.incarnation:
+            run = run._replace(sent_ms=min(known.sent_ms, run.sent_ms))
+        runs[run.fingerprint] = run
+        runs.move_to_end(run.fingerprint)
+        self._upstreams.setdefault(run.fingerprint, set()).add(run.upstream)
+        while len(runs) > self._bounds.max_open_runs:
+            self.discard(next(iter(runs)), run.upstream)
+
+    def discard(self, fingerprint: int, upstream: str) -> OpenRun | None:
+        """Remove a run.
+
+        :returns: the run; ``None`` if it was not known
+        """
+        runs = self._by_upstream.get(upstream, OrderedDict())
+        run = runs.pop(fingerprint, None)
+        if run is None:
+            return None
+        if not runs:
+            del self._by_upstream[upstream]
+        upstreams = self._upstreams[fingerprint]
+        upstreams.discard(upstream)
+        if not upstreams:
+            del self._upstreams[fingerprint]
+        return run
+
+    def forget(self, fingerprint: int) -> None:
+        """Remove all runs of a request."""
+        for run in tuple(self.find(fingerprint)):
+            self.discard(fingerprint, run.upstream)
+
+    def note_alive(self, upstream: str, at_ms: float) -> None:
+        """Remove the runs that an upstream has survived: it lived at ``at_ms``."""
+        for run in self.list_of(upstream):
+            if run.until_ms <= at_ms:
+                self.discard(run.fingerprint, upstream)
+
+    def pop(self, upstream: str, incarnation: str) -> list[OpenRun]:
+        """:returns: the runs on an incarnation that has ended, removed
+
+        :param incarnation: ``""`` if it is not known
+        """
+        runs = [
+            run
+            for run in self.list_of(upstream)
+            if not (incarnation and run.incarnation and run.incarnation != incarnation)
+        ]
+        for run in runs:
+            self.discard(run.fingerprint, upstream)
+        return runs
+
+    def expire(self, now_ms: float) -> None:
+        """Remove runs of which nothing has become known for long."""
+        for upstream in tuple(self._by_upstream):
+            for run in self.list_of(upstream):
+                if now_ms - run.until_ms > self._bounds.unproven_ms:
+                    self.discard(run.fingerprint, upstream)
+
+
+__all__ = ("OpenRun", "OpenRuns")
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -12,6 +12,9 @@
 complete answer clears a request. A request is refused once ``n_crashes`` crashes count
 against it, or more where they may be coincidence, see :class:`CrashLimit`.
 
+An attempt that is given up before its connection breaks, because its caller leaves or
+its deadline passes, leaves an open run behind; see :mod:`.open_runs`.
+
 A broken connection alone proves no crash: a network device may have cut it, or the
 upstream lost one answer. Where ``needs_proof`` is set, it makes a suspect, but counts
 only once it is proven that the upstream has ended.
@@ -36,6 +39,7 @@
 from quetzaldeck.decisions.poison.crash import Involvement
 from quetzaldeck.decisions.poison.crash_limit import CrashLimit
 from quetzaldeck.decisions.poison.crash_table import CrashTable
+from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import CrashSighting
 
@@ -79,6 +83,7 @@
         self._bounds = bounds or PoisonBounds()
         self._table = CrashTable(self._bounds)
         self._limit = CrashLimit(self._bounds, self._table, count_upstreams)
+        self._runs = OpenRuns(self._bounds)
         self._cleared = RecentTimes(self._bounds.max_fingerprints)
         self._answered = RecentTimes(self._bounds.max_answered)
         self._unannounced: set[int] = set()
@@ -192,18 +197,41 @@
         if crash.is_proven:
             self._unannounced.add(fingerprint)
 
-    def note_ended(self, upstream: str, at_ms: float) -> None:
+    def note_left(
+        self,
+        fingerprint: int,
+        upstream: str,
+        incarnation: str,
+        sent_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Record a request that an upstream may run though nobody waits for it."""
+        until_ms = now_ms + self._bounds.linger_ms
+        self._runs.expire(now_ms)
+        self._runs.note(OpenRun(fingerprint, upstream, incarnation, sent_ms, until_ms))
+
+    def find_due_check_ms(self, upstream: str) -> float | None:
+        """:returns: when the first open run on an upstream ends; ``None``: has none
+
+        Whether the upstream has survived it can be found out from then on.
+        """
+        return min((run.until_ms for run in self._runs.list_of(upstream)), default=None)
+
+    def note_ended(self, upstream: str, at_ms: float, incarnation: str = "") -> None:
         """Record proof that an upstream has crashed.
 
         :param at_ms: when connections broke as it crashed; those that had broken well
             before did so for another reason
+        :param incarnation: the incarnation that ended; ``""`` if it is not known
         """
         for crash in self._table.list_of(upstream):
             if crash.at_ms >= at_ms - self._bounds.same_crash_ms:
                 self._prove(crash)
+        self._close_runs(upstream, incarnation, at_ms)
 
     def note_survived(self, upstream: str, measured_ms: float) -> None:
         """Drop unproven sightings: the upstream was alive at a later point in time."""
+        self._runs.note_alive(upstream, measured_ms)
         for crash in self._table.list_of(upstream):
             if not crash.is_proven and crash.at_ms <= measured_ms:
                 self._table.drop(crash)
@@ -214,6 +242,7 @@
         :returns: whether it was a suspect
         """
         self._answered.note(fingerprint, now_ms)
+        self._runs.forget(fingerprint)
         if fingerprint not in self._table:
             return False
         self._unannounced.add(fingerprint)
@@ -229,6 +258,7 @@
         not crash.
         """
         refuted_before_ms = measured_ms - self._bounds.alive_margin_ms
+        self._runs.note_alive(upstream, refuted_before_ms)
         for crash in self._table.list_of(upstream):
             if crash.incarnation != incarnation:
                 continue
@@ -307,6 +337,19 @@
             crash.is_proven = True
             self._unannounced |= crash.fingerprints
             self._newly_sighted |= crash.fingerprints
+        self._close_runs(crash.upstream, crash.incarnation, crash.at_ms)
+
+    def _close_runs(self, upstream: str, incarnation: str, ended_ms: float) -> None:
+        """Count the end of an upstream against the open runs on it."""
+        for run in self._runs.pop(upstream, incarnation):
+            seen_ms = min(run.until_ms, max(run.sent_ms, ended_ms))
+            self.note_crash(
+                run.fingerprint,
+                upstream,
+                run.incarnation,
+                seen_ms,
+                run_ms=seen_ms - run.sent_ms,
+            )
 
     def _add(self, fingerprint: int, crash: Crash, involvement: Involvement) -> None:
         # Another VM may still report a crash from before the request was cleared;
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -213,6 +213,7 @@
         tracked = self._tracked.forget(request_id, now_ms)
         if tracked is not None:
             self._waiting.discard(request_id, now_ms)
+            self._note_left(tracked, now_ms)
             if self._silence.is_first_token_overdue(tracked, now_ms):
                 self._monitor.note_unanswered(tracked.upstreams, now_ms)
             self._release(tracked)
@@ -317,6 +318,14 @@
             return request.deadline_ms
         return latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
 
+    def _note_left(self, tracked: TrackedRequest, now_ms: float) -> None:
+        """Record a running attempt that was sent and whose answer nobody awaits."""
+        if not tracked.attempt_id or tracked.dispatched_ms > now_ms:
+            return
+        self._monitor.note_left(
+            tracked.request, tracked.attempt_id, tracked.upstreams, now_ms
+        )
+
     def _release(self, tracked: TrackedRequest) -> None:
         """Release the resources of the running attempt of a request, if any."""
         if self._tracked.end_attempt(tracked.attempt_id):
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -171,8 +171,12 @@
             await self._ticket.end_attempt(end)
         finally:
             replica = self._runner.replica
+            checks = self._state.crash_checks
             if error.fault is AttemptFault.BROKEN and replica is not None:
-                self._state.crash_checks.note_broken(replica)
+                checks.note_broken(replica)
+                checks.note_left(dispatch.upstreams[:-1])
+            elif error.fault is AttemptFault.SILENT:
+                checks.note_left(dispatch.upstreams)
 
     def _record_left(self, dispatch: Dispatch) -> None:
         """Record an attempt that nobody waits for any more; its replica may run it."""
@@ -188,6 +192,7 @@
             upstream=dispatch.upstreams[-1],
             run_ms=self._state.clock.now_ms() - sent_ms,
         )
+        self._state.crash_checks.note_left(dispatch.upstreams)
 
     def _record_dispatch(self, dispatch: Dispatch) -> None:
         wait_ms = self._state.clock.now_ms() - self._call.arrived_ms
--- a/src/quetzaldeck/entry/crash_checks.py
+++ b/src/quetzaldeck/entry/crash_checks.py
@@ -6,11 +6,15 @@
 connection is followed up by a health check at once: a port on which nothing listens, or
 where another replica responds, proves a crash. A check that gets no answer proves
 nothing. Then it counts as proof if another incarnation registers at the address.
+
+A replica to which a request was sent for which nobody waits any more is checked as
+well, once it can't run the request any longer, unless it has answered another since.
 """
 
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
@@ -20,9 +24,10 @@
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Callable, Coroutine, Iterable, Mapping
 
     from quetzaldeck.clock import Clock
+    from quetzaldeck.decisions.poison import PoisonBounds
     from quetzaldeck.gateway.dispatch_task import DispatchTask
     from quetzaldeck.telemetry import UpstreamMetrics
 
@@ -32,6 +37,10 @@
 MIN_INTERVAL_MS = 100.0
 """Least time between two checks of one replica, which may break each connection."""
 
+MIN_LEFT_INTERVAL_MS = 500.0
+"""Least time between two checks of one replica whose callers leave one after the other.
+Each check is billed."""
+
 
 class _Break(NamedTuple):
     """Connections to one incarnation of a replica that have broken.
@@ -46,12 +55,13 @@
 
 
 class CrashChecks:
-    """Owns the checks that run; at most one of each replica.
+    """Owns the checks that run; at most one of each replica for each reason.
 
     :param read_replicas: returns the replicas that are known, by id
     :param check: asks a replica whether it lives
     :param dispatch: is told of the results
-    :param proof_ms: how long another incarnation at the address counts as proof
+    :param bounds: how long another incarnation at the address counts as proof, and how
+        long replicas run what nobody waits for
     """
 
     def __init__(
@@ -62,16 +72,17 @@
         dispatch: DispatchTask,
         metrics: UpstreamMetrics,
         *,
-        proof_ms: float,
+        bounds: PoisonBounds,
     ) -> None:
         self._clock = clock
         self._read_replicas = read_replicas
         self._check = check
         self._dispatch = dispatch
         self._metrics = metrics
-        self._proof_ms = proof_ms
+        self._bounds = bounds
         self._mailbox: asyncio.Queue[Replica] = asyncio.Queue()
         self._running: dict[str, asyncio.Task[None]] = {}
+        self._following: dict[str, asyncio.Task[None]] = {}
         self._breaks: dict[str, _Break] = {}
         self._repeated: set[str] = set()
 
@@ -79,9 +90,21 @@
         """Check a replica to which a connection has just broken."""
         self._mailbox.put_nowait(replica)
 
+    def note_left(self, names: Iterable[str]) -> None:
+        """Check replicas later that may run a request for which nobody waits."""
+        replicas = self._read_replicas()
+        for name in names:
+            replica = replicas.get(name)
+            if replica is None or name in self._following:
+                continue
+            self._note_break(replica)
+            task = asyncio.create_task(self._follow(replica))
+            self._following[name] = task
+            task.add_done_callback(partial(self._end_following, name))
+
     def apply_replicas(self) -> None:
         """Take another incarnation at the address of a replica as proof."""
-        oldest_ms = self._clock.now_ms() - self._proof_ms
+        oldest_ms = self._clock.now_ms() - self._bounds.unproven_ms
         for name, broken in tuple(self._breaks.items()):
             if broken.first_ms < oldest_ms:
                 del self._breaks[name]
@@ -94,18 +117,13 @@
             while True:
                 self._start(await self._mailbox.get())
         finally:
-            for task in self._running.values():
+            for task in (*self._running.values(), *self._following.values()):
                 task.cancel()
 
     def _start(self, replica: Replica) -> None:
         name = replica.replica_id
-        broken = self._breaks.get(name)
-        if broken is None or broken.replica.incarnation != replica.incarnation:
-            now_ms = self._clock.now_ms()
-            broken = _Break(replica, now_ms, self._list_registered(replica))
-            self._breaks[name] = broken
-        current = self._read_replicas().get(name)
-        if current is not None and current.is_leaving:
+        broken = self._note_break(replica)
+        if self._is_leaving(name):
             self._conclude(broken, Liveness.ALIVE, "leaving")
         elif name in self._running:
             self._repeated.add(name)
@@ -114,6 +132,47 @@
             self._running[name] = task
             task.add_done_callback(lambda _: self._running.pop(name, None))
 
+    def _note_break(self, replica: Replica) -> _Break:
+        """:returns: the break of connections to a replica that is not concluded yet"""
+        name = replica.replica_id
+        broken = self._breaks.get(name)
+        if broken is None or broken.replica.incarnation != replica.incarnation:
+            now_ms = self._clock.now_ms()
+            broken = _Break(replica, now_ms, self._list_registered(replica))
+            self._breaks[name] = broken
+        return broken
+
+    def _is_leaving(self, name: str) -> bool:
+        current = self._read_replicas().get(name)
+        return current is not None and current.is_leaving
+
+    def _end_following(self, name: str, _: asyncio.Task[None]) -> None:
+        del self._following[name]
+
+    async def _follow(self, replica: Replica) -> None:
+        """Check a replica until it is known whether it has survived what it ran."""
+        name = replica.replica_id
+        wait_ms = self._bounds.linger_ms
+        while True:
+            await asyncio.sleep(wait_ms / MS_PER_SECOND)
+            due_ms = self._dispatch.find_due_check_ms(name)
+            if due_ms is None:
+                self._breaks.pop(name, None)
+                return
+            wait_ms = due_ms - self._clock.now_ms()
+            if wait_ms > 0:
+                continue
+            broken = self._note_break(replica)
+            if self._is_leaving(name):
+                self._conclude(broken, Liveness.ALIVE, "leaving")
+                return
+            begun_ms = self._clock.now_ms()
+            liveness = await self._check(replica)
+            self._conclude(broken, liveness, "left", begun_ms)
+            if liveness is not Liveness.ALIVE:
+                return
+            wait_ms = MIN_LEFT_INTERVAL_MS
+
     async def _run_checks(self, name: str) -> None:
         """Check a replica, once more if connections broke after a check began."""
         while (broken := self._breaks.get(name)) is not None:
@@ -152,10 +211,11 @@
         )
         if liveness is Liveness.UNKNOWN:
             return
-        del self._breaks[name]
+        self._breaks.pop(name, None)
         has_ended = liveness is Liveness.ENDED
         at_ms = broken.first_ms if has_ended else alive_ms or now_ms
-        self._dispatch.send(ObserveCheck(name, has_ended, at_ms))
+        incarnation = broken.replica.incarnation
+        self._dispatch.send(ObserveCheck(name, has_ended, at_ms, incarnation))
 
     def _list_registered(self, replica: Replica) -> frozenset[tuple[str, int]]:
         """:returns: ids and starts of the replicas at the address of a replica"""
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -84,7 +84,7 @@
             self._check_health,
             dispatch,
             metrics.upstreams,
-            proof_ms=dispatch.poison_bounds.unproven_ms,
+            bounds=dispatch.poison_bounds,
         )
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.random_state = random.Random(settings.random_state or None)
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -111,6 +111,13 @@
         """Apply what another VM knows of crashes, before the next request is placed."""
         self.send_deferrable(ObserveCrashes(sightings))
 
+    def find_due_check_ms(self, upstream: str) -> float | None:
+        """:returns: when the first run on an upstream ends that nobody waits for
+
+        ``None``: there is none of which it is not known whether the upstream survived.
+        """
+        return self._scheduler.poison.find_due_check_ms(upstream)
+
     def list_own_loads(self) -> list[tuple[str, VmLoad]]:
         """:returns: load of this VM on each upstream"""
         now_ms = self._clock.now_ms()
@@ -253,7 +260,10 @@
         match message:
             case ObserveCheck():
                 self._scheduler.fleet.observe_check(
-                    message.upstream, has_ended=message.has_ended, at_ms=message.at_ms
+                    message.upstream,
+                    has_ended=message.has_ended,
+                    at_ms=message.at_ms,
+                    incarnation=message.incarnation,
                 )
                 # What it proves about crashes is announced with the loads.
                 self._load_changed.set()
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -133,11 +133,13 @@
     :param has_ended: whether it has ended; connections that broke from ``at_ms`` on did
         so as it crashed. Otherwise it was alive at ``at_ms``.
     :param at_ms: monotonic time
+    :param incarnation: the incarnation that was checked; ``""`` if not known
     """
 
     upstream: str
     has_ended: bool
     at_ms: float
+    incarnation: str = ""
 
 
 Message = (
--- a/tests/entry/test_crash_checks.py
+++ b/tests/entry/test_crash_checks.py
@@ -11,6 +11,7 @@
 from prometheus_client import CollectorRegistry
 
 from quetzaldeck.clock import ManualClock
+from quetzaldeck.decisions.poison import PoisonBounds
 from quetzaldeck.entry.crash_checks import CrashChecks
 from quetzaldeck.entry.liveness import Liveness
 from quetzaldeck.gateway.messages import ObserveCheck
@@ -20,7 +21,8 @@
 if TYPE_CHECKING:
     from quetzaldeck.gateway.dispatch_task import DispatchTask
 
-PROOF_MS = 10_000.0
+BOUNDS = PoisonBounds()
+PROOF_MS = BOUNDS.unproven_ms
 BROKEN_MS = 1_000.0
 REPLICA = Replica("r0", "desk", "10.0.0.1:80", "a", is_leaving=False, n_slots=6)
 PREDECESSOR = REPLICA._replace(replica_id="before")
@@ -41,7 +43,7 @@
             self._check,
             dispatch,
             UpstreamMetrics(CollectorRegistry()),
-            proof_ms=PROOF_MS,
+            bounds=BOUNDS,
         )
 
     async def _check(self, replica: Replica) -> Liveness:
