--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.poison import Liveness
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection, Iterable
@@ -13,7 +15,7 @@
     from quetzaldeck.decisions.load_report import LoadReport
     from quetzaldeck.decisions.peer_load import VmLoad
     from quetzaldeck.decisions.placement import CacheEvents, PlacementPolicy
-    from quetzaldeck.decisions.poison import CrashSighting, PoisonRegistry
+    from quetzaldeck.decisions.poison import CrashSighting, PoisonRegistry, RunSighting
     from quetzaldeck.decisions.upstream_table import UpstreamTable
     from quetzaldeck.decisions.waiting import WaitingRequests
 
@@ -111,18 +113,26 @@
         """Apply what other VMs reported about requests and engine crashes."""
         self._poison.observe(sightings, self._clock.now_ms())
 
+    def observe_runs(self, sightings: Iterable[RunSighting]) -> None:
+        """Apply what other VMs reported about runs whose end nobody has seen."""
+        self._poison.ends.observe_runs(sightings, self._clock.now_ms())
+
     def observe_check(
-        self, name: str, *, has_ended: bool, at_ms: float, incarnation: str = ""
+        self, name: str, liveness: Liveness, at_ms: float, incarnation: str = ""
     ) -> None:
-        """Apply the result of a check of an upstream whose connections have broken.
+        """Apply the result of a check of an upstream that may have ended.
 
-        :param at_ms: when they broke as it crashed, or when it was alive after that
+        :param at_ms: when its connections broke as it crashed, when it was alive after
+            that, or when a check began that it does not answer
         :param incarnation: the incarnation that was checked; ``""`` if not known
         """
-        if has_ended:
-            self._poison.note_ended(name, at_ms, incarnation)
-        else:
-            self._poison.note_survived(name, at_ms)
+        match liveness:
+            case Liveness.ENDED:
+                self._poison.ends.note_ended(name, at_ms, incarnation)
+            case Liveness.ALIVE:
+                self._poison.ends.note_survived(name, at_ms)
+            case Liveness.UNKNOWN:
+                self._poison.ends.note_missing(name, at_ms)
 
     def list_crash_state(
         self, max_sightings: int, *, random_state: random.Random
--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -91,7 +91,7 @@
         if state is None:
             return None
         if end.is_gone:
-            self._poison.note_ended(name, now_ms)
+            self._poison.ends.note_ended(name, now_ms)
         if end.fault is AttemptFault.BROKEN and request.fingerprint:
             attempt = state.ledger.get(end.attempt_id)
             self._poison.note_crash(
@@ -143,7 +143,7 @@
             return
         for state in self._table:
             if state.report is not None:
-                self._poison.note_alive(
+                self._poison.ends.note_alive(
                     state.spec.name, state.incarnation, state.reported_ms
                 )
 
@@ -173,7 +173,7 @@
         """
         attempt = state.ledger.get(attempt_id)
         if attempt is not None:
-            self._poison.note_survived(state.spec.name, attempt.started_ms)
+            self._poison.ends.note_survived(state.spec.name, attempt.started_ms)
 
 
 def _is_help_refused(end: AttemptEnd, upstreams: Sequence[str]) -> bool:
--- a/src/quetzaldeck/decisions/poison/__init__.py
+++ b/src/quetzaldeck/decisions/poison/__init__.py
@@ -13,15 +13,25 @@
     compute_fingerprint,
     format_fingerprint,
 )
+from quetzaldeck.decisions.poison.liveness import Liveness
 from quetzaldeck.decisions.poison.registry import PoisonRegistry, Verdict
-from quetzaldeck.decisions.poison.sighting import CrashSighting
+from quetzaldeck.decisions.poison.sighting import (
+    CrashSighting,
+    RunSighting,
+    RunState,
+)
+from quetzaldeck.decisions.poison.upstream_ends import PresumedCrash
 
 __all__ = (
     "BlockedRequest",
     "CrashRecord",
     "CrashSighting",
+    "Liveness",
     "PoisonBounds",
     "PoisonRegistry",
+    "PresumedCrash",
+    "RunSighting",
+    "RunState",
     "Verdict",
     "compute_fingerprint",
     "decode_crash_record",
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -25,6 +25,8 @@
         time within which callers retry
     :param unproven_ms: how long a broken connection waits for proof that its upstream
         crashed; longer than an upstream takes to start again
+    :param presumed_ms: how long it takes until it is known whether an upstream lives
+        that does not answer checks
     :param linger_ms: how long an upstream may go on running a request after its
         connection was closed; most notice it sooner
     :param answered_ms: how long an answer shows that a request does no harm
@@ -52,6 +54,7 @@
     wave_ms: float = 5_000.0
     forget_ms: float = 600_000.0
     unproven_ms: float = 10_000.0
+    presumed_ms: float = 5_000.0
     linger_ms: float = 500.0
     answered_ms: float = 60_000.0
     alive_margin_ms: float = 3_000.0
--- a/src/quetzaldeck/decisions/poison/crash.py
+++ b/src/quetzaldeck/decisions/poison/crash.py
@@ -11,12 +11,22 @@
     Crashes are compared by identity: an upstream that keeps its name and, as far as is
     known, its incarnation may crash more than once.
 
+    A crash is presumed while its upstream does not answer checks: it may have ended, or
+    be cut off. It counts as a proven one does until it is known which.
+
     :param incarnation: incarnation that crashed, as far as is known
     :param at_ms: when it was first seen
     :param is_proven: whether it is proven that the upstream ended
     """
 
-    __slots__ = ("at_ms", "fingerprints", "incarnation", "is_proven", "upstream")
+    __slots__ = (
+        "at_ms",
+        "fingerprints",
+        "incarnation",
+        "is_presumed",
+        "is_proven",
+        "upstream",
+    )
 
     def __init__(
         self, upstream: str, incarnation: str, at_ms: float, *, is_proven: bool
@@ -25,8 +35,14 @@
         self.incarnation = incarnation
         self.at_ms = at_ms
         self.is_proven = is_proven
+        self.is_presumed = False
         self.fingerprints: set[int] = set()
 
+    @property
+    def is_certain(self) -> bool:
+        """:returns: whether no life sign of the upstream can refute it"""
+        return self.is_proven and not self.is_presumed
+
 
 class Involvement(NamedTuple):
     """What is known of a request that ran in a crash.
--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.poison.crash import Crash
+from quetzaldeck.decisions.poison.recent_times import RecentTimes
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -25,6 +26,8 @@
         self._by_request: OrderedDict[int, dict[Crash, Involvement]] = OrderedDict()
         self._by_upstream: dict[str, list[Crash]] = {}
         self._crashes: OrderedDict[Crash, None] = OrderedDict()
+        self._cleared: RecentTimes[int] = RecentTimes(bounds.max_fingerprints)
+        self._changed: set[int] = set()
 
     def __len__(self) -> int:
         return len(self._by_request)
@@ -40,6 +43,17 @@
         """:returns: all crashes, in the order in which they were noted"""
         return iter(self._crashes)
 
+    @property
+    def cleared(self) -> RecentTimes[int]:
+        """:returns: when upstreams last answered requests that ran in crashes"""
+        return self._cleared
+
+    def pop_changed(self) -> list[int]:
+        """:returns: requests with new crashes since the last call"""
+        changed = sorted(self._changed)
+        self._changed.clear()
+        return changed
+
     def find(self, fingerprint: int) -> Mapping[Crash, Involvement]:
         """:returns: the crashes in which a request ran"""
         return self._by_request.get(fingerprint, {})
@@ -63,7 +77,14 @@
         return crash
 
     def add(self, fingerprint: int, crash: Crash, involvement: Involvement) -> None:
-        """Record that a request ran in a crash."""
+        """Record that a request ran in a crash.
+
+        A crash from before the request was cleared, of which another VM may tell late,
+        does not make it a suspect again.
+        """
+        if involvement.seen_ms <= self._cleared.find(fingerprint):
+            return
+        self._changed.add(fingerprint)
         known = self._by_request.setdefault(fingerprint, {})
         before = known.get(crash)
         if before is None or involvement.seen_ms < before.seen_ms:
@@ -73,6 +94,25 @@
         while len(self._by_request) > self._bounds.max_fingerprints:
             self.forget(next(iter(self._by_request)))
 
+    def prove(self, crash: Crash, *, is_presumed: bool = False) -> bool:
+        """Let a crash count.
+
+        :returns: whether it is news
+        """
+        if crash.is_proven and (is_presumed or not crash.is_presumed):
+            return False
+        crash.is_proven = True
+        crash.is_presumed = is_presumed
+        self._changed |= crash.fingerprints
+        return True
+
+    def clear(self, fingerprint: int, cleared_ms: float) -> None:
+        """Forget the crashes of a request from before it was answered."""
+        for crash, involvement in tuple(self.find(fingerprint).items()):
+            if involvement.seen_ms <= cleared_ms:
+                self.discard(fingerprint, crash)
+        self._cleared.note(fingerprint, cleared_ms)
+
     def discard(self, fingerprint: int, crash: Crash) -> None:
         """Record that a request did not run in a crash, or does not count in it."""
         known = self._by_request[fingerprint]
--- a/src/quetzaldeck/decisions/poison/open_runs.py
+++ b/src/quetzaldeck/decisions/poison/open_runs.py
@@ -26,6 +26,7 @@
     :param incarnation: incarnation of the upstream, as far as is known
     :param sent_ms: when it was sent
     :param until_ms: until when the upstream may run it
+    :param was_answered: whether it had been answered a moment before it was sent
     """
 
     fingerprint: int
@@ -33,6 +34,7 @@
     incarnation: str
     sent_ms: float
     until_ms: float
+    was_answered: bool = False
 
 
 class OpenRuns:
@@ -92,12 +94,6 @@
         for run in tuple(self.find(fingerprint)):
             self.discard(fingerprint, run.upstream)
 
-    def note_alive(self, upstream: str, at_ms: float) -> None:
-        """Remove the runs that an upstream has survived: it lived at ``at_ms``."""
-        for run in self.list_of(upstream):
-            if run.until_ms <= at_ms:
-                self.discard(run.fingerprint, upstream)
-
     def pop(self, upstream: str, incarnation: str) -> list[OpenRun]:
         """:returns: the runs on an incarnation that has ended, removed
 
@@ -112,6 +108,13 @@
             self.discard(run.fingerprint, upstream)
         return runs
 
+    def pop_ended(self, upstream: str, now_ms: float) -> list[OpenRun]:
+        """:returns: the runs on an upstream that have ended by themselves, removed"""
+        runs = [run for run in self.list_of(upstream) if run.until_ms <= now_ms]
+        for run in runs:
+            self.discard(run.fingerprint, upstream)
+        return runs
+
     def expire(self, now_ms: float) -> None:
         """Remove runs of which nothing has become known for long."""
         for upstream in tuple(self._by_upstream):
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -17,7 +17,8 @@
 
 A broken connection alone proves no crash: a network device may have cut it, or the
 upstream lost one answer. Where ``needs_proof`` is set, it makes a suspect, but counts
-only once it is proven that the upstream has ended.
+only once it is proven that the upstream has ended, or presumed, since the upstream does
+not answer a check; see :mod:`.upstream_ends`.
 
 Guarantee: if the VMs share their sightings, a request that is resent over and over
 crashes at most ``n_crashes`` upstreams over all VMs. Copies that run through ``c`` VMs
@@ -42,6 +43,7 @@
 from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import CrashSighting
+from quetzaldeck.decisions.poison.upstream_ends import UpstreamEnds
 
 if TYPE_CHECKING:
     import random
@@ -84,10 +86,11 @@
         self._table = CrashTable(self._bounds)
         self._limit = CrashLimit(self._bounds, self._table, count_upstreams)
         self._runs = OpenRuns(self._bounds)
-        self._cleared = RecentTimes(self._bounds.max_fingerprints)
-        self._answered = RecentTimes(self._bounds.max_answered)
+        self._answered: RecentTimes[int] = RecentTimes(self._bounds.max_answered)
         self._unannounced: set[int] = set()
-        self._newly_sighted: set[int] = set()
+        self._ends = UpstreamEnds(
+            self._bounds, self._table, self._runs, self._unannounced
+        )
 
     def __len__(self) -> int:
         return len(self._table)
@@ -97,6 +100,11 @@
         """:returns: thresholds"""
         return self._bounds
 
+    @property
+    def ends(self) -> UpstreamEnds:
+        """:returns: the receiver of evidence that upstreams have ended, or live"""
+        return self._ends
+
     def n_crashes(self, fingerprint: int, now_ms: float) -> int:
         """:returns: crashes that count against a request
 
@@ -136,9 +144,8 @@
 
     def pop_newly_refused(self, now_ms: float) -> list[int]:
         """:returns: refused requests with new sightings since the last call"""
-        sighted = sorted(self._newly_sighted)
-        self._newly_sighted.clear()
-        return [f for f in sighted if self.verdict(f, now_ms) is Verdict.REFUSED]
+        changed = self._table.pop_changed()
+        return [f for f in changed if self.verdict(f, now_ms) is Verdict.REFUSED]
 
     def pause_ms(self, fingerprint: int, now_ms: float) -> float:
         """:returns: pause before a suspect runs; 0 for any other request
@@ -164,12 +171,15 @@
             return None
         limit = self._limit.find(fingerprint, self.n_crashes(fingerprint, now_ms))
         own = self._table.find(fingerprint).items()
-        seen_ms = sorted(item.seen_ms for crash, item in own if crash.is_proven)
+        counted = [(item.seen_ms, crash) for crash, item in own if crash.is_proven]
+        seen_ms = sorted(at_ms for at_ms, _ in counted)
+        presumed_ms = [at_ms for at_ms, crash in counted if crash.is_presumed]
+        until_ms = seen_ms[-limit] + self._bounds.forget_ms
+        if len(counted) - len(presumed_ms) < limit:
+            judged_ms = max(presumed_ms) + self._bounds.presumed_ms
+            until_ms = judged_ms if judged_ms > now_ms else until_ms
         return BlockedRequest(
-            fingerprint,
-            tuple(self.list_crashed(fingerprint)),
-            seen_ms[0],
-            seen_ms[-limit] + self._bounds.forget_ms,
+            fingerprint, tuple(self.list_crashed(fingerprint)), seen_ms[0], until_ms
         )
 
     def note_crash(
@@ -189,12 +199,11 @@
         """
         self._table.expire(now_ms)
         crash = self._table.open(upstream, incarnation, now_ms, is_proven=is_proven)
-        answered_ms = self._answered.find(fingerprint)
-        was_answered = answered_ms >= now_ms - self._bounds.answered_ms
-        self._add(fingerprint, crash, Involvement(now_ms, run_ms, was_answered))
+        was_answered = self._was_answered(fingerprint, now_ms)
+        self._table.add(fingerprint, crash, Involvement(now_ms, run_ms, was_answered))
         if is_proven:
-            self._prove(crash)
-        if crash.is_proven:
+            self._ends.prove(crash)
+        if crash.is_certain:
             self._unannounced.add(fingerprint)
 
     def note_left(
@@ -207,8 +216,12 @@
     ) -> None:
         """Record a request that an upstream may run though nobody waits for it."""
         until_ms = now_ms + self._bounds.linger_ms
+        was_answered = self._was_answered(fingerprint, now_ms)
+        run = OpenRun(
+            fingerprint, upstream, incarnation, sent_ms, until_ms, was_answered
+        )
         self._runs.expire(now_ms)
-        self._runs.note(OpenRun(fingerprint, upstream, incarnation, sent_ms, until_ms))
+        self._runs.note(run)
 
     def find_due_check_ms(self, upstream: str) -> float | None:
         """:returns: when the first open run on an upstream ends; ``None``: has none
@@ -217,25 +230,6 @@
         """
         return min((run.until_ms for run in self._runs.list_of(upstream)), default=None)
 
-    def note_ended(self, upstream: str, at_ms: float, incarnation: str = "") -> None:
-        """Record proof that an upstream has crashed.
-
-        :param at_ms: when connections broke as it crashed; those that had broken well
-            before did so for another reason
-        :param incarnation: the incarnation that ended; ``""`` if it is not known
-        """
-        for crash in self._table.list_of(upstream):
-            if crash.at_ms >= at_ms - self._bounds.same_crash_ms:
-                self._prove(crash)
-        self._close_runs(upstream, incarnation, at_ms)
-
-    def note_survived(self, upstream: str, measured_ms: float) -> None:
-        """Drop unproven sightings: the upstream was alive at a later point in time."""
-        self._runs.note_alive(upstream, measured_ms)
-        for crash in self._table.list_of(upstream):
-            if not crash.is_proven and crash.at_ms <= measured_ms:
-                self._table.drop(crash)
-
     def note_answered(self, fingerprint: int, now_ms: float) -> bool:
         """Clear a request that an upstream answered.
 
@@ -246,26 +240,9 @@
         if fingerprint not in self._table:
             return False
         self._unannounced.add(fingerprint)
-        self._table.forget(fingerprint)
-        self._cleared.note(fingerprint, now_ms)
+        self._table.clear(fingerprint, now_ms)
         return True
 
-    def note_alive(self, upstream: str, incarnation: str, measured_ms: float) -> None:
-        """Drop sightings that a later report of the same incarnation refutes.
-
-        A connection that a network device cut looks like a crash of the upstream. A
-        report that the same incarnation measured after that moment proves that it did
-        not crash.
-        """
-        refuted_before_ms = measured_ms - self._bounds.alive_margin_ms
-        self._runs.note_alive(upstream, refuted_before_ms)
-        for crash in self._table.list_of(upstream):
-            if crash.incarnation != incarnation:
-                continue
-            for fingerprint in tuple(crash.fingerprints):
-                if self._table.find(fingerprint)[crash].seen_ms < refuted_before_ms:
-                    self._table.discard(fingerprint, crash)
-
     def pop_changed_sightings(self, now_ms: float) -> list[tuple[CrashSighting, ...]]:
         """:returns: sightings of the requests that this VM has to announce, by request
 
@@ -287,7 +264,7 @@
         :param max_sightings: maximum number; all sightings of a request, or none
         """
         listed = [f for f in self._table if self._n_proven(f)]
-        listed += self._cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
+        listed += self._table.cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
         listed = random_state.sample(listed, min(len(listed), MAX_SAMPLED))
         listed.sort(key=lambda f: self.verdict(f, now_ms) is not Verdict.REFUSED)
         sightings: list[CrashSighting] = []
@@ -301,7 +278,7 @@
         self, fingerprint: int, now_ms: float
     ) -> Iterator[CrashSighting]:
         for crash, involvement in self._table.find(fingerprint).items():
-            if crash.is_proven:
+            if crash.is_certain:
                 yield CrashSighting(
                     fingerprint,
                     crash.upstream,
@@ -310,7 +287,7 @@
                     involvement.run_ms,
                     involvement.was_answered,
                 )
-        cleared_ms = self._cleared.find(fingerprint)
+        cleared_ms = self._table.cleared.find(fingerprint)
         if math.isfinite(cleared_ms):
             yield CrashSighting(fingerprint, "", "", now_ms - cleared_ms)
 
@@ -327,43 +304,14 @@
                 involvement = Involvement(
                     seen_ms, sighting.run_ms, sighting.was_answered
                 )
-                self._add(sighting.fingerprint, crash, involvement)
-                self._prove(crash)
+                self._table.add(sighting.fingerprint, crash, involvement)
+                self._ends.prove(crash)
             else:
-                self._merge_cleared(sighting.fingerprint, seen_ms)
-
-    def _prove(self, crash: Crash) -> None:
-        if not crash.is_proven:
-            crash.is_proven = True
-            self._unannounced |= crash.fingerprints
-            self._newly_sighted |= crash.fingerprints
-        self._close_runs(crash.upstream, crash.incarnation, crash.at_ms)
-
-    def _close_runs(self, upstream: str, incarnation: str, ended_ms: float) -> None:
-        """Count the end of an upstream against the open runs on it."""
-        for run in self._runs.pop(upstream, incarnation):
-            seen_ms = min(run.until_ms, max(run.sent_ms, ended_ms))
-            self.note_crash(
-                run.fingerprint,
-                upstream,
-                run.incarnation,
-                seen_ms,
-                run_ms=seen_ms - run.sent_ms,
-            )
-
-    def _add(self, fingerprint: int, crash: Crash, involvement: Involvement) -> None:
-        # Another VM may still report a crash from before the request was cleared;
-        # without this check the request would become a suspect again.
-        if involvement.seen_ms <= self._cleared.find(fingerprint):
-            return
-        self._newly_sighted.add(fingerprint)
-        self._table.add(fingerprint, crash, involvement)
-
-    def _merge_cleared(self, fingerprint: int, cleared_ms: float) -> None:
-        for crash, involvement in tuple(self._table.find(fingerprint).items()):
-            if involvement.seen_ms <= cleared_ms:
-                self._table.discard(fingerprint, crash)
-        self._cleared.note(fingerprint, cleared_ms)
+                self._table.clear(sighting.fingerprint, seen_ms)
+
+    def _was_answered(self, fingerprint: int, now_ms: float) -> bool:
+        answered_ms = self._answered.find(fingerprint)
+        return answered_ms >= now_ms - self._bounds.answered_ms
 
     def _has_unproven(self, fingerprint: int, now_ms: float) -> bool:
         oldest_ms = now_ms - self._bounds.unproven_ms
--- a/src/quetzaldeck/decisions/poison/sighting.py
+++ b/src/quetzaldeck/decisions/poison/sighting.py
@@ -1,7 +1,8 @@
-"""One observation of a request in an engine crash, as VMs share it."""
+"""Observations of requests that ran on engines, as VMs share them."""
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import NamedTuple
 
 
@@ -25,4 +26,34 @@
     was_answered: bool = False
 
 
-__all__ = ("CrashSighting",)
+class RunState(StrEnum):
+    """What is known of a run.
+
+    ``OPEN``: the request may run. ``MISSING``: it may have run on an upstream that does
+    not answer checks. ``CLOSED``: it ended, or its upstream has survived it.
+    """
+
+    OPEN = "open"
+    MISSING = "missing"
+    CLOSED = "closed"
+
+
+class RunSighting(NamedTuple):
+    """A request that an upstream runs, or may have run when it ended.
+
+    :param age_ms: time since it was sent
+    :param remaining_ms: time until the upstream can't run it any longer; negative if
+        that has passed
+    :param was_answered: whether it had been answered a moment before
+    """
+
+    fingerprint: int
+    upstream: str
+    incarnation: str
+    age_ms: float
+    remaining_ms: float
+    state: RunState
+    was_answered: bool = False
+
+
+__all__ = ("CrashSighting", "RunSighting", "RunState")
--- /dev/null
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -0,0 +1,208 @@
+"""Evidence that upstreams have ended or live, and what it means for requests.
+
+Failure scenario: the host of an upstream is lost, or a device on the way resets the
+connections to it. Nothing shows that it has ended until its entry expires after some
+seconds, and a request that ended it would end others until then.
+
+An upstream that does not answer a check is presumed to have crashed. Its crash counts
+for the time being, and all VMs are told. It is proven if the upstream is shown to have
+ended, and dropped if it is shown to live: a cut connection is no crash.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from quetzaldeck.decisions.poison.crash import Involvement
+from quetzaldeck.decisions.poison.recent_times import RecentTimes
+from quetzaldeck.decisions.poison.sighting import RunSighting, RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from quetzaldeck.decisions.poison.bounds import PoisonBounds
+    from quetzaldeck.decisions.poison.crash import Crash
+    from quetzaldeck.decisions.poison.crash_table import CrashTable
+    from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
+
+
+class PresumedCrash(NamedTuple):
+    """An upstream that does not answer checks.
+
+    :param at_ms: when the first run that it may have crashed in ended
+    """
+
+    upstream: str
+    incarnation: str
+    at_ms: float
+
+
+class UpstreamEnds:
+    """Applies evidence to crashes that are not proven, and to open runs.
+
+    :param table: all crashes
+    :param runs: all open runs
+    :param unannounced: receives the requests whose crashes are to be announced
+    """
+
+    def __init__(
+        self,
+        bounds: PoisonBounds,
+        table: CrashTable,
+        runs: OpenRuns,
+        unannounced: set[int],
+    ) -> None:
+        self._bounds = bounds
+        self._table = table
+        self._runs = runs
+        self._unannounced = unannounced
+        self._survived: RecentTimes[str] = RecentTimes(bounds.max_crashes_held)
+        self._changed: dict[tuple[int, str], RunSighting] = {}
+
+    def note_ended(self, upstream: str, at_ms: float, incarnation: str = "") -> None:
+        """Record proof that an upstream has crashed.
+
+        :param at_ms: when connections broke as it crashed; those that had broken well
+            before did so for another reason
+        :param incarnation: the incarnation that ended; ``""`` if it is not known
+        """
+        for crash in self._table.list_of(upstream):
+            if crash.at_ms >= at_ms - self._bounds.same_crash_ms:
+                self.prove(crash)
+        self._close_runs(upstream, incarnation, at_ms)
+
+    def prove(self, crash: Crash) -> None:
+        """Let a crash count, and count it against the open runs on its upstream."""
+        if self._table.prove(crash):
+            self._unannounced |= crash.fingerprints
+        self._close_runs(crash.upstream, crash.incarnation, crash.at_ms)
+
+    def note_survived(self, upstream: str, measured_ms: float) -> None:
+        """Drop what is not proven: the upstream was alive at a later point in time."""
+        self._survived.note(upstream, measured_ms)
+        self._runs.pop_ended(upstream, measured_ms)
+        for crash in self._table.list_of(upstream):
+            if not crash.is_certain and crash.at_ms <= measured_ms:
+                if crash.is_presumed:
+                    self._announce(crash, RunState.CLOSED, measured_ms)
+                self._table.drop(crash)
+
+    def note_alive(self, upstream: str, incarnation: str, measured_ms: float) -> None:
+        """Drop sightings that a later report of the same incarnation refutes.
+
+        A connection that a network device cut looks like a crash of the upstream. A
+        report that the same incarnation measured after that moment proves that it did
+        not crash.
+        """
+        refuted_before_ms = measured_ms - self._bounds.alive_margin_ms
+        self._runs.pop_ended(upstream, refuted_before_ms)
+        for crash in self._table.list_of(upstream):
+            if crash.incarnation != incarnation:
+                continue
+            for fingerprint in tuple(crash.fingerprints):
+                if self._table.find(fingerprint)[crash].seen_ms < refuted_before_ms:
+                    self._table.discard(fingerprint, crash)
+
+    def note_missing(self, upstream: str, checked_ms: float) -> None:
+        """Presume that an upstream has crashed, as it does not answer a check.
+
+        :param checked_ms: when the check began
+        """
+        for run in self._runs.pop_ended(upstream, checked_ms):
+            if self._add(run, run.until_ms).is_certain:
+                self._unannounced.add(run.fingerprint)
+        for crash in self._table.list_of(upstream):
+            if crash.at_ms > checked_ms:
+                continue
+            self._table.prove(crash, is_presumed=True)
+            if crash.is_presumed:
+                self._announce(crash, RunState.MISSING, checked_ms)
+
+    def list_presumed(self) -> list[PresumedCrash]:
+        """:returns: the crashes of which it has to be found out whether they are any"""
+        return [
+            PresumedCrash(crash.upstream, crash.incarnation, crash.at_ms)
+            for crash in self._table.crashes
+            if crash.is_presumed
+        ]
+
+    def pop_changed_runs(self) -> list[RunSighting]:
+        """:returns: runs of which this VM has to tell the others"""
+        changed = list(self._changed.values())
+        self._changed.clear()
+        return changed
+
+    def list_runs(self, max_runs: int, now_ms: float) -> list[RunSighting]:
+        """:returns: what a VM has to know that missed what others told of runs"""
+        presumed = [crash for crash in self._table.crashes if crash.is_presumed]
+        described = (
+            self._describe(crash, RunState.MISSING, now_ms)
+            for crash in reversed(presumed)
+        )
+        return [sighting for part in described for sighting in part][:max_runs]
+
+    def observe_runs(self, sightings: Iterable[RunSighting], now_ms: float) -> None:
+        """Merge what other VMs know, which may be late, repeated or known."""
+        for sighting in sightings:
+            match sighting.state:
+                case RunState.MISSING:
+                    self._observe_missing(sighting, now_ms)
+                case RunState.CLOSED:
+                    self._observe_closed(sighting)
+
+    def _observe_missing(self, sighting: RunSighting, now_ms: float) -> None:
+        """Presume a crash, unless its upstream is known to have lived since."""
+        ended_ms = now_ms + min(0.0, sighting.remaining_ms)
+        if self._survived.find(sighting.upstream) >= ended_ms:
+            return
+        crash = self._table.open(
+            sighting.upstream, sighting.incarnation, ended_ms, is_proven=False
+        )
+        run_ms = max(0.0, ended_ms - now_ms + sighting.age_ms)
+        involvement = Involvement(ended_ms, run_ms, sighting.was_answered)
+        self._table.add(sighting.fingerprint, crash, involvement)
+        self._table.prove(crash, is_presumed=True)
+
+    def _observe_closed(self, sighting: RunSighting) -> None:
+        for crash in self._table.list_of(sighting.upstream):
+            if crash.is_presumed and crash.incarnation == sighting.incarnation:
+                self._table.drop(crash)
+
+    def _close_runs(self, upstream: str, incarnation: str, ended_ms: float) -> None:
+        """Count the end of an upstream against the open runs on it."""
+        for run in self._runs.pop(upstream, incarnation):
+            crash = self._add(run, min(run.until_ms, max(run.sent_ms, ended_ms)))
+            self._table.prove(crash)
+            self._unannounced.add(run.fingerprint)
+
+    def _add(self, run: OpenRun, ended_ms: float) -> Crash:
+        """:returns: the crash in which a run ended, or may have"""
+        crash = self._table.open(
+            run.upstream, run.incarnation, ended_ms, is_proven=False
+        )
+        involvement = Involvement(ended_ms, ended_ms - run.sent_ms, run.was_answered)
+        self._table.add(run.fingerprint, crash, involvement)
+        return crash
+
+    def _announce(self, crash: Crash, state: RunState, now_ms: float) -> None:
+        for sighting in self._describe(crash, state, now_ms):
+            self._changed[sighting.fingerprint, crash.upstream] = sighting
+
+    def _describe(
+        self, crash: Crash, state: RunState, now_ms: float
+    ) -> Iterator[RunSighting]:
+        for fingerprint in sorted(crash.fingerprints):
+            involvement = self._table.find(fingerprint)[crash]
+            ended_age_ms = now_ms - involvement.seen_ms
+            yield RunSighting(
+                fingerprint,
+                crash.upstream,
+                crash.incarnation,
+                ended_age_ms + (involvement.run_ms or 0.0),
+                -ended_age_ms,
+                state,
+                involvement.was_answered,
+            )
+
+
+__all__ = ("PresumedCrash", "UpstreamEnds")
--- a/src/quetzaldeck/entry/crash_checks.py
+++ b/src/quetzaldeck/entry/crash_checks.py
@@ -1,11 +1,12 @@
-"""Checks whether a replica has crashed after a connection to it has broken.
+"""Checks whether a replica that ran a request has crashed.
 
 A connection breaks when its replica crashes, but also when a network device cuts it,
 when the replica loses one response, or when it closes an idle connection at the moment
 of its next use. Which requests crash replicas is judged by crashes only, so each broken
 connection is followed up by a health check at once: a port on which nothing listens, or
-where another replica responds, proves a crash. A check that gets no answer proves
-nothing. Then it counts as proof if another incarnation registers at the address.
+where another replica responds, proves a crash. So does another incarnation that
+registers at the address. A replica that does not answer is checked again for a while;
+see :mod:`quetzaldeck.entry.presumed_crashes`.
 
 A replica to which a request was sent for which nobody waits any more is checked as
 well, once it can't run the request any longer, unless it has answered another since.
@@ -14,11 +15,10 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.entry.liveness import Liveness
+from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.gateway.messages import ObserveCheck
 from quetzaldeck.routing import Replica
 from quetzaldeck.telemetry import log_event
@@ -41,11 +41,18 @@
 """Least time between two checks of one replica whose callers leave one after the other.
 Each check is billed."""
 
+RECHECK_INTERVAL_MS = 1_000.0
+"""Time until a replica that has not answered a check is checked again."""
+
+REGISTRATION_MS = 1_000.0
+"""Time within which a replica that has started again under its id is known to have. It
+answers checks as the incarnation before would."""
+
 
 class _Break(NamedTuple):
-    """Connections to one incarnation of a replica that have broken.
+    """Connections to one incarnation of a replica that have broken or were closed.
 
-    :param first_ms: when the first of them broke
+    :param first_ms: when the first of them did
     :param registered: incarnations that were registered at its address at that time
     """
 
@@ -95,12 +102,9 @@
         replicas = self._read_replicas()
         for name in names:
             replica = replicas.get(name)
-            if replica is None or name in self._following:
-                continue
-            self._note_break(replica)
-            task = asyncio.create_task(self._follow(replica))
-            self._following[name] = task
-            task.add_done_callback(partial(self._end_following, name))
+            if replica is not None and name not in self._following:
+                self._note_break(replica)
+                self._own_task(self._following, name, self._follow(replica))
 
     def apply_replicas(self) -> None:
         """Take another incarnation at the address of a replica as proof."""
@@ -128,9 +132,16 @@
         elif name in self._running:
             self._repeated.add(name)
         else:
-            task = asyncio.create_task(self._run_checks(name))
-            self._running[name] = task
-            task.add_done_callback(lambda _: self._running.pop(name, None))
+            self._own_task(self._running, name, self._run_checks(name))
+
+    def _own_task(
+        self,
+        tasks: dict[str, asyncio.Task[None]],
+        name: str,
+        run: Coroutine[object, object, None],
+    ) -> None:
+        tasks[name] = asyncio.create_task(run)
+        tasks[name].add_done_callback(lambda _: tasks.pop(name, None))
 
     def _note_break(self, replica: Replica) -> _Break:
         """:returns: the break of connections to a replica that is not concluded yet"""
@@ -138,7 +149,14 @@
         broken = self._breaks.get(name)
         if broken is None or broken.replica.incarnation != replica.incarnation:
             now_ms = self._clock.now_ms()
-            broken = _Break(replica, now_ms, self._list_registered(replica))
+            # The next incarnation under its id may have registered before the broken
+            # connection is noticed.
+            registered = frozenset(
+                (other, started_ms)
+                for other, started_ms in self._list_registered(replica)
+                if other != name or started_ms == replica.started_ms
+            )
+            broken = _Break(replica, now_ms, registered)
             self._breaks[name] = broken
         return broken
 
@@ -146,8 +164,16 @@
         current = self._read_replicas().get(name)
         return current is not None and current.is_leaving
 
-    def _end_following(self, name: str, _: asyncio.Task[None]) -> None:
-        del self._following[name]
+    async def _run_checks(self, name: str) -> None:
+        """Check a replica, once more if connections broke after a check began."""
+        while (broken := self._breaks.get(name)) is not None:
+            self._repeated.discard(name)
+            begun_ms = self._clock.now_ms()
+            await self._check_until_known(broken, "checked")
+            await asyncio.sleep(MIN_INTERVAL_MS / MS_PER_SECOND)
+            if name not in self._repeated:
+                return
+            self._breaks.setdefault(name, broken._replace(first_ms=begun_ms))
 
     async def _follow(self, replica: Replica) -> None:
         """Check a replica until it is known whether it has survived what it ran."""
@@ -166,36 +192,40 @@
             if self._is_leaving(name):
                 self._conclude(broken, Liveness.ALIVE, "leaving")
                 return
-            begun_ms = self._clock.now_ms()
-            liveness = await self._check(replica)
-            self._conclude(broken, liveness, "left", begun_ms)
+            liveness = await self._check_until_known(broken, "left")
             if liveness is not Liveness.ALIVE:
                 return
             wait_ms = MIN_LEFT_INTERVAL_MS
 
-    async def _run_checks(self, name: str) -> None:
-        """Check a replica, once more if connections broke after a check began."""
-        while (broken := self._breaks.get(name)) is not None:
-            self._repeated.discard(name)
+    async def _check_until_known(self, broken: _Break, how: str) -> Liveness:
+        """Check a replica, again while it does not answer, for a limited time.
+
+        :returns: the last result
+        """
+        name = broken.replica.replica_id
+        end_ms = self._clock.now_ms() + self._bounds.presumed_ms
+        while True:
             begun_ms = self._clock.now_ms()
             liveness = await self._check(broken.replica)
-            if name in self._breaks:
-                self._conclude(broken, liveness, "checked", begun_ms)
-            await asyncio.sleep(MIN_INTERVAL_MS / MS_PER_SECOND)
-            if name not in self._repeated:
-                return
-            self._breaks.setdefault(name, broken._replace(first_ms=begun_ms))
+            if liveness is Liveness.ALIVE and broken.replica.started_ms:
+                await asyncio.sleep(REGISTRATION_MS / MS_PER_SECOND)
+            if name not in self._breaks:
+                return Liveness.ENDED  # Another incarnation has registered meanwhile.
+            self._conclude(broken, liveness, how, begun_ms)
+            if liveness is not Liveness.UNKNOWN or self._clock.now_ms() >= end_ms:
+                return liveness
+            await asyncio.sleep(RECHECK_INTERVAL_MS / MS_PER_SECOND)
 
     def _conclude(
         self,
         broken: _Break,
         liveness: Liveness,
         how: str,
-        alive_ms: float | None = None,
+        begun_ms: float | None = None,
     ) -> None:
         """Report a result, and forget the break unless nothing is known.
 
-        :param alive_ms: when the replica lives, if it does; ``None``: now
+        :param begun_ms: when the check began; ``None``: now
         """
         name = broken.replica.replica_id
         now_ms = self._clock.now_ms()
@@ -209,13 +239,12 @@
             how=how,
             age_ms=now_ms - broken.first_ms,
         )
-        if liveness is Liveness.UNKNOWN:
-            return
-        self._breaks.pop(name, None)
+        if liveness is not Liveness.UNKNOWN:
+            self._breaks.pop(name, None)
         has_ended = liveness is Liveness.ENDED
-        at_ms = broken.first_ms if has_ended else alive_ms or now_ms
+        at_ms = broken.first_ms if has_ended else begun_ms or now_ms
         incarnation = broken.replica.incarnation
-        self._dispatch.send(ObserveCheck(name, has_ended, at_ms, incarnation))
+        self._dispatch.send(ObserveCheck(name, liveness, at_ms, incarnation))
 
     def _list_registered(self, replica: Replica) -> frozenset[tuple[str, int]]:
         """:returns: ids and starts of the replicas at the address of a replica"""
--- a/src/quetzaldeck/entry/peers/crash_exchange.py
+++ b/src/quetzaldeck/entry/peers/crash_exchange.py
@@ -7,7 +7,9 @@
 from quetzaldeck.entry.peers.messages import (
     PeerMessage,
     build_crash_update,
+    build_run_update,
     read_crash_update,
+    read_run_update,
 )
 from quetzaldeck.entry.peers.node import MAX_ENTRIES_PER_DATAGRAM
 
@@ -15,12 +17,15 @@
     import random
     from collections.abc import Iterable, Iterator
 
-    from quetzaldeck.decisions.poison import CrashSighting
-    from quetzaldeck.entry.peers.messages import CrashUpdate
+    from quetzaldeck.decisions.poison import CrashSighting, RunSighting
+    from quetzaldeck.entry.peers.messages import CrashUpdate, RunUpdate
 
 MAX_LISTED_CRASHES = 8
 """Crashes in one greeting, so that it fits into one packet with the addresses."""
 
+MAX_LISTED_RUNS = 3
+"""Runs in one greeting."""
+
 MAX_CRASHES_TO_NEW_VM = 60
 """Crashes that each VM tells a new one at once; the others come with greetings."""
 
@@ -39,6 +44,15 @@
     def observe_crashes(self, sightings: tuple[CrashSighting, ...]) -> None:
         """Apply what another VM knows."""
 
+    def pop_run_sightings(self) -> list[RunSighting]:
+        """:returns: runs to announce to the other VMs"""
+
+    def list_run_state(self, max_runs: int) -> list[RunSighting]:
+        """:returns: what a VM has to know that missed what others announced"""
+
+    def observe_runs(self, sightings: tuple[RunSighting, ...]) -> None:
+        """Apply what another VM knows of runs."""
+
 
 class CrashExchange:
     """Tells other VMs of crashes: all at once, and those that may have missed it again.
@@ -61,6 +75,17 @@
             for sighting in sightings
         ]
 
+    def take_run_announcements(self) -> list[RunUpdate]:
+        """:returns: what this VM has to announce of runs to all others"""
+        return [build_run_update(run) for run in self._knowledge.pop_run_sightings()]
+
+    def list_run_updates(
+        self, max_updates: int = MAX_LISTED_RUNS
+    ) -> tuple[RunUpdate, ...]:
+        """:returns: what a greeting repeats of runs, the latest if there are many"""
+        sightings = self._knowledge.list_run_state(max_updates)
+        return tuple(build_run_update(sighting) for sighting in sightings)
+
     def list_updates(
         self, max_updates: int = MAX_LISTED_CRASHES
     ) -> tuple[CrashUpdate, ...]:
@@ -76,6 +101,9 @@
         for first in range(0, len(updates), MAX_ENTRIES_PER_DATAGRAM):
             part = updates[first : first + MAX_ENTRIES_PER_DATAGRAM]
             yield PeerMessage(self._vm, crashes=part)
+        runs = self.list_run_updates(MAX_ENTRIES_PER_DATAGRAM)
+        if runs:
+            yield PeerMessage(self._vm, runs=runs)
 
     def observe(self, updates: Iterable[CrashUpdate]) -> None:
         """Apply what another VM has announced or repeated."""
@@ -83,5 +111,11 @@
         if sightings:
             self._knowledge.observe_crashes(sightings)
 
+    def observe_runs(self, updates: Iterable[RunUpdate]) -> None:
+        """Apply what another VM has announced or repeated of runs."""
+        sightings = tuple(read_run_update(update) for update in updates)
+        if sightings:
+            self._knowledge.observe_runs(sightings)
+
 
 __all__ = ("CrashExchange", "CrashKnowledge")
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -8,7 +8,7 @@
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
 from quetzaldeck.decisions.peer_load import VmLoad
-from quetzaldeck.decisions.poison import CrashSighting
+from quetzaldeck.decisions.poison import CrashSighting, RunSighting, RunState
 from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
 
 
@@ -54,6 +54,21 @@
     was_answered: bool = False
 
 
+class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """A request that an upstream runs, or may have run when it ended.
+
+    See ``RunSighting`` for the fields.
+    """
+
+    fingerprint: int
+    upstream: str
+    incarnation: str
+    age_ms: float
+    remaining_ms: float
+    state: RunState
+    was_answered: bool = False
+
+
 class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
     """What an upstream said of its rate limit; see ``RateLimitStatement``.
 
@@ -99,6 +114,7 @@
     :param paces: slowdown factors by engine name, for engines that are slow now or were
         slow in the VM's previous update
     :param limits: what upstreams said of their rate limits
+    :param runs: requests that run, or may have run when their upstreams ended
     """
 
     vm: str
@@ -107,6 +123,7 @@
     crashes: tuple[CrashUpdate, ...] = ()
     paces: dict[str, float] = {}
     limits: tuple[LimitUpdate, ...] = ()
+    runs: tuple[RunUpdate, ...] = ()
 
     @property
     def says_anything(self) -> bool:
@@ -116,7 +133,7 @@
     @property
     def has_events(self) -> bool:
         """:returns: whether it contains anything other than loads"""
-        return bool(self.crashes or self.paces or self.limits)
+        return bool(self.crashes or self.paces or self.limits or self.runs)
 
 
 Reach = Literal["", "fleet", "members"]
@@ -141,6 +158,8 @@
         with permits
     :param crashes: requests that were in crashes, or were cleared, as the sender knows;
         in greetings
+    :param runs: requests that run, or may have run when their upstreams ended; in
+        greetings
     :param permit_request: asks the receiver for a permit
     :param permit_answer: answers a permit request of the receiver
     """
@@ -156,6 +175,7 @@
     confirmed: int = 0
     limits: tuple[LimitUpdate, ...] = ()
     crashes: tuple[CrashUpdate, ...] = ()
+    runs: tuple[RunUpdate, ...] = ()
     permit_request: PermitRequest | None = None
     permit_answer: PermitAnswer | None = None
 
@@ -223,6 +243,32 @@
     )
 
 
+def build_run_update(sighting: RunSighting) -> RunUpdate:
+    """:returns: the update that announces a run"""
+    return RunUpdate(
+        sighting.fingerprint,
+        sighting.upstream,
+        sighting.incarnation,
+        round(sighting.age_ms, N_AGE_DIGITS),
+        round(sighting.remaining_ms, N_AGE_DIGITS),
+        sighting.state,
+        sighting.was_answered,
+    )
+
+
+def read_run_update(update: RunUpdate) -> RunSighting:
+    """:returns: what another VM knows of a run"""
+    return RunSighting(
+        update.fingerprint,
+        update.upstream,
+        update.incarnation,
+        update.age_ms,
+        update.remaining_ms,
+        update.state,
+        update.was_answered,
+    )
+
+
 def read_crash_update(update: CrashUpdate) -> CrashSighting:
     """:returns: what another VM saw"""
     return CrashSighting(
@@ -277,14 +323,17 @@
     "PermitAnswer",
     "PermitRequest",
     "Reach",
+    "RunUpdate",
     "VmUpdate",
     "build_crash_update",
     "build_limit_update",
     "build_load_update",
     "build_permit_answer",
+    "build_run_update",
     "decode_message",
     "encode_message",
     "read_crash_update",
     "read_limit_update",
     "read_load_update",
+    "read_run_update",
 )
--- a/src/quetzaldeck/entry/peers/node.py
+++ b/src/quetzaldeck/entry/peers/node.py
@@ -26,6 +26,7 @@
         Join,
         LimitUpdate,
         LoadUpdate,
+        RunUpdate,
     )
     from quetzaldeck.entry.peers.table import PeerTable
 
@@ -122,6 +123,7 @@
         crashes: Iterable[CrashUpdate] = (),
         paces: Mapping[str, float] | None = None,
         limits: Iterable[LimitUpdate] = (),
+        runs: Iterable[RunUpdate] = (),
     ) -> None:
         """Send an update of this VM to all other VMs."""
         self._sequence += 1
@@ -132,6 +134,7 @@
             tuple(crashes),
             dict(paces or {}),
             tuple(limits),
+            tuple(runs),
         )
         self._store.merge(update, now_ms)
         if not self.uses_relays:
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -141,6 +141,7 @@
         self._note_peer(message, addr[0], now_ms)
         self._rate_limits.handle(message, addr[0])
         self._crashes.observe(message.crashes)
+        self._crashes.observe_runs(message.runs)
         for update in self._node.receive(message, addr[0], now_ms):
             self._observe(update)
         self._send_outgoing()
@@ -192,6 +193,7 @@
             )
             dispatch.send_deferrable(ObservePeerLoad(update.vm, loads))
         self._crashes.observe(update.crashes)
+        self._crashes.observe_runs(update.runs)
         self._rate_limits.note_updates(update.limits, update.vm)
         if update.paces:
             dispatch.send_deferrable(ObservePaces(tuple(update.paces.items())))
@@ -217,6 +219,7 @@
             self._table.sample_heard(now_ms),
             limits=self._rate_limits.list_updates(),
             crashes=self._crashes.list_updates(),
+            runs=self._crashes.list_run_updates(),
         )
 
     def _send_state_to_new_peer(self, address: str, now_ms: float) -> None:
@@ -240,9 +243,10 @@
         own_loads = self._context.dispatch.list_own_loads()
         changed = self._changes.select_due(own_loads, now_ms, len(self._table))
         crashes = self._crashes.take_announcements()
-        if changed or crashes:
+        runs = self._crashes.take_run_announcements()
+        if changed or crashes or runs:
             loads = [build_load_update(upstream, load) for upstream, load in changed]
-            self._node.announce(now_ms, loads=loads, crashes=crashes)
+            self._node.announce(now_ms, loads=loads, crashes=crashes, runs=runs)
 
     def _advance(self) -> None:
         """Do and send what is due, and schedule the next call."""
--- a/src/quetzaldeck/entry/peers/update_store.py
+++ b/src/quetzaldeck/entry/peers/update_store.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
+
 from quetzaldeck.decisions.load_changes import REFRESH_INTERVAL_MS
 from quetzaldeck.entry.peers.messages import LoadUpdate, VmUpdate
 
@@ -64,21 +66,13 @@
             seen = self._seen_updates.setdefault(
                 update.vm, deque(maxlen=N_REMEMBERED_UPDATES)
             )
-            paces = tuple(update.paces.items())
-            key = hash((update.sequence, update.crashes, paces, update.limits))
+            key = hash((update.sequence, *_list_events(update)))
             if key in seen:
                 return VmUpdate(update.vm, update.sequence, tuple(new_loads))
             seen.append(key)
         if len(new_loads) == len(update.loads):
             return update
-        return VmUpdate(
-            update.vm,
-            update.sequence,
-            tuple(new_loads),
-            update.crashes,
-            update.paces,
-            update.limits,
-        )
+        return msgspec.structs.replace(update, loads=tuple(new_loads))
 
     def list_current(self, now_ms: float) -> Iterator[VmUpdate]:
         """:returns: the updates to send to a VM that has just joined"""
@@ -133,15 +127,7 @@
             if queued is None or queued[0] < update.sequence:
                 self._loads[key] = (update.sequence, load)
         if update.has_events:
-            self._others.append(
-                VmUpdate(
-                    update.vm,
-                    update.sequence,
-                    crashes=update.crashes,
-                    paces=update.paces,
-                    limits=update.limits,
-                )
-            )
+            self._others.append(msgspec.structs.replace(update, loads=()))
 
     def take(self) -> list[VmUpdate]:
         """Empty the queue.
@@ -165,7 +151,7 @@
 ) -> Iterator[tuple[VmUpdate, ...]]:
     """Split updates into parts that each fit into a datagram.
 
-    :param n_entries: maximum number of loads, crashes, paces and limits in a part
+    :param n_entries: maximum number of loads and events in a part
     """
     part: list[VmUpdate] = []
     capacity = n_entries
@@ -183,8 +169,8 @@
 
 def _split_update(update: VmUpdate, n_entries: int) -> Iterator[VmUpdate]:
     """Split the update of one VM into pieces of at most ``n_entries`` of one kind."""
-    paces = list(update.paces.items())
-    kinds = (update.loads, update.crashes, paces, update.limits)
+    paces = tuple(update.paces.items())
+    kinds = (update.loads, *_list_events(update))
     length = max(len(entries) for entries in kinds)
     if _size(update) <= n_entries:
         yield update
@@ -196,14 +182,20 @@
             VmUpdate(update.vm, update.sequence, crashes=update.crashes[part]),
             VmUpdate(update.vm, update.sequence, paces=dict(paces[part])),
             VmUpdate(update.vm, update.sequence, limits=update.limits[part]),
+            VmUpdate(update.vm, update.sequence, runs=update.runs[part]),
         ):
             if _size(piece):
                 yield piece
 
 
 def _size(update: VmUpdate) -> int:
-    n_events = len(update.crashes) + len(update.paces) + len(update.limits)
-    return len(update.loads) + n_events
+    return len(update.loads) + sum(len(events) for events in _list_events(update))
+
+
+def _list_events(update: VmUpdate) -> tuple[tuple[object, ...], ...]:
+    """:returns: what an update contains besides loads, by kind"""
+    paces = tuple(update.paces.items())
+    return (update.crashes, paces, update.limits, update.runs)
 
 
 __all__ = (
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -119,6 +119,7 @@
                 pace_task.run(),
                 self._state.releases.run(),
                 self._state.crash_checks.run(),
+                self._state.presumed_crashes.run(),
             )
         )
 
@@ -149,7 +150,7 @@
             random_state=random.Random(self._settings.random_state or None),
             availability_zone=self._settings.availability_zone,
             groups=ENTRY_GROUPS,
-            poison=ENTRY_POISON,
+            poison=ENTRY_POISON._replace(presumed_ms=bounds.entry_expiry_ms),
             resend_budget=ResendBudget(
                 ratio=bounds.retry_ratio, window_ms=bounds.retry_window_s * 1_000
             ),
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -10,6 +10,12 @@
 HOLD_SHARE = 0.85
 """Share of ``free_ms`` for which one order reserves memory."""
 
+N_MISSED_HEARTBEATS = 3
+"""Heartbeats after whose absence the store removes the entry of a replica."""
+
+EXPIRY_MARGIN_MS = 1_400.0
+"""Time for the store to remove an entry and for a VM to learn of it."""
+
 N_CAPACITY_DIGITS = 2
 MIN_CAPACITY = 0.01
 """Least capacity assumed for a VM's processor, in cores."""
@@ -60,6 +66,15 @@
     free_ms: Annotated[
         float, Option("Time until unused memory is free again.", unit="ms", minimum=1)
     ] = 4_000.0
+    heartbeat_ms: Annotated[
+        float,
+        Option("Interval at which replicas write their entries.", unit="ms", minimum=1),
+    ] = 1_200.0
+
+    @property
+    def entry_expiry_ms(self) -> float:
+        """:returns: time after which the entry of a replica that has ended is gone"""
+        return self.heartbeat_ms * N_MISSED_HEARTBEATS + EXPIRY_MARGIN_MS
 
     @property
     def reservation_hold_ms(self) -> float:
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -7,10 +7,11 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.crash_checks import CrashChecks
-from quetzaldeck.entry.liveness import Liveness
 from quetzaldeck.entry.peers.permits import Permits
+from quetzaldeck.entry.presumed_crashes import PresumedCrashes
 from quetzaldeck.entry.rate_limits import RateLimits
 from quetzaldeck.entry.upstream_pool import (
     build_bundle,
@@ -86,6 +87,12 @@
             metrics.upstreams,
             bounds=dispatch.poison_bounds,
         )
+        self.presumed_crashes = PresumedCrashes(
+            clock,
+            belief,
+            dispatch,
+            expiry_ms=dispatch.poison_bounds.presumed_ms,
+        )
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.random_state = random.Random(settings.random_state or None)
         self.in_flight = InFlightRequests()
@@ -157,6 +164,7 @@
         self.rate_limits.apply_replicas(self.belief.replicas)
         self.permits.expire(self.belief.replicas)
         self.crash_checks.apply_replicas()
+        self.presumed_crashes.resolve()
 
 
 def build_shutdown(bounds: EntryBounds) -> ShutdownSettings:
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -26,6 +26,7 @@
     ObservePaces,
     ObservePeerLoad,
     ObserveRateLimit,
+    ObserveRuns,
     ObserveUsage,
     Submit,
     Withdraw,
@@ -39,7 +40,12 @@
     from quetzaldeck.decisions import Decision, Request, Scheduler
     from quetzaldeck.decisions.limits import UsageUpdate
     from quetzaldeck.decisions.peer_load import VmLoad
-    from quetzaldeck.decisions.poison import CrashSighting, PoisonBounds
+    from quetzaldeck.decisions.poison import (
+        CrashSighting,
+        PoisonBounds,
+        PresumedCrash,
+        RunSighting,
+    )
     from quetzaldeck.gateway.messages import Message
     from quetzaldeck.telemetry import GatewayMetrics
 
@@ -111,6 +117,22 @@
         """Apply what another VM knows of crashes, before the next request is placed."""
         self.send_deferrable(ObserveCrashes(sightings))
 
+    def pop_run_sightings(self) -> list[RunSighting]:
+        """:returns: runs of which the other VMs have to be told"""
+        return self._scheduler.poison.ends.pop_changed_runs()
+
+    def list_run_state(self, max_runs: int) -> list[RunSighting]:
+        """:returns: what a VM has to know of runs that missed what others announced"""
+        return self._scheduler.poison.ends.list_runs(max_runs, self._clock.now_ms())
+
+    def observe_runs(self, sightings: tuple[RunSighting, ...]) -> None:
+        """Apply what another VM knows of runs, before the next request is placed."""
+        self.send_deferrable(ObserveRuns(sightings))
+
+    def list_presumed(self) -> list[PresumedCrash]:
+        """:returns: crashes that are presumed, as upstreams do not answer checks"""
+        return self._scheduler.poison.ends.list_presumed()
+
     def find_due_check_ms(self, upstream: str) -> float | None:
         """:returns: when the first run on an upstream ends that nobody waits for
 
@@ -215,7 +237,13 @@
                 ObserveLoad() | ObservePeerLoad() | ObservePaces() | ObserveRateLimit()
             ):
                 self._observe_load(message)
-            case ObserveCache() | ObserveCheck() | ObserveCrashes() | ObserveUsage():
+            case (
+                ObserveCache()
+                | ObserveCheck()
+                | ObserveCrashes()
+                | ObserveRuns()
+                | ObserveUsage()
+            ):
                 self._observe_update(message)
 
     def _note_progress(
@@ -254,16 +282,19 @@
                 )
 
     def _observe_update(
-        self, message: ObserveCache | ObserveCheck | ObserveCrashes | ObserveUsage
+        self,
+        message: (
+            ObserveCache | ObserveCheck | ObserveCrashes | ObserveRuns | ObserveUsage
+        ),
     ) -> None:
         """Handle cache events, crashes, and usage of other VMs."""
         match message:
             case ObserveCheck():
                 self._scheduler.fleet.observe_check(
                     message.upstream,
-                    has_ended=message.has_ended,
-                    at_ms=message.at_ms,
-                    incarnation=message.incarnation,
+                    message.liveness,
+                    message.at_ms,
+                    message.incarnation,
                 )
                 # What it proves about crashes is announced with the loads.
                 self._load_changed.set()
@@ -271,6 +302,8 @@
                 self._scheduler.fleet.observe_cache(message.events)
             case ObserveCrashes():
                 self._scheduler.fleet.observe_crashes(message.sightings)
+            case ObserveRuns():
+                self._scheduler.fleet.observe_runs(message.sightings)
             case ObserveUsage():
                 self._scheduler.limits.observe(
                     message.vm, message.update, self._clock.now_ms()
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -10,7 +10,7 @@
 from quetzaldeck.decisions.limits import UsageUpdate
 from quetzaldeck.decisions.peer_load import VmLoad
 from quetzaldeck.decisions.placement import CacheEvents
-from quetzaldeck.decisions.poison import CrashSighting
+from quetzaldeck.decisions.poison import CrashSighting, Liveness, RunSighting
 from quetzaldeck.decisions.retries.silence import SilenceVerdict
 from quetzaldeck.outcomes import Failure
 
@@ -127,17 +127,22 @@
     sightings: tuple[CrashSighting, ...]
 
 
+class ObserveRuns(NamedTuple):
+    """What another VM knows of runs whose end nobody has seen."""
+
+    sightings: tuple[RunSighting, ...]
+
+
 class ObserveCheck(NamedTuple):
-    """Whether an upstream lives to which connections have broken.
+    """Whether an upstream lives that may have ended.
 
-    :param has_ended: whether it has ended; connections that broke from ``at_ms`` on did
-        so as it crashed. Otherwise it was alive at ``at_ms``.
-    :param at_ms: monotonic time
+    :param at_ms: monotonic time: when it was alive; or from when on connections broke
+        as it crashed; or when the check began that it has not answered
     :param incarnation: the incarnation that was checked; ``""`` if not known
     """
 
     upstream: str
-    has_ended: bool
+    liveness: Liveness
     at_ms: float
     incarnation: str = ""
 
@@ -159,6 +164,7 @@
     | ObservePeerLoad
     | ObserveCache
     | ObserveCheck
+    | ObserveRuns
     | ObserveCrashes
     | ObserveUsage
 )
@@ -180,6 +186,7 @@
     "ObservePaces",
     "ObservePeerLoad",
     "ObserveRateLimit",
+    "ObserveRuns",
     "ObserveUsage",
     "Submit",
     "Withdraw",
--- a/src/quetzaldeck/platform/health_checks.py
+++ b/src/quetzaldeck/platform/health_checks.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.entry.liveness import Liveness
+from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.platform.headers import (
     EXPECTED_REPLICA,
     WRONG_REPLICA_STATUS,
--- a/tests/decisions/poison/test_open_runs.py
+++ b/tests/decisions/poison/test_open_runs.py
@@ -21,7 +21,7 @@
     for index in range(3):
         leave(registry, f"e{index}", index * 5_000.0)
         assert registry.verdict(CULPRIT, index * 5_000.0) is not Verdict.REFUSED
-        registry.note_ended(f"e{index}", index * 5_000.0 + 60.0)
+        registry.ends.note_ended(f"e{index}", index * 5_000.0 + 60.0)
     assert registry.verdict(CULPRIT, 12_000.0) is Verdict.REFUSED
 
 
@@ -32,7 +32,7 @@
         name, now_ms = f"e{index}", index * 5_000.0
         leave(registry, name, now_ms)
         registry.note_crash(100 + index, name, "", now_ms + 60.0, is_proven=False)
-        registry.note_ended(name, now_ms + 60.0)
+        registry.ends.note_ended(name, now_ms + 60.0)
     assert registry.verdict(CULPRIT, 12_000.0) is Verdict.REFUSED
 
 
@@ -42,8 +42,8 @@
     for index in range(4):
         name, now_ms = f"e{index}", index * 5_000.0
         leave(registry, name, now_ms)
-        registry.note_survived(name, now_ms + LINGER_MS)
-        registry.note_ended(name, now_ms + LINGER_MS + 1.0)
+        registry.ends.note_survived(name, now_ms + LINGER_MS)
+        registry.ends.note_ended(name, now_ms + LINGER_MS + 1.0)
     assert registry.verdict(CULPRIT, 16_000.0) is Verdict.CLEAR
 
 
@@ -53,8 +53,8 @@
     for index in range(3):
         name, now_ms = f"e{index}", index * 5_000.0
         leave(registry, name, now_ms)
-        registry.note_survived(name, now_ms + LINGER_MS / 2)
-        registry.note_ended(name, now_ms + LINGER_MS / 2 + 1.0)
+        registry.ends.note_survived(name, now_ms + LINGER_MS / 2)
+        registry.ends.note_ended(name, now_ms + LINGER_MS / 2 + 1.0)
     assert registry.verdict(CULPRIT, 12_000.0) is Verdict.REFUSED
 
 
@@ -73,7 +73,7 @@
         leave(registry, f"e{index}", 0.0)
     registry.note_answered(CULPRIT, 10.0)
     for index in range(3):
-        registry.note_ended(f"e{index}", 20.0)
+        registry.ends.note_ended(f"e{index}", 20.0)
     assert registry.verdict(CULPRIT, 30.0) is Verdict.CLEAR
 
 
@@ -82,7 +82,7 @@
     registry = PoisonRegistry(BOUNDS)
     for fingerprint in range(1, 500):
         registry.note_left(fingerprint, "e0", "", 0.0, 1.0)
-    registry.note_ended("e0", 2.0)
+    registry.ends.note_ended("e0", 2.0)
     assert len(registry) == BOUNDS.max_open_runs
 
 
@@ -91,7 +91,7 @@
     registry = PoisonRegistry(BOUNDS)
     registry.note_left(CULPRIT, "e0", "1", 0.0, 10.0)
     registry.note_left(BYSTANDER, "e0", "2", 900.0, 910.0)
-    registry.note_ended("e0", 60.0, "1")
+    registry.ends.note_ended("e0", 60.0, "1")
     now_ms = 1_000.0
     assert registry.verdict(CULPRIT, now_ms) is Verdict.SUSPECT
     assert registry.verdict(BYSTANDER, now_ms) is Verdict.CLEAR
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.poison import (
     BlockedRequest,
     CrashSighting,
+    Liveness,
     PoisonBounds,
     PoisonRegistry,
     Verdict,
@@ -198,11 +199,11 @@
     margin_ms = PoisonBounds().alive_margin_ms
     registry = PoisonRegistry()
     registry.note_crash(BYSTANDER, "e0", "i", 100.0)
-    registry.note_alive("e0", "i", 100.0 + margin_ms)
+    registry.ends.note_alive("e0", "i", 100.0 + margin_ms)
     assert registry.verdict(BYSTANDER, 100.0) is Verdict.SUSPECT
-    registry.note_alive("e0", "other", 10_000.0)
+    registry.ends.note_alive("e0", "other", 10_000.0)
     assert registry.verdict(BYSTANDER, 100.0) is Verdict.SUSPECT
-    registry.note_alive("e0", "i", 101.0 + margin_ms)
+    registry.ends.note_alive("e0", "i", 101.0 + margin_ms)
     assert registry.verdict(BYSTANDER, 100.0) is Verdict.CLEAR
     assert len(registry) == 0
 
@@ -235,7 +236,7 @@
     assert registry.pause_ms(CULPRIT, 4_000.0) == 0.0
     assert registry.pop_changed_sightings(4_000.0) == []
     for name in ENGINES:
-        registry.note_survived(name, 4_500.0)
+        registry.ends.note_survived(name, 4_500.0)
     assert registry.verdict(CULPRIT, 4_500.0) is Verdict.CLEAR
     assert len(registry) == 0
 
@@ -245,8 +246,8 @@
     registry = PoisonRegistry(NEEDS_PROOF)
     for index, name in enumerate(ENGINES[:3]):
         note_broken(registry, name, index * 100.0)
-    registry.note_ended("e0", 300.0)
-    registry.note_ended("e1", 300.0)
+    registry.ends.note_ended("e0", 300.0)
+    registry.ends.note_ended("e1", 300.0)
     assert registry.verdict(CULPRIT, 300.0) is Verdict.SUSPECT
     registry.observe([CrashSighting(BYSTANDER, "e2", "i", 0.0)], 300.0)
     assert registry.verdict(CULPRIT, 300.0) is Verdict.REFUSED
@@ -259,15 +260,15 @@
     """Guards against counting a cut connection when its upstream crashes later."""
     registry = PoisonRegistry(NEEDS_PROOF)
     note_broken(registry, "e0", 0.0)
-    registry.note_ended("e0", NEEDS_PROOF.same_crash_ms + 1.0)
+    registry.ends.note_ended("e0", NEEDS_PROOF.same_crash_ms + 1.0)
     assert registry.n_crashes(CULPRIT, 4_000.0) == 0
 
 
 def test_alive_upstream_says_nothing_of_connections_that_broke_after_it() -> None:
     registry = PoisonRegistry(NEEDS_PROOF)
     note_broken(registry, "e0", 100.0)
-    registry.note_survived("e0", 99.0)
-    registry.note_ended("e0", 120.0)
+    registry.ends.note_survived("e0", 99.0)
+    registry.ends.note_ended("e0", 120.0)
     assert registry.n_crashes(CULPRIT, 200.0) == 1
 
 
@@ -280,7 +281,7 @@
     for index in range(3):
         at_ms = index * (NEEDS_PROOF.same_crash_ms + 1.0)
         note_broken(registry, f"e{index % 2}", at_ms)
-        registry.note_ended(f"e{index % 2}", at_ms)
+        registry.ends.note_ended(f"e{index % 2}", at_ms)
     assert registry.verdict(CULPRIT, at_ms) is Verdict.REFUSED
 
 
@@ -407,7 +408,7 @@
         assert failure is not None
         assert failure.ran is Ran.UNKNOWN
         scheduler.fleet.observe_check(
-            dispatch.upstreams[0], has_ended=True, at_ms=clock.now_ms()
+            dispatch.upstreams[0], Liveness.ENDED, clock.now_ms()
         )
     refusal = scheduler.submit(call)
     assert refusal is not None
--- /dev/null
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -0,0 +1,107 @@
+"""Upstreams that do not answer checks are presumed to have crashed."""
+
+from __future__ import annotations
+
+from quetzaldeck.decisions.poison import (
+    PoisonBounds,
+    PoisonRegistry,
+    RunSighting,
+    RunState,
+    Verdict,
+)
+
+CULPRIT = 7
+BOUNDS = PoisonBounds(needs_proof=True)
+LINGER_MS = BOUNDS.linger_ms
+
+
+def lose(registry: PoisonRegistry, upstream: str, at_ms: float) -> None:
+    """Let a connection break; the check that begins then gets no answer."""
+    registry.note_crash(CULPRIT, upstream, "", at_ms, run_ms=40.0, is_proven=False)
+    registry.ends.note_missing(upstream, at_ms)
+
+
+def lose_three(registry: PoisonRegistry) -> None:
+    for index in range(3):
+        lose(registry, f"e{index}", index * 1_000.0)
+
+
+def test_request_is_held_while_three_upstreams_are_missing() -> None:
+    """The hosts of replicas are lost; their entries expire only after seconds."""
+    registry = PoisonRegistry(BOUNDS)
+    lose_three(registry)
+    assert registry.verdict(CULPRIT, 2_500.0) is Verdict.REFUSED
+    blocked = registry.find_blocked(CULPRIT, 2_500.0)
+    assert blocked is not None
+    assert blocked.until_ms == 2_000.0 + BOUNDS.presumed_ms
+
+
+def test_upstream_that_is_missing_after_a_caller_left_counts() -> None:
+    registry = PoisonRegistry(BOUNDS)
+    for index in range(3):
+        name, left_ms = f"e{index}", index * 2_000.0
+        registry.note_left(CULPRIT, name, "", left_ms - 20.0, left_ms)
+        registry.ends.note_missing(name, left_ms + LINGER_MS)
+    assert registry.verdict(CULPRIT, 6_000.0) is Verdict.REFUSED
+
+
+def test_check_that_began_while_the_request_may_run_is_no_proof() -> None:
+    """Guards against an upstream that is busy with the request, and lives."""
+    registry = PoisonRegistry(BOUNDS)
+    registry.note_left(CULPRIT, "e0", "", 0.0, 20.0)
+    registry.ends.note_missing("e0", 21.0)
+    assert registry.verdict(CULPRIT, 30.0) is Verdict.CLEAR
+
+
+def test_request_runs_again_when_an_upstream_is_found_alive() -> None:
+    """Replicas were cut off for a moment: that is no crash."""
+    registry = PoisonRegistry(BOUNDS)
+    lose_three(registry)
+    for index in range(3):
+        registry.ends.note_survived(f"e{index}", 4_000.0)
+    assert registry.verdict(CULPRIT, 4_000.0) is Verdict.CLEAR
+
+
+def test_other_vms_learn_of_presumed_crashes_and_of_their_end() -> None:
+    """Each of three VMs loses one replica to the request."""
+    registries = [PoisonRegistry(BOUNDS) for _ in range(3)]
+    for index, registry in enumerate(registries):
+        lose(registry, f"e{index}", 0.0)
+    sightings = [run for r in registries for run in r.ends.pop_changed_runs()]
+    for registry in registries:
+        registry.ends.observe_runs(sightings, 10.0)
+        assert registry.verdict(CULPRIT, 10.0) is Verdict.REFUSED
+    registries[0].ends.note_survived("e0", 500.0)
+    closed = registries[0].ends.pop_changed_runs()
+    assert {run.state for run in closed} == {RunState.CLOSED}
+    for registry in registries[1:]:
+        registry.ends.observe_runs(closed, 510.0)
+        assert registry.verdict(CULPRIT, 510.0) is Verdict.SUSPECT
+
+
+def test_vm_that_hears_the_upstream_does_not_presume_its_crash() -> None:
+    """One VM is cut off from replicas that answer the others."""
+    registry = PoisonRegistry(BOUNDS)
+    registry.ends.note_survived("e0", 1_000.0)
+    sighting = RunSighting(CULPRIT, "e0", "", 90.0, -50.0, RunState.MISSING)
+    registry.ends.observe_runs([sighting], 1_020.0)
+    assert registry.verdict(CULPRIT, 1_020.0) is Verdict.CLEAR
+
+
+def test_proof_makes_a_presumed_crash_last() -> None:
+    registry = PoisonRegistry(BOUNDS)
+    lose_three(registry)
+    for index in range(3):
+        registry.ends.note_ended(f"e{index}", index * 1_000.0)
+        registry.ends.note_survived(f"e{index}", 9_000.0)
+    assert registry.verdict(CULPRIT, 9_000.0) is Verdict.REFUSED
+    announced = registry.pop_changed_sightings(9_000.0)
+    assert [len(sightings) for sightings in announced] == [3]
+
+
+def test_new_vm_is_told_what_is_presumed() -> None:
+    registry = PoisonRegistry(BOUNDS)
+    lose_three(registry)
+    started = PoisonRegistry(BOUNDS)
+    started.ends.observe_runs(registry.ends.list_runs(8, 2_100.0), 2_110.0)
+    assert started.verdict(CULPRIT, 2_110.0) is Verdict.REFUSED
--- a/tests/entry/peers/peer_fleet.py
+++ b/tests/entry/peers/peer_fleet.py
@@ -9,7 +9,12 @@
 
 from quetzaldeck.decisions.load_changes import LoadChanges
 from quetzaldeck.decisions.peer_load import PeerLoad, VmLoad
-from quetzaldeck.decisions.poison import CrashSighting, PoisonBounds, PoisonRegistry
+from quetzaldeck.decisions.poison import (
+    CrashSighting,
+    PoisonBounds,
+    PoisonRegistry,
+    RunSighting,
+)
 from quetzaldeck.decisions.relays import RelayBounds
 from quetzaldeck.entry.peers.crash_exchange import CrashExchange
 from quetzaldeck.entry.peers.greetings import (
@@ -78,6 +83,18 @@
         """Apply what another VM knows."""
         self._registry.observe(sightings, self._read_now_ms())
 
+    def pop_run_sightings(self) -> list[RunSighting]:
+        """:returns: runs to announce"""
+        return self._registry.ends.pop_changed_runs()
+
+    def list_run_state(self, max_runs: int) -> list[RunSighting]:
+        """:returns: runs to repeat"""
+        return self._registry.ends.list_runs(max_runs, self._read_now_ms())
+
+    def observe_runs(self, sightings: tuple[RunSighting, ...]) -> None:
+        """Apply what another VM knows of runs."""
+        self._registry.ends.observe_runs(sightings, self._read_now_ms())
+
 
 class PeerVm:
     """One VM, with its own loads at upstreams and those that the others announced."""
@@ -133,9 +150,10 @@
             self.own_loads.items(), now_ms, len(self.table)
         )
         crashes = self._crashes.take_announcements()
-        if changed or crashes:
+        runs = self._crashes.take_run_announcements()
+        if changed or crashes or runs:
             loads = [build_load_update(*entry) for entry in changed]
-            self.node.announce(now_ms, loads=loads, crashes=crashes)
+            self.node.announce(now_ms, loads=loads, crashes=crashes, runs=runs)
 
     def receive(
         self, message: PeerMessage, sender: str, now_ms: float
@@ -146,6 +164,7 @@
         """
         self.now_ms = now_ms
         self._crashes.observe(message.crashes)
+        self._crashes.observe_runs(message.runs)
         n_known = len(self.table)
         zone, capacity = message.availability_zone, message.capacity
         self.table.note_heard(sender, now_ms, zone, capacity)
@@ -161,6 +180,7 @@
             )
         for update in self.node.receive(message, sender, now_ms):
             self._crashes.observe(update.crashes)
+            self._crashes.observe_runs(update.runs)
             for load_update in update.loads:
                 load = read_load_update(load_update)
                 self.peer_loads.setdefault(load_update.upstream, PeerLoad()).update(
@@ -175,8 +195,14 @@
     def build_greeting(self, now_ms: float) -> PeerMessage:
         """:returns: a greeting"""
         known = self.table.sample_heard(now_ms)
-        crashes = self._crashes.list_updates()
-        return PeerMessage(self.vm, self.zone, self.capacity, known, crashes=crashes)
+        return PeerMessage(
+            self.vm,
+            self.zone,
+            self.capacity,
+            known,
+            crashes=self._crashes.list_updates(),
+            runs=self._crashes.list_run_updates(),
+        )
 
 
 class PeerFleet:
--- a/tests/entry/test_crash_checks.py
+++ b/tests/entry/test_crash_checks.py
@@ -11,9 +11,8 @@
 from prometheus_client import CollectorRegistry
 
 from quetzaldeck.clock import ManualClock
-from quetzaldeck.decisions.poison import PoisonBounds
+from quetzaldeck.decisions.poison import Liveness, PoisonBounds
 from quetzaldeck.entry.crash_checks import CrashChecks
-from quetzaldeck.entry.liveness import Liveness
 from quetzaldeck.gateway.messages import ObserveCheck
 from quetzaldeck.routing import Replica
 from quetzaldeck.telemetry import UpstreamMetrics
@@ -46,6 +45,11 @@
             bounds=BOUNDS,
         )
 
+    @property
+    def results(self) -> list[ObserveCheck]:
+        """:returns: the messages that say whether the replica lives"""
+        return [m for m in self.sent if m.liveness is not Liveness.UNKNOWN]
+
     async def _check(self, replica: Replica) -> Liveness:
         return self.answers.pop(0)
 
@@ -62,9 +66,9 @@
 @pytest.mark.parametrize(
     ("answer", "expected"),
     [
-        (Liveness.ENDED, [ObserveCheck("r0", has_ended=True, at_ms=BROKEN_MS)]),
-        (Liveness.ALIVE, [ObserveCheck("r0", has_ended=False, at_ms=BROKEN_MS)]),
-        (Liveness.UNKNOWN, []),
+        (Liveness.ENDED, [ObserveCheck("r0", Liveness.ENDED, BROKEN_MS)]),
+        (Liveness.ALIVE, [ObserveCheck("r0", Liveness.ALIVE, BROKEN_MS)]),
+        (Liveness.UNKNOWN, [ObserveCheck("r0", Liveness.UNKNOWN, BROKEN_MS)]),
     ],
 )
 def test_result_of_a_check_is_reported_unless_nothing_is_known(
@@ -91,10 +95,10 @@
     setting = Setting(Liveness.UNKNOWN)
     uvloop.run(setting.run())
     setting.checks.apply_replicas()
-    assert setting.sent == []
+    assert setting.results == []
     setting.replicas["next"] = REPLICA._replace(replica_id="next")
     setting.checks.apply_replicas()
-    assert setting.sent == [ObserveCheck("r0", has_ended=True, at_ms=BROKEN_MS)]
+    assert setting.results == [ObserveCheck("r0", Liveness.ENDED, BROKEN_MS)]
 
 
 def test_restart_under_the_same_id_proves_a_crash() -> None:
@@ -102,7 +106,7 @@
     uvloop.run(setting.run())
     setting.replicas["r0"] = REPLICA._replace(started_ms=5)
     setting.checks.apply_replicas()
-    assert [message.has_ended for message in setting.sent] == [True]
+    assert [message.liveness for message in setting.results] == [Liveness.ENDED]
 
 
 def test_incarnation_that_registers_long_after_proves_nothing() -> None:
@@ -112,11 +116,47 @@
     setting.clock.advance(PROOF_MS + 1.0)
     setting.replicas["next"] = REPLICA._replace(replica_id="next")
     setting.checks.apply_replicas()
-    assert setting.sent == []
+    assert setting.results == []
 
 
 def test_replica_that_leaves_does_not_crash() -> None:
     setting = Setting()
     setting.replicas["r0"] = REPLICA._replace(is_leaving=True)
     uvloop.run(setting.run())
-    assert [message.has_ended for message in setting.sent] == [False]
+    assert [message.liveness for message in setting.sent] == [Liveness.ALIVE]
+
+
+def test_restart_under_the_same_id_is_no_life_sign() -> None:
+    """The next incarnation answers the check, under the id of the one that ended."""
+    setting = Setting(Liveness.ALIVE)
+    replica = REPLICA._replace(started_ms=5)
+
+    async def restart() -> None:
+        task = asyncio.create_task(setting.checks.run())
+        setting.checks.note_broken(replica)
+        await asyncio.sleep(0.05)
+        setting.replicas["r0"] = replica._replace(started_ms=6)
+        setting.checks.apply_replicas()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    setting.replicas["r0"] = replica
+    uvloop.run(restart())
+    assert [message.liveness for message in setting.sent] == [Liveness.ENDED]
+
+
+def test_restart_that_is_known_before_the_break_proves_a_crash() -> None:
+    """A VM that was paused finds connections broken after the next one registered."""
+    setting = Setting(Liveness.ALIVE)
+    setting.replicas["r0"] = REPLICA._replace(started_ms=6)
+
+    async def wake() -> None:
+        task = asyncio.create_task(setting.checks.run())
+        setting.checks.note_broken(REPLICA._replace(started_ms=5))
+        await asyncio.sleep(0.05)
+        setting.checks.apply_replicas()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    uvloop.run(wake())
+    assert [message.liveness for message in setting.sent] == [Liveness.ENDED]
--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -98,6 +98,8 @@
 
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
+        if self._writer.transport.is_closing():
+            return
         sock = self._writer.get_extra_info("socket")
         linger = struct.pack("ii", 1, 0)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
