Run a suspect once at a time over all VMs, and tell them of it before its outcome

Callers saw: neighbours of a request that crashes replicas are refused with it, as both ran in the same three crashes; and what a VM had sent when it was killed counted for nobody. Cause: one copy and one suspect of a replica at a time held for each VM only, and a run was told when it had ended.

VMs tell each other when they send a suspect, when nobody waits for it any more, and when it has stopped. A suspect waits while another run of it is not settled, and is not sent to a replica that runs another suspect. If the replica ends and the VM that sent the suspect says nothing for 300 ms, it counts as on board. A request that ran in the same crashes as another one may run up to six times: alone, its next run tells which is to blame, so that the culprit is sent on once. Sightings that name the next incarnation of an id, 250 ms later, are another crash even within three seconds.

--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -84,6 +84,8 @@
             self._note_answered(request, end, upstreams, now_ms)
             return None
         name = end.upstream or upstreams[0]
+        for upstream in upstreams:
+            self._poison.note_stopped(request.fingerprint, upstream, now_ms)
         if end.fault in _UNSEEN_ENDS:
             others = [n for n in upstreams if n != name or end.fault is not _BROKEN]
             self.note_left(request, end.attempt_id, others, now_ms)
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -243,6 +243,14 @@
             )
             if placement.is_probe:
                 state.health.start_probe(attempt_id)
+            if is_suspect:
+                self._poison.note_started(
+                    request.fingerprint,
+                    name,
+                    state.incarnation,
+                    request.deadline_ms,
+                    now_ms,
+                )
         return placement.plan
 
     def list_helpers(self, attempt_id: str) -> tuple[str, ...]:
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -20,10 +20,11 @@
 
 
 class SuspectPlacer:
-    """Runs at most one suspected request of this VM per engine, and one copy of each.
+    """Runs at most one suspected request per engine, and one copy of each.
 
     If two suspects ran on an engine that crashes, the crash could be attributed to
-    neither of them.
+    neither of them. VMs tell each other of the suspects that they send; two that send
+    one in the same moment do not know it of each other.
 
     :param poison: registry of suspected requests
     :param candidates: filters upstreams by capacity
@@ -64,7 +65,9 @@
         """:returns: the placement of a suspect; ``None`` if it has to wait"""
         if self._running[request.fingerprint]:
             return None
-        free = [state for state in pool if not state.ledger.n_suspects]
+        if self._poison.is_held(request.fingerprint, now_ms):
+            return None
+        free = [state for state in pool if self._is_free(state, now_ms)]
         if not free:
             return None
         if self._plans.is_needed(request, pool):
@@ -81,6 +84,13 @@
         least_loaded = min(untried or candidates, key=_n_requests)
         return Placement((least_loaded.spec.name,))
 
+    def _is_free(self, state: UpstreamState, now_ms: float) -> bool:
+        """:returns: whether an upstream runs no suspect, of this VM or another one"""
+        return not (
+            state.ledger.n_suspects
+            or self._poison.runs_suspect(state.spec.name, now_ms)
+        )
+
 
 def _n_requests(state: UpstreamState) -> int:
     return state.n_requests()
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -16,7 +16,8 @@
         ends at the same time, and the next run alone shows whether it does harm
     :param max_crashes: takes the place of ``n_crashes`` while about as many upstreams
         crash without the request, since three may then be coincidence, as in a series
-        of crashes that reaches every upstream
+        of crashes that reaches every upstream; and for a request that ran in the same
+        crashes as another one: its next run, alone, shows which of them is to blame
     :param max_chance: crashes without the request raise the limit only if one run of
         it would be hit by such a crash with at least this probability
     :param wave_ms: crashes of other requests are counted from this long before the
@@ -29,12 +30,15 @@
         that does not answer checks
     :param linger_ms: how long an upstream may go on running a request after its
         connection was closed; most notice it sooner
+    :param settle_ms: how long after the end of a run it takes until all VMs know
+        whether the upstream has survived it
     :param answered_ms: how long an answer shows that a request does no harm
     :param alive_margin_ms: a report refutes a crash if it was measured at least this
         much later; the age of a report that came through other VMs omits part of its
         network delay
     :param same_crash_ms: sightings on one upstream within this time count as one crash,
         even if some name an older incarnation because they rest on an older report
+    :param min_restart_ms: least time between crashes of two incarnations of an upstream
     :param propagation_ms: longest pause before a suspect runs again, so that the other
         VMs learn of the crash first
     :param min_propagation_ms: shortest such pause; those of different requests lie
@@ -56,9 +60,11 @@
     unproven_ms: float = 10_000.0
     presumed_ms: float = 5_000.0
     linger_ms: float = 500.0
+    settle_ms: float = 300.0
     answered_ms: float = 60_000.0
     alive_margin_ms: float = 3_000.0
     same_crash_ms: float = 3_000.0
+    min_restart_ms: float = 250.0
     propagation_ms: float = 500.0
     min_propagation_ms: float = 250.0
     needs_proof: bool = False
--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -67,7 +67,9 @@
     ) -> Crash:
         """:returns: the crash of an upstream at a point in time, a new one if needed"""
         for crash in self._by_upstream.get(upstream, ()):
-            if abs(crash.at_ms - at_ms) <= self._bounds.same_crash_ms:
+            if abs(crash.at_ms - at_ms) > self._bounds.same_crash_ms:
+                continue
+            if not self._is_next_incarnation(crash, incarnation, at_ms):
                 return crash
         crash = Crash(upstream, incarnation, at_ms, is_proven=is_proven)
         self._crashes[crash] = None
@@ -76,6 +78,19 @@
             self.drop(self._find_least_useful())
         return crash
 
+    def _is_next_incarnation(
+        self, crash: Crash, incarnation: str, at_ms: float
+    ) -> bool:
+        """:returns: whether an incarnation started after the one that crashed
+
+        Incarnations that are no start times have no order. A sighting that names an
+        earlier one may rest on an older report.
+        """
+        if not (crash.incarnation.isdecimal() and incarnation.isdecimal()):
+            return False
+        is_later = at_ms - crash.at_ms >= self._bounds.min_restart_ms
+        return is_later and int(incarnation) > int(crash.incarnation)
+
     def add(self, fingerprint: int, crash: Crash, involvement: Involvement) -> None:
         """Record that a request ran in a crash.
 
--- a/src/quetzaldeck/decisions/poison/open_runs.py
+++ b/src/quetzaldeck/decisions/poison/open_runs.py
@@ -1,10 +1,13 @@
-"""Runs of requests that nobody waits for any more, by the upstream that ran them.
+"""Runs of requests whose end nobody has seen, by the upstream that runs them.
 
 Failure scenario: a caller leaves, or its deadline passes, while an upstream runs its
 request; the upstream ends a moment later. The connection was closed before, so no
 attempt shows that the request was on board. If callers of a request that crashes
 upstreams do not stay, none of its crashes would count.
 
+The same holds for a suspect that another VM has sent: that VM may be killed before it
+can tell what became of the request. So VMs tell each other of the runs of suspects.
+
 A run is open until its upstream is known to have lived after the time in which it may
 have run. If the upstream ends before, the request ran in that crash.
 """
@@ -27,6 +30,9 @@
     :param sent_ms: when it was sent
     :param until_ms: until when the upstream may run it
     :param was_answered: whether it had been answered a moment before it was sent
+    :param is_own: whether this VM has sent it
+    :param is_awaited: whether the VM that has sent it still waits for the answer, and
+        would tell how it ends
     """
 
     fingerprint: int
@@ -35,6 +41,8 @@
     sent_ms: float
     until_ms: float
     was_answered: bool = False
+    is_own: bool = True
+    is_awaited: bool = False
 
 
 class OpenRuns:
@@ -65,7 +73,10 @@
         runs = self._by_upstream.setdefault(run.upstream, OrderedDict())
         known = runs.get(run.fingerprint)
         if known is not None and known.incarnation == run.incarnation:
-            run = run._replace(sent_ms=min(known.sent_ms, run.sent_ms))
+            run = run._replace(
+                sent_ms=min(known.sent_ms, run.sent_ms),
+                is_own=known.is_own or run.is_own,
+            )
         runs[run.fingerprint] = run
         runs.move_to_end(run.fingerprint)
         self._upstreams.setdefault(run.fingerprint, set()).add(run.upstream)
@@ -97,12 +108,15 @@
     def pop(self, upstream: str, incarnation: str) -> list[OpenRun]:
         """:returns: the runs on an incarnation that has ended, removed
 
+        Those of this VM that are awaited stay: their attempts show how they end.
+
         :param incarnation: ``""`` if it is not known
         """
         runs = [
             run
             for run in self.list_of(upstream)
-            if not (incarnation and run.incarnation and run.incarnation != incarnation)
+            if not (run.is_own and run.is_awaited)
+            and not (incarnation and run.incarnation and run.incarnation != incarnation)
         ]
         for run in runs:
             self.discard(run.fingerprint, upstream)
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -42,7 +42,7 @@
 from quetzaldeck.decisions.poison.crash_table import CrashTable
 from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
-from quetzaldeck.decisions.poison.sighting import CrashSighting
+from quetzaldeck.decisions.poison.sighting import CrashSighting, RunState
 from quetzaldeck.decisions.poison.upstream_ends import UpstreamEnds
 
 if TYPE_CHECKING:
@@ -124,7 +124,7 @@
         if fingerprint not in self._table:
             return Verdict.CLEAR
         n_crashes = self.n_crashes(fingerprint, now_ms)
-        if n_crashes >= self._limit.find(fingerprint, n_crashes):
+        if n_crashes >= self._find_limit(fingerprint, n_crashes):
             return Verdict.REFUSED
         is_suspect = n_crashes or self._has_unproven(fingerprint, now_ms)
         return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
@@ -169,7 +169,7 @@
         """:returns: a request that is refused, and why; ``None`` if it is not"""
         if self.verdict(fingerprint, now_ms) is not Verdict.REFUSED:
             return None
-        limit = self._limit.find(fingerprint, self.n_crashes(fingerprint, now_ms))
+        limit = self._find_limit(fingerprint, self.n_crashes(fingerprint, now_ms))
         own = self._table.find(fingerprint).items()
         counted = [(item.seen_ms, crash) for crash, item in own if crash.is_proven]
         seen_ms = sorted(at_ms for at_ms, _ in counted)
@@ -220,15 +220,66 @@
         run = OpenRun(
             fingerprint, upstream, incarnation, sent_ms, until_ms, was_answered
         )
+        self._open_run(run, now_ms)
+
+    def note_started(
+        self,
+        fingerprint: int,
+        upstream: str,
+        incarnation: str,
+        deadline_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Record that this VM sends a suspect to an upstream, and announce it."""
+        was_answered = self._was_answered(fingerprint, now_ms)
+        run = OpenRun(
+            fingerprint,
+            upstream,
+            incarnation,
+            now_ms,
+            deadline_ms,
+            was_answered,
+            is_awaited=True,
+        )
+        self._open_run(run, now_ms)
+
+    def note_stopped(self, fingerprint: int, upstream: str, now_ms: float) -> None:
+        """Record that an upstream does not run a request of this VM any longer."""
+        run = self._runs.discard(fingerprint, upstream)
+        if run is not None:
+            self._ends.announce_run(run, RunState.CLOSED, now_ms)
+
+    def is_held(self, fingerprint: int, now_ms: float) -> bool:
+        """:returns: whether a suspect has to wait for the outcome of another run"""
+        runs = self._runs.find(fingerprint)
+        return any(run.until_ms + self._bounds.settle_ms > now_ms for run in runs)
+
+    def runs_suspect(self, upstream: str, now_ms: float) -> bool:
+        """:returns: whether an upstream runs a suspect, of this VM or another one"""
+        return any(
+            run.until_ms > now_ms
+            and self.verdict(run.fingerprint, now_ms) is not Verdict.CLEAR
+            for run in self._runs.list_of(upstream)
+        )
+
+    def _open_run(self, run: OpenRun, now_ms: float) -> None:
         self._runs.expire(now_ms)
         self._runs.note(run)
+        if self.verdict(run.fingerprint, now_ms) is not Verdict.CLEAR:
+            self._ends.announce_run(run, RunState.OPEN, now_ms)
 
     def find_due_check_ms(self, upstream: str) -> float | None:
-        """:returns: when the first open run on an upstream ends; ``None``: has none
+        """:returns: when the first open run of this VM on an upstream ends
 
-        Whether the upstream has survived it can be found out from then on.
+        Whether the upstream has survived it can be found out from then on. ``None``:
+        there is none.
         """
-        return min((run.until_ms for run in self._runs.list_of(upstream)), default=None)
+        own = [
+            run.until_ms
+            for run in self._runs.list_of(upstream)
+            if run.is_own and not run.is_awaited
+        ]
+        return min(own, default=None)
 
     def note_answered(self, fingerprint: int, now_ms: float) -> bool:
         """Clear a request that an upstream answered.
@@ -323,6 +374,24 @@
     def _n_proven(self, fingerprint: int) -> int:
         return sum(crash.is_proven for crash in self._table.find(fingerprint))
 
+    def _find_limit(self, fingerprint: int, n_crashes: int) -> int:
+        limit = self._limit.find(fingerprint, n_crashes)
+        if n_crashes >= limit == self._bounds.n_crashes and self._is_tied(fingerprint):
+            return self._bounds.max_crashes
+        return limit
+
+    def _is_tied(self, fingerprint: int) -> bool:
+        """:returns: whether another request may be to blame for all its crashes
+
+        One that had been answered before it ran in them is less likely to be.
+        """
+        crashes = [c for c in self._table.find(fingerprint) if c.is_proven]
+        others = set.intersection(*(crash.fingerprints for crash in crashes))
+        return any(
+            not any(item.was_answered for item in self._table.find(other).values())
+            for other in others - {fingerprint}
+        )
+
     def _highest_crash_count(self, crash: Crash) -> int:
         """:returns: most crashes that any one request of ``crash`` was in"""
         return max(self._n_proven(other) for other in crash.fingerprints)
--- a/src/quetzaldeck/decisions/poison/sighting.py
+++ b/src/quetzaldeck/decisions/poison/sighting.py
@@ -45,6 +45,7 @@
     :param remaining_ms: time until the upstream can't run it any longer; negative if
         that has passed
     :param was_answered: whether it had been answered a moment before
+    :param is_awaited: whether the VM that sent it still waits for the answer
     """
 
     fingerprint: int
@@ -54,6 +55,7 @@
     remaining_ms: float
     state: RunState
     was_answered: bool = False
+    is_awaited: bool = False
 
 
 __all__ = ("CrashSighting", "RunSighting", "RunState")
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions.poison.crash import Involvement
+from quetzaldeck.decisions.poison.open_runs import OpenRun
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import RunSighting, RunState
 
@@ -23,7 +24,7 @@
     from quetzaldeck.decisions.poison.bounds import PoisonBounds
     from quetzaldeck.decisions.poison.crash import Crash
     from quetzaldeck.decisions.poison.crash_table import CrashTable
-    from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
+    from quetzaldeck.decisions.poison.open_runs import OpenRuns
 
 
 class PresumedCrash(NamedTuple):
@@ -58,6 +59,7 @@
         self._unannounced = unannounced
         self._survived: RecentTimes[str] = RecentTimes(bounds.max_crashes_held)
         self._changed: dict[tuple[int, str], RunSighting] = {}
+        self._unconfirmed: dict[tuple[int, str], tuple[OpenRun, float]] = {}
 
     def note_ended(self, upstream: str, at_ms: float, incarnation: str = "") -> None:
         """Record proof that an upstream has crashed.
@@ -118,6 +120,17 @@
             if crash.is_presumed:
                 self._announce(crash, RunState.MISSING, checked_ms)
 
+    def advance(self, now_ms: float) -> None:
+        """Count runs on upstreams that have ended, of VMs that do not tell of them.
+
+        A VM that lives tells at once whether its request was on board, or never reached
+        the upstream.
+        """
+        for key, (run, ended_ms) in tuple(self._unconfirmed.items()):
+            if now_ms >= ended_ms + self._bounds.settle_ms:
+                del self._unconfirmed[key]
+                self._count(run, ended_ms)
+
     def list_presumed(self) -> list[PresumedCrash]:
         """:returns: the crashes of which it has to be found out whether they are any"""
         return [
@@ -145,11 +158,43 @@
         """Merge what other VMs know, which may be late, repeated or known."""
         for sighting in sightings:
             match sighting.state:
+                case RunState.OPEN:
+                    self._observe_open(sighting, now_ms)
                 case RunState.MISSING:
                     self._observe_missing(sighting, now_ms)
                 case RunState.CLOSED:
                     self._observe_closed(sighting)
 
+    def announce_run(self, run: OpenRun, state: RunState, now_ms: float) -> None:
+        """Tell the other VMs of a run of this one."""
+        sighting = RunSighting(
+            run.fingerprint,
+            run.upstream,
+            run.incarnation,
+            now_ms - run.sent_ms,
+            run.until_ms - now_ms,
+            state,
+            run.was_answered,
+            run.is_awaited,
+        )
+        self._changed[run.fingerprint, run.upstream] = sighting
+
+    def _observe_open(self, sighting: RunSighting, now_ms: float) -> None:
+        until_ms = now_ms + sighting.remaining_ms
+        if self._survived.find(sighting.upstream) >= until_ms:
+            return
+        run = OpenRun(
+            sighting.fingerprint,
+            sighting.upstream,
+            sighting.incarnation,
+            now_ms - sighting.age_ms,
+            until_ms,
+            sighting.was_answered,
+            is_own=False,
+            is_awaited=sighting.is_awaited,
+        )
+        self._runs.note(run)
+
     def _observe_missing(self, sighting: RunSighting, now_ms: float) -> None:
         """Presume a crash, unless its upstream is known to have lived since."""
         ended_ms = now_ms + min(0.0, sighting.remaining_ms)
@@ -164,6 +209,8 @@
         self._table.prove(crash, is_presumed=True)
 
     def _observe_closed(self, sighting: RunSighting) -> None:
+        self._unconfirmed.pop((sighting.fingerprint, sighting.upstream), None)
+        self._runs.discard(sighting.fingerprint, sighting.upstream)
         for crash in self._table.list_of(sighting.upstream):
             if crash.is_presumed and crash.incarnation == sighting.incarnation:
                 self._table.drop(crash)
@@ -171,9 +218,15 @@
     def _close_runs(self, upstream: str, incarnation: str, ended_ms: float) -> None:
         """Count the end of an upstream against the open runs on it."""
         for run in self._runs.pop(upstream, incarnation):
-            crash = self._add(run, min(run.until_ms, max(run.sent_ms, ended_ms)))
-            self._table.prove(crash)
-            self._unannounced.add(run.fingerprint)
+            run_ended_ms = min(run.until_ms, max(run.sent_ms, ended_ms))
+            if run.is_awaited:
+                self._unconfirmed[run.fingerprint, upstream] = run, run_ended_ms
+            else:
+                self._count(run, run_ended_ms)
+
+    def _count(self, run: OpenRun, ended_ms: float) -> None:
+        self._table.prove(self._add(run, ended_ms))
+        self._unannounced.add(run.fingerprint)
 
     def _add(self, run: OpenRun, ended_ms: float) -> Crash:
         """:returns: the crash in which a run ended, or may have"""
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -222,6 +222,7 @@
         """:returns: decisions to carry out now: rejections first, then dispatches"""
         now_ms = self._clock.now_ms()
         self._waiting.end_delays(now_ms)
+        self._poison.ends.advance(now_ms)
         decisions: list[Decision] = list(self._sweep.run(now_ms))
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
@@ -319,8 +320,12 @@
         return latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
 
     def _note_left(self, tracked: TrackedRequest, now_ms: float) -> None:
-        """Record a running attempt that was sent and whose answer nobody awaits."""
-        if not tracked.attempt_id or tracked.dispatched_ms > now_ms:
+        """Record a running attempt whose answer nobody awaits any more."""
+        if not tracked.attempt_id:
+            return
+        if tracked.dispatched_ms > now_ms:
+            for name in tracked.upstreams:
+                self._poison.note_stopped(tracked.request.fingerprint, name, now_ms)
             return
         self._monitor.note_left(
             tracked.request, tracked.attempt_id, tracked.upstreams, now_ms
--- a/src/quetzaldeck/entry/peers/crash_exchange.py
+++ b/src/quetzaldeck/entry/peers/crash_exchange.py
@@ -26,7 +26,7 @@
 MAX_LISTED_RUNS = 3
 """Runs in one greeting."""
 
-MAX_CRASHES_TO_NEW_VM = 60
+MAX_CRASHES_TO_NEW_VM = 120
 """Crashes that each VM tells a new one at once; the others come with greetings."""
 
 
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -67,6 +67,7 @@
     remaining_ms: float
     state: RunState
     was_answered: bool = False
+    is_awaited: bool = False
 
 
 class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -253,6 +254,7 @@
         round(sighting.remaining_ms, N_AGE_DIGITS),
         sighting.state,
         sighting.was_answered,
+        sighting.is_awaited,
     )
 
 
@@ -266,6 +268,7 @@
         update.remaining_ms,
         update.state,
         update.was_answered,
+        update.is_awaited,
     )
 
 
--- a/tests/decisions/poison/test_open_runs.py
+++ b/tests/decisions/poison/test_open_runs.py
@@ -86,6 +86,17 @@
     assert len(registry) == BOUNDS.max_open_runs
 
 
+def test_restart_within_seconds_that_crashes_again_counts_twice() -> None:
+    """A replica starts again under its id at once, and the request ends it again."""
+    registry = PoisonRegistry(BOUNDS)
+    for index in range(3):
+        at_ms = index * 400.0
+        registry.note_crash(CULPRIT, "e0", str(1_000 + index), at_ms)
+        registry.note_crash(CULPRIT, "e0", "1000", at_ms + 5.0)
+    assert registry.verdict(CULPRIT, 1_000.0) is Verdict.REFUSED
+    assert registry.n_crashes(CULPRIT, 1_000.0) == 3
+
+
 def test_runs_on_the_next_incarnation_are_not_counted_with_an_earlier_one() -> None:
     """The proof of a crash comes after the replica has started again under its id."""
     registry = PoisonRegistry(BOUNDS)
