Let replicas of the soak end in silence or behind resets, and callers of culprits leave

A replica that a culprit ends refuses connections and starts again at its address, as before, or its address resets or is silent, its entry expires after 2.5 to 3.6 s, and another one starts elsewhere. Of a culprit's copies none, half or nine in ten are left by their callers within 20 ms; a copy runs for 8 ms.

--- a/tests/soak/entry/culprits.py
+++ b/tests/soak/entry/culprits.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from tests.soak.entry.history import Culprit
+from tests.soak.entry.world import Ending
 from tests.support.platform.site import HOST
 
 if TYPE_CHECKING:
@@ -19,6 +20,12 @@
 
 MEAN_INTERVAL_S = 0.3
 DEADLINE_MS = 800
+LEAVING_SHARES = (0.0, 0.5, 0.9)
+"""Shares of the copies whose callers leave; one is drawn for each culprit."""
+
+MAX_STAY_MS = 20.0
+"""Longest time for which such a caller stays; a copy runs for 8 ms."""
+
 REFUSED = b"poison_suspected"
 """Reason that a VM gives if it takes a request for one that crashes replicas."""
 
@@ -47,6 +54,8 @@
         culprit = Culprit(path, body, world.keys[key])
         self._name = f"culprit {number} {path}"
         world.culprits[culprit] = self._name
+        world.endings[self._name] = random_state.choice(list(Ending))
+        self._leaving_share = random_state.choice(LEAVING_SHARES)
         self._copy = _Sent(path, body, key)
         self._neighbours = (
             self._copy._replace(key=other),
@@ -62,7 +71,8 @@
                 vms = [vm for vm in self._world.vms if vm.is_in_rotation]
                 n_copies = min(len(vms), self._random_state.randint(1, MAX_COPIES))
                 for vm in self._random_state.sample(vms, n_copies):
-                    group.create_task(self._call(client, vm, self._copy))
+                    stay_ms = self._draw_stay_ms()
+                    group.create_task(self._call(client, vm, self._copy, stay_ms))
                 for neighbour in self._neighbours if vms else ():
                     vm = self._random_state.choice(vms)
                     group.create_task(self._call_neighbour(client, vm, neighbour))
@@ -77,8 +87,18 @@
             finding = f"{vm.name} took {neighbour} for {self._name}"
             self._world.history.false_refusals.append(finding)
 
+    def _draw_stay_ms(self) -> float:
+        """:returns: how long the caller of a copy stays"""
+        if self._random_state.random() >= self._leaving_share:
+            return 2.0 * DEADLINE_MS
+        return self._random_state.uniform(1.0, MAX_STAY_MS)
+
     async def _call(
-        self, client: aiohttp.ClientSession, vm: SoakVm, sent: _Sent
+        self,
+        client: aiohttp.ClientSession,
+        vm: SoakVm,
+        sent: _Sent,
+        stay_ms: float = 2.0 * DEADLINE_MS,
     ) -> bytes:
         """:returns: the body of the answer; empty if there was none"""
         headers = {
@@ -92,7 +112,7 @@
         url = f"http://{vm.address}{sent.path}"
         try:
             async with (
-                asyncio.timeout(2 * DEADLINE_MS / 1_000),
+                asyncio.timeout(stay_ms / 1_000),
                 client.post(url, data=sent.body or None, headers=headers) as response,
             ):
                 return await response.read()
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -108,7 +108,7 @@
         if self._world.replicas[self.replica_id] is self and not self._has_crashed:
             self._has_crashed = True
             crashes.crashes_ms[culprit].append(now_ms())
-            self._world.crash_replica(self.replica_id)
+            self._world.crash_replica(self.replica_id, self._world.endings[culprit])
 
     async def _answer(self, arrival: Arrival, connection: Connection) -> None:
         await asyncio.sleep(self._pace * RUN_MS / 1_000)
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -6,13 +6,14 @@
 import random
 import time
 from contextlib import AsyncExitStack
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 import yaml
 from tests.ports import choose_port
 from tests.soak.entry.history import Culprit, History, now_ms
 from tests.soak.entry.replicas import SoakReplica
-from tests.soak.own.link import Link
+from tests.soak.own.link import Link, LinkMode
 from tests.support.platform.site import (
     DESK,
     ENGINES,
@@ -33,9 +34,26 @@
 FREE_MS = 1_500.0
 RESTART_S = (0.5, 1.5)
 """How long a replica takes to start again after a crash."""
+EXPIRY_S = (2.5, 3.6)
+"""Time after which the store removes the entry of a replica that has ended."""
 KEEPS_ID_PROBABILITY = 0.3
 
 
+class Ending(StrEnum):
+    """What is left at the address of a replica that has crashed.
+
+    ``REFUSES``: nothing listens there until it starts again. ``RESETS`` and ``SILENT``:
+    connections are accepted and reset, or get no answer, and it starts elsewhere.
+    """
+
+    REFUSES = "refuses"
+    RESETS = "resets"
+    SILENT = "silent"
+
+
+_LINK_MODES = {Ending.RESETS: LinkMode.CUT, Ending.SILENT: LinkMode.SILENT}
+
+
 class SoakVm:
     """One entry VM: its process, its addresses and its link to the store."""
 
@@ -93,6 +111,7 @@
         self.links: dict[str, Link] = {}
         self.services: dict[str, str] = {}
         self.culprits: dict[Culprit, str] = {}
+        self.endings: dict[str, Ending] = {}
         self._ended: set[str] = set()
         self._started_ms: dict[str, int] = {}
         self._restarts: set[asyncio.Task[None]] = set()
@@ -129,12 +148,20 @@
         gone = self._ended | self.history.leaving_ms.keys()
         return [replica_id for replica_id in self.replicas if replica_id not in gone]
 
-    def crash_replica(self, replica_id: str) -> None:
-        """End a replica as a crash does; it starts again after a while."""
+    def crash_replica(self, replica_id: str, ending: Ending = Ending.REFUSES) -> None:
+        """End a replica as a crash does; it starts again after a while.
+
+        :param ending: what is left at its address
+        """
         self._ended.add(replica_id)
         self.replicas[replica_id].reserved_until_ms.clear()
-        self.links[replica_id].stop_listening()
-        task = asyncio.create_task(self._restart_replica(replica_id))
+        if ending is Ending.REFUSES:
+            self.links[replica_id].stop_listening()
+            restart = self._restart_replica(replica_id)
+        else:
+            self.links[replica_id].set_mode(_LINK_MODES[ending])
+            restart = self._replace_replica(replica_id)
+        task = asyncio.create_task(restart)
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
 
@@ -159,6 +186,13 @@
             await asyncio.sleep(self.random_state.uniform(0.0, 1.0))
             self.store.delete(f"servers/{before}")
 
+    async def _replace_replica(self, before: str) -> None:
+        """Start a replica elsewhere; the entry of the one before expires."""
+        await asyncio.sleep(self.random_state.uniform(*RESTART_S))
+        await self.add_replica(self.services[before])
+        await asyncio.sleep(self.random_state.uniform(*EXPIRY_S) - RESTART_S[0])
+        self.store.delete(f"servers/{before}")
+
     def new_call_number(self) -> int:
         """:returns: a number that no other call of a culprit's caller has"""
         self._n_calls += 1
@@ -231,4 +265,12 @@
         return path
 
 
-__all__ = ("FREE_MS", "GRACE_S", "LEAVING_MS", "REVOCATION_MS", "SoakVm", "SoakWorld")
+__all__ = (
+    "FREE_MS",
+    "GRACE_S",
+    "LEAVING_MS",
+    "REVOCATION_MS",
+    "Ending",
+    "SoakVm",
+    "SoakWorld",
+)
