Drop a presumed crash only if its upstream is known to live

One word told the other VMs that a run had ended and that an upstream had survived: a failed attempt of any suspect at a silent replica dropped, on all VMs, what was presumed of the request that had ended it.

--- a/src/quetzaldeck/decisions/poison/sighting.py
+++ b/src/quetzaldeck/decisions/poison/sighting.py
@@ -30,11 +30,13 @@
     """What is known of a run.
 
     ``OPEN``: the request may run. ``MISSING``: it may have run on an upstream that does
-    not answer checks. ``CLOSED``: it ended, or its upstream has survived it.
+    not answer checks. ``SURVIVED``: that upstream is known to live after all.
+    ``CLOSED``: the run has ended.
     """
 
     OPEN = "open"
     MISSING = "missing"
+    SURVIVED = "survived"
     CLOSED = "closed"
 
 
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -86,7 +86,7 @@
         for crash in self._table.list_of(upstream):
             if not crash.is_certain and crash.at_ms <= measured_ms:
                 if crash.is_presumed:
-                    self._announce(crash, RunState.CLOSED, measured_ms)
+                    self._announce(crash, RunState.SURVIVED, measured_ms)
                 self._table.drop(crash)
 
     def note_alive(self, upstream: str, incarnation: str, measured_ms: float) -> None:
@@ -162,6 +162,8 @@
                     self._observe_open(sighting, now_ms)
                 case RunState.MISSING:
                     self._observe_missing(sighting, now_ms)
+                case RunState.SURVIVED:
+                    self._observe_survived(sighting)
                 case RunState.CLOSED:
                     self._observe_closed(sighting)
 
@@ -211,6 +213,9 @@
     def _observe_closed(self, sighting: RunSighting) -> None:
         self._unconfirmed.pop((sighting.fingerprint, sighting.upstream), None)
         self._runs.discard(sighting.fingerprint, sighting.upstream)
+
+    def _observe_survived(self, sighting: RunSighting) -> None:
+        self._observe_closed(sighting)
         for crash in self._table.list_of(sighting.upstream):
             if crash.is_presumed and crash.incarnation == sighting.incarnation:
                 self._table.drop(crash)
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -73,12 +73,22 @@
         assert registry.verdict(CULPRIT, 10.0) is Verdict.REFUSED
     registries[0].ends.note_survived("e0", 500.0)
     closed = registries[0].ends.pop_changed_runs()
-    assert {run.state for run in closed} == {RunState.CLOSED}
+    assert {run.state for run in closed} == {RunState.SURVIVED}
     for registry in registries[1:]:
         registry.ends.observe_runs(closed, 510.0)
         assert registry.verdict(CULPRIT, 510.0) is Verdict.SUSPECT
 
 
+def test_end_of_another_run_does_not_refute_a_presumed_crash() -> None:
+    """A neighbour's attempt fails on the replica that the culprit has ended."""
+    registry, other = PoisonRegistry(BOUNDS), PoisonRegistry(BOUNDS)
+    lose(registry, "e0", 0.0)
+    other.note_started(CULPRIT + 1, "e0", "", 900.0, 400.0)
+    other.note_stopped(CULPRIT + 1, "e0", 410.0)
+    registry.ends.observe_runs(other.ends.pop_changed_runs(), 420.0)
+    assert registry.n_crashes(CULPRIT, 420.0) == 1
+
+
 def test_vm_that_hears_the_upstream_does_not_presume_its_crash() -> None:
     """One VM is cut off from replicas that answer the others."""
     registry = PoisonRegistry(BOUNDS)
