Blame a presumed crash on all that its upstream ran until the check

Cause: an open run is counted once its time is over, and each further copy of a request extends that time. A request that is sent over and over to a silent upstream was counted last; until then its neighbours, sent once, stood alone in the crash and were refused after three.

Once an upstream is presumed crashed, all that was sent to it before the check may have been on board, so it is counted at the same time. An upstream that is busy with a request is still not presumed crashed by that request alone.

The test fails without the change.

--- a/src/quetzaldeck/decisions/poison/open_runs.py
+++ b/src/quetzaldeck/decisions/poison/open_runs.py
@@ -122,9 +122,28 @@
             self.discard(run.fingerprint, upstream)
         return runs
 
+    def list_ended(self, upstream: str, now_ms: float) -> list[OpenRun]:
+        """:returns: the runs on an upstream that have ended by themselves"""
+        return [run for run in self.list_of(upstream) if run.until_ms <= now_ms]
+
     def pop_ended(self, upstream: str, now_ms: float) -> list[OpenRun]:
         """:returns: the runs on an upstream that have ended by themselves, removed"""
-        runs = [run for run in self.list_of(upstream) if run.until_ms <= now_ms]
+        runs = self.list_ended(upstream, now_ms)
+        for run in runs:
+            self.discard(run.fingerprint, upstream)
+        return runs
+
+    def pop_sent(self, upstream: str, checked_ms: float) -> list[OpenRun]:
+        """:returns: the runs that began on an upstream until a check, removed
+
+        Those that are awaited stay unless they have ended: it is known later how.
+        """
+        runs = [
+            run
+            for run in self.list_of(upstream)
+            if run.until_ms <= checked_ms
+            or (run.sent_ms <= checked_ms and not run.is_awaited)
+        ]
         for run in runs:
             self.discard(run.fingerprint, upstream)
         return runs
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -110,9 +110,13 @@
 
         :param checked_ms: when the check began
         """
-        for run in self._runs.pop_ended(upstream, checked_ms):
-            if self._add(run, run.until_ms).is_certain:
-                self._unannounced.add(run.fingerprint)
+        presumed = [
+            crash
+            for crash in self._table.list_of(upstream)
+            if crash.at_ms <= checked_ms
+        ]
+        if presumed or self._runs.list_ended(upstream, checked_ms):
+            self._presume_runs(upstream, checked_ms)
         for crash in self._table.list_of(upstream):
             if crash.at_ms > checked_ms:
                 continue
@@ -120,6 +124,16 @@
             if crash.is_presumed:
                 self._announce(crash, RunState.MISSING, checked_ms)
 
+    def _presume_runs(self, upstream: str, checked_ms: float) -> None:
+        """Count the crash of an upstream against all that it ran until a check.
+
+        Also against what might have run for longer: a request that is sent over and
+        over always has a copy that might, and its neighbours would take the blame.
+        """
+        for run in self._runs.pop_sent(upstream, checked_ms):
+            if self._add(run, min(run.until_ms, checked_ms)).is_certain:
+                self._unannounced.add(run.fingerprint)
+
     def advance(self, now_ms: float) -> None:
         """Count runs on upstreams that have ended, of VMs that do not tell of them.
 
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -130,3 +130,19 @@
     started = PoisonRegistry(BOUNDS)
     started.ends.observe_runs(registry.ends.list_runs(8, 2_100.0), 2_110.0)
     assert started.verdict(CULPRIT, 2_110.0) is Verdict.REFUSED
+
+
+NEIGHBOUR = 8
+
+
+def test_request_that_is_sent_over_and_over_is_blamed_with_its_neighbours() -> None:
+    """Guards against refusing a neighbour while a copy of the culprit may still run."""
+    registry = PoisonRegistry(BOUNDS)
+    for index in range(BOUNDS.n_crashes):
+        name, at_ms = f"e{index}", index * 2_000.0
+        registry.note_left(CULPRIT, name, "", at_ms, at_ms + 40.0)
+        registry.note_left(NEIGHBOUR, name, "", at_ms, at_ms + 40.0)
+        registry.note_left(CULPRIT, name, "", at_ms + 200.0, at_ms + 240.0)
+        registry.ends.note_missing(name, at_ms + 60.0 + LINGER_MS)
+        assert registry.verdict(NEIGHBOUR, at_ms + 700.0) is Verdict.SUSPECT
+        assert registry.verdict(CULPRIT, at_ms + 700.0) is Verdict.SUSPECT
