Count the crash of an upstream that stays silent once

Cause: sightings within three seconds are one crash. A replica that is silent for longer goes on being presumed crashed, and each request that was sent to it later and got no answer opened another crash of it.

The test fails without the change.

--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -65,9 +65,13 @@
     def open(
         self, upstream: str, incarnation: str, at_ms: float, *, is_proven: bool
     ) -> Crash:
-        """:returns: the crash of an upstream at a point in time, a new one if needed"""
+        """:returns: the crash of an upstream at a point in time, a new one if needed
+
+        An upstream that is presumed crashed can't crash again until it has been heard.
+        """
         for crash in self._by_upstream.get(upstream, ()):
-            if abs(crash.at_ms - at_ms) > self._bounds.same_crash_ms:
+            is_open = crash.is_presumed and at_ms >= crash.at_ms
+            if not is_open and abs(crash.at_ms - at_ms) > self._bounds.same_crash_ms:
                 continue
             if not self._is_next_incarnation(crash, incarnation, at_ms):
                 return crash
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -146,3 +146,12 @@
         registry.ends.note_missing(name, at_ms + 60.0 + LINGER_MS)
         assert registry.verdict(NEIGHBOUR, at_ms + 700.0) is Verdict.SUSPECT
         assert registry.verdict(CULPRIT, at_ms + 700.0) is Verdict.SUSPECT
+
+
+def test_upstream_that_stays_silent_has_crashed_once() -> None:
+    """Guards against counting each request that is still sent there as a crash."""
+    registry = PoisonRegistry(BOUNDS)
+    for index in range(BOUNDS.n_crashes):
+        lose(registry, "e0", index * (BOUNDS.same_crash_ms + 1.0))
+    now_ms = BOUNDS.n_crashes * BOUNDS.same_crash_ms
+    assert registry.n_crashes(CULPRIT, now_ms) == 1
