Count a request in a crash from when its first copy was sent

Cause: of two copies of a request on one upstream only the one whose connection broke first was kept, also if the other had been sent before. A copy that is sent to an address that resets breaks at once, while the one that crashed the replica is followed up only later, if its caller left. Its VM then told the others of the later copy, and they dropped it: it was sent after the crash. So the culprit had no part in the crash there, and its neighbours took the blame.

Both are kept as one now: seen when the first of them ended, running since the first of them was sent. Two sightings of one run merge to the same.

The test fails without the change.

--- a/src/quetzaldeck/decisions/poison/crash.py
+++ b/src/quetzaldeck/decisions/poison/crash.py
@@ -56,5 +56,21 @@
     run_ms: float | None = None
     was_answered: bool = False
 
+    def merge(self, other: Involvement) -> Involvement:
+        """:returns: what two copies of the request show, or two sightings of one
+
+        It counts from when the first copy was sent: later ones may have been sent to an
+        upstream that had ended.
+        """
+        first, last = sorted((self, other), key=_seen_ms_of)
+        if first.run_ms is None or last.run_ms is None:
+            return first._replace(run_ms=None)
+        sent_ms = min(first.seen_ms - first.run_ms, last.seen_ms - last.run_ms)
+        return first._replace(run_ms=first.seen_ms - sent_ms)
+
+
+def _seen_ms_of(involvement: Involvement) -> float:
+    return involvement.seen_ms
+
 
 __all__ = ("Crash", "Involvement")
--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -110,8 +110,7 @@
         self._changed.add(fingerprint)
         known = self._by_request.setdefault(fingerprint, {})
         before = known.get(crash)
-        if before is None or involvement.seen_ms < before.seen_ms:
-            known[crash] = involvement
+        known[crash] = involvement if before is None else before.merge(involvement)
         crash.fingerprints.add(fingerprint)
         self._by_request.move_to_end(fingerprint)
         while len(self._by_request) > self._bounds.max_fingerprints:
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -155,3 +155,15 @@
         lose(registry, "e0", index * (BOUNDS.same_crash_ms + 1.0))
     now_ms = BOUNDS.n_crashes * BOUNDS.same_crash_ms
     assert registry.n_crashes(CULPRIT, now_ms) == 1
+
+
+def test_copy_that_an_ended_upstream_resets_does_not_hide_the_one_before() -> None:
+    """Guards against telling other VMs of a run that began after the crash only."""
+    own, other = PoisonRegistry(BOUNDS), PoisonRegistry(BOUNDS)
+    other.note_crash(NEIGHBOUR, "e0", "", 50.0, run_ms=20.0, is_proven=False)
+    own.note_left(CULPRIT, "e0", "", 20.0, 40.0)
+    own.note_crash(CULPRIT, "e0", "", 190.0, run_ms=10.0, is_proven=False)
+    own.ends.note_missing("e0", 60.0 + LINGER_MS)
+    other.ends.note_missing("e0", 60.0 + LINGER_MS)
+    other.ends.observe_runs(own.ends.pop_changed_runs(), 70.0 + LINGER_MS)
+    assert other.verdict(CULPRIT, 600.0) is Verdict.SUSPECT
