Keep requests in a presumed crash isolated behind the one blamed for it

Cause: a crash counts only against those of its requests that were in the most crashes, and all others in it are let run as if nothing had been seen. Which ones were in the most is told by the VMs one after the other while crashes are presumed. VM 127.0.1.2 knew the neighbour in three and the culprit in two, so it took the culprit for clear ("request_cleared") and sent five copies at once.

A request in a crash that is not certain stays a suspect until it is answered, the crash is refuted, or the time that a broken connection waits for proof has passed. It runs alone, as before the crash was presumed; an answer frees it.

The test fails without the change.

--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -126,7 +126,7 @@
         n_crashes = self.n_crashes(fingerprint, now_ms)
         if n_crashes >= self._find_limit(fingerprint, n_crashes):
             return Verdict.REFUSED
-        is_suspect = n_crashes or self._has_unproven(fingerprint, now_ms)
+        is_suspect = n_crashes or self._is_in_doubt(fingerprint, now_ms)
         return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
 
     def count_verdicts(self, now_ms: float) -> Counter[Verdict]:
@@ -364,10 +364,15 @@
         answered_ms = self._answered.find(fingerprint)
         return answered_ms >= now_ms - self._bounds.answered_ms
 
-    def _has_unproven(self, fingerprint: int, now_ms: float) -> bool:
+    def _is_in_doubt(self, fingerprint: int, now_ms: float) -> bool:
+        """:returns: whether it ran in what may have been a crash
+
+        Also if another request was in more crashes: while they are presumed, not all
+        VMs know the same ones, and that other request may be a bystander.
+        """
         oldest_ms = now_ms - self._bounds.unproven_ms
         return any(
-            not crash.is_proven and involvement.seen_ms >= oldest_ms
+            not crash.is_certain and involvement.seen_ms >= oldest_ms
             for crash, involvement in self._table.find(fingerprint).items()
         )
 
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -167,3 +167,11 @@
     other.ends.note_missing("e0", 60.0 + LINGER_MS)
     other.ends.observe_runs(own.ends.pop_changed_runs(), 70.0 + LINGER_MS)
     assert other.verdict(CULPRIT, 600.0) is Verdict.SUSPECT
+
+
+def test_request_in_a_presumed_crash_stays_a_suspect_behind_another() -> None:
+    """Guards against letting the culprit run freely as its neighbour is known first."""
+    registry = PoisonRegistry(BOUNDS)
+    lose_three(registry)
+    registry.note_crash(NEIGHBOUR, "e2", "", 2_000.0, run_ms=20.0, is_proven=False)
+    assert registry.verdict(NEIGHBOUR, 2_500.0) is Verdict.SUSPECT
