Keep a crash that comes a moment after a cut connection

Cause: connections that break on one upstream within three seconds are one crash. What was sent after the first of them broke was not counted in it, also if that first one proves to have been cut; and the answer to its check dropped the whole crash, with what had broken later. So the request that ended the replica had no part in any crash, and could end the next one.

Only a proven or presumed crash leaves out what was sent after it. A check that is answered refutes what broke before it began; the rest stays as another crash that waits for its own check.

The test fails without the change (verdict "clear" after three such crashes).

--- a/src/quetzaldeck/decisions/poison/crash.py
+++ b/src/quetzaldeck/decisions/poison/crash.py
@@ -56,6 +56,10 @@
     run_ms: float | None = None
     was_answered: bool = False
 
+    def began_after(self, at_ms: float) -> bool:
+        """:returns: whether the request is known to have been sent later"""
+        return self.run_ms is not None and self.seen_ms - self.run_ms > at_ms
+
     def merge(self, other: Involvement) -> Involvement:
         """:returns: what two copies of the request show, or two sightings of one
 
--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -101,11 +101,11 @@
         A crash from before the request was cleared, of which another VM may tell late,
         does not make it a suspect again. Nor does one that had happened when the
         request was sent: something on the way may accept connections and reset them.
+        While nothing is proven, the first connection may have been cut.
         """
         if involvement.seen_ms <= self._cleared.find(fingerprint):
             return
-        run_ms = involvement.run_ms
-        if run_ms is not None and involvement.seen_ms - run_ms > crash.at_ms:
+        if crash.is_proven and involvement.began_after(crash.at_ms):
             return
         self._changed.add(fingerprint)
         known = self._by_request.setdefault(fingerprint, {})
@@ -125,6 +125,10 @@
             return False
         crash.is_proven = True
         crash.is_presumed = is_presumed
+        if is_presumed:
+            for fingerprint in tuple(crash.fingerprints):
+                if self._by_request[fingerprint][crash].began_after(crash.at_ms):
+                    self.discard(fingerprint, crash)
         self._changed |= crash.fingerprints
         return True
 
@@ -148,6 +152,24 @@
         for crash in tuple(self.find(fingerprint)):
             self.discard(fingerprint, crash)
 
+    def refute(self, crash: Crash, measured_ms: float) -> None:
+        """Record that the upstream of a crash lived at a point in time.
+
+        What is known of the time after it stays, as the start of another crash.
+        """
+        later_ms = []
+        for fingerprint in tuple(crash.fingerprints):
+            seen_ms = self._by_request[fingerprint][crash].seen_ms
+            if seen_ms > measured_ms:
+                later_ms.append(seen_ms)
+            else:
+                self.discard(fingerprint, crash)
+        if not later_ms:
+            self.drop(crash)
+            return
+        crash.at_ms = min(later_ms)
+        crash.is_proven = crash.is_presumed = False
+
     def drop(self, crash: Crash) -> None:
         """Forget a crash."""
         for fingerprint in tuple(crash.fingerprints):
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -87,7 +87,7 @@
             if not crash.is_certain and crash.at_ms <= measured_ms:
                 if crash.is_presumed:
                     self._announce(crash, RunState.SURVIVED, measured_ms)
-                self._table.drop(crash)
+                self._table.refute(crash, measured_ms)
 
     def note_alive(self, upstream: str, incarnation: str, measured_ms: float) -> None:
         """Drop sightings that a later report of the same incarnation refutes.
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -175,3 +175,22 @@
     lose_three(registry)
     registry.note_crash(NEIGHBOUR, "e2", "", 2_000.0, run_ms=20.0, is_proven=False)
     assert registry.verdict(NEIGHBOUR, 2_500.0) is Verdict.SUSPECT
+
+
+def test_crash_a_moment_after_a_connection_was_cut_counts() -> None:
+    """Guards against dropping a crash with the cut before it, which proved to be none.
+
+    That the upstream lived on is known only once it is sure that it has not restarted.
+    """
+    registry = PoisonRegistry(BOUNDS)
+    for index in range(BOUNDS.n_crashes):
+        name, at_ms = f"e{index}", index * 5_000.0
+        registry.note_crash(NEIGHBOUR, name, "1", at_ms, run_ms=9.0, is_proven=False)
+        crashed_ms = at_ms + 340.0
+        registry.note_crash(
+            CULPRIT, name, "1", crashed_ms, run_ms=40.0, is_proven=False
+        )
+        registry.ends.note_survived(name, at_ms + 1.0)
+        registry.ends.note_ended(name, crashed_ms, "1")
+    assert registry.verdict(CULPRIT, 12_000.0) is Verdict.REFUSED
+    assert registry.verdict(NEIGHBOUR, 12_000.0) is Verdict.CLEAR
