Send no suspect to an upstream that is presumed crashed

Cause: suspects go to the upstream with the fewest requests. One that is silent and presumed crashed answers none and is avoided by all others, so it is the idlest: suspects ran there one after the other, got no answer, and each such run was one more crash of theirs.

Their next run has to show what they do, so it waits for an upstream that is heard. A false presumption ends within seconds by any answer or the entry.

The test fails without the change.

--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -85,10 +85,16 @@
         return Placement((least_loaded.spec.name,))
 
     def _is_free(self, state: UpstreamState, now_ms: float) -> bool:
-        """:returns: whether an upstream runs no suspect, of this VM or another one"""
+        """:returns: whether the next run of a suspect there shows what it does
+
+        It does not if an upstream runs another suspect, of this VM or another one, or
+        may have ended before.
+        """
+        name = state.spec.name
         return not (
             state.ledger.n_suspects
-            or self._poison.runs_suspect(state.spec.name, now_ms)
+            or self._poison.runs_suspect(name, now_ms)
+            or self._poison.ends.is_presumed(name)
         )
 
 
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -145,6 +145,10 @@
                 del self._unconfirmed[key]
                 self._count(run, ended_ms)
 
+    def is_presumed(self, upstream: str) -> bool:
+        """:returns: whether an upstream is presumed to have crashed"""
+        return any(crash.is_presumed for crash in self._table.list_of(upstream))
+
     def list_presumed(self) -> list[PresumedCrash]:
         """:returns: the crashes of which it has to be found out whether they are any"""
         return [
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -15,6 +15,8 @@
     Liveness,
     PoisonBounds,
     PoisonRegistry,
+    RunSighting,
+    RunState,
     Verdict,
     decode_crash_record,
     encode_crash_record,
@@ -454,3 +456,17 @@
     assert not isinstance(rejection, Dispatch)
     assert rejection.failure.reason is Reason.POISON_SUSPECTED
     assert rejection.failure.ran is Ran.NO
+
+
+def test_scheduler_sends_no_suspect_to_an_engine_that_is_presumed_crashed() -> None:
+    """Guards against blaming a bystander that is sent to engines that have ended.
+
+    They look idle, as nothing that runs there is answered.
+    """
+    clock = ManualClock(1_000.0)
+    scheduler = make_scheduler(clock, ("e0", "e1"))
+    run = RunSighting(BYSTANDER, "e0", "", 500.0, -1.0, RunState.MISSING)
+    scheduler.fleet.observe_runs([run])
+    clock.advance(2_000.0)
+    scheduler.submit(make_request(now_ms=clock.now_ms(), fingerprint=BYSTANDER))
+    assert poll_dispatch(scheduler).upstreams == ("e1",)
