Hold a tied request to the larger limit also if it was answered before

Cause: a request that was answered a moment before is refused at the fourth crash in place of the third, as another run alone shows whether it does harm. One that is tied with another gets six, for the same reason; but only if its limit was three, so an answer made it lower.

The test fails without the change.

--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -381,7 +381,7 @@
 
     def _find_limit(self, fingerprint: int, n_crashes: int) -> int:
         limit = self._limit.find(fingerprint, n_crashes)
-        if n_crashes >= limit == self._bounds.n_crashes and self._is_tied(fingerprint):
+        if n_crashes >= limit and self._is_tied(fingerprint):
             return self._bounds.max_crashes
         return limit
 
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -194,3 +194,16 @@
         registry.ends.note_ended(name, crashed_ms, "1")
     assert registry.verdict(CULPRIT, 12_000.0) is Verdict.REFUSED
     assert registry.verdict(NEIGHBOUR, 12_000.0) is Verdict.CLEAR
+
+
+def test_answer_in_between_does_not_part_a_tie() -> None:
+    """Guards against refusing a neighbour sooner as it was answered before."""
+    registry = PoisonRegistry(BOUNDS)
+    for index in range(BOUNDS.n_crashes_answered):
+        name, at_ms = f"e{index}", index * 2_000.0
+        for fingerprint in (CULPRIT, NEIGHBOUR):
+            registry.note_left(fingerprint, name, "", at_ms, at_ms + 40.0)
+        registry.ends.note_missing(name, at_ms + 60.0 + LINGER_MS)
+        registry.note_answered(NEIGHBOUR, 0.0)
+    assert registry.n_crashes(NEIGHBOUR, 7_000.0) == BOUNDS.n_crashes_answered
+    assert registry.verdict(NEIGHBOUR, 7_000.0) is Verdict.SUSPECT
