Move the verdicts on requests out of the registry of crashes

A crash that is proven or presumed "counts" (it was called is_proven, which a presumed one is not). No change of behaviour: the tests of tests/decisions pass as they are.

--- a/src/quetzaldeck/decisions/poison/__init__.py
+++ b/src/quetzaldeck/decisions/poison/__init__.py
@@ -14,13 +14,14 @@
     format_fingerprint,
 )
 from quetzaldeck.decisions.poison.liveness import Liveness
-from quetzaldeck.decisions.poison.registry import PoisonRegistry, Verdict
+from quetzaldeck.decisions.poison.registry import PoisonRegistry
 from quetzaldeck.decisions.poison.sighting import (
     CrashSighting,
     RunSighting,
     RunState,
 )
 from quetzaldeck.decisions.poison.upstream_ends import PresumedCrash
+from quetzaldeck.decisions.poison.verdicts import Verdict
 
 __all__ = (
     "BlockedRequest",
--- a/src/quetzaldeck/decisions/poison/crash.py
+++ b/src/quetzaldeck/decisions/poison/crash.py
@@ -16,32 +16,32 @@
 
     :param incarnation: incarnation that crashed, as far as is known
     :param at_ms: when it was first seen
-    :param is_proven: whether it is proven that the upstream ended
+    :param counts: whether it is proven or presumed that the upstream ended
     """
 
     __slots__ = (
         "at_ms",
+        "counts",
         "fingerprints",
         "incarnation",
         "is_presumed",
-        "is_proven",
         "upstream",
     )
 
     def __init__(
-        self, upstream: str, incarnation: str, at_ms: float, *, is_proven: bool
+        self, upstream: str, incarnation: str, at_ms: float, *, counts: bool
     ) -> None:
         self.upstream = upstream
         self.incarnation = incarnation
         self.at_ms = at_ms
-        self.is_proven = is_proven
+        self.counts = counts
         self.is_presumed = False
         self.fingerprints: set[int] = set()
 
     @property
     def is_certain(self) -> bool:
         """:returns: whether no life sign of the upstream can refute it"""
-        return self.is_proven and not self.is_presumed
+        return self.counts and not self.is_presumed
 
 
 class Involvement(NamedTuple):
--- a/src/quetzaldeck/decisions/poison/crash_limit.py
+++ b/src/quetzaldeck/decisions/poison/crash_limit.py
@@ -62,7 +62,7 @@
         first_ms = min(times_ms) - self._bounds.wave_ms
         last_ms = max(times_ms) + self._bounds.wave_ms
         n_others = sum(
-            crash.is_proven and first_ms <= crash.at_ms <= last_ms and crash not in own
+            crash.counts and first_ms <= crash.at_ms <= last_ms and crash not in own
             for crash in self._table.crashes
         )
         if n_others < n_crashes - 1:
--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -58,6 +58,10 @@
         """:returns: the crashes in which a request ran"""
         return self._by_request.get(fingerprint, {})
 
+    def n_counted(self, fingerprint: int) -> int:
+        """:returns: number of crashes in which a request ran, of those that count"""
+        return sum(crash.counts for crash in self.find(fingerprint))
+
     def list_of(self, upstream: str) -> tuple[Crash, ...]:
         """:returns: crashes of an upstream"""
         return tuple(self._by_upstream.get(upstream, ()))
@@ -75,7 +79,7 @@
                 continue
             if not self._is_next_incarnation(crash, incarnation, at_ms):
                 return crash
-        crash = Crash(upstream, incarnation, at_ms, is_proven=is_proven)
+        crash = Crash(upstream, incarnation, at_ms, counts=is_proven)
         self._crashes[crash] = None
         self._by_upstream.setdefault(upstream, []).append(crash)
         while len(self._crashes) > self._bounds.max_crashes_held:
@@ -105,7 +109,7 @@
         """
         if involvement.seen_ms <= self._cleared.find(fingerprint):
             return
-        if crash.is_proven and involvement.began_after(crash.at_ms):
+        if crash.counts and involvement.began_after(crash.at_ms):
             return
         self._changed.add(fingerprint)
         known = self._by_request.setdefault(fingerprint, {})
@@ -121,9 +125,9 @@
 
         :returns: whether it is news
         """
-        if crash.is_proven and (is_presumed or not crash.is_presumed):
+        if crash.counts and (is_presumed or not crash.is_presumed):
             return False
-        crash.is_proven = True
+        crash.counts = True
         crash.is_presumed = is_presumed
         if is_presumed:
             for fingerprint in tuple(crash.fingerprints):
@@ -168,7 +172,7 @@
             self.drop(crash)
             return
         crash.at_ms = min(later_ms)
-        crash.is_proven = crash.is_presumed = False
+        crash.counts = crash.is_presumed = False
 
     def drop(self, crash: Crash) -> None:
         """Forget a crash."""
@@ -184,14 +188,14 @@
         """Forget old crashes, and connections for which no proof has come."""
         for crash in tuple(self._crashes):
             ttl_ms = (
-                self._bounds.forget_ms if crash.is_proven else self._bounds.unproven_ms
+                self._bounds.forget_ms if crash.counts else self._bounds.unproven_ms
             )
             if now_ms - crash.at_ms > ttl_ms:
                 self.drop(crash)
 
     def _find_least_useful(self) -> Crash:
         """:returns: the oldest unproven crash, or the oldest one"""
-        unproven = (crash for crash in self._crashes if not crash.is_proven)
+        unproven = (crash for crash in self._crashes if not crash.counts)
         return next(unproven, next(iter(self._crashes)))
 
 
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -32,43 +32,30 @@
 
 import math
 from collections import Counter
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
 from quetzaldeck.decisions.poison.crash import Involvement
-from quetzaldeck.decisions.poison.crash_limit import CrashLimit
 from quetzaldeck.decisions.poison.crash_table import CrashTable
 from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import CrashSighting, RunState
 from quetzaldeck.decisions.poison.upstream_ends import UpstreamEnds
+from quetzaldeck.decisions.poison.verdicts import CrashVerdicts, Verdict
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Iterable, Iterator
 
-    from quetzaldeck.decisions.poison.crash import Crash
+    from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 
 CLEARANCE_REPEAT_MS = 10_000.0
 """How long a clearance is repeated to VMs that may have missed it."""
 
-N_PAUSES = 64
-"""Number of different pauses of suspects."""
-
 MAX_SAMPLED = 200
 """Requests that are judged at a time to choose those to tell of."""
 
 
-class Verdict(StrEnum):
-    """How a request is treated, by the crashes that count against it."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    REFUSED = "refused"
-
-
 class PoisonRegistry:
     """Judges requests by the crashes in which they ran.
 
@@ -84,7 +71,7 @@
     ) -> None:
         self._bounds = bounds or PoisonBounds()
         self._table = CrashTable(self._bounds)
-        self._limit = CrashLimit(self._bounds, self._table, count_upstreams)
+        self._verdicts = CrashVerdicts(self._bounds, self._table, count_upstreams)
         self._runs = OpenRuns(self._bounds)
         self._answered: RecentTimes[int] = RecentTimes(self._bounds.max_answered)
         self._unannounced: set[int] = set()
@@ -106,28 +93,24 @@
         return self._ends
 
     def n_crashes(self, fingerprint: int, now_ms: float) -> int:
-        """:returns: crashes that count against a request
-
-        A crash does not count against a request while another request of that crash
-        was in more crashes; it counts again once the other one is cleared.
-        """
-        oldest_ms = now_ms - self._bounds.forget_ms
-        return sum(
-            involvement.seen_ms >= oldest_ms
-            and crash.is_proven
-            and self._n_proven(fingerprint) >= self._highest_crash_count(crash)
-            for crash, involvement in self._table.find(fingerprint).items()
-        )
+        """:returns: crashes that count against a request"""
+        return self._verdicts.n_crashes(fingerprint, now_ms)
 
     def verdict(self, fingerprint: int, now_ms: float) -> Verdict:
         """:returns: whether a request runs normally, isolated, or not at all"""
-        if fingerprint not in self._table:
-            return Verdict.CLEAR
-        n_crashes = self.n_crashes(fingerprint, now_ms)
-        if n_crashes >= self._find_limit(fingerprint, n_crashes):
-            return Verdict.REFUSED
-        is_suspect = n_crashes or self._is_in_doubt(fingerprint, now_ms)
-        return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
+        return self._verdicts.find(fingerprint, now_ms)
+
+    def pause_ms(self, fingerprint: int, now_ms: float) -> float:
+        """:returns: pause before a suspect runs; 0 for any other request"""
+        return self._verdicts.pause_ms(fingerprint, now_ms)
+
+    def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
+        """:returns: a request that is refused, and why; ``None`` if it is not"""
+        return self._verdicts.find_blocked(fingerprint, now_ms)
+
+    def list_crashed(self, fingerprint: int) -> list[str]:
+        """:returns: upstreams that crashed while they ran a request, in that order"""
+        return self._verdicts.list_crashed(fingerprint)
 
     def count_verdicts(self, now_ms: float) -> Counter[Verdict]:
         """:returns: number of requests that were in a crash, by verdict"""
@@ -137,51 +120,11 @@
         """:returns: verdicts on the requests that were in a crash, by fingerprint"""
         return {item: self.verdict(item, now_ms) for item in self._table}
 
-    def list_crashed(self, fingerprint: int) -> list[str]:
-        """:returns: upstreams that crashed while they ran a request, in that order"""
-        proven = [crash for crash in self._table.find(fingerprint) if crash.is_proven]
-        return [crash.upstream for crash in sorted(proven, key=_time_of)]
-
     def pop_newly_refused(self, now_ms: float) -> list[int]:
         """:returns: refused requests with new sightings since the last call"""
         changed = self._table.pop_changed()
         return [f for f in changed if self.verdict(f, now_ms) is Verdict.REFUSED]
 
-    def pause_ms(self, fingerprint: int, now_ms: float) -> float:
-        """:returns: pause before a suspect runs; 0 for any other request
-
-        The pause starts at the last known crash. Without it, a copy that arrives at
-        this VM while another VM runs one could crash an upstream before this VM learns
-        of the other crash. All VMs draw the same pause for a request.
-        """
-        if self.verdict(fingerprint, now_ms) is not Verdict.SUSPECT:
-            return 0.0
-        involvements = self._table.find(fingerprint).items()
-        proven_ms = [item.seen_ms for crash, item in involvements if crash.is_proven]
-        if not proven_ms:
-            return 0.0
-        shortest_ms = self._bounds.min_propagation_ms
-        range_ms = self._bounds.propagation_ms - shortest_ms
-        pause_ms = shortest_ms + range_ms * (fingerprint % N_PAUSES) / (N_PAUSES - 1)
-        return max(0.0, max(proven_ms) + pause_ms - now_ms)
-
-    def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
-        """:returns: a request that is refused, and why; ``None`` if it is not"""
-        if self.verdict(fingerprint, now_ms) is not Verdict.REFUSED:
-            return None
-        limit = self._find_limit(fingerprint, self.n_crashes(fingerprint, now_ms))
-        own = self._table.find(fingerprint).items()
-        counted = [(item.seen_ms, crash) for crash, item in own if crash.is_proven]
-        seen_ms = sorted(at_ms for at_ms, _ in counted)
-        presumed_ms = [at_ms for at_ms, crash in counted if crash.is_presumed]
-        until_ms = seen_ms[-limit] + self._bounds.forget_ms
-        if len(counted) - len(presumed_ms) < limit:
-            judged_ms = max(presumed_ms) + self._bounds.presumed_ms
-            until_ms = judged_ms if judged_ms > now_ms else until_ms
-        return BlockedRequest(
-            fingerprint, tuple(self.list_crashed(fingerprint)), seen_ms[0], until_ms
-        )
-
     def note_crash(
         self,
         fingerprint: int,
@@ -314,7 +257,7 @@
 
         :param max_sightings: maximum number; all sightings of a request, or none
         """
-        listed = [f for f in self._table if self._n_proven(f)]
+        listed = [f for f in self._table if self._table.n_counted(f)]
         listed += self._table.cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
         listed = random_state.sample(listed, min(len(listed), MAX_SAMPLED))
         listed.sort(key=lambda f: self.verdict(f, now_ms) is not Verdict.REFUSED)
@@ -364,46 +307,5 @@
         answered_ms = self._answered.find(fingerprint)
         return answered_ms >= now_ms - self._bounds.answered_ms
 
-    def _is_in_doubt(self, fingerprint: int, now_ms: float) -> bool:
-        """:returns: whether it ran in what may have been a crash
-
-        Also if another request was in more crashes: while they are presumed, not all
-        VMs know the same ones, and that other request may be a bystander.
-        """
-        oldest_ms = now_ms - self._bounds.unproven_ms
-        return any(
-            not crash.is_certain and involvement.seen_ms >= oldest_ms
-            for crash, involvement in self._table.find(fingerprint).items()
-        )
-
-    def _n_proven(self, fingerprint: int) -> int:
-        return sum(crash.is_proven for crash in self._table.find(fingerprint))
-
-    def _find_limit(self, fingerprint: int, n_crashes: int) -> int:
-        limit = self._limit.find(fingerprint, n_crashes)
-        if n_crashes >= limit and self._is_tied(fingerprint):
-            return self._bounds.max_crashes
-        return limit
-
-    def _is_tied(self, fingerprint: int) -> bool:
-        """:returns: whether another request may be to blame for all its crashes
-
-        One that had been answered before it ran in them is less likely to be.
-        """
-        crashes = [c for c in self._table.find(fingerprint) if c.is_proven]
-        others = set.intersection(*(crash.fingerprints for crash in crashes))
-        return any(
-            not any(item.was_answered for item in self._table.find(other).values())
-            for other in others - {fingerprint}
-        )
-
-    def _highest_crash_count(self, crash: Crash) -> int:
-        """:returns: most crashes that any one request of ``crash`` was in"""
-        return max(self._n_proven(other) for other in crash.fingerprints)
-
-
-def _time_of(crash: Crash) -> float:
-    return crash.at_ms
-
 
 __all__ = ("PoisonRegistry", "Verdict")
--- /dev/null
+++ b/src/quetzaldeck/decisions/poison/verdicts.py
@@ -0,0 +1,156 @@
+"""Verdicts on requests by the crashes in which they ran.
+
+A crash counts only against those of its requests that were in the most crashes: the
+next crash separates the culprit from those that only ran alongside. Two requests that
+were in the same crashes share the blame until one of them has run alone.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
+from quetzaldeck.decisions.poison.crash_limit import CrashLimit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzaldeck.decisions.poison.bounds import PoisonBounds
+    from quetzaldeck.decisions.poison.crash import Crash
+    from quetzaldeck.decisions.poison.crash_table import CrashTable
+
+N_PAUSES = 64
+"""Number of different pauses of suspects."""
+
+
+class Verdict(StrEnum):
+    """How a request is treated, by the crashes that count against it."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    REFUSED = "refused"
+
+
+class CrashVerdicts:
+    """Judges requests; knows them by the hash of what they run.
+
+    :param bounds: thresholds
+    :param table: all crashes
+    :param count_upstreams: returns how many upstreams there are that may crash
+    """
+
+    def __init__(
+        self,
+        bounds: PoisonBounds,
+        table: CrashTable,
+        count_upstreams: Callable[[], int],
+    ) -> None:
+        self._bounds = bounds
+        self._table = table
+        self._limit = CrashLimit(bounds, table, count_upstreams)
+
+    def n_crashes(self, fingerprint: int, now_ms: float) -> int:
+        """:returns: crashes that count against a request
+
+        A crash does not count against a request while another request of that crash
+        was in more crashes; it counts again once the other one is cleared.
+        """
+        oldest_ms = now_ms - self._bounds.forget_ms
+        return sum(
+            involvement.seen_ms >= oldest_ms
+            and crash.counts
+            and self._table.n_counted(fingerprint) >= self._highest_count(crash)
+            for crash, involvement in self._table.find(fingerprint).items()
+        )
+
+    def find(self, fingerprint: int, now_ms: float) -> Verdict:
+        """:returns: whether a request runs normally, isolated, or not at all"""
+        if fingerprint not in self._table:
+            return Verdict.CLEAR
+        n_crashes = self.n_crashes(fingerprint, now_ms)
+        if n_crashes >= self._find_limit(fingerprint, n_crashes):
+            return Verdict.REFUSED
+        is_suspect = n_crashes or self._is_in_doubt(fingerprint, now_ms)
+        return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
+
+    def list_crashed(self, fingerprint: int) -> list[str]:
+        """:returns: upstreams that crashed while they ran a request, in that order"""
+        counted = [crash for crash in self._table.find(fingerprint) if crash.counts]
+        return [crash.upstream for crash in sorted(counted, key=_time_of)]
+
+    def pause_ms(self, fingerprint: int, now_ms: float) -> float:
+        """:returns: pause before a suspect runs; 0 for any other request
+
+        The pause starts at the last known crash. Without it, a copy that arrives at
+        this VM while another VM runs one could crash an upstream before this VM learns
+        of the other crash. All VMs draw the same pause for a request.
+        """
+        if self.find(fingerprint, now_ms) is not Verdict.SUSPECT:
+            return 0.0
+        involvements = self._table.find(fingerprint).items()
+        counted_ms = [item.seen_ms for crash, item in involvements if crash.counts]
+        if not counted_ms:
+            return 0.0
+        shortest_ms = self._bounds.min_propagation_ms
+        range_ms = self._bounds.propagation_ms - shortest_ms
+        pause_ms = shortest_ms + range_ms * (fingerprint % N_PAUSES) / (N_PAUSES - 1)
+        return max(0.0, max(counted_ms) + pause_ms - now_ms)
+
+    def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
+        """:returns: a request that is refused, and why; ``None`` if it is not"""
+        if self.find(fingerprint, now_ms) is not Verdict.REFUSED:
+            return None
+        limit = self._find_limit(fingerprint, self.n_crashes(fingerprint, now_ms))
+        own = self._table.find(fingerprint).items()
+        counted = [(item.seen_ms, crash) for crash, item in own if crash.counts]
+        seen_ms = sorted(at_ms for at_ms, _ in counted)
+        presumed_ms = [at_ms for at_ms, crash in counted if crash.is_presumed]
+        until_ms = seen_ms[-limit] + self._bounds.forget_ms
+        if len(counted) - len(presumed_ms) < limit:
+            judged_ms = max(presumed_ms) + self._bounds.presumed_ms
+            until_ms = judged_ms if judged_ms > now_ms else until_ms
+        return BlockedRequest(
+            fingerprint, tuple(self.list_crashed(fingerprint)), seen_ms[0], until_ms
+        )
+
+    def _is_in_doubt(self, fingerprint: int, now_ms: float) -> bool:
+        """:returns: whether it ran in what may have been a crash
+
+        Also if another request was in more crashes: while they are presumed, not all
+        VMs know the same ones, and that other request may be a bystander.
+        """
+        oldest_ms = now_ms - self._bounds.unproven_ms
+        return any(
+            not crash.is_certain and involvement.seen_ms >= oldest_ms
+            for crash, involvement in self._table.find(fingerprint).items()
+        )
+
+    def _find_limit(self, fingerprint: int, n_crashes: int) -> int:
+        limit = self._limit.find(fingerprint, n_crashes)
+        if n_crashes >= limit and self._is_tied(fingerprint):
+            return self._bounds.max_crashes
+        return limit
+
+    def _is_tied(self, fingerprint: int) -> bool:
+        """:returns: whether another request may be to blame for all its crashes
+
+        One that had been answered before it ran in them is less likely to be.
+        """
+        crashes = [c for c in self._table.find(fingerprint) if c.counts]
+        others = set.intersection(*(crash.fingerprints for crash in crashes))
+        return any(
+            not any(item.was_answered for item in self._table.find(other).values())
+            for other in others - {fingerprint}
+        )
+
+    def _highest_count(self, crash: Crash) -> int:
+        """:returns: most crashes that any one request of ``crash`` was in"""
+        return max(self._table.n_counted(other) for other in crash.fingerprints)
+
+
+def _time_of(crash: Crash) -> float:
+    return crash.at_ms
+
+
+__all__ = ("CrashVerdicts", "Verdict")
