Break the import cycle of the bench

The attempt and the engines now state what they need of the others as protocols (attempt_parties.py; AttemptOwner beside BenchAttempt). No change of behaviour.

A test sorts the modules of the package by their imports; it fails with a CycleError on the code before.

--- a/src/quetzaldeck/bench/attempt_launcher.py
+++ b/src/quetzaldeck/bench/attempt_launcher.py
@@ -48,12 +48,14 @@
     def launch(self, attempt: BenchAttempt) -> None:
         """Start an attempt; it reaches its upstream one latency later."""
         if self._abandons_silent:
-            attempt.watch = AttemptWatch(attempt, self._events)
-            attempt.watch.begin()
+            watch = AttemptWatch(attempt, self._events)
+            attempt.watch = watch
+            watch.begin()
         attempt.split = self._build_split(attempt)
         if attempt.dispatch.plan is not None:
-            attempt.group = self._build_group(attempt, attempt.dispatch.plan)
-            self._events.after(self._latency_ms, attempt.group.begin)
+            group = self._build_group(attempt, attempt.dispatch.plan)
+            attempt.group = group
+            self._events.after(self._latency_ms, group.begin)
             return
         upstream = self._upstreams[attempt.dispatch.upstreams[0]]
         self._events.after(self._latency_ms, partial(self._accept, upstream, attempt))
--- a/src/quetzaldeck/bench/bench_attempt.py
+++ b/src/quetzaldeck/bench/bench_attempt.py
@@ -2,15 +2,54 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from quetzaldeck.bench.attempt_watch import AttemptWatch
-    from quetzaldeck.bench.bench_group import BenchGroup
-    from quetzaldeck.bench.bench_vm import BenchVm
+    from quetzaldeck.bench.attempt_parties import (
+        AttemptGroup,
+        AttemptSplit,
+        SilenceWatch,
+    )
     from quetzaldeck.bench.call import Call
-    from quetzaldeck.bench.split_prefill import SplitPrefill
-    from quetzaldeck.decisions import Dispatch
+    from quetzaldeck.decisions import AttemptFault, Dispatch, LoadReport, Scheduler
+
+
+class AttemptOwner(Protocol):
+    """The VM that sent an attempt."""
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """:returns: the VM's scheduler"""
+
+    def is_running(self, attempt: BenchAttempt) -> bool:
+        """:returns: whether this is the current attempt of an open submission"""
+
+    def count_execution(self, attempt: BenchAttempt) -> None:
+        """Count an execution: an upstream began to run the attempt."""
+
+    def receive(self, attempt: BenchAttempt, *, is_last: bool) -> None:
+        """Receive a token from an upstream."""
+
+    def observe_load(self, report: LoadReport) -> None:
+        """Receive a load report from an upstream."""
+
+    def abandon_attempt(self, attempt: BenchAttempt, fault: AttemptFault) -> None:
+        """End an attempt that may have run, so that it can be retried."""
+
+    def fail_attempt(
+        self,
+        attempt: BenchAttempt,
+        fault: AttemptFault,
+        *,
+        may_have_run: bool = True,
+        upstream: str = "",
+    ) -> None:
+        """Learn from an upstream that an attempt failed."""
+
+    def schedule_idle_timeout(
+        self, attempt: BenchAttempt, idle_timeout_ms: float
+    ) -> None:
+        """Fail the attempt as silent after ``idle_timeout_ms``."""
 
 
 class BenchAttempt:
@@ -23,7 +62,7 @@
     # engines that reserve memory; split: the engines that prefill a part each.
 
     def __init__(
-        self, vm: BenchVm, call: Call, dispatch: Dispatch, n_delivered: int = 0
+        self, vm: AttemptOwner, call: Call, dispatch: Dispatch, n_delivered: int = 0
     ) -> None:
         self.vm = vm
         self.call = call
@@ -31,9 +70,9 @@
         self.n_delivered = n_delivered
         self.is_silent = False
         self.has_begun = False
-        self.group: BenchGroup | None = None
-        self.split: SplitPrefill | None = None
-        self.watch: AttemptWatch | None = None
+        self.group: AttemptGroup | None = None
+        self.split: AttemptSplit | None = None
+        self.watch: SilenceWatch | None = None
 
     @property
     def attempt_id(self) -> str:
@@ -41,4 +80,4 @@
         return self.dispatch.attempt_id
 
 
-__all__ = ("BenchAttempt",)
+__all__ = ("AttemptOwner", "BenchAttempt")
--- a/src/quetzaldeck/bench/model_engine.py
+++ b/src/quetzaldeck/bench/model_engine.py
@@ -8,7 +8,7 @@
 from quetzaldeck.bench.bench_upstream import BenchUpstream
 
 if TYPE_CHECKING:
-    from quetzaldeck.bench.bench_group import BenchGroup
+    from quetzaldeck.bench.attempt_parties import Reservation
     from quetzaldeck.bench.event_queue import EventQueue
     from quetzaldeck.bench.scenario import FleetShape
     from quetzaldeck.bundle import UpstreamSpec
@@ -22,14 +22,14 @@
     ) -> None:
         super().__init__(spec, shape, events)
         self.busy_ms = 0.0
-        self._groups: dict[str, BenchGroup] = {}
+        self._groups: dict[str, Reservation[ModelEngine]] = {}
 
     @property
     @abstractmethod
     def n_kv_tokens_used(self) -> int:
         """:returns: KV cache tokens in use"""
 
-    def reserve(self, group: BenchGroup, n_tokens: int) -> bool:
+    def reserve(self, group: Reservation[ModelEngine], n_tokens: int) -> bool:
         """:returns: whether the memory is reserved for ``group``"""
         self._groups[group.reservation_id] = group
         return self._reserve(group.reservation_id, n_tokens)
--- a/src/quetzaldeck/bench/pass_engine.py
+++ b/src/quetzaldeck/bench/pass_engine.py
@@ -10,10 +10,10 @@
 from quetzaldeck.engine_model import PassModel, PassWork
 
 if TYPE_CHECKING:
+    from quetzaldeck.bench.attempt_parties import PartOwner
     from quetzaldeck.bench.bench_attempt import BenchAttempt
     from quetzaldeck.bench.event_queue import EventQueue
     from quetzaldeck.bench.scenario import FleetShape
-    from quetzaldeck.bench.split_prefill import SplitPrefill
     from quetzaldeck.bundle import UpstreamSpec
     from quetzaldeck.bundle.engine_figures import EngineFigures
     from quetzaldeck.engine_model import Pass
@@ -37,7 +37,7 @@
         self._figures = spec.figures
         self._model = PassModel(spec.figures)
         self._is_pass_running = False
-        self._parts: dict[str, SplitPrefill] = {}
+        self._parts: dict[str, PartOwner[PassEngine]] = {}
 
     @property
     def figures(self) -> EngineFigures:
@@ -76,7 +76,7 @@
             self.spec.name, self.incarnation, now_ms, 0.0, n_running, n_waiting, 0, 0
         )
 
-    def prefill_part(self, split: SplitPrefill, work: PassWork) -> None:
+    def prefill_part(self, split: PartOwner[PassEngine], work: PassWork) -> None:
         """Prefill a part of a prompt."""
         self._parts[work.work_id] = split
         self._model.submit(work)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -6,6 +6,7 @@
 import pkgutil
 import subprocess
 import sys
+from graphlib import TopologicalSorter
 from pathlib import Path
 
 import quetzaldeck
@@ -59,3 +60,14 @@
     package = Path(quetzaldeck.__file__).parent / "entry" / "peers"
     for path in package.glob("*.py"):
         assert "quetzaldeck.entry.state" not in list_imports(path), path.name
+
+
+def test_modules_of_the_bench_have_no_cycle() -> None:
+    """An attempt, its engines and its groups that name each other read as one module."""
+    package = Path(quetzaldeck.__file__).parent / "bench"
+    imports = {
+        f"quetzaldeck.bench.{path.stem}": list_imports(path)
+        for path in package.glob("*.py")
+        if path.stem != "__init__"
+    }
+    TopologicalSorter(imports).prepare()
