Group the modules at the top of decisions/ by what they are about

Eleven of 24 modules lay at the top beside packages of the same subject: five of attempts and four of loads have packages of their own now, two of the queue are in queueing/.

--- a/src/quetzaldeck/bench/bench_vm.py
+++ b/src/quetzaldeck/bench/bench_vm.py
@@ -22,7 +22,7 @@
     from quetzaldeck.bench.submission import CallState
     from quetzaldeck.decisions import LoadReport, Scheduler
     from quetzaldeck.decisions.groups import GroupBounds
-    from quetzaldeck.decisions.peer_load import VmLoad
+    from quetzaldeck.decisions.loads.peer_load import VmLoad
 
     EndHandler = Callable[[CallState, Outcome, Failure | None], None]
 
--- a/src/quetzaldeck/bench/load_sharing.py
+++ b/src/quetzaldeck/bench/load_sharing.py
@@ -5,14 +5,14 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.load_changes import LoadChanges
+from quetzaldeck.decisions.loads.load_changes import LoadChanges
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from quetzaldeck.bench.bench_vm import BenchVm
     from quetzaldeck.bench.event_queue import EventQueue
-    from quetzaldeck.decisions.peer_load import VmLoad
+    from quetzaldeck.decisions.loads.peer_load import VmLoad
 
 SEND_INTERVAL_MS = 20.0
 """Interval at which a VM checks its load for changes to send, as in an entry VM."""
--- a/src/quetzaldeck/decisions/__init__.py
+++ b/src/quetzaldeck/decisions/__init__.py
@@ -13,7 +13,7 @@
     Dispatch,
     Rejection,
 )
-from quetzaldeck.decisions.load_report import LoadReport
+from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.decisions.request import LengthClass, Request, classify_length
 from quetzaldeck.decisions.scheduler import Scheduler
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
--- a/src/quetzaldeck/decisions/answer_learner.py
+++ b/src/quetzaldeck/decisions/attempts/answer_learner.py
@@ -6,9 +6,9 @@
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.admission import AdmissionPolicy
+    from quetzaldeck.decisions.attempts.tracked import TrackedRequest
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.estimation import TokenEstimator
-    from quetzaldeck.decisions.tracked import TrackedRequest
 
 
 class AnswerLearner:
--- a/src/quetzaldeck/decisions/attempt_starter.py
+++ b/src/quetzaldeck/decisions/attempts/attempt_starter.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.attempts.expiry import mark_expiry
 from quetzaldeck.decisions.decision import Dispatch
-from quetzaldeck.decisions.expiry import mark_expiry
 from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS
 
 if TYPE_CHECKING:
     from quetzaldeck.clock import Clock
+    from quetzaldeck.decisions.attempts.tracked import TrackedRequests
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.request import Request
-    from quetzaldeck.decisions.tracked import TrackedRequests
     from quetzaldeck.decisions.upstream_table import UpstreamTable
 
 
--- a/src/quetzaldeck/decisions/failed_attempts.py
+++ b/src/quetzaldeck/decisions/attempts/failed_attempts.py
@@ -4,20 +4,20 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.attempts.tracked import TrackedRequest
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.rate_limits import latest_turn_ms
 from quetzaldeck.decisions.retries import grow_estimate
-from quetzaldeck.decisions.tracked import TrackedRequest
 from quetzaldeck.outcomes import Failure, Ran
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.admission import AdmissionPolicy
+    from quetzaldeck.decisions.attempts.tracked import TrackedRequests
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.poison import PoisonRegistry
+    from quetzaldeck.decisions.queueing.waiting import WaitingRequests
     from quetzaldeck.decisions.retries import RetryPolicy
-    from quetzaldeck.decisions.tracked import TrackedRequests
-    from quetzaldeck.decisions.waiting import WaitingRequests
 
 
 class FailedAttemptHandler:
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -12,12 +12,12 @@
 
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.health.monitor import AttemptMonitor
-    from quetzaldeck.decisions.load_report import LoadReport
-    from quetzaldeck.decisions.peer_load import VmLoad
+    from quetzaldeck.decisions.loads.load_report import LoadReport
+    from quetzaldeck.decisions.loads.peer_load import VmLoad
     from quetzaldeck.decisions.placement import CacheEvents, PlacementPolicy
     from quetzaldeck.decisions.poison import CrashSighting, PoisonRegistry, RunSighting
+    from quetzaldeck.decisions.queueing.waiting import WaitingRequests
     from quetzaldeck.decisions.upstream_table import UpstreamTable
-    from quetzaldeck.decisions.waiting import WaitingRequests
 
 
 class FleetObserver:
--- a/src/quetzaldeck/decisions/load_changes.py
+++ b/src/quetzaldeck/decisions/loads/load_changes.py
@@ -16,7 +16,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/quetzaldeck/decisions/queue_sweep.py
+++ b/src/quetzaldeck/decisions/queueing/queue_sweep.py
@@ -11,12 +11,12 @@
     from collections.abc import Callable, Iterable
 
     from quetzaldeck.decisions.admission import AdmissionPolicy
+    from quetzaldeck.decisions.attempts.tracked import TrackedRequests
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.poison import PoisonRegistry
+    from quetzaldeck.decisions.queueing.waiting import WaitingRequests
     from quetzaldeck.decisions.request import Request
-    from quetzaldeck.decisions.tracked import TrackedRequests
     from quetzaldeck.decisions.upstream_table import UpstreamTable
-    from quetzaldeck.decisions.waiting import WaitingRequests
     from quetzaldeck.outcomes import Failure
 
 
--- a/src/quetzaldeck/decisions/retries/silence.py
+++ b/src/quetzaldeck/decisions/retries/silence.py
@@ -24,9 +24,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from quetzaldeck.decisions.attempts.tracked import TrackedRequest
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.retries.policy import RetryPolicy
-    from quetzaldeck.decisions.tracked import TrackedRequest
 
 FIRST_BYTE_TARGET_FACTOR = 2.0
 """Multiple of the time-to-first-token target after which a silent attempt is checked.
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.admission import BoundsOnly
-from quetzaldeck.decisions.answer_learner import AnswerLearner
-from quetzaldeck.decisions.attempt_starter import AttemptStarter
+from quetzaldeck.decisions.attempts.answer_learner import AnswerLearner
+from quetzaldeck.decisions.attempts.attempt_starter import AttemptStarter
+from quetzaldeck.decisions.attempts.failed_attempts import FailedAttemptHandler
+from quetzaldeck.decisions.attempts.tracked import TrackedRequest, TrackedRequests
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.estimation import TokenEstimator
-from quetzaldeck.decisions.failed_attempts import FailedAttemptHandler
 from quetzaldeck.decisions.fleet_observer import FleetObserver
 from quetzaldeck.decisions.groups import GroupPlanner
 from quetzaldeck.decisions.head_of_line import Unprotected
@@ -17,15 +18,14 @@
 from quetzaldeck.decisions.limits import CustomerLimiter
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.poison import PoisonRegistry
-from quetzaldeck.decisions.queue_sweep import QueueSweep
+from quetzaldeck.decisions.queueing.queue_sweep import QueueSweep
+from quetzaldeck.decisions.queueing.waiting import WaitingRequests
 from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
 from quetzaldeck.decisions.retries import RetryPolicy
 from quetzaldeck.decisions.retries.silence import SilencePolicy, SilenceVerdict
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
-from quetzaldeck.decisions.tracked import TrackedRequest, TrackedRequests
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_table import UpstreamTable
-from quetzaldeck.decisions.waiting import WaitingRequests
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -8,14 +8,14 @@
 from quetzaldeck.decisions.health.help_refusals import HelpRefusals
 from quetzaldeck.decisions.health.outcomes import DecayingOutcomes, Outcomes
 from quetzaldeck.decisions.health.pace import Pace
+from quetzaldeck.decisions.loads.peer_load import PeerLoad, VmLoad
 from quetzaldeck.decisions.memory import InFlightAttempt, MemoryLedger
-from quetzaldeck.decisions.peer_load import PeerLoad, VmLoad
 from quetzaldeck.decisions.prefill_backlog import PrefillBacklog
 from quetzaldeck.decisions.rate_limits import Pacing
 
 if TYPE_CHECKING:
     from quetzaldeck.bundle.document import UpstreamSpec
-    from quetzaldeck.decisions.load_report import LoadReport
+    from quetzaldeck.decisions.loads.load_report import LoadReport
 
 
 MAX_REPORT_AGE_MS = 1_000.0
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -16,7 +16,7 @@
     from quetzaldeck.bundle.document import Bundle, UpstreamSpec
     from quetzaldeck.decisions.health import HealthState
     from quetzaldeck.decisions.health.outcomes import Outcomes
-    from quetzaldeck.decisions.load_report import LoadReport
+    from quetzaldeck.decisions.loads.load_report import LoadReport
     from quetzaldeck.decisions.request import Request
 
 
--- a/src/quetzaldeck/entry/pace_task.py
+++ b/src/quetzaldeck/entry/pace_task.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.decisions.pace_polling import PacePollPlanner
+from quetzaldeck.decisions.loads.pace_polling import PacePollPlanner
 from quetzaldeck.gateway.messages import ObservePaces
 from quetzaldeck.telemetry import log_event
 from quetzaldeck.upstreams import UpstreamError
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.poison import CrashSighting, RunSighting, RunState
 from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
 
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from quetzaldeck.decisions.load_changes import LoadChanges, max_send_delay_ms
+from quetzaldeck.decisions.loads.load_changes import LoadChanges, max_send_delay_ms
 from quetzaldeck.entry.peers.crash_exchange import CrashExchange
 from quetzaldeck.entry.peers.greetings import (
     GREETING_INTERVAL_MS,
--- a/src/quetzaldeck/entry/peers/update_store.py
+++ b/src/quetzaldeck/entry/peers/update_store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from quetzaldeck.decisions.load_changes import REFRESH_INTERVAL_MS
+from quetzaldeck.decisions.loads.load_changes import REFRESH_INTERVAL_MS
 from quetzaldeck.entry.peers.messages import LoadUpdate, VmUpdate
 
 if TYPE_CHECKING:
--- a/src/quetzaldeck/exchange/messages.py
+++ b/src/quetzaldeck/exchange/messages.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from quetzaldeck.bundle.document import Bundle
-from quetzaldeck.decisions.load_report import LoadReport
+from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.dissemination.record import Record, RecordDraft
 
 
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -39,7 +39,7 @@
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Decision, Request, Scheduler
     from quetzaldeck.decisions.limits import UsageUpdate
-    from quetzaldeck.decisions.peer_load import VmLoad
+    from quetzaldeck.decisions.loads.peer_load import VmLoad
     from quetzaldeck.decisions.poison import (
         CrashSighting,
         PoisonBounds,
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -8,7 +8,7 @@
 from quetzaldeck.bundle import Bundle
 from quetzaldeck.decisions import AttemptEnd, Decision, LoadReport, Request
 from quetzaldeck.decisions.limits import UsageUpdate
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.placement import CacheEvents
 from quetzaldeck.decisions.poison import CrashSighting, Liveness, RunSighting
 from quetzaldeck.decisions.retries.silence import SilenceVerdict
--- a/src/quetzaldeck/reclaim/__init__.py
+++ b/src/quetzaldeck/reclaim/__init__.py
@@ -22,7 +22,7 @@
 
 from __future__ import annotations
 
-from quetzaldeck.decisions.expiry import mark_expiry, read_expiry_ms
+from quetzaldeck.decisions.attempts.expiry import mark_expiry, read_expiry_ms
 from quetzaldeck.reclaim.owners import OwnerRegistry, OwnerState
 from quetzaldeck.reclaim.reclaimer import Reclaimer, Release, confirm_releases
 from quetzaldeck.reclaim.settings import ReclaimSettings
--- a/src/quetzaldeck/reclaim/reclaimer.py
+++ b/src/quetzaldeck/reclaim/reclaimer.py
@@ -22,7 +22,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from quetzaldeck.decisions.expiry import read_expiry_ms
+from quetzaldeck.decisions.attempts.expiry import read_expiry_ms
 from quetzaldeck.reclaim.owners import OwnerState
 from quetzaldeck.upstreams.attempt import RunningSequence
 
--- a/src/quetzaldeck/upstreams/api.py
+++ b/src/quetzaldeck/upstreams/api.py
@@ -13,7 +13,7 @@
     import aiohttp
 
     from quetzaldeck.bundle.document import UpstreamSpec
-    from quetzaldeck.decisions.load_report import LoadReport
+    from quetzaldeck.decisions.loads.load_report import LoadReport
     from quetzaldeck.upstreams.attempt import (
         Attempt,
         Chunk,
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.load_report import LoadReport
+from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.upstreams.api import ServiceUpstream, service_protocols
 from quetzaldeck.upstreams.call import ServiceAnswer
 from quetzaldeck.upstreams.http import build_timeout, translate_faults
--- a/src/quetzaldeck/upstreams/openai_engine.py
+++ b/src/quetzaldeck/upstreams/openai_engine.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from quetzaldeck.decisions.decision import AttemptFault
-from quetzaldeck.decisions.load_report import LoadReport
+from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.decisions.placement.cache_events import CacheEvent, CacheEvents
 from quetzaldeck.upstreams.api import EngineUpstream, engine_protocols
 from quetzaldeck.upstreams.attempt import Chunk, Export, Owner, RunningSequence
--- a/tests/decisions/head_of_line/test_lanes.py
+++ b/tests/decisions/head_of_line/test_lanes.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.head_of_line import Lanes
-from quetzaldeck.decisions.load_report import LoadReport
+from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
--- a/tests/decisions/head_of_line/test_many_vms_at_once.py
+++ b/tests/decisions/head_of_line/test_many_vms_at_once.py
@@ -15,7 +15,7 @@
 from quetzaldeck.bundle import Bundle, UpstreamSpec
 from quetzaldeck.bundle.engine_figures import EngineFigures
 from quetzaldeck.decisions.head_of_line import ReadingLane
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.placement.first_token import FirstToken
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_state import UpstreamState
--- a/tests/decisions/head_of_line/test_reading_lane.py
+++ b/tests/decisions/head_of_line/test_reading_lane.py
@@ -10,8 +10,8 @@
 from quetzaldeck.bundle.engine_figures import EngineFigures
 from quetzaldeck.decisions.head_of_line import ReadingLane
 from quetzaldeck.decisions.head_of_line.reading_lane import MAX_PREFILL_SHARE_OF_TARGET
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.memory import InFlightAttempt
-from quetzaldeck.decisions.peer_load import VmLoad
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
--- a/tests/decisions/placement/test_busy_helpers.py
+++ b/tests/decisions/placement/test_busy_helpers.py
@@ -14,7 +14,7 @@
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
 from quetzaldeck.decisions.health import UpstreamHealth
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 
 if TYPE_CHECKING:
     from quetzaldeck.clock import ManualClock
--- a/tests/decisions/retries/test_silence.py
+++ b/tests/decisions/retries/test_silence.py
@@ -12,7 +12,7 @@
 from tests.support.builders import make_entry_scheduler, make_request, poll_dispatch
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.retries import ResendBudget
 from quetzaldeck.decisions.retries.silence import (
     SilenceVerdict,
--- a/tests/decisions/test_load_changes.py
+++ b/tests/decisions/test_load_changes.py
@@ -11,12 +11,12 @@
 import pytest
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
-from quetzaldeck.decisions.load_changes import (
+from quetzaldeck.decisions.loads.load_changes import (
     REFRESH_INTERVAL_MS,
     LoadChanges,
     max_send_delay_ms,
 )
-from quetzaldeck.decisions.peer_load import PEER_LOAD_TTL_MS, PeerLoad, VmLoad
+from quetzaldeck.decisions.loads.peer_load import PEER_LOAD_TTL_MS, PeerLoad, VmLoad
 
 N_PEERS = 83
 SENT = VmLoad(1, 5_000, 6_000)
--- a/tests/decisions/test_pace_polling.py
+++ b/tests/decisions/test_pace_polling.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from quetzaldeck.decisions.pace_polling import MAX_POLLED, PacePollPlanner
+from quetzaldeck.decisions.loads.pace_polling import MAX_POLLED, PacePollPlanner
 
 ZONES = {"a": ["10.1.0.1", "10.1.0.2"], "b": ["10.2.0.1", "10.2.0.2", "10.2.0.3"]}
 ENGINES = {f"engine-{n}": "ab"[n % 2] for n in range(30)}
--- a/tests/decisions/test_peer_load.py
+++ b/tests/decisions/test_peer_load.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from quetzaldeck.decisions.peer_load import PEER_LOAD_TTL_MS, PeerLoad, VmLoad
+from quetzaldeck.decisions.loads.peer_load import PEER_LOAD_TTL_MS, PeerLoad, VmLoad
 
 BUSY = VmLoad(2, 5_000, 6_000)
 
--- a/tests/decisions/test_upstream_restart.py
+++ b/tests/decisions/test_upstream_restart.py
@@ -10,9 +10,9 @@
 from quetzaldeck.bundle.document import UpstreamSpec
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.health.outcomes import Outcomes
-from quetzaldeck.decisions.load_report import LoadReport
+from quetzaldeck.decisions.loads.load_report import LoadReport
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.memory import InFlightAttempt
-from quetzaldeck.decisions.peer_load import VmLoad
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
 FIRST = "1000"
--- a/tests/entry/peers/peer_fleet.py
+++ b/tests/entry/peers/peer_fleet.py
@@ -7,8 +7,8 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
-from quetzaldeck.decisions.load_changes import LoadChanges
-from quetzaldeck.decisions.peer_load import PeerLoad, VmLoad
+from quetzaldeck.decisions.loads.load_changes import LoadChanges
+from quetzaldeck.decisions.loads.peer_load import PeerLoad, VmLoad
 from quetzaldeck.decisions.poison import (
     CrashSighting,
     PoisonBounds,
--- a/tests/entry/peers/test_load_update.py
+++ b/tests/entry/peers/test_load_update.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.entry.peers.messages import (
     LoadUpdate,
     build_load_update,
--- a/tests/entry/peers/test_peer_node.py
+++ b/tests/entry/peers/test_peer_node.py
@@ -14,8 +14,8 @@
 )
 from tests.entry.peers.peer_fleet import PeerFleet
 
-from quetzaldeck.decisions.load_changes import REFRESH_INTERVAL_MS
-from quetzaldeck.decisions.peer_load import PEER_LOAD_TTL_MS, VmLoad
+from quetzaldeck.decisions.loads.load_changes import REFRESH_INTERVAL_MS
+from quetzaldeck.decisions.loads.peer_load import PEER_LOAD_TTL_MS, VmLoad
 from quetzaldeck.entry.peers.messages import CrashUpdate, LoadUpdate, VmUpdate
 from quetzaldeck.entry.peers.update_store import UpdateQueue, split_updates
 
--- a/tests/entry/peers/test_peer_task.py
+++ b/tests/entry/peers/test_peer_task.py
@@ -14,8 +14,8 @@
 from tests.support.platform.site import PLAN_PATH, run_site
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
-from quetzaldeck.decisions.load_changes import REFRESH_INTERVAL_MS, LoadChanges
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.load_changes import REFRESH_INTERVAL_MS, LoadChanges
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.entry.peers import PeerTable, PeerTask
 from quetzaldeck.entry.peers.messages import (
     PeerMessage,
--- a/tests/entry/peers/update_cost.py
+++ b/tests/entry/peers/update_cost.py
@@ -14,7 +14,7 @@
 import click
 from tests.entry.peers.peer_fleet import PeerFleet
 
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.relays import RelayBounds
 
 SIZES = (7, 30, 77, 195, 300, 410)
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -8,7 +8,7 @@
 from tests.support.platform.replica import build_head, event
 from tests.support.platform.site import PLAN_PATH, run_site
 
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.entry.settings import EntryBounds
 
 if TYPE_CHECKING:
--- a/tests/gateway/test_dispatch_task.py
+++ b/tests/gateway/test_dispatch_task.py
@@ -8,7 +8,7 @@
 
 from quetzaldeck.bundle import Bundle, UpstreamSpec
 from quetzaldeck.decisions import Dispatch, Request
-from quetzaldeck.decisions.peer_load import VmLoad
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.policies import Policies, build_scheduler
 from quetzaldeck.gateway.dispatch_task import IDLE_INTERVAL_MS, DispatchTask
 from quetzaldeck.gateway.messages import ObservePeerLoad, Submit
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -63,7 +63,7 @@
 
 
 def test_modules_of_the_bench_have_no_cycle() -> None:
-    """An attempt, its engines and its groups that name each other read as one module."""
+    """An attempt, its engines and groups that name each other read as one module."""
     package = Path(quetzaldeck.__file__).parent / "bench"
     imports = {
         f"quetzaldeck.bench.{path.stem}": list_imports(path)
