Keep long suspects in the lane of long prompts

Cause: a suspect was placed apart from the lane that keeps long prompts and short answers on different engines, and it did not queue for it. An engine runs at most one suspect, so of two long ones that were sent again the second took six engines of the short requests. Prefilling 82,000 tokens stops an engine's answers for three seconds.

A suspect now queues for the lane as other long prompts do; a group of engines is chosen from the lane if that can hold it, else it waits until no suspect runs there. Single suspects are restricted to the engines for their length.

--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -71,7 +71,11 @@
         self._helper_accounting = HelperAccounting(table)
         self._helper_selector = HelperSelector(policy, head_of_line)
         self._suspects = SuspectPlacer(
-            poison=poison, candidates=self._candidates, plans=self._plans
+            poison=poison,
+            candidates=self._candidates,
+            plans=self._plans,
+            head_of_line=head_of_line,
+            helper_selector=self._helper_selector,
         )
         self._n_double_releases = 0
 
@@ -158,10 +162,10 @@
         :param latest_turn_ms: latest time at which the request may get its turn
         """
         pool = self._table.list_serving(request)
+        if not self._may_start(request, pool, now_ms):
+            return False
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, (), now_ms) is not None
-        if not self._head_of_line.may_start(request, pool, now_ms):
-            return False
         if (
             self._plans.is_needed(request, pool)
             and self._plans.plan(request, pool, now_ms) is not None
@@ -280,6 +284,14 @@
             if not state.discard(attempt_id):
                 self._n_double_releases += 1
 
+    def _may_start(
+        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
+    ) -> bool:
+        """:returns: whether no long prompt that is under way has to end first"""
+        if request.service:
+            return True
+        return self._head_of_line.may_start(request, pool, now_ms)
+
     def _find_placement(
         self,
         request: Request,
@@ -287,12 +299,12 @@
         avoided: Sequence[str],
         now_ms: float,
     ) -> Placement | None:
+        if not self._may_start(request, pool, now_ms):
+            return None
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, avoided, now_ms)
         if request.service:
             return self._place_single(request, pool, avoided, now_ms)
-        if not self._head_of_line.may_start(request, pool, now_ms):
-            return None
         if self._plans.is_needed(request, pool):
             prefill_engines = self._helper_selector.list_prefill_engines(
                 request, pool, now_ms
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -12,8 +12,10 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.placement.candidates import CandidateFilter
     from quetzaldeck.decisions.placement.group_plans import GroupPlans
+    from quetzaldeck.decisions.placement.helper_selector import HelperSelector
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
@@ -29,14 +31,24 @@
     :param poison: registry of suspected requests
     :param candidates: filters upstreams by capacity
     :param plans: plans reservations on several engines
+    :param head_of_line: keeps long prompts away from the engines of short ones
+    :param helper_selector: lists the engines that may prefill a long prompt
     """
 
     def __init__(
-        self, *, poison: PoisonRegistry, candidates: CandidateFilter, plans: GroupPlans
+        self,
+        *,
+        poison: PoisonRegistry,
+        candidates: CandidateFilter,
+        plans: GroupPlans,
+        head_of_line: HeadOfLinePolicy,
+        helper_selector: HelperSelector,
     ) -> None:
         self._poison = poison
         self._candidates = candidates
         self._plans = plans
+        self._head_of_line = head_of_line
+        self._helper_selector = helper_selector
         self._running: Counter[int] = Counter()
 
     def is_suspect(self, request: Request, now_ms: float) -> bool:
@@ -71,19 +83,39 @@
         if not free:
             return None
         if self._plans.is_needed(request, pool):
-            plan = self._plans.plan(request, free, now_ms, avoided)
-            return None if plan is None else Placement(plan.upstreams, plan)
+            return self._find_group(request, pool, free, avoided, now_ms)
         candidates = [
             state
             for state in list_usable(free)
             if self._candidates.can_accept(state, request, now_ms)
         ]
+        candidates = list(self._head_of_line.restrict(request, candidates, now_ms))
         untried = [state for state in candidates if state.spec.name not in avoided]
         if not candidates:
             return None
         least_loaded = min(untried or candidates, key=_n_requests)
         return Placement((least_loaded.spec.name,))
 
+    def _find_group(
+        self,
+        request: Request,
+        pool: Sequence[UpstreamState],
+        free: Sequence[UpstreamState],
+        avoided: Sequence[str],
+        now_ms: float,
+    ) -> Placement | None:
+        """:returns: a group of engines that run no suspect; ``None`` if it has to wait
+
+        Two long suspects do not run side by side if the second would have to take the
+        engines of the short requests, all of which would stall while it is prefilled.
+        """
+        lane = self._helper_selector.list_prefill_engines(request, pool, now_ms)
+        if self._plans.planner.can_hold(request, lane):
+            names = {state.spec.name for state in lane}
+            free = [state for state in free if state.spec.name in names]
+        plan = self._plans.plan(request, free, now_ms, avoided)
+        return None if plan is None else Placement(plan.upstreams, plan)
+
     def _is_free(self, state: UpstreamState, now_ms: float) -> bool:
         """:returns: whether the next run of a suspect there shows what it does
 
