Let the lone run of a suspect go on until its retry could start

Callers saw: neighbours of a culprit that are never answered once they are suspects (cells of is_sent_elsewhere in test_unseen_crashes).

Cause: an attempt that is silent for 600 ms is given up for another upstream. That of a suspect has to wait until it is known whether the upstream survived the first one, 0.8 s and a check, so giving up gained nothing, and a request that runs for 900 ms alone was given up each time, though its answer is what would clear it.

Evidence: resets-is_sent_elsewhere, 15.2 s: the neighbour runs alone on desk3-2 and is given up at 15.8 s, so three times until its deadline.

An attempt of a suspect goes on for the time that its retry would wait (verdict "held"); a silent upstream costs a suspect 0.8 s more at most, as much as the retry costs. The test fails without the change. What fails now is that both suspects start at once on the first replica that comes up.

--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -185,6 +185,12 @@
             for state in list_usable(self._table.list_serving(request))
         )
 
+    def retry_hold_ms(self, request: Request, now_ms: float) -> float:
+        """:returns: how long a retry would wait for the outcome of an attempt now"""
+        if not self._suspects.is_suspect(request, now_ms):
+            return 0.0
+        return self._poison.bounds.linger_ms + self._poison.bounds.settle_ms
+
     def place(
         self,
         request: Request,
--- a/src/quetzaldeck/decisions/retries/silence.py
+++ b/src/quetzaldeck/decisions/retries/silence.py
@@ -16,6 +16,11 @@
 wait until they disconnect. No backlog explains a silence of half the caller's idle
 timeout: a retry after that would come too late. It does not matter whether the other
 upstream has capacity right now, since the request goes to the first one that has.
+
+A request that is suspected of crashing upstreams runs once at a time. Its retry has to
+wait until it is known whether the upstream has survived the attempt that is abandoned,
+so the attempt goes on for as long as that would take. If it is answered in that time,
+the request is cleared.
 """
 
 from __future__ import annotations
@@ -73,13 +78,15 @@
     """Decision on a silent attempt: abandon it, or why it goes on.
 
     ``BACKLOG``: the prefill backlog explains the silence. ``NO_RETRY``: the request may
-    not be retried. ``NO_OTHER``: there is no other upstream for it.
+    not be retried. ``NO_OTHER``: there is no other upstream for it. ``HELD``: its retry
+    would have to wait for the outcome of this attempt.
     """
 
     ABANDON = "left"
     BACKLOG = "backlog"
     NO_RETRY = "no_retry"
     NO_OTHER = "no_other"
+    HELD = "held"
 
 
 class SilencePolicy:
@@ -118,6 +125,9 @@
             explained_ms = min(explained_ms, max_explained_ms)
         if silent_ms < explained_ms:
             return SilenceVerdict.BACKLOG
+        hold_ms = self._placer.retry_hold_ms(request, now_ms)
+        if hold_ms and silent_ms < _threshold_ms(tracked) + hold_ms:
+            return SilenceVerdict.HELD
         if tracked.first_token_ms is not None:
             request = request._replace(last_token_ms=now_ms)
         if not self._retries.may_retry(request, tracked.history, now_ms):
@@ -128,6 +138,14 @@
         return SilenceVerdict.ABANDON
 
 
+def _threshold_ms(tracked: TrackedRequest) -> float:
+    """:returns: silence after which an attempt is checked for the first time"""
+    request = tracked.request
+    if tracked.first_token_ms is None:
+        return first_byte_threshold_ms(request.target_ms)
+    return stream_gap_threshold_ms(request.max_gap_ms) or 0.0
+
+
 __all__ = (
     "SILENCE_RECHECK_MS",
     "SilencePolicy",
