Presume no crash because of an earlier one of the same upstream

Only a crash that is still open shows that more than that request broke. The test fails without the change (verdict "suspect").

--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -110,12 +110,11 @@
 
         :param checked_ms: when the check began
         """
-        presumed = [
-            crash
+        has_broken = any(
+            crash.at_ms <= checked_ms and not crash.is_certain
             for crash in self._table.list_of(upstream)
-            if crash.at_ms <= checked_ms
-        ]
-        if presumed or self._runs.list_ended(upstream, checked_ms):
+        )
+        if has_broken or self._runs.list_ended(upstream, checked_ms):
             self._presume_runs(upstream, checked_ms)
         for crash in self._table.list_of(upstream):
             if crash.at_ms > checked_ms:
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -207,3 +207,12 @@
         registry.note_answered(NEIGHBOUR, 0.0)
     assert registry.n_crashes(NEIGHBOUR, 7_000.0) == BOUNDS.n_crashes_answered
     assert registry.verdict(NEIGHBOUR, 7_000.0) is Verdict.SUSPECT
+
+
+def test_earlier_crash_of_an_upstream_does_not_presume_the_next() -> None:
+    """Guards against a crash that is presumed of an upstream busy with its request."""
+    registry = PoisonRegistry(BOUNDS)
+    registry.note_crash(NEIGHBOUR, "e0", "1", 0.0, run_ms=9.0)
+    registry.note_left(CULPRIT, "e0", "2", 9_000.0, 9_020.0)
+    registry.ends.note_missing("e0", 9_021.0)
+    assert registry.verdict(CULPRIT, 9_030.0) is Verdict.CLEAR
