--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -185,10 +185,19 @@
             for state in list_usable(self._table.list_serving(request))
         )
 
-    def retry_hold_ms(self, request: Request, now_ms: float) -> float:
-        """:returns: how long a retry would wait for the outcome of an attempt now"""
+    def retry_hold_ms(
+        self, request: Request, upstreams: Sequence[str], now_ms: float
+    ) -> float:
+        """:returns: how long a retry would wait for the outcome of an attempt
+
+        0 unless the request is a suspect, and if the outcome is presumed already.
+
+        :param upstreams: upstreams of the attempt
+        """
         if not self._suspects.is_suspect(request, now_ms):
             return 0.0
+        if any(self._poison.ends.is_presumed(name) for name in upstreams):
+            return 0.0
         return self._poison.bounds.linger_ms + self._poison.bounds.settle_ms
 
     def place(
--- a/src/quetzaldeck/decisions/retries/silence.py
+++ b/src/quetzaldeck/decisions/retries/silence.py
@@ -125,7 +125,7 @@
             explained_ms = min(explained_ms, max_explained_ms)
         if silent_ms < explained_ms:
             return SilenceVerdict.BACKLOG
-        hold_ms = self._placer.retry_hold_ms(request, now_ms)
+        hold_ms = self._placer.retry_hold_ms(request, tracked.upstreams, now_ms)
         if hold_ms and silent_ms < _threshold_ms(tracked) + hold_ms:
             return SilenceVerdict.HELD
         if tracked.first_token_ms is not None:
--- a/tests/decisions/retries/test_silence.py
+++ b/tests/decisions/retries/test_silence.py
@@ -13,7 +13,12 @@
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
 from quetzaldeck.decisions.loads.peer_load import VmLoad
-from quetzaldeck.decisions.poison import CrashSighting, PoisonBounds
+from quetzaldeck.decisions.poison import (
+    CrashSighting,
+    PoisonBounds,
+    RunSighting,
+    RunState,
+)
 from quetzaldeck.decisions.retries import ResendBudget
 from quetzaldeck.decisions.retries.silence import (
     SilenceVerdict,
@@ -183,3 +188,16 @@
         (SILENT_MS + hold_ms, SilenceVerdict.ABANDON),
     ):
         assert judge(scheduler, dispatch, silent_ms) is verdict
+
+
+def test_suspect_leaves_an_upstream_that_is_presumed_crashed_at_once(
+    clock: ManualClock,
+) -> None:
+    """Guards against waiting for an outcome that another VM has told."""
+    scheduler = make_entry_scheduler(clock, NAMES)
+    scheduler.fleet.observe_crashes([CrashSighting(7, "gone", "1", 5_000.0, 900.0)])
+    dispatch = dispatch_request(scheduler, clock, fingerprint=7)
+    (name,) = dispatch.upstreams
+    run = RunSighting(8, name, "", 500.0, -1.0, RunState.MISSING)
+    scheduler.fleet.observe_runs([run])
+    assert judge(scheduler, dispatch) is SilenceVerdict.ABANDON
