--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -26,8 +26,7 @@
 
     If two suspects ran on an engine that crashes, the crash could be attributed to
     neither of them. VMs tell each other of the suspects that they send; two that send
-    one in the same moment do not know it of each other. So the suspects that wait for
-    an upstream to come up start there at different times.
+    one in the same moment do not know it of each other.
 
     :param poison: registry of suspected requests
     :param candidates: filters upstreams by capacity
@@ -80,12 +79,7 @@
             return None
         if self._poison.is_held(request.fingerprint, now_ms):
             return None
-        pause_ms = self._poison.draw_pause_ms(request.fingerprint)
-        free = [
-            state
-            for state in pool
-            if self._is_free(state, now_ms) and now_ms >= state.came_up_ms + pause_ms
-        ]
+        free = [state for state in pool if self._is_free(state, now_ms)]
         if not free:
             return None
         if self._plans.is_needed(request, pool):
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -104,10 +104,6 @@
         """:returns: pause before a suspect runs; 0 for any other request"""
         return self._verdicts.pause_ms(fingerprint, now_ms)
 
-    def draw_pause_ms(self, fingerprint: int) -> float:
-        """:returns: a pause in which VMs learn of each other's runs"""
-        return self._verdicts.draw_pause_ms(fingerprint)
-
     def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
         """:returns: a request that is refused, and why; ``None`` if it is not"""
         return self._verdicts.find_blocked(fingerprint, now_ms)
--- a/src/quetzaldeck/decisions/poison/verdicts.py
+++ b/src/quetzaldeck/decisions/poison/verdicts.py
@@ -92,16 +92,10 @@
         counted_ms = [item.seen_ms for crash, item in involvements if crash.counts]
         if not counted_ms:
             return 0.0
-        return max(0.0, max(counted_ms) + self.draw_pause_ms(fingerprint) - now_ms)
-
-    def draw_pause_ms(self, fingerprint: int) -> float:
-        """:returns: a pause in which VMs learn of each other's runs
-
-        It differs between most requests and is the same on all VMs.
-        """
         shortest_ms = self._bounds.min_propagation_ms
         range_ms = self._bounds.propagation_ms - shortest_ms
-        return shortest_ms + range_ms * (fingerprint % N_PAUSES) / (N_PAUSES - 1)
+        pause_ms = shortest_ms + range_ms * (fingerprint % N_PAUSES) / (N_PAUSES - 1)
+        return max(0.0, max(counted_ms) + pause_ms - now_ms)
 
     def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
         """:returns: a request that is refused, and why; ``None`` if it is not"""
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.health import UpstreamHealth, compute_ms_per_token
@@ -44,7 +43,6 @@
         self.report: LoadReport | None = None
         self.reported_ms = 0.0
         self.is_leaving = False
-        self.came_up_ms = -math.inf
         self.health = UpstreamHealth()
         self.ledger = MemoryLedger()
         self.peers = PeerLoad()
@@ -72,7 +70,6 @@
             return
         self.report = None
         self.reported_ms = 0.0
-        self.came_up_ms = now_ms
         self.health.reset_after_restart(now_ms)
         self.ledger.drop_all()
         self.peers = PeerLoad()
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -59,7 +59,6 @@
                 state = UpstreamState(spec)
                 if not is_first:
                     state.health.start_warm_up(now_ms)
-                    state.came_up_ms = now_ms
             state.spec = spec
             states[spec.name] = state
         dropped = {**self._retired, **self._states}
