--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -11,6 +11,7 @@
 )
 
 CULPRIT = 7
+NEIGHBOUR = 8
 BOUNDS = PoisonBounds(needs_proof=True)
 LINGER_MS = BOUNDS.linger_ms
 
@@ -132,9 +133,6 @@
     assert started.verdict(CULPRIT, 2_110.0) is Verdict.REFUSED
 
 
-NEIGHBOUR = 8
-
-
 def test_request_that_is_sent_over_and_over_is_blamed_with_its_neighbours() -> None:
     """Guards against refusing a neighbour while a copy of the culprit may still run."""
     registry = PoisonRegistry(BOUNDS)
