Reproduce that partitioned VMs fail what other VMs serve

Callers of VMs that had lost their paths to all replicas were refused after up to two seconds, or waited for their deadlines, while the other VMs were answered by the same replicas.

Links now distinguish the VM that a connection comes from. For that, a VM may bind its connections to upstreams to a local address: the new setting upstream_source, empty by default, is of use to operators as well, who recognise a VM by its address.

--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -71,11 +71,14 @@
     async def open(self) -> None:
         """Build the state and start the tasks; see the base class."""
         store_client = await self._stack.enter_async_context(aiohttp.ClientSession())
+        source_host = self._settings.upstream_source
         upstreams = await self._stack.enter_async_context(
-            UpstreamClient(echo_header=CALL_ID)
+            UpstreamClient(echo_header=CALL_ID, source_host=source_host)
         )
         check_client = await self._stack.enter_async_context(
-            UpstreamClient(echo_header=CALL_ID, reuses_connections=False)
+            UpstreamClient(
+                echo_header=CALL_ID, reuses_connections=False, source_host=source_host
+            )
         )
         dispatch = DispatchTask(self._build_scheduler(), self.metrics, self._clock)
         self._state = EntryState(
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -121,6 +121,9 @@
     peer_port: Annotated[
         int, Option("Port for exchange between VMs; 0: none.", maximum=65_535)
     ] = 0
+    upstream_source: Annotated[
+        str, Option("Local IP address of connections to upstreams; empty: any.")
+    ] = ""
     processor: Annotated[EntryProcessor, Option("Processor of this VM.")] = (
         EntryProcessor()
     )
--- a/src/quetzaldeck/entry/upstream_client.py
+++ b/src/quetzaldeck/entry/upstream_client.py
@@ -35,10 +35,18 @@
 
     :param echo_header: header in which an upstream echoes the id of a request
     :param reuses_connections: whether a connection serves more than one request
+    :param source_host: local address of the connections; ``""``: any
     """
 
-    def __init__(self, *, echo_header: str, reuses_connections: bool = True) -> None:
+    def __init__(
+        self,
+        *,
+        echo_header: str,
+        reuses_connections: bool = True,
+        source_host: str = "",
+    ) -> None:
         self._echo_header = echo_header
+        self._source_host = source_host
         self._reuses_connections = reuses_connections
         self._client: aiohttp.ClientSession | None = None
 
@@ -46,6 +54,7 @@
         connector = UpstreamConnector(
             echo_header=self._echo_header,
             max_idle_s=MAX_IDLE_S if self._reuses_connections else None,
+            source_host=self._source_host,
         )
         self._client = aiohttp.ClientSession(
             connector=connector,
--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -128,10 +128,14 @@
     """Opens connections of :class:`UpstreamProtocol`.
 
     :param max_idle_s: how long an idle connection is kept; ``None``: not at all
+    :param source_host: local address of the connections; ``""``: any
     """
 
-    def __init__(self, *, echo_header: str, max_idle_s: float | None) -> None:
+    def __init__(
+        self, *, echo_header: str, max_idle_s: float | None, source_host: str = ""
+    ) -> None:
         super().__init__(
+            local_addr=(source_host, 0) if source_host else None,
             limit=0,
             force_close=max_idle_s is None,
             keepalive_timeout=max_idle_s,
--- a/tests/soak/own/link.py
+++ b/tests/soak/own/link.py
@@ -23,16 +23,46 @@
     SILENT = "silent"
 
 
+class PathMode(StrEnum):
+    """What a link does with the connections of one source.
+
+    ``SILENT``: they hang, open and new ones. ``RESET``: they are reset. ``REFUSE``: new
+    ones are reset, while open ones live on. ``REQUESTS_LOST`` and ``ANSWERS_LOST``:
+    bytes pass in the other direction only.
+    """
+
+    OPEN = "open"
+    SILENT = "silent"
+    RESET = "reset"
+    REFUSE = "refuse"
+    REQUESTS_LOST = "requests_lost"
+    ANSWERS_LOST = "answers_lost"
+
+
 class _Connection:
     """One connection through a link; a silenced one drops every byte.
 
-    :param source: which VM opened it, if the link can identify it
+    :param source: which VM opened it: what the link identified, or else its host
     """
 
     def __init__(self, writers: tuple[asyncio.StreamWriter, ...], source: str) -> None:
         self._writers = writers
         self.source = source
         self.is_silent = False
+        self.mode = PathMode.OPEN
+
+    def drops(self, direction: PathMode) -> bool:
+        """:returns: whether bytes of a direction are dropped"""
+        return self.is_silent or self.mode is direction
+
+    def apply(self, mode: PathMode) -> None:
+        """Change what happens to an open connection; a silenced one stays silent."""
+        if mode is PathMode.RESET:
+            self.abort()
+        elif mode is PathMode.SILENT:
+            self.is_silent = True
+        elif mode is not PathMode.REFUSE:
+            self.mode = mode
 
     def abort(self) -> None:
         """Abort the connection on both sides."""
@@ -53,6 +83,7 @@
         self.target_port = port
         self._identify = identify
         self._blocked: frozenset[str] = frozenset()
+        self._paths: dict[str, PathMode] = {}
         self._mode = LinkMode.OPEN
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -123,6 +154,13 @@
             if connection.source in self._blocked:
                 connection.is_silent = True
 
+    def set_path(self, source: str, mode: PathMode) -> None:
+        """Change what happens to the connections from one host."""
+        self._paths[source] = mode
+        for connection in tuple(self._connections):
+            if connection.source == source:
+                connection.apply(mode)
+
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -134,7 +172,9 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._mode is LinkMode.CUT:
+        host = writer.get_extra_info("peername")[0]
+        path = self._paths.get(host, PathMode.OPEN)
+        if self._mode is LinkMode.CUT or path in (PathMode.RESET, PathMode.REFUSE):
             return
         try:
             target = await asyncio.open_connection(HOST, self.target_port)
@@ -142,35 +182,42 @@
             return
         target_reader, target_writer = target
         head = b"" if self._identify is None else await reader.read(READ_BYTES)
-        source = "" if self._identify is None else self._identify(head)
+        source = host if self._identify is None else self._identify(head)
         connection = _Connection((writer, target_writer), source)
         connection.is_silent = self._mode is LinkMode.SILENT or source in self._blocked
+        connection.apply(path)
         self._connections.add(connection)
         if not connection.is_silent:
             target_writer.write(head)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(_forward(reader, target_writer, connection))
-                group.create_task(_forward(target_reader, writer, connection))
+                lost, answers_lost = PathMode.REQUESTS_LOST, PathMode.ANSWERS_LOST
+                group.create_task(_forward(reader, target_writer, connection, lost))
+                group.create_task(
+                    _forward(target_reader, writer, connection, answers_lost)
+                )
         finally:
             self._connections.discard(connection)
             target_writer.transport.abort()
 
 
 async def _forward(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, connection: _Connection
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    connection: _Connection,
+    direction: PathMode,
 ) -> None:
     # The event loop raises RuntimeError on a write to a transport it has closed.
     with suppress(OSError, RuntimeError):
         while data := await reader.read(READ_BYTES):
-            if connection.is_silent:
+            if connection.drops(direction):
                 continue
             writer.write(data)
             await writer.drain()
-    if connection.is_silent:
+    if connection.drops(direction):
         return
     with suppress(OSError, RuntimeError):
         writer.write_eof()
 
 
-__all__ = ("Link", "LinkMode")
+__all__ = ("Link", "LinkMode", "PathMode")
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -1,8 +1,9 @@
-"""Several entry VMs of one zone that share one store, in this process."""
+"""Several entry VMs that share one store, in this process."""
 
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any
 
@@ -38,6 +39,7 @@
 
     def __init__(self, host: str, settings: EntrySettings) -> None:
         self.host = host
+        self.zone = settings.availability_zone
         self.address = settings.listen.callers
         self.entry = EntryService(settings)
         listen = ListenAddress(host, settings.peer_port)
@@ -71,13 +73,18 @@
 
 
 class EntryFleet:
-    """Entry VMs and the store; a context manager."""
+    """Entry VMs and the store; a context manager.
 
-    def __init__(self, n_vms: int = 3, *, zone: str = "a") -> None:
-        self._zone = zone
+    :param zones: availability zone of each VM; by default all are in one
+    """
+
+    def __init__(
+        self, n_vms: int = 3, *, zone: str = "a", zones: tuple[str, ...] = ()
+    ) -> None:
+        self._zones = zones or (zone,) * n_vms
         self._stack = AsyncExitStack()
         self._peer_port = choose_port()
-        self._hosts = [f"127.0.1.{index + 1}" for index in range(n_vms)]
+        self._hosts = [f"127.0.1.{index + 1}" for index in range(len(self._zones))]
         self.store = StandInStore()
         self.vms: dict[str, EntryVm] = {}
 
@@ -112,11 +119,12 @@
         listen = EntryListen(f"{host}:{port}", f"{host}:{choose_port()}")
         settings = EntrySettings(
             f"entry-{host}",
-            self._zone,
+            self._zones[self._hosts.index(host)],
             listen,
             self.store.address,
             seeds=tuple(f"{seed}:1" for seed in self._hosts[:3]),
             peer_port=self._peer_port,
+            upstream_source=host,
             processor=EntryProcessor(share=0.1234),
         )
         vm = EntryVm(host, settings)
@@ -147,19 +155,23 @@
                 await asyncio.sleep(0.01)
 
     def _members_agree(self) -> bool:
+        n_in_zone = Counter(vm.zone for vm in self.vms.values())
         return all(
-            len(vm.sources.list_neighbours()) == len(self.vms) - 1
+            len(vm.sources.list_neighbours()) == n_in_zone[vm.zone] - 1
             for vm in self.vms.values()
         )
 
 
 def run_fleet(
-    test: Callable[[EntryFleet], Coroutine[Any, Any, None]], n_vms: int = 3
+    test: Callable[[EntryFleet], Coroutine[Any, Any, None]],
+    n_vms: int = 3,
+    *,
+    zones: tuple[str, ...] = (),
 ) -> None:
     """Run a test against its own fleet."""
 
     async def bounded() -> None:
-        async with asyncio.timeout(40), EntryFleet(n_vms) as fleet:
+        async with asyncio.timeout(40), EntryFleet(n_vms, zones=zones) as fleet:
             await test(fleet)
 
     uvloop.run(bounded())
