--- a/src/quetzaldeck/cli/entry_program.py
+++ b/src/quetzaldeck/cli/entry_program.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NoReturn
 
 from quetzaldeck.cli.running import load_settings, run_services
+from quetzaldeck.entry.handover.service import HandoverService
 from quetzaldeck.entry.peers import BeliefService
 from quetzaldeck.entry.service import EntryService, MetricsService, ReadinessService
 from quetzaldeck.entry.settings import EntrySettings
@@ -33,6 +34,10 @@
             parse_listen_address(settings.listen.callers).host, settings.peer_port
         )
         services.append(BeliefService(listen, lambda: entry.session.feed))
+    if settings.handover_port:
+        host = parse_listen_address(settings.listen.callers).host
+        listen = ListenAddress(host, settings.handover_port)
+        services.append(HandoverService(listen, lambda: entry.session.state))
     run_services(
         *services,
         background=watch.run,
--- a/src/quetzaldeck/decisions/health/peer_outcomes.py
+++ b/src/quetzaldeck/decisions/health/peer_outcomes.py
@@ -8,11 +8,16 @@
 
 from __future__ import annotations
 
+import math
+
 from quetzaldeck.decisions.health.outcomes import DecayingOutcomes, Outcomes
 
 MIN_OUTCOME_WEIGHT = 0.05
 """A VM whose outcomes have decayed below this many requests is removed."""
 
+MIN_NEW_ANSWER = 0.5
+"""Increase of the answers of a VM that shows a new one, which counts as 1."""
+
 MIN_PRUNE_SIZE = 16
 """Number of VMs up to which nothing is pruned."""
 
@@ -25,16 +30,24 @@
         self._sum = Outcomes()
         self._sum_ms = 0.0
         self._prune_size = MIN_PRUNE_SIZE
+        self._answered_ms = -math.inf
 
     def __len__(self) -> int:
         return len(self._counts)
 
+    @property
+    def answered_ms(self) -> float:
+        """:returns: when a VM last reported another answer of the upstream"""
+        return self._answered_ms
+
     def update(self, vm: str, outcomes: Outcomes, now_ms: float) -> None:
         """Record outcomes reported by a VM; a repeated report keeps its age."""
         count = self._counts.setdefault(vm, DecayingOutcomes())
         if outcomes == count.last:
             return
         before = count.at(now_ms)
+        if outcomes.n_answered - before.n_answered >= MIN_NEW_ANSWER:
+            self._answered_ms = now_ms
         count.replace(outcomes, now_ms)
         self._set_sum(self.at(now_ms).add(outcomes).subtract(before), now_ms)
         if len(self._counts) > self._prune_size:
--- /dev/null
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -0,0 +1,195 @@
+"""The paths of one VM to the upstreams of all services."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+from quetzaldeck.decisions.paths.bounds import PathBounds
+from quetzaldeck.decisions.paths.service_path import ServicePath
+from quetzaldeck.decisions.paths.verdict import PathVerdict
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable, Mapping
+
+    FindAnswered = Callable[[str], float]
+
+
+class ProbedUpstream(NamedTuple):
+    """An upstream of which this VM wants to know whether it reaches it.
+
+    :param service: service that it belongs to
+    """
+
+    service: str
+    upstream: str
+
+
+class PathMonitor:
+    """Passes evidence to the paths and reads their verdicts.
+
+    :param find_answered_ms: returns when another VM last had an answer of an upstream
+    :param random_state: chooses the requests that return first to a path that is back
+    """
+
+    def __init__(
+        self,
+        find_answered_ms: FindAnswered,
+        *,
+        random_state: random.Random,
+        bounds: PathBounds | None = None,
+    ) -> None:
+        self._find_answered_ms = find_answered_ms
+        self._random_state = random_state
+        self._bounds = bounds or PathBounds()
+        self._paths: dict[str, ServicePath] = {}
+        self._services: dict[str, str] = {}
+        self._verdicts: dict[str, PathVerdict] = {}
+        self._sent: dict[str, tuple[str, float]] = {}
+
+    @property
+    def bounds(self) -> PathBounds:
+        """:returns: the thresholds and times"""
+        return self._bounds
+
+    @property
+    def heard_ms(self) -> float:
+        """:returns: when any upstream last sent anything"""
+        return max((path.heard_ms for path in self._paths.values()), default=-math.inf)
+
+    def find_path(self, service: str) -> ServicePath | None:
+        """:returns: the path to a service; ``None`` if it has no upstreams"""
+        return self._paths.get(service)
+
+    def find_service(self, upstream: str) -> str:
+        """:returns: service of an upstream; ``""`` if it is not known"""
+        return self._services.get(upstream, "")
+
+    def set_upstreams(self, upstreams: Iterable[tuple[str, str, str]]) -> None:
+        """Set the upstreams that get new work.
+
+        :param upstreams: name, service and availability zone of each
+        """
+        zones: dict[str, dict[str, str]] = {}
+        self._services = {}
+        for name, service, zone in upstreams:
+            zones.setdefault(service, {})[name] = zone
+            self._services[name] = service
+        for service in self._paths.keys() - zones.keys():
+            del self._paths[service]
+        for service, names in zones.items():
+            path = self._paths.setdefault(service, ServicePath(self._bounds))
+            path.set_upstreams(names)
+
+    def note_sent(self, attempt_id: str, upstream: str, now_ms: float) -> None:
+        """Record that an attempt was sent."""
+        self._sent[attempt_id] = upstream, now_ms
+
+    def note_ended(self, attempt_id: str) -> None:
+        """Record that nobody waits for an attempt any more."""
+        self._sent.pop(attempt_id, None)
+
+    def note_heard(self, upstream: str, now_ms: float) -> None:
+        """Record that an upstream has sent something."""
+        path = self._paths.get(self.find_service(upstream))
+        if path is not None:
+            path.note_heard(upstream, now_ms)
+
+    def note_failed(
+        self, upstream: str, begun_ms: float, *, is_new_connection: bool
+    ) -> None:
+        """Record that an attempt failed; see :meth:`ServicePath.note_failed`."""
+        path = self._paths.get(self.find_service(upstream))
+        if path is not None:
+            path.note_failed(upstream, begun_ms, is_new_connection=is_new_connection)
+
+    def choose_probed(self, now_ms: float) -> list[ProbedUpstream]:
+        """:returns: upstreams to probe now"""
+        for upstream, sent_ms in self._sent.values():
+            path = self._paths.get(self.find_service(upstream))
+            if path is not None:
+                path.note_waiting(sent_ms, now_ms)
+        return [
+            ProbedUpstream(service, name)
+            for service, path in self._paths.items()
+            for name in path.choose_probed(self._list_answered(service), now_ms)
+        ]
+
+    def note_probes(
+        self, results: Mapping[ProbedUpstream, bool], now_ms: float
+    ) -> None:
+        """Record probes that were chosen together.
+
+        :param results: whether each was answered
+        """
+        for service in {probed.service for probed in results}:
+            path = self._paths.get(service)
+            if path is None:
+                continue
+            by_result: dict[bool, list[str]] = {True: [], False: []}
+            for probed, is_answered in results.items():
+                if probed.service == service:
+                    by_result[is_answered].append(probed.upstream)
+            path.note_probes(by_result[True], by_result[False], now_ms)
+
+    def pop_changed_verdicts(self, now_ms: float) -> dict[str, PathVerdict]:
+        """:returns: verdicts that have changed since the last call, by service"""
+        verdicts = {
+            service: path.judge(self._list_answered(service), now_ms)
+            for service, path in self._paths.items()
+        }
+        changed = {
+            service: verdict
+            for service, verdict in verdicts.items()
+            if self._verdicts.get(service, PathVerdict.REACHED) is not verdict
+        }
+        for service in self._verdicts.keys() - verdicts.keys():
+            if self._verdicts[service] is not PathVerdict.REACHED:
+                changed[service] = PathVerdict.REACHED
+        self._verdicts = verdicts
+        return changed
+
+    def find_verdict(self, service: str) -> PathVerdict:
+        """:returns: the last verdict on the path to a service"""
+        return self._verdicts.get(service, PathVerdict.REACHED)
+
+    def may_hand_over(self, service: str, now_ms: float) -> bool:
+        """:returns: whether a request that this VM can't serve is offered to another"""
+        verdict = self.find_verdict(service)
+        if verdict is PathVerdict.PARTITIONED:
+            return True
+        path = self._paths.get(service)
+        return (
+            path is not None
+            and verdict is not PathVerdict.REACHED
+            and path.may_ask(now_ms)
+        )
+
+    def prefers_hand_over(self, service: str, now_ms: float) -> bool:
+        """:returns: whether another VM should serve a request, as the path is just back
+
+        The share of such requests falls with time, so that all the work does not move
+        at one moment, and comes back if the path is lost again.
+        """
+        path = self._paths.get(service)
+        if path is None or self.find_verdict(service) is not PathVerdict.REACHED:
+            return False
+        share = path.return_share(now_ms)
+        return share < 1.0 and self._random_state.random() >= share
+
+    def note_served_elsewhere(self, service: str, now_ms: float) -> None:
+        """Record that another VM has served a request that was handed over."""
+        path = self._paths.get(service)
+        if path is not None:
+            path.note_served_elsewhere(now_ms)
+
+    def _list_answered(self, service: str) -> dict[str, float]:
+        return {
+            name: self._find_answered_ms(name)
+            for name, other in self._services.items()
+            if other == service
+        }
+
+
+__all__ = ("PathMonitor", "ProbedUpstream")
--- /dev/null
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -0,0 +1,207 @@
+"""The path of one VM to the upstreams of one service."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.paths.verdict import PathVerdict
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from quetzaldeck.decisions.paths.bounds import PathBounds
+
+
+class ServicePath:
+    """Evidence of one VM on its path to the upstreams of one service.
+
+    A failed attempt or a silence is a reason to probe; only probes decide, as they use
+    new connections and upstreams that may well live.
+    """
+
+    def __init__(self, bounds: PathBounds) -> None:
+        self._bounds = bounds
+        self._zones: Mapping[str, str] = {}
+        self._heard_ms = -math.inf
+        self._failed: set[str] = set()
+        self._unusable: set[str] = set()
+        self._suspected_ms: float | None = None
+        self._lost_ms: float | None = None
+        self._returned_ms: float | None = None
+        self._probed_ms: dict[str, float] = {}
+        self._round_ms = -math.inf
+        self._n_unanswered = 0
+        self._elsewhere_ms = -math.inf
+        self._asked_ms = -math.inf
+
+    @property
+    def lost_ms(self) -> float | None:
+        """:returns: since when nothing came on this path; ``None``: it is not lost"""
+        return self._lost_ms
+
+    @property
+    def heard_ms(self) -> float:
+        """:returns: when an upstream of the service last sent anything"""
+        return self._heard_ms
+
+    @property
+    def failed(self) -> frozenset[str]:
+        """:returns: upstreams that have failed and sent nothing since"""
+        return frozenset(self._failed)
+
+    def set_upstreams(self, zones: Mapping[str, str]) -> None:
+        """Set the upstreams that get new work.
+
+        :param zones: availability zone of each upstream
+        """
+        self._zones = zones
+        self._failed &= zones.keys()
+        self._unusable &= zones.keys()
+        for name in self._probed_ms.keys() - zones.keys():
+            del self._probed_ms[name]
+
+    def note_heard(self, upstream: str, now_ms: float) -> None:
+        """Record that an upstream has sent something, on any connection."""
+        self._heard_ms = now_ms
+        self._failed.discard(upstream)
+
+    def note_failed(
+        self, upstream: str, begun_ms: float, *, is_new_connection: bool
+    ) -> None:
+        """Record an attempt that has failed.
+
+        :param begun_ms: when it was sent
+        :param is_new_connection: whether nothing came on its connection
+        """
+        self._failed.add(upstream)
+        if is_new_connection:
+            self._unusable.add(upstream)
+        n_needed = min(self._bounds.n_failed_connections, len(self._zones))
+        if begun_ms >= self._heard_ms or len(self._unusable) >= n_needed:
+            self._suspect(begun_ms)
+
+    def note_waiting(self, sent_ms: float, now_ms: float) -> None:
+        """Record that an attempt is unanswered.
+
+        :param sent_ms: when it was sent
+        """
+        silent_since_ms = max(sent_ms, self._heard_ms)
+        if now_ms - silent_since_ms >= self._bounds.silence_ms:
+            self._suspect(silent_since_ms)
+
+    def note_served_elsewhere(self, now_ms: float) -> None:
+        """Record that another VM had an answer of the service."""
+        self._elsewhere_ms = max(self._elsewhere_ms, now_ms)
+
+    def choose_probed(
+        self, answered_ms: Mapping[str, float], now_ms: float
+    ) -> tuple[str, ...]:
+        """Start a round of probes if one is due.
+
+        :param answered_ms: when the other VMs last had answers of the upstreams
+        :returns: upstreams to probe
+        """
+        if self._suspected_ms is None and self._lost_ms is None:
+            return ()
+        if now_ms - self._round_ms < self._interval_ms():
+            return ()
+        self._round_ms = now_ms
+        # A single answer suffices, and a false suspicion is the usual case.
+        n_probed = 1 if self._lost_ms is None and not self._n_unanswered else 2
+        if self._lost_ms is None and self._n_unanswered:
+            n_probed = self._bounds.n_probed - self._n_unanswered
+        chosen = self._rank(answered_ms)[:n_probed]
+        for name in chosen:
+            self._probed_ms[name] = now_ms
+        return tuple(chosen)
+
+    def note_probes(
+        self, answered: Sequence[str], unanswered: Sequence[str], now_ms: float
+    ) -> None:
+        """Record a round of probes."""
+        for name in answered:
+            self.note_heard(name, now_ms)
+        self._failed.update(unanswered)
+        if answered:
+            self._note_reached(now_ms)
+            return
+        self._returned_ms = None
+        self._n_unanswered += len(unanswered)
+        n_needed = min(self._bounds.n_probed, len(self._zones))
+        if self._lost_ms is None and self._n_unanswered >= n_needed:
+            self._lost_ms = now_ms if self._suspected_ms is None else self._suspected_ms
+
+    def judge(self, answered_ms: Mapping[str, float], now_ms: float) -> PathVerdict:
+        """:returns: what the evidence shows
+
+        :param answered_ms: when the other VMs last had answers of the upstreams
+        """
+        if self._lost_ms is None:
+            return PathVerdict.REACHED
+        last_ms = max(answered_ms.values(), default=-math.inf)
+        if last_ms >= self._lost_ms + self._bounds.peer_lag_ms:
+            self.note_served_elsewhere(last_ms)
+        if now_ms - self._elsewhere_ms <= self._bounds.evidence_ms:
+            return PathVerdict.PARTITIONED
+        if self._failed >= self._zones.keys():
+            return PathVerdict.DOWN
+        return PathVerdict.UNREACHED
+
+    def may_ask(self, now_ms: float) -> bool:
+        """Check whether one request may be handed over to find out if others serve it.
+
+        Most requests are not, so that VMs do not flood each other while upstreams are
+        down for all of them.
+        """
+        if now_ms - self._asked_ms < self._bounds.probe_interval_ms:
+            return False
+        self._asked_ms = now_ms
+        return True
+
+    def return_share(self, now_ms: float) -> float:
+        """:returns: share of the requests that may use the path, up to 1"""
+        if self._lost_ms is not None:
+            return 0.0
+        if self._returned_ms is None:
+            return 1.0
+        return min(1.0, (now_ms - self._returned_ms) / self._bounds.return_ms)
+
+    def _suspect(self, since_ms: float) -> None:
+        if self._suspected_ms is None:
+            self._suspected_ms = since_ms
+
+    def _interval_ms(self) -> float:
+        if self._lost_ms is not None:
+            return self._bounds.probe_interval_ms
+        return 0.0 if self._n_unanswered else self._bounds.answered_interval_ms
+
+    def _note_reached(self, now_ms: float) -> None:
+        if self._lost_ms is not None:
+            self._returned_ms = now_ms
+        self._lost_ms = None
+        self._suspected_ms = None
+        self._n_unanswered = 0
+        self._unusable.clear()
+
+    def _rank(self, answered_ms: Mapping[str, float]) -> list[str]:
+        """:returns: upstreams, first those that best show whether the path works
+
+        Each zone has its turn, so that the loss of one is not taken for that of all.
+        """
+
+        def rank(name: str) -> tuple[float, float]:
+            return self._probed_ms.get(name, -math.inf), -answered_ms.get(name, -1.0)
+
+        by_zone: dict[str, list[str]] = {}
+        for name in sorted(self._zones, key=rank):
+            by_zone.setdefault(self._zones[name], []).append(name)
+        turns = [
+            (turn, rank(name), name)
+            for names in by_zone.values()
+            for turn, name in enumerate(names)
+        ]
+        return [name for _, _, name in sorted(turns)]
+
+
+__all__ = ("ServicePath",)
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -15,6 +15,7 @@
 from quetzaldeck.decisions.health.pace import exclude_slow
 from quetzaldeck.decisions.health.partial_failures import exclude_failing
 from quetzaldeck.decisions.memory import InFlightAttempt
+from quetzaldeck.decisions.paths import PathVerdict
 from quetzaldeck.decisions.placement.candidates import CandidateFilter, find_soonest
 from quetzaldeck.decisions.placement.group_plans import GroupPlans
 from quetzaldeck.decisions.placement.helper_accounting import HelperAccounting
@@ -78,6 +79,7 @@
             helper_selector=self._helper_selector,
         )
         self._n_double_releases = 0
+        self._lost_paths: dict[str, PathVerdict] = {}
 
     @property
     def policy(self) -> PlacementPolicy:
@@ -89,6 +91,34 @@
         """:returns: number of releases of memory that was not held; above 0 is a bug"""
         return self._n_double_releases
 
+    @property
+    def has_lost_path(self) -> bool:
+        """:returns: whether this VM reaches no upstream of some service"""
+        return bool(self._lost_paths)
+
+    def observe_path(self, service: str, verdict: PathVerdict) -> None:
+        """Apply whether this VM reaches the upstreams of a service.
+
+        An attempt may still succeed while nothing shows why probes fail.
+        """
+        if verdict in (PathVerdict.PARTITIONED, PathVerdict.DOWN):
+            self._lost_paths[service] = verdict
+        else:
+            self._lost_paths.pop(service, None)
+
+    def check_path(self, request: Request) -> Failure | None:
+        """:returns: the refusal of a request whose upstreams this VM does not reach"""
+        verdict = self._lost_paths.get(request.target)
+        if verdict is None:
+            return None
+        detail = f"{request.target}: no upstream answers this VM"
+        if verdict is PathVerdict.PARTITIONED:
+            detail += ", while they answer other VMs"
+            return Failure(Reason.NO_PATH, retry_after_ms=0.0, detail=detail)
+        return Failure(
+            Reason.NO_PATH, retry_after_ms=NO_UPSTREAM_RETRY_MS, detail=detail
+        )
+
     def check(self, request: Request, now_ms: float) -> Failure | None:
         """:returns: the refusal of a request that cannot be placed now or later"""
         pool = self._table.list_serving(request)
@@ -102,7 +132,7 @@
             )
         if not request.service and not self._plans.planner.can_hold(request, available):
             return Failure(Reason.PROMPT_TOO_LARGE)
-        return self.check_poison(request, now_ms)
+        return self.check_poison(request, now_ms) or self.check_path(request)
 
     def check_rate_limits(
         self, request: Request, now_ms: float, latest_turn_ms: float
--- a/src/quetzaldeck/decisions/queueing/queue_sweep.py
+++ b/src/quetzaldeck/decisions/queueing/queue_sweep.py
@@ -55,6 +55,7 @@
         """:returns: a rejection for each request that cannot be served any more"""
         yield from self._reject_expired(now_ms)
         yield from self._reject_poison(now_ms)
+        yield from self._reject_unreached()
         yield from self._reject_rate_limited(now_ms)
 
     def _reject_expired(self, now_ms: float) -> Iterable[Rejection]:
@@ -70,6 +71,14 @@
             if failure is not None:
                 yield self._reject(request, failure)
 
+    def _reject_unreached(self) -> Iterable[Rejection]:
+        """Reject requests whose upstreams this VM does not reach."""
+        waiting = tuple(self._waiting) if self._placer.has_lost_path else ()
+        for request in waiting:
+            failure = self._placer.check_path(request)
+            if failure is not None:
+                yield self._reject(request, failure)
+
     def _reject_rate_limited(self, now_ms: float) -> Iterable[Rejection]:
         """Reject requests that no upstream takes in time, as all limit their rate."""
         waiting = tuple(self._waiting) if self._table.has_rate_limits else ()
--- a/src/quetzaldeck/decisions/retries/silence.py
+++ b/src/quetzaldeck/decisions/retries/silence.py
@@ -119,6 +119,10 @@
         :param silent_ms: time since the last byte from the attempt, or since it began
         """
         request = tracked.request
+        if self._placer.check_path(request) is not None:
+            # Another VM may serve it, or nobody can: the caller gains by no wait.
+            may_leave = request.is_repeatable
+            return SilenceVerdict.ABANDON if may_leave else SilenceVerdict.NO_RETRY
         explained_ms = BACKLOG_FACTOR * tracked.backlog_ms
         if request.caller_idle_timeout_ms:
             max_explained_ms = MAX_BACKLOG_SHARE * request.caller_idle_timeout_ms
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -35,6 +35,7 @@
     from quetzaldeck.decisions.decision import AttemptEnd, Decision
     from quetzaldeck.decisions.groups import GroupBounds
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
+    from quetzaldeck.decisions.paths import PathVerdict
     from quetzaldeck.decisions.placement import PlacementPolicy
     from quetzaldeck.decisions.poison import PoisonBounds
     from quetzaldeck.decisions.queueing import QueuePolicy
@@ -186,6 +187,11 @@
         self._head_of_line.configure(bundle, tuning)
         self._waiting.note_capacity_freed()
 
+    def observe_path(self, service: str, verdict: PathVerdict) -> None:
+        """Apply whether this VM reaches the upstreams of a service."""
+        self._placer.observe_path(service, verdict)
+        self._waiting.note_capacity_freed()
+
     def submit(self, request: Request) -> Failure | None:
         """Queue a request or refuse it at once.
 
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -31,6 +31,11 @@
     from quetzaldeck.routing import Replica
 
 
+_PATH_FAULTS = frozenset(
+    (AttemptFault.CONNECT, AttemptFault.BROKEN, AttemptFault.SILENT)
+)
+
+
 class OpenResponse(NamedTuple):
     """A response whose head has been validated; its body is not read yet."""
 
@@ -53,6 +58,7 @@
         self._incarnation = ""
         self._replica: Replica | None = None
         self._sent_ms: float | None = None
+        self._has_response = False
 
     @property
     def sent_ms(self) -> float | None:
@@ -107,13 +113,25 @@
         """
         may_have_run_before = self._may_have_run
         self._sent_ms = None
+        self._has_response = False
         try:
             async with self._open_response(dispatch, last_event_id) as opened:
                 yield opened
         except UpstreamError as error:
             if not error.may_have_run:
                 self._may_have_run = may_have_run_before
+            self._note_path_fault(dispatch.upstreams[-1], error)
             raise
+        finally:
+            self._state.paths.note_ended(dispatch.attempt_id)
+
+    def _note_path_fault(self, name: str, error: UpstreamError) -> None:
+        """Record a fault that may be one of the path to the upstream."""
+        if error.fault not in _PATH_FAULTS or self._sent_ms is None:
+            return
+        self._state.paths.note_failed(
+            name, self._sent_ms, is_new_connection=not self._has_response
+        )
 
     @asynccontextmanager
     async def _open_response(
@@ -136,6 +154,8 @@
                 lambda: self._send(dispatch, helpers, last_event_id)
             )
             try:
+                self._has_response = True
+                self._state.paths.note_heard(name)
                 head = read_response_head(response.status, response.headers)
                 self._report_load(name, head)
                 self._state.rate_limits.note_response(
@@ -167,9 +187,10 @@
         replica = self._find_replica(name)
         self._incarnation = replica.incarnation
         self._replica = replica
-        headers = build_request_headers(http_request.headers, parameters)
+        headers = build_request_headers(self._call.headers, parameters)
         self._may_have_run = True
         self._sent_ms = self._state.clock.now_ms()
+        self._state.paths.note_sent(dispatch.attempt_id, name)
         self._state.rate_limits.note_sent(name)
         return await self._state.upstreams.send(
             replica.address,
--- a/src/quetzaldeck/entry/call.py
+++ b/src/quetzaldeck/entry/call.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from aiohttp import web
+from multidict import CIMultiDict
 
 from quetzaldeck.decisions import Request
 from quetzaldeck.entry.admission import Admitted
 from quetzaldeck.entry.call_head import CallHead
+from quetzaldeck.entry.handover.head import HandoverHead
 from quetzaldeck.platform.caller_timeouts import stream_idle_timeout_ms
 from quetzaldeck.routing import RequestKind, Route
 
@@ -26,6 +28,9 @@
     :param body: ``None`` if the request has none
     :param arrived_ms: monotonic time of its arrival
     :param fingerprint: hash of what a replica runs; equal for repeated requests
+    :param headers: the caller's headers
+    :param handover: what the VM states that has handed it over; ``None``: the caller
+        sent it to this VM
     """
 
     request_id: str
@@ -35,6 +40,8 @@
     body: bytes | None
     arrived_ms: float
     fingerprint: int
+    headers: CIMultiDict[str]
+    handover: HandoverHead | None = None
 
 
 def build_request(call: Call, view: RoutingView) -> Request:
@@ -58,13 +65,21 @@
         deadline_ms=admitted.deadline_ms,
         fingerprint=call.fingerprint,
         is_repeatable=route.is_repeatable,
-        max_attempts=route.max_attempts,
+        max_attempts=_max_attempts(call),
         target_ms=route.target_latency_ms,
         max_gap_ms=route.max_gap_ms,
         caller_idle_timeout_ms=_caller_idle_timeout_ms(route),
     )
 
 
+def _max_attempts(call: Call) -> int | None:
+    """:returns: attempts left that may run; ``None``: the VM's limit applies"""
+    max_attempts = call.admitted.route.max_attempts
+    if max_attempts is None or call.handover is None:
+        return max_attempts
+    return max(1, max_attempts - call.handover.n_attempts)
+
+
 def _caller_idle_timeout_ms(route: Route) -> float:
     """:returns: time without a token after which the caller disconnects
 
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -46,6 +46,7 @@
         self._relay = StreamRelay(call, state.clock)
         self._failed_response: web.Response | None = None
         self.n_attempts = 0
+        self.n_maybe_run = 0
         self.upstream = ""
         self.predicted_first_event_ms: float | None = None
 
@@ -102,6 +103,7 @@
                     on_first_event=lambda: self._ticket.note_first_token(
                         dispatch.attempt_id
                     ),
+                    on_data=lambda: self._state.paths.note_heard(self.upstream),
                 )
                 await self._ticket.end_attempt(AttemptEnd(dispatch.attempt_id))
                 return await self._relay.finish()
@@ -154,6 +156,7 @@
             may_have_run=error.may_have_run,
             error=error,
         )
+        self.n_maybe_run += error.may_have_run
         name = dispatch.upstreams[-1]
         is_addressed = error.upstream in ("", name)
         end = AttemptEnd(
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -6,6 +6,9 @@
 import uuid
 from typing import TYPE_CHECKING
 
+from aiohttp import web
+from multidict import CIMultiDict
+
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions import classify_length
 from quetzaldeck.decisions.admission.startup_wait import (
@@ -17,6 +20,13 @@
 from quetzaldeck.entry.call import Call, build_request
 from quetzaldeck.entry.call_run import CallRun
 from quetzaldeck.entry.error_response import error_response, http_status
+from quetzaldeck.entry.handover.head import (
+    FAILURE,
+    format_failure,
+    read_handover_head,
+    remove_handover_fields,
+)
+from quetzaldeck.entry.handover.offer import HandoverOffer
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.settings import CallerBounds
@@ -26,36 +36,56 @@
 from quetzaldeck.telemetry import locate_error, log_event
 
 if TYPE_CHECKING:
-    from aiohttp import web
-
     from quetzaldeck.entry.admission import Admitted
     from quetzaldeck.entry.call_head import CallHead
+    from quetzaldeck.entry.handover.head import HandoverHead
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.entry.view import RoutingView
 
 
+BAD_REQUEST_STATUS = 400
+
+
 class CallHandler:
     """Handles the HTTP requests of a VM's callers."""
 
     def __init__(self, state: EntryState) -> None:
         self._state = state
 
-    async def handle(self, http_request: web.Request) -> web.StreamResponse:
-        """Serve one request; every outcome becomes a response here."""
+    async def handle_handed_over(self, http_request: web.Request) -> web.StreamResponse:
+        """Serve a request that another VM hands over."""
+        try:
+            handover = read_handover_head(http_request.headers)
+        except ValueError as error:
+            return web.Response(status=BAD_REQUEST_STATUS, text=str(error))
+        return await self.handle(http_request, handover)
+
+    async def handle(
+        self, http_request: web.Request, handover: HandoverHead | None = None
+    ) -> web.StreamResponse:
+        """Serve one request; every outcome becomes a response here.
+
+        :param handover: what the VM that hands it over states; ``None``: a caller did
+        """
         # A request may have waited in its socket while this VM started or was late.
         wait_ms = read_wait_ms(http_request.transport)
         arrived_ms = self._state.clock.now_ms() - wait_ms
         request_id = uuid.uuid4().hex
         call_id = http_request.headers.get(CALL_ID, "")
-        self._state.metrics.requests.labels("call").inc()
+        kind = "call" if handover is None else "handed_over"
+        self._state.metrics.requests.labels(kind).inc()
         try:
             with self._state.in_flight.track(request_id):
-                response = await self._serve(http_request, request_id, arrived_ms)
+                response = await self._serve(
+                    http_request, request_id, arrived_ms, handover
+                )
         except RequestError as error:
             self._record_failure(error.failure, call_id, arrived_ms, error.route)
             if error.response is not None:
                 return error.response
             response = error_response(error.failure, call_id, CALL_ID)
+            if handover is not None:
+                response.headers[FAILURE] = format_failure(error.failure)
         except asyncio.CancelledError:
             failure = Failure(Reason.CALLER_GONE, Ran.UNKNOWN)
             self._record_failure(failure, call_id, arrived_ms)
@@ -66,6 +96,8 @@
             )
             self._record_failure(failure, call_id, arrived_ms)
             response = error_response(failure, call_id, CALL_ID)
+            if handover is not None:
+                response.headers[FAILURE] = format_failure(failure)
         if not self._state.is_ready and not response.prepared:
             # The load balancer redirects new connections only: the next request on a
             # connection that stays open would be refused by this VM again.
@@ -73,13 +105,23 @@
         return response
 
     async def _serve(
-        self, http_request: web.Request, request_id: str, arrived_ms: float
+        self,
+        http_request: web.Request,
+        request_id: str,
+        arrived_ms: float,
+        handover: HandoverHead | None,
     ) -> web.StreamResponse:
         if self._state.drain.refuses:
             failure = Failure(Reason.SHUTTING_DOWN, retry_after_ms=RETRY_ELSEWHERE_MS)
             raise RequestError(failure)
         head = _read_head(http_request)
         view = await self._wait_for_view(head)
+        if handover is not None and view.version < handover.version:
+            detail = (
+                f"this VM has version {view.version} of the configuration; the request "
+                f"was admitted under version {handover.version}"
+            )
+            raise RequestError(Failure(Reason.NO_BUNDLE, detail=detail))
         admitted = self._admit(view, http_request, head, arrived_ms)
         try:
             body = await read_body(http_request, _caller_bounds(view))
@@ -91,6 +133,10 @@
                 body if http_request.body_exists else None,
                 arrived_ms,
                 _fingerprint(http_request, admitted.customer, body),
+                remove_handover_fields(http_request.headers)
+                if handover is not None
+                else CIMultiDict(http_request.headers),
+                handover,
             )
             return await self._run(call, view)
         except RequestError as error:
@@ -136,13 +182,14 @@
     async def _run(self, call: Call, view: RoutingView) -> web.StreamResponse:
         ticket = self._state.dispatch.open_ticket(build_request(call, view))
         run = CallRun(self._state, call, ticket)
+        offer = HandoverOffer(self._state, call, run)
         remaining_ms = call.admitted.deadline_ms - self._state.clock.now_ms()
         try:
             with self._state.in_flight.translate_abort(call.request_id):
-                async with asyncio.timeout(max(0.0, remaining_ms) / 1_000), ticket:
-                    response = await run.run()
+                async with asyncio.timeout(max(0.0, remaining_ms) / 1_000):
+                    response = await offer.run(ticket)
         except TimeoutError:
-            ran = Ran.UNKNOWN if run.may_have_run else Ran.NO
+            ran = Ran.UNKNOWN if run.may_have_run or offer.may_have_run else Ran.NO
             raise self._build_error(
                 run, Failure(Reason.DEADLINE_EXCEEDED, ran)
             ) from None
--- /dev/null
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -0,0 +1,229 @@
+"""Sends requests to other VMs that reach the upstreams, and returns their responses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from quetzaldeck.decisions.paths import PeerChooser
+from quetzaldeck.entry.handover.head import HandoverHead, read_failure
+from quetzaldeck.entry.silence_watch import NoWatch
+from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.outcomes import Failure, Ran, Reason
+from quetzaldeck.platform import build_handover_headers, build_response_headers
+from quetzaldeck.routing import RequestKind
+from quetzaldeck.telemetry import log_event
+from quetzaldeck.upstreams import UpstreamError
+from quetzaldeck.upstreams.http import translate_faults
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    import aiohttp
+
+    from quetzaldeck.clock import Clock
+    from quetzaldeck.entry.call import Call
+    from quetzaldeck.entry.peers import PeerTable
+    from quetzaldeck.entry.stream_relay import StreamRelay
+    from quetzaldeck.entry.upstream_client import UpstreamClient
+    from quetzaldeck.telemetry import UpstreamMetrics
+
+MAX_PEERS_ASKED = 3
+"""VMs that are asked for one request: the first of them may be partitioned as well, and
+of those that are, not all know it yet."""
+
+OK_STATUS = 200
+_UNABLE_REASONS = frozenset((Reason.NO_PATH, Reason.NO_BUNDLE, Reason.SHUTTING_DOWN))
+"""Reasons for which a VM takes none of the requests for a service."""
+
+
+class _RefusedError(Exception):
+    """A VM has not run a request, so that another one may."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+class Handover:
+    """Hands requests over, each to one VM that sends it to an upstream itself.
+
+    :param client: connections to the other VMs
+    :param port: port on which every VM takes such requests; 0: none does
+    :param note_served: is told of each service of which another VM has served a request
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        client: UpstreamClient,
+        metrics: UpstreamMetrics,
+        note_served: Callable[[str], None],
+        *,
+        port: int,
+        availability_zone: str,
+        random_state: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._client = client
+        self._metrics = metrics
+        self._note_served = note_served
+        self._port = port
+        self._chooser = PeerChooser(availability_zone, random_state=random_state)
+        self._table: PeerTable | None = None
+
+    def connect(self, table: PeerTable) -> None:
+        """Use the table of the other VMs."""
+        self._table = table
+
+    def may_send(self, call: Call, n_attempts: int, ran: Ran) -> bool:
+        """Check whether another VM may run a call.
+
+        :param n_attempts: attempts that may have run
+        :param ran: whether the call has run
+        """
+        if not self._port or call.handover is not None:
+            return False
+        route = call.admitted.route
+        if ran is not Ran.NO and not route.is_repeatable:
+            return False
+        return route.max_attempts is None or n_attempts < route.max_attempts
+
+    async def run(
+        self, call: Call, relay: StreamRelay, n_attempts: int
+    ) -> web.StreamResponse:
+        """Have another VM run a call.
+
+        :param relay: continues the caller's stream if it has begun
+        :param n_attempts: attempts that may have run
+        :returns: the response of an upstream
+        :raises RequestError: if no VM has run it, or if it failed there
+        """
+        asked: list[str] = []
+        failure = Failure(
+            Reason.NO_PATH,
+            Ran.NO if not n_attempts else Ran.UNKNOWN,
+            detail=f"{call.admitted.service}: no VM is known that reaches an upstream",
+        )
+        while len(asked) < MAX_PEERS_ASKED:
+            peer = self._choose(call.admitted.service, asked)
+            if peer is None or not self.may_send(call, n_attempts, Ran.NO):
+                break
+            asked.append(peer)
+            try:
+                with self._chooser.track(peer):
+                    response = await self._ask(peer, call, relay, n_attempts)
+            except _RefusedError as error:
+                failure = error.failure
+            except UpstreamError as error:
+                self._log(call, peer, f"failed: {error}")
+                self._metrics.handovers.labels("failed").inc()
+                n_attempts += 1
+                if not call.admitted.route.is_repeatable:
+                    ran = Ran.UNKNOWN
+                    raise RequestError(Failure(Reason.UPSTREAM_FAILED, ran)) from None
+                failure = Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)
+            else:
+                self._metrics.handovers.labels("served").inc()
+                self._note_served(call.admitted.service)
+                self._log(call, peer, f"status {response.status}")
+                return response
+        raise RequestError(failure if not n_attempts else _may_have_run(failure))
+
+    def _choose(self, service: str, asked: list[str]) -> str | None:
+        if self._table is None:
+            return None
+        zones = self._table.list_by_zone()
+        return self._chooser.choose(service, zones, asked, self._clock.now_ms())
+
+    async def _ask(
+        self, peer: str, call: Call, relay: StreamRelay, n_attempts: int
+    ) -> web.StreamResponse:
+        """Send a call to one VM.
+
+        :raises _RefusedError: if it has not run there
+        :raises UpstreamError: if the connection failed after the call was sent
+        :raises RequestError: if it failed there and may have run
+        """
+        service = call.admitted.service
+        try:
+            async with translate_faults(peer):
+                response = await self._send(peer, call, relay, n_attempts)
+                try:
+                    failure = read_failure(response.headers, peer)
+                    if failure is None:
+                        return await self._receive(peer, call, relay, response)
+                finally:
+                    response.close()
+        except UpstreamError as error:
+            if error.may_have_run:
+                raise
+            self._chooser.note_unable(peer, service, self._clock.now_ms())
+            self._log(call, peer, f"not reached: {error}")
+            self._metrics.handovers.labels("unreached").inc()
+            raise _RefusedError(Failure(Reason.NO_PATH, detail=str(error))) from error
+        self._log(call, peer, f"refused: {failure.reason.value}")
+        self._metrics.handovers.labels("refused").inc()
+        if failure.ran is not Ran.NO:
+            raise RequestError(failure)
+        if failure.reason in _UNABLE_REASONS:
+            self._chooser.note_unable(peer, service, self._clock.now_ms())
+        raise _RefusedError(failure)
+
+    async def _send(
+        self, peer: str, call: Call, relay: StreamRelay, n_attempts: int
+    ) -> aiohttp.ClientResponse:
+        http_request = call.http_request
+        remaining_ms = call.admitted.deadline_ms - self._clock.now_ms()
+        headers = build_handover_headers(
+            call.headers, remaining_ms, relay.last_event_id
+        )
+        head = HandoverHead(call.admitted.version, n_attempts)
+        headers.update(head.build_headers())
+        return await self._client.send(
+            f"{peer}:{self._port}",
+            http_request.method,
+            http_request.raw_path,
+            headers,
+            call.body,
+        )
+
+    async def _receive(
+        self,
+        peer: str,
+        call: Call,
+        relay: StreamRelay,
+        response: aiohttp.ClientResponse,
+    ) -> web.StreamResponse:
+        is_stream = call.admitted.route.kind is RequestKind.STREAMING
+        if is_stream and response.status == OK_STATUS:
+            await relay.relay(
+                peer,
+                response,
+                first_byte=NoWatch(),
+                gaps=NoWatch(),
+                on_first_event=lambda: None,
+                on_data=lambda: None,
+            )
+            return await relay.finish()
+        body = await response.read()
+        headers = build_response_headers(response.headers)
+        return web.Response(body=body, status=response.status, headers=headers)
+
+    def _log(self, call: Call, peer: str, outcome: str) -> None:
+        log_event(
+            "handed_over",
+            request=call.head.call_id,
+            service=call.admitted.service,
+            peer=peer,
+            outcome=outcome,
+        )
+
+
+def _may_have_run(failure: Failure) -> Failure:
+    return failure._replace(ran=Ran.UNKNOWN) if failure.ran is Ran.NO else failure
+
+
+__all__ = ("Handover",)
--- /dev/null
+++ b/src/quetzaldeck/entry/handover/service.py
@@ -0,0 +1,48 @@
+"""The HTTP server on which other VMs hand over requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from quetzaldeck.entry.handler import CallHandler
+from quetzaldeck.http import HttpServiceBase, ListenAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzaldeck.entry.state import EntryState
+
+SHUTDOWN_TIMEOUT_S = 0.1
+
+
+class HandoverService(HttpServiceBase):
+    """Serves requests that other VMs hand over, on a port that callers do not reach.
+
+    The port tells such a request from one of a caller: no header does, so that a caller
+    can't pass its request off as handed over.
+
+    :param read_state: returns the VM's state, once its session is open
+    """
+
+    shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
+
+    def __init__(
+        self, listen: ListenAddress, read_state: Callable[[], EntryState]
+    ) -> None:
+        super().__init__(listen)
+        self._read_state = read_state
+
+    async def open(self) -> web.Application:
+        """Build the application."""
+        application = web.Application()
+        handler = CallHandler(self._read_state())
+        application.router.add_route("*", "/{path:.*}", handler.handle_handed_over)
+        return application
+
+    async def close(self) -> None:
+        """Do nothing: the socket, the only resource, is closed already."""
+
+
+__all__ = ("HandoverService",)
--- /dev/null
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -0,0 +1,191 @@
+"""Finds out whether this VM reaches upstreams, and reports what it finds.
+
+Attempts tell what they hear from upstreams, or that they fail; upstreams that may be
+out of reach are probed on new connections. The decisions are in
+:mod:`quetzaldeck.decisions.paths`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.decisions.paths import PathMonitor, PathVerdict
+from quetzaldeck.gateway.messages import ObservePath
+from quetzaldeck.telemetry import log_event
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Coroutine, Mapping
+
+    from quetzaldeck.clock import Clock
+    from quetzaldeck.decisions.paths.monitor import ProbedUpstream
+    from quetzaldeck.gateway.dispatch_task import DispatchTask
+    from quetzaldeck.routing import Replica
+    from quetzaldeck.telemetry import UpstreamMetrics
+
+    Probe = Callable[[Replica], Coroutine[object, object, bool]]
+    ReadReplicas = Callable[[], Mapping[str, Replica]]
+
+TICK_MS = 100.0
+"""Interval at which silent attempts and due probes are looked for."""
+
+
+class PathWatch:
+    """Owns the probes of upstreams that may be out of reach.
+
+    :param read_replicas: returns the replicas that are known, by id
+    :param probe: asks a replica on a new connection; returns whether it answers
+    :param dispatch: is told of verdicts, and knows what other VMs report
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        read_replicas: ReadReplicas,
+        probe: Probe,
+        dispatch: DispatchTask,
+        metrics: UpstreamMetrics,
+        *,
+        random_state: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._read_replicas = read_replicas
+        self._probe = probe
+        self._dispatch = dispatch
+        self._metrics = metrics
+        self._monitor = PathMonitor(
+            dispatch.find_peer_answered_ms, random_state=random_state
+        )
+        self._probing: asyncio.Task[None] | None = None
+
+    @property
+    def monitor(self) -> PathMonitor:
+        """:returns: what is known of the paths"""
+        return self._monitor
+
+    def apply_replicas(self) -> None:
+        """Use the current replicas; those that leave show nothing by ending."""
+        self._monitor.set_upstreams(
+            (replica.replica_id, replica.service, replica.availability_zone)
+            for replica in self._read_replicas().values()
+            if not replica.is_leaving
+        )
+
+    def note_sent(self, attempt_id: str, upstream: str) -> None:
+        """Record that an attempt was sent."""
+        self._monitor.note_sent(attempt_id, upstream, self._clock.now_ms())
+
+    def note_ended(self, attempt_id: str) -> None:
+        """Record that nobody waits for an attempt any more."""
+        self._monitor.note_ended(attempt_id)
+
+    def note_heard(self, upstream: str) -> None:
+        """Record that an upstream has sent something."""
+        self._monitor.note_heard(upstream, self._clock.now_ms())
+
+    def note_failed(
+        self, upstream: str, begun_ms: float, *, is_new_connection: bool
+    ) -> None:
+        """Record that an attempt failed, and probe the path at once if that is due."""
+        self._monitor.note_failed(
+            upstream, begun_ms, is_new_connection=is_new_connection
+        )
+        self._advance()
+
+    def may_hand_over(self, service: str) -> bool:
+        """:returns: whether a request that this VM can't serve is offered to another"""
+        return self._monitor.may_hand_over(service, self._clock.now_ms())
+
+    def prefers_hand_over(self, service: str) -> bool:
+        """:returns: whether another VM should serve a request, as the path is just back
+
+        See :meth:`PathMonitor.prefers_hand_over`.
+        """
+        return self._monitor.prefers_hand_over(service, self._clock.now_ms())
+
+    def note_served_elsewhere(self, service: str) -> None:
+        """Record that another VM has served a request that was handed over."""
+        self._monitor.note_served_elsewhere(service, self._clock.now_ms())
+
+    async def may_conclude(self, replica: Replica, since_ms: float) -> bool:
+        """Check whether a failure to reach a replica says anything about the replica.
+
+        :param since_ms: when connections to it broke
+        :returns: ``False`` if this VM's path is the fault, as far as can be known
+            within the time in which other VMs report their answers
+        """
+        monitor = self._monitor
+        end_ms = since_ms + 2 * monitor.bounds.peer_lag_ms
+        while monitor.heard_ms < since_ms:
+            if monitor.find_verdict(replica.service) is PathVerdict.PARTITIONED:
+                return False
+            if self._clock.now_ms() >= end_ms:
+                break
+            self._advance()
+            await asyncio.sleep(TICK_MS / MS_PER_SECOND)
+        return True
+
+    async def run(self) -> None:
+        """Look for silent attempts and due probes until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(TICK_MS / MS_PER_SECOND)
+                self._advance()
+        finally:
+            if self._probing is not None:
+                self._probing.cancel()
+
+    def _advance(self) -> None:
+        self._report_verdicts()
+        if self._probing is not None:
+            return
+        probed = self._monitor.choose_probed(self._clock.now_ms())
+        if probed:
+            self._probing = asyncio.create_task(self._run_probes(probed))
+            self._probing.add_done_callback(self._finish_probes)
+
+    def _finish_probes(self, _: asyncio.Task[None]) -> None:
+        self._probing = None
+
+    async def _run_probes(self, probed: list[ProbedUpstream]) -> None:
+        replicas = self._read_replicas()
+        known = [item for item in probed if item.upstream in replicas]
+        answers = await asyncio.gather(
+            *(self._probe(replicas[item.upstream]) for item in known)
+        )
+        for is_answered in answers:
+            self._metrics.path_probes.labels(
+                "answered" if is_answered else "unanswered"
+            ).inc()
+        results = dict(zip(known, answers, strict=True))
+        self._monitor.note_probes(results, self._clock.now_ms())
+        self._report_verdicts()
+
+    def _report_verdicts(self) -> None:
+        now_ms = self._clock.now_ms()
+        for service, verdict in self._monitor.pop_changed_verdicts(now_ms).items():
+            self._dispatch.send(ObservePath(service, verdict))
+            for other in PathVerdict:
+                gauge = self._metrics.paths.labels(service, other.value)
+                gauge.set(float(other is verdict))
+            self._log(service, verdict, now_ms)
+
+    def _log(self, service: str, verdict: PathVerdict, now_ms: float) -> None:
+        path = self._monitor.find_path(service)
+        if path is None:
+            return
+        lost_ms = path.lost_ms
+        log_event(
+            "path_judged",
+            level="INFO" if verdict is PathVerdict.REACHED else "WARNING",
+            service=service,
+            verdict=verdict.value,
+            failed=",".join(sorted(path.failed)),
+            silent_ms=now_ms - path.heard_ms,
+            lost_ms=0.0 if lost_ms is None else now_ms - lost_ms,
+        )
+
+
+__all__ = ("PathWatch",)
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -80,6 +80,9 @@
                 echo_header=CALL_ID, reuses_connections=False, source_host=source_host
             )
         )
+        handover_client = await self._stack.enter_async_context(
+            UpstreamClient(echo_header=CALL_ID)
+        )
         dispatch = DispatchTask(self._build_scheduler(), self.metrics, self._clock)
         self._state = EntryState(
             settings=self._settings,
@@ -90,9 +93,12 @@
             belief=FleetBelief(build_belief_bounds(self._settings.bounds)),
             orders=ReplicaOrders(upstreams),
             health_checks=HealthChecks(check_client),
+            probes=ReplicaReports(check_client),
+            peer_client=handover_client,
             group_bounds=ENTRY_GROUPS,
         )
         self._peer_table = self._build_table()
+        self._state.handover.connect(self._peer_table)
         peer_task = self._build_peer_task(self._peer_table)
         if self._settings.peer_port:
             run = peer_task.run(self._own_host)
@@ -121,6 +127,7 @@
                 belief_task.run_expiry(),
                 pace_task.run(),
                 self._state.releases.run(),
+                self._state.paths.run(),
                 self._state.crash_checks.run(),
                 self._state.presumed_crashes.run(),
             )
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -121,6 +121,10 @@
     peer_port: Annotated[
         int, Option("Port for exchange between VMs; 0: none.", maximum=65_535)
     ] = 0
+    handover_port: Annotated[
+        int,
+        Option("Port for requests that VMs hand over; 0: none.", maximum=65_535),
+    ] = 0
     upstream_source: Annotated[
         str, Option("Local IP address of connections to upstreams; empty: any.")
     ] = ""
--- a/src/quetzaldeck/entry/silence_watch.py
+++ b/src/quetzaldeck/entry/silence_watch.py
@@ -18,6 +18,16 @@
 Result = TypeVar("Result")
 
 
+class NoWatch:
+    """Waits without a bound, where somebody else watches for silence."""
+
+    async def wait(
+        self, start: Callable[[], Coroutine[object, object, Result]]
+    ) -> Result:
+        """:returns: the result of the coroutine that ``start`` creates"""
+        return await start()
+
+
 class SilenceWatch:
     """Bounds the time for which one attempt waits on a silent upstream.
 
@@ -86,4 +96,4 @@
         )
 
 
-__all__ = ("SilenceWatch",)
+__all__ = ("NoWatch", "SilenceWatch")
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.crash_checks import CrashChecks
+from quetzaldeck.entry.handover.client import Handover
+from quetzaldeck.entry.path_watch import PathWatch
 from quetzaldeck.entry.peers.permits import Permits
 from quetzaldeck.entry.presumed_crashes import PresumedCrashes
 from quetzaldeck.entry.rate_limits import RateLimits
@@ -25,6 +28,7 @@
 from quetzaldeck.gateway.release_task import Release, ReleaseTask
 from quetzaldeck.gateway.settings import ShutdownSettings
 from quetzaldeck.http import parse_listen_address
+from quetzaldeck.upstreams import UpstreamError
 
 if TYPE_CHECKING:
     from quetzaldeck.belief import FleetBelief
@@ -34,7 +38,7 @@
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.entry.view import RoutingView
     from quetzaldeck.gateway.dispatch_task import DispatchTask
-    from quetzaldeck.platform import HealthChecks, ReplicaOrders
+    from quetzaldeck.platform import HealthChecks, ReplicaOrders, ReplicaReports
     from quetzaldeck.routing import Replica
     from quetzaldeck.telemetry import GatewayMetrics
 
@@ -65,6 +69,8 @@
         belief: FleetBelief,
         orders: ReplicaOrders,
         health_checks: HealthChecks,
+        probes: ReplicaReports,
+        peer_client: UpstreamClient,
         group_bounds: GroupBounds,
     ) -> None:
         self.settings = settings
@@ -79,6 +85,25 @@
         self.rate_limits = RateLimits(clock, dispatch, metrics.upstreams)
         own_address = parse_listen_address(settings.listen.callers).host
         self.permits = Permits(own_address, self.rate_limits, clock, metrics.upstreams)
+        self.random_state = random.Random(settings.random_state or None)
+        self._probes = probes
+        self.paths = PathWatch(
+            clock,
+            lambda: belief.replicas,
+            self._probe,
+            dispatch,
+            metrics.upstreams,
+            random_state=self.random_state,
+        )
+        self.handover = Handover(
+            clock,
+            peer_client,
+            metrics.upstreams,
+            self.paths.note_served_elsewhere,
+            port=settings.handover_port,
+            availability_zone=settings.availability_zone,
+            random_state=self.random_state,
+        )
         self.crash_checks = CrashChecks(
             clock,
             lambda: belief.replicas,
@@ -94,7 +119,6 @@
             expiry_ms=dispatch.poison_bounds.presumed_ms,
         )
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
-        self.random_state = random.Random(settings.random_state or None)
         self.in_flight = InFlightRequests()
         metrics.in_flight.set_function(self.in_flight.__len__)
         self.drain = Drain(self.in_flight, build_shutdown(settings.bounds), metrics)
@@ -144,6 +168,24 @@
             return Liveness.UNKNOWN
         return await self._health_checks.check(replica, service.health_path)
 
+    async def _probe(self, replica: Replica) -> bool:
+        """Probe a replica; an engine reports without a free slot.
+
+        :returns: whether it answers
+        """
+        view = self._view
+        service = None if view is None else view.services.get(replica.service)
+        if service is None:
+            return True
+        if service.engine is None:
+            liveness = await self._health_checks.check(replica, service.health_path)
+            return liveness is Liveness.ALIVE
+        try:
+            await self._probes.read_pace(replica)
+        except UpstreamError as error:
+            return error.fault is AttemptFault.BAD_ANSWER
+        return True
+
     def apply_settings(self, settings: EntrySettings) -> None:
         """Use changed bounds for decisions from now on."""
         self.settings = settings
@@ -163,6 +205,7 @@
         self.dispatch.send(Observe((), list_leaving(self.belief)))
         self.rate_limits.apply_replicas(self.belief.replicas)
         self.permits.expire(self.belief.replicas)
+        self.paths.apply_replicas()
         self.crash_checks.apply_replicas()
         self.presumed_crashes.resolve()
 
--- a/src/quetzaldeck/entry/stream_relay.py
+++ b/src/quetzaldeck/entry/stream_relay.py
@@ -21,7 +21,7 @@
     from quetzaldeck.clock import Clock
     from quetzaldeck.entry.call import Call
     from quetzaldeck.entry.event_reader import StreamEvent
-    from quetzaldeck.entry.silence_watch import SilenceWatch
+    from quetzaldeck.entry.silence_watch import NoWatch, SilenceWatch
 
 
 class StreamRelay:
@@ -73,9 +73,10 @@
         name: str,
         upstream: aiohttp.ClientResponse,
         *,
-        first_byte: SilenceWatch,
-        gaps: SilenceWatch,
+        first_byte: SilenceWatch | NoWatch,
+        gaps: SilenceWatch | NoWatch,
         on_first_event: Callable[[], None],
+        on_data: Callable[[], None],
     ) -> None:
         """Forward the events of one attempt; call :meth:`finish` once it completes.
 
@@ -83,6 +84,7 @@
         :param first_byte: bounds the wait for the first event
         :param gaps: bounds the wait for each further one
         :param on_first_event: called when the first event has been forwarded
+        :param on_data: called whenever bytes arrive
         :raises UpstreamError: if the stream ends early or is not an event stream
         """
         reader = EventReader()
@@ -92,6 +94,7 @@
             data = await watch.wait(upstream.content.readany)
             if not data:
                 break
+            on_data()
             for event in self._parse_events(name, reader, data):
                 await self._forward(upstream, event)
                 if not has_begun:
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, TypeVar
 
 from quetzaldeck.decisions import AttemptFault, Rejection
@@ -24,6 +25,7 @@
     ObserveIncarnations,
     ObserveLoad,
     ObservePaces,
+    ObservePath,
     ObservePeerLoad,
     ObserveRateLimit,
     ObserveRuns,
@@ -140,6 +142,12 @@
         """
         return self._scheduler.poison.find_due_check_ms(upstream)
 
+    def find_peer_answered_ms(self, upstream: str) -> float:
+        """:returns: when another VM last reported an answer of an upstream"""
+        self._handle_deferred()
+        state = self._scheduler.upstreams.get(upstream)
+        return -math.inf if state is None else state.peers.outcomes.answered_ms
+
     def list_own_loads(self) -> list[tuple[str, VmLoad]]:
         """:returns: load of this VM on each upstream"""
         now_ms = self._clock.now_ms()
@@ -241,6 +249,7 @@
                 ObserveCache()
                 | ObserveCheck()
                 | ObserveCrashes()
+                | ObservePath()
                 | ObserveRuns()
                 | ObserveUsage()
             ):
@@ -284,10 +293,15 @@
     def _observe_update(
         self,
         message: (
-            ObserveCache | ObserveCheck | ObserveCrashes | ObserveRuns | ObserveUsage
+            ObserveCache
+            | ObserveCheck
+            | ObserveCrashes
+            | ObservePath
+            | ObserveRuns
+            | ObserveUsage
         ),
     ) -> None:
-        """Handle cache events, crashes, and usage of other VMs."""
+        """Handle cache events, crashes, lost paths, and usage of other VMs."""
         match message:
             case ObserveCheck():
                 self._scheduler.fleet.observe_check(
@@ -298,6 +312,8 @@
                 )
                 # What it proves about crashes is announced with the loads.
                 self._load_changed.set()
+            case ObservePath():
+                self._scheduler.observe_path(message.service, message.verdict)
             case ObserveCache():
                 self._scheduler.fleet.observe_cache(message.events)
             case ObserveCrashes():
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -9,6 +9,7 @@
 from quetzaldeck.decisions import AttemptEnd, Decision, LoadReport, Request
 from quetzaldeck.decisions.limits import UsageUpdate
 from quetzaldeck.decisions.loads.peer_load import VmLoad
+from quetzaldeck.decisions.paths import PathVerdict
 from quetzaldeck.decisions.placement import CacheEvents
 from quetzaldeck.decisions.poison import CrashSighting, Liveness, RunSighting
 from quetzaldeck.decisions.retries.silence import SilenceVerdict
@@ -147,6 +148,13 @@
     incarnation: str = ""
 
 
+class ObservePath(NamedTuple):
+    """Whether this VM reaches the upstreams of a service."""
+
+    service: str
+    verdict: PathVerdict
+
+
 Message = (
     Submit
     | NoteFirstToken
@@ -159,6 +167,7 @@
     | Observe
     | ObserveLoad
     | ObservePaces
+    | ObservePath
     | ObserveRateLimit
     | ObserveIncarnations
     | ObservePeerLoad
@@ -184,6 +193,7 @@
     "ObserveIncarnations",
     "ObserveLoad",
     "ObservePaces",
+    "ObservePath",
     "ObservePeerLoad",
     "ObserveRateLimit",
     "ObserveRuns",
--- a/src/quetzaldeck/outcomes/reason.py
+++ b/src/quetzaldeck/outcomes/reason.py
@@ -29,6 +29,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_UPSTREAM = "no_upstream"
+    NO_PATH = "no_path"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
     UPSTREAM_RATE_LIMITED = "upstream_rate_limited"
@@ -132,6 +133,12 @@
     Reason.NO_UPSTREAM: ReasonInfo(
         503, _UPSTREAM, "no upstream can accept the request", DEFAULT_RETRY_AFTER_MS
     ),
+    Reason.NO_PATH: ReasonInfo(
+        503,
+        _UPSTREAM,
+        "this VM reaches no upstream that could serve the request",
+        DEFAULT_RETRY_AFTER_MS,
+    ),
     Reason.UPSTREAM_FAILED: ReasonInfo(
         502, _UPSTREAM, "the upstream failed", DEFAULT_RETRY_AFTER_MS
     ),
--- a/src/quetzaldeck/platform/__init__.py
+++ b/src/quetzaldeck/platform/__init__.py
@@ -4,6 +4,7 @@
 
 from quetzaldeck.platform.headers import (
     CALL_ID,
+    build_handover_headers,
     build_request_headers,
     build_response_headers,
     read_call_head,
@@ -20,6 +21,7 @@
     "PlatformStore",
     "ReplicaOrders",
     "ReplicaReports",
+    "build_handover_headers",
     "build_request_headers",
     "build_response_headers",
     "read_call_head",
--- a/src/quetzaldeck/platform/headers.py
+++ b/src/quetzaldeck/platform/headers.py
@@ -108,6 +108,22 @@
     return sent
 
 
+def build_handover_headers(
+    headers: Mapping[str, str], remaining_ms: float, last_event_id: str | None
+) -> CIMultiDict[str]:
+    """Build the headers of a request that another VM runs.
+
+    :param remaining_ms: time left until the caller's deadline
+    :param last_event_id: event after which to resume; ``None``: as the caller says
+    :returns: the caller's headers, its API key included
+    """
+    sent = _copy_end_to_end(headers)
+    sent[_DEADLINE] = str(max(1, int(remaining_ms)))
+    if last_event_id is not None:
+        sent[_LAST_EVENT] = last_event_id
+    return sent
+
+
 def build_response_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """:returns: the headers of the response that is forwarded to the caller"""
     return _copy_end_to_end(headers)
@@ -189,6 +205,7 @@
     "CALL_ID",
     "EXPECTED_REPLICA",
     "WRONG_REPLICA_STATUS",
+    "build_handover_headers",
     "build_request_headers",
     "build_response_headers",
     "read_call_head",
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -52,6 +52,24 @@
             ["outcome"],
             registry=registry,
         )
+        self.paths = Gauge(
+            "quetzaldeck_upstream_paths",
+            "1 for the verdict in force on the path to the upstreams of a service",
+            ["service", "verdict"],
+            registry=registry,
+        )
+        self.path_probes = Counter(
+            "quetzaldeck_path_probes",
+            "Probes of upstreams that may be out of reach, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+        self.handovers = Counter(
+            "quetzaldeck_handovers",
+            "Requests handed over to other VMs, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
         self.reservations = Counter(
             "quetzaldeck_reservations",
             "Reservations by outcome",
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -17,6 +17,7 @@
 )
 from tests.support.platform.store import CONFIGURATION_KEY, StandInStore
 
+from quetzaldeck.entry.handover.service import HandoverService
 from quetzaldeck.entry.peers import BeliefService
 from quetzaldeck.entry.service import EntryService
 from quetzaldeck.entry.settings import (
@@ -44,6 +45,8 @@
         self.entry = EntryService(settings)
         listen = ListenAddress(host, settings.peer_port)
         self.belief_service = BeliefService(listen, lambda: self.entry.session.feed)
+        listen = ListenAddress(host, settings.handover_port)
+        self.handover_service = HandoverService(listen, lambda: self.state)
 
     @property
     def state(self) -> EntryState:
@@ -65,9 +68,11 @@
         """Start the service for callers and the one for peers."""
         await self.entry.start()
         await self.belief_service.start()
+        await self.handover_service.start()
 
     async def stop(self) -> None:
         """Stop the service for peers and the one for callers."""
+        await self.handover_service.stop()
         await self.belief_service.stop()
         await self.entry.stop()
 
@@ -84,7 +89,9 @@
         self._zones = zones or (zone,) * n_vms
         self._stack = AsyncExitStack()
         self._peer_port = choose_port()
+        self._handover_port = choose_port()
         self._hosts = [f"127.0.1.{index + 1}" for index in range(len(self._zones))]
+        self._zone_by_host = dict(zip(self._hosts, self._zones, strict=True))
         self.store = StandInStore()
         self.vms: dict[str, EntryVm] = {}
 
@@ -119,11 +126,12 @@
         listen = EntryListen(f"{host}:{port}", f"{host}:{choose_port()}")
         settings = EntrySettings(
             f"entry-{host}",
-            self._zones[self._hosts.index(host)],
+            self._zone_by_host.get(host, self._zones[0]),
             listen,
             self.store.address,
             seeds=tuple(f"{seed}:1" for seed in self._hosts[:3]),
             peer_port=self._peer_port,
+            handover_port=self._handover_port,
             upstream_source=host,
             processor=EntryProcessor(share=0.1234),
         )
