Conclude no crash of a replica while this VM reaches no others

Cause: a refused or unanswered check was taken as evidence on the replica, whatever the VM's own path was like. Now a check that fails is believed only once a probe of another upstream has been answered on a new connection, or if other VMs report no answers of the service either within the time in which they would. If they do, nothing is concluded.

--- a/src/quetzaldeck/decisions/paths/monitor.py
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions.paths.bounds import PathBounds
@@ -53,11 +52,6 @@
         """:returns: the thresholds and times"""
         return self._bounds
 
-    @property
-    def heard_ms(self) -> float:
-        """:returns: when any upstream last sent anything"""
-        return max((path.heard_ms for path in self._paths.values()), default=-math.inf)
-
     def find_path(self, service: str) -> ServicePath | None:
         """:returns: the path to a service; ``None`` if it has no upstreams"""
         return self._paths.get(service)
@@ -178,6 +172,25 @@
         share = path.return_share(now_ms)
         return share < 1.0 and self._random_state.random() >= share
 
+    def is_reached_since(self, upstream: str, since_ms: float) -> bool:
+        """Check whether a probe has shown that this VM reaches upstreams.
+
+        :param upstream: probes of other upstreams count: those of its service, or of
+            any other if it has none
+        """
+        return any(path.reached_ms >= since_ms for path in self._list_beside(upstream))
+
+    def demand_probes(self, upstream: str, now_ms: float) -> None:
+        """Probe the paths that show whether this VM reaches others than an upstream."""
+        for path in self._list_beside(upstream):
+            path.demand_probe(now_ms)
+
+    def _list_beside(self, upstream: str) -> list[ServicePath]:
+        own = self._paths.get(self.find_service(upstream))
+        if own is not None and own.n_upstreams > 1:
+            return [own]
+        return [path for path in self._paths.values() if path is not own]
+
     def note_served_elsewhere(self, service: str, now_ms: float) -> None:
         """Record that another VM has served a request that was handed over."""
         path = self._paths.get(service)
--- a/src/quetzaldeck/decisions/paths/service_path.py
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -31,6 +31,7 @@
         self._returned_ms: float | None = None
         self._probed_ms: dict[str, float] = {}
         self._round_ms = -math.inf
+        self._reached_ms = -math.inf
         self._n_unanswered = 0
         self._elsewhere_ms = -math.inf
         self._asked_ms = -math.inf
@@ -45,6 +46,16 @@
         """:returns: when an upstream of the service last sent anything"""
         return self._heard_ms
 
+    @property
+    def reached_ms(self) -> float:
+        """:returns: when a probe was last answered"""
+        return self._reached_ms
+
+    @property
+    def n_upstreams(self) -> int:
+        """:returns: number of upstreams that get new work"""
+        return len(self._zones)
+
     @property
     def failed(self) -> frozenset[str]:
         """:returns: upstreams that have failed and sent nothing since"""
@@ -90,6 +101,12 @@
         if now_ms - silent_since_ms >= self._bounds.silence_ms:
             self._suspect(silent_since_ms)
 
+    def demand_probe(self, now_ms: float) -> None:
+        """Probe the path at once, whatever has come on it."""
+        self._suspect(now_ms)
+        if self._lost_ms is None:
+            self._round_ms = -math.inf
+
     def note_served_elsewhere(self, now_ms: float) -> None:
         """Record that another VM had an answer of the service."""
         self._elsewhere_ms = max(self._elsewhere_ms, now_ms)
@@ -177,6 +194,7 @@
         return 0.0 if self._n_unanswered else self._bounds.answered_interval_ms
 
     def _note_reached(self, now_ms: float) -> None:
+        self._reached_ms = now_ms
         if self._lost_ms is not None:
             self._returned_ms = now_ms
         self._lost_ms = None
@@ -190,8 +208,9 @@
         Each zone has its turn, so that the loss of one is not taken for that of all.
         """
 
-        def rank(name: str) -> tuple[float, float]:
-            return self._probed_ms.get(name, -math.inf), -answered_ms.get(name, -1.0)
+        def rank(name: str) -> tuple[bool, float, float]:
+            probed_ms = self._probed_ms.get(name, -math.inf)
+            return name in self._failed, probed_ms, -answered_ms.get(name, -1.0)
 
         by_zone: dict[str, list[str]] = {}
         for name in sorted(self._zones, key=rank):
--- a/src/quetzaldeck/entry/crash_checks.py
+++ b/src/quetzaldeck/entry/crash_checks.py
@@ -8,6 +8,9 @@
 registers at the address. A replica that does not answer is checked again for a while;
 see :mod:`quetzaldeck.entry.presumed_crashes`.
 
+A VM whose own path to the replicas is lost concludes nothing from replicas that it does
+not reach, see :mod:`quetzaldeck.entry.path_watch`: all of them would seem to crash.
+
 A replica to which a request was sent for which nobody waits any more is checked as
 well, once it can't run the request any longer, unless it has answered another since.
 """
@@ -32,6 +35,7 @@
     from quetzaldeck.telemetry import UpstreamMetrics
 
     CheckReplica = Callable[[Replica], Coroutine[object, object, Liveness]]
+    MayConclude = Callable[[Replica, float], Coroutine[object, object, bool]]
     ReadReplicas = Callable[[], Mapping[str, Replica]]
 
 MIN_INTERVAL_MS = 100.0
@@ -69,6 +73,8 @@
 
     :param read_replicas: returns the replicas that are known, by id
     :param check: asks a replica whether it lives
+    :param may_conclude: whether a failure to reach a replica since some time says
+        anything about the replica
     :param dispatch: is told of the results
     :param bounds: how long another incarnation at the address counts as proof, and how
         long replicas run what nobody waits for
@@ -79,6 +85,7 @@
         clock: Clock,
         read_replicas: ReadReplicas,
         check: CheckReplica,
+        may_conclude: MayConclude,
         dispatch: DispatchTask,
         metrics: UpstreamMetrics,
         *,
@@ -87,6 +94,7 @@
         self._clock = clock
         self._read_replicas = read_replicas
         self._check = check
+        self._may_conclude = may_conclude
         self._dispatch = dispatch
         self._metrics = metrics
         self._bounds = bounds
@@ -213,6 +221,11 @@
             liveness = await self._check(broken.replica)
             if liveness is Liveness.ALIVE and broken.replica.started_ms:
                 await asyncio.sleep(REGISTRATION_MS / MS_PER_SECOND)
+            if liveness is not Liveness.ALIVE and not await self._may_conclude(
+                broken.replica, broken.first_ms
+            ):
+                self._breaks.pop(name, None)
+                return Liveness.UNKNOWN
             if name not in self._breaks:
                 return Liveness.ENDED  # Another incarnation has registered meanwhile.
             if liveness is not Liveness.UNKNOWN:
--- a/src/quetzaldeck/entry/path_watch.py
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -31,6 +31,9 @@
 TICK_MS = 100.0
 """Interval at which silent attempts and due probes are looked for."""
 
+PROBE_WAIT_MS = 10.0
+"""Interval at which a result of demanded probes is looked for."""
+
 
 class PathWatch:
     """Owns the probes of upstreams that may be out of reach.
@@ -117,14 +120,17 @@
             within the time in which other VMs report their answers
         """
         monitor = self._monitor
-        end_ms = since_ms + 2 * monitor.bounds.peer_lag_ms
-        while monitor.heard_ms < since_ms:
+        name = replica.replica_id
+        end_ms = self._clock.now_ms() + 2 * monitor.bounds.peer_lag_ms
+        while not monitor.is_reached_since(name, since_ms):
             if monitor.find_verdict(replica.service) is PathVerdict.PARTITIONED:
                 return False
-            if self._clock.now_ms() >= end_ms:
+            now_ms = self._clock.now_ms()
+            if now_ms >= end_ms:
                 break
+            monitor.demand_probes(name, now_ms)
             self._advance()
-            await asyncio.sleep(TICK_MS / MS_PER_SECOND)
+            await asyncio.sleep(PROBE_WAIT_MS / MS_PER_SECOND)
         return True
 
     async def run(self) -> None:
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -108,6 +108,7 @@
             clock,
             lambda: belief.replicas,
             self._check_health,
+            self.paths.may_conclude,
             dispatch,
             metrics.upstreams,
             bounds=dispatch.poison_bounds,
--- a/tests/entry/test_crash_checks.py
+++ b/tests/entry/test_crash_checks.py
@@ -27,6 +27,10 @@
 PREDECESSOR = REPLICA._replace(replica_id="before")
 
 
+async def _reaches_upstreams(replica: Replica, since_ms: float) -> bool:
+    return True
+
+
 class Setting:
     """Checks whose replicas answer as a test says."""
 
@@ -40,6 +44,7 @@
             self.clock,
             lambda: self.replicas,
             self._check,
+            _reaches_upstreams,
             dispatch,
             UpstreamMetrics(CollectorRegistry()),
             bounds=BOUNDS,
--- a/tests/entry/test_partitioned_vms.py
+++ b/tests/entry/test_partitioned_vms.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
@@ -43,3 +44,24 @@
         assert partition.describe_excess(hosts, begun_ms) == ""
 
     run_fleet(test, zones=ZONES)
+
+
+@pytest.mark.parametrize("mode", CUT_MODES)
+def test_partitioned_vms_conclude_no_crash_of_replicas(mode: PathMode) -> None:
+    """All VMs suspect requests of crashing replicas that only some do not reach."""
+
+    async def test(fleet: EntryFleet) -> None:
+        partition = Partition(fleet)
+        await partition.add_replicas()
+        await partition.send_all(0.5)
+        hosts = PARTITIONS["of_two_zones"]
+        partition.set_paths(hosts, mode)
+        await partition.send_all(4.0)
+        for host, vm in fleet.vms.items():
+            state = vm.state
+            crashes = state.dispatch.list_crash_state(99, random_state=Random(0))
+            crashed = {sighting.upstream for sighting in crashes} - {""}
+            assert (host, crashed) == (host, set())
+            assert (host, state.dispatch.list_presumed()) == (host, [])
+
+    run_fleet(test, zones=ZONES)
