Probe all services at once when one is lost, and wait out a silence of a second

What cuts a VM off from one service often cuts it off from all, so the others are probed at once.

A sound replica may be silent for a second or so. A service counts as down only after 1.5 s, and a path as lost after four unanswered probes also where there are fewer replicas; before, one probe of half a second was enough for a single replica.

--- a/src/quetzaldeck/decisions/paths/bounds.py
+++ b/src/quetzaldeck/decisions/paths/bounds.py
@@ -13,7 +13,10 @@
 
     :param silence_ms: time for which an attempt waits while nothing comes from any
         upstream of its service, after which the path is probed
-    :param n_probed: upstreams that are probed before a path is taken for lost
+    :param n_probed: unanswered probes after which a path is taken for lost; of several
+        upstreams if there are
+    :param sound_silence_ms: time for which sound upstreams may be silent, a second or
+        so, before a service is taken for down
     :param n_failed_connections: upstreams of which no new connection could be used,
         after which the path is probed although others answer on open connections
     :param probe_interval_ms: time between two rounds of probes of a lost path
@@ -26,6 +29,7 @@
 
     silence_ms: float = MIN_FIRST_BYTE_THRESHOLD_MS
     n_probed: int = 4
+    sound_silence_ms: float = 1_500.0
     n_failed_connections: int = 2
     probe_interval_ms: float = 500.0
     answered_interval_ms: float = 2_000.0
--- a/src/quetzaldeck/decisions/paths/monitor.py
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -142,6 +142,11 @@
             if self._verdicts[service] is not PathVerdict.REACHED:
                 changed[service] = PathVerdict.REACHED
         self._verdicts = verdicts
+        if any(verdict is not PathVerdict.REACHED for verdict in changed.values()):
+            # What cuts this VM off from one service often cuts it off from all.
+            for service, path in self._paths.items():
+                if service not in changed:
+                    path.demand_probe(now_ms)
         return changed
 
     def find_verdict(self, service: str) -> PathVerdict:
--- a/src/quetzaldeck/decisions/paths/service_path.py
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -145,8 +145,7 @@
             return
         self._returned_ms = None
         self._n_unanswered += len(unanswered)
-        n_needed = min(self._bounds.n_probed, len(self._zones))
-        if self._lost_ms is None and self._n_unanswered >= n_needed:
+        if self._lost_ms is None and self._n_unanswered >= self._bounds.n_probed:
             self._lost_ms = now_ms if self._suspected_ms is None else self._suspected_ms
 
     def judge(self, answered_ms: Mapping[str, float], now_ms: float) -> PathVerdict:
@@ -161,7 +160,8 @@
             self.note_served_elsewhere(last_ms)
         if now_ms - self._elsewhere_ms <= self._bounds.evidence_ms:
             return PathVerdict.PARTITIONED
-        if self._failed >= self._zones.keys():
+        is_long = now_ms - self._lost_ms >= self._bounds.sound_silence_ms
+        if is_long and self._failed >= self._zones.keys():
             return PathVerdict.DOWN
         return PathVerdict.UNREACHED
 
