Let a connection to an upstream outlast one lost keep-alive probe

Linux gives up keep-alive probes by TCP_USER_TIMEOUT, whatever their count. With probes after 1 and 2 s and a timeout of 1.5 s, a connection on which a request waited was closed at 2 s if one probe was lost, as when a sound replica falls silent for a second or a link loses packets. The timeout is now 2.5 s, after the last probe; the connection ends after 3 s as the count says. Attempts that may be repeated do not wait for it: silence and lost paths are found earlier.

The new test failed before (1,500 > 2,000 does not hold).

--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -20,16 +20,18 @@
     from aiohttp.client_reqrep import ClientResponse
     from aiohttp.connector import AddrInfoType, Connection
 
-TCP_USER_TIMEOUT_MS = 1_500
-"""After this time without an acknowledgement the kernel closes a connection: nothing
-else detects an upstream behind a network partition, which never responds."""
-
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 N_PROBES = 2
 """TCP keep-alive detects within three seconds that a device on the path has dropped an
 idle connection; otherwise the next request on it would fail."""
 
+TCP_USER_TIMEOUT_MS = 2_500
+"""After this time without an acknowledgement the kernel closes a connection: nothing
+else detects an upstream behind a network partition, which never responds. Linux also
+gives up keep-alive probes by it, whatever their count: a shorter time than until the
+last probe would close the connection of a sound upstream that misses one."""
+
 DEFAULT_KEEP_ALIVE_MS = 900.0
 """Keep-alive time assumed for an upstream that states none: an upstream that keeps idle
 connections for a second or longer is required to state it."""
--- a/tests/entry/test_upstream_protocol.py
+++ b/tests/entry/test_upstream_protocol.py
@@ -3,17 +3,51 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
 from tests.support.platform.site import BOOK_PATH, run_site
 
 from quetzaldeck.entry import upstream_protocol
+from quetzaldeck.entry.upstream_protocol import (
+    N_PROBES,
+    PROBE_IDLE_S,
+    PROBE_INTERVAL_S,
+    TCP_USER_TIMEOUT_MS,
+    open_socket,
+)
 
 if TYPE_CHECKING:
     from tests.support.platform.replica import Arrival, Connection
     from tests.support.platform.site import Site
 
+MS_PER_SECOND = 1_000
+
+
+def test_connection_outlasts_a_lost_keep_alive_probe() -> None:
+    """One probe is lost, or a sound replica is silent for a second, and streams end."""
+    address = (socket.AF_INET, socket.SOCK_STREAM, 0, "", ("127.0.0.1", 9))
+    with open_socket(address) as opened:
+        idle_s, interval_s, n_probes, user_timeout_ms = (
+            opened.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+                socket.TCP_USER_TIMEOUT,
+            )
+        )
+    assert n_probes >= 2
+    last_probe_ms = (idle_s + (n_probes - 1) * interval_s) * MS_PER_SECOND
+    assert user_timeout_ms > last_probe_ms
+
+
+def test_silent_connection_is_closed_when_the_last_probe_is_overdue() -> None:
+    """A connection through a device that has forgotten it is used for the next call."""
+    end_ms = (PROBE_IDLE_S + N_PROBES * PROBE_INTERVAL_S) * MS_PER_SECOND
+    assert end_ms >= TCP_USER_TIMEOUT_MS
+
 
 @pytest.mark.parametrize(("keep_alive", "is_kept"), [("timeout=1", False), ("", True)])
 def test_connection_is_not_reused_near_the_end_of_its_keep_alive_time(
