--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -9,6 +9,12 @@
 from tests.soak.entry.history import RequestKind
 from tests.soak.entry.replicas import build_complete_stream
 from tests.soak.entry.world import LEAVING_MS, REVOCATION_MS
+from tests.support.platform.partitions import (
+    FREE_FAILURE_SHARE,
+    MIN_SHARE,
+    N_FREE_FAILURES,
+    STABLE_MS,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -148,6 +154,43 @@
             yield f"{call.call_id} was taken for a request that crashes replicas"
 
 
+@register
+def partitioned_vms_serve(history: History) -> Iterator[str]:
+    """Callers of VMs that reach no replica are served as those of the others.
+
+    Calls are not counted while VMs restart or the store fails, at any VM: the other VMs
+    serve what the partitioned ones hand over.
+    """
+    for partition in history.partitions:
+        begin_ms = partition.begin_ms + STABLE_MS
+        overlapping = [
+            other
+            for other in history.partitions
+            if other.begin_ms < partition.end_ms + STABLE_MS
+            and other.end_ms + STABLE_MS > begin_ms
+        ]
+        if len(overlapping) > 1:
+            continue
+        calls = [
+            call
+            for call in history.calls
+            if begin_ms <= call.sent_ms < partition.end_ms
+            and call.key not in history.revoked_ms
+            and not _is_in_store_outage(history, call)
+            and not history.is_disturbed("", call.sent_ms - STABLE_MS, call.ended_ms)
+        ]
+        cut = [call.status == 200 for call in calls if call.vm in partition.vms]
+        others = [call.status == 200 for call in calls if call.vm not in partition.vms]
+        n_free = N_FREE_FAILURES + FREE_FAILURE_SHARE * len(calls)
+        is_worse = sum(cut) * len(others) < MIN_SHARE * sum(others) * len(cut)
+        if is_worse and len(cut) - sum(cut) > n_free:
+            yield (
+                f"{partition.mode}: {sum(cut)} of {len(cut)} calls served at "
+                f"{', '.join(sorted(partition.vms))}, {sum(others)} of {len(others)} "
+                "at the others"
+            )
+
+
 @register
 def processes_stop(history: History) -> Iterator[str]:
     """A VM that receives SIGTERM ends within its grace period."""
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from tests.soak.entry.culprits import Culprits
-from tests.soak.entry.history import FaultInterval, now_ms
+from tests.soak.entry.history import FaultInterval, Partition, now_ms
 from tests.soak.entry.world import GRACE_S, LEAVING_MS
-from tests.soak.own.link import LinkMode
+from tests.soak.own.link import LinkMode, PathMode
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -28,6 +28,7 @@
 """Mean time between the starts of two faults."""
 
 MAX_PAUSE_S = 2.0
+PARTITION_S = (1.0, 7.0)
 STOP_TIMEOUT_S = GRACE_S + 2 * MAX_PAUSE_S + 2.0
 """Longer than the grace period, since another fault may pause the stopping VM."""
 
@@ -179,6 +180,21 @@
         link.set_mode(LinkMode.OPEN)
 
 
+@register
+async def partition_vms(world: SoakWorld, random_state: random.Random) -> None:
+    """VMs lose their paths to all replicas, while everything else reaches them."""
+    vms = random_state.sample(world.vms, random_state.randint(1, len(world.vms)))
+    mode = random_state.choice([m for m in PathMode if m is not PathMode.OPEN])
+    begin_ms = now_ms()
+    for vm in vms:
+        world.set_path(vm, mode)
+    await asyncio.sleep(random_state.uniform(*PARTITION_S))
+    names = frozenset(vm.name for vm in vms)
+    world.history.partitions.append(Partition(names, mode, begin_ms, now_ms()))
+    for vm in vms:
+        world.set_path(vm, PathMode.OPEN)
+
+
 @register
 async def fail_in_part(world: SoakWorld, random_state: random.Random) -> None:
     """A replica loses responses, sends them twice, or refuses requests."""
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -77,6 +77,15 @@
     end_ms: float
 
 
+class Partition(NamedTuple):
+    """VMs that reached no replica for a while, and how that showed."""
+
+    vms: frozenset[str]
+    mode: str
+    begin_ms: float
+    end_ms: float
+
+
 class History:
     """Everything that the checks read.
 
@@ -89,6 +98,7 @@
         self.executions: list[Execution] = []
         self.calls: list[CallRecord] = []
         self.fault_intervals: list[FaultInterval] = []
+        self.partitions: list[Partition] = []
         self.stop_failures: list[str] = []
         self.false_refusals: list[str] = []
         self.loop_stalls: list[LoopStall] = []
@@ -105,10 +115,13 @@
         )
 
     def is_disturbed(self, vm: str, begin_ms: float, end_ms: float) -> bool:
-        """:returns: whether a VM restarted or froze in a time span"""
+        """:returns: whether a VM restarted or froze in a time span
+
+        :param vm: its name; ``""``: any VM
+        """
         return any(
             item.name in VM_FAULTS
-            and item.target in (vm, "")
+            and (not vm or item.target in (vm, ""))
             and item.begin_ms < end_ms
             and item.end_ms > begin_ms
             for item in self.fault_intervals
@@ -143,6 +156,7 @@
     "Execution",
     "FaultInterval",
     "History",
+    "Partition",
     "RequestKind",
     "now_ms",
     "record_loop_stalls",
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -26,7 +26,9 @@
 NEWER_FAULTS = frozenset({"mute_replica", "slow_engine"})
 """Faults added later; drawing from them would change the plans of ``SEEDS``."""
 
-NEWEST_FAULTS = frozenset({"limit_replicas", "send_culprit", "crash_replica"})
+NEWEST_FAULTS = frozenset(
+    {"limit_replicas", "send_culprit", "crash_replica", "partition_vms"}
+)
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
 
 NEWER_SEEDS = {720: "first seed with replicas that do not answer and slow engines"}
@@ -138,3 +140,18 @@
         assert uvloop.run(inject(world, plan)) == [fault.name for fault in plan]
     assert len(draws) == 2 * len(plan)
     assert draws[: len(plan)] == draws[len(plan) :]
+
+
+@pytest.mark.parametrize("seed", [3, 4, 11])
+def test_callers_of_partitioned_vms_are_served_while_replicas_change(seed: int) -> None:
+    """VMs that reach no replica refuse what the others serve, beside other faults."""
+    plan = (
+        PlannedFault(0.5, "partition_vms", seed),
+        PlannedFault(1.5, "replace_replica", 1),
+        PlannedFault(2.5, "configure_often", 2),
+        PlannedFault(3.0, "slow_engine", 3),
+        PlannedFault(8.5, "partition_vms", seed + 1),
+    )
+    result = uvloop.run(run_soak(seed, duration_s=16.0, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 400
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -13,7 +13,7 @@
 from tests.ports import choose_port
 from tests.soak.entry.history import Culprit, History, now_ms
 from tests.soak.entry.replicas import SoakReplica
-from tests.soak.own.link import Link, LinkMode
+from tests.soak.own.link import Link, LinkMode, PathMode
 from tests.support.platform.site import (
     DESK,
     ENGINES,
@@ -57,12 +57,13 @@
 class SoakVm:
     """One entry VM: its process, its addresses and its link to the store."""
 
-    def __init__(self, name: str, host: str, ports: tuple[int, int, int]) -> None:
+    def __init__(self, name: str, host: str, ports: tuple[int, int, int, int]) -> None:
         self.name = name
         self.host = host
         self.address = f"{host}:{ports[0]}"
         self.readiness = f"{host}:{ports[1]}"
         self.peer_port = ports[2]
+        self.handover_port = ports[3]
         self.store_link: Link
         self.process: ProgramProcess
         self.is_in_rotation = False
@@ -102,7 +103,7 @@
         self.random_state = random.Random(seed)
         self.history = History()
         self.store = StandInStore()
-        ports = (choose_port(), choose_port(), choose_port())
+        ports = (choose_port(), choose_port(), choose_port(), choose_port())
         self.vms = [
             SoakVm(f"vm{index}", f"127.0.0.{index + 11}", ports)
             for index in range(n_vms)
@@ -113,6 +114,7 @@
         self.culprits: dict[Culprit, str] = {}
         self.endings: dict[str, Ending] = {}
         self._ended: set[str] = set()
+        self._paths: dict[str, PathMode] = {}
         self._started_ms: dict[str, int] = {}
         self._restarts: set[asyncio.Task[None]] = set()
         self.keys = {f"key{number}": f"gym{number % 3}" for number in range(30)}
@@ -210,6 +212,8 @@
         port = int(replica.server.address.rpartition(":")[2])
         link = await self._stack.enter_async_context(Link(port))
         self.replicas[replica_id] = replica
+        for host, mode in self._paths.items():
+            link.set_path(host, mode)
         self.links[replica_id] = link
         self.services[replica_id] = service
         self.register(replica_id)
@@ -223,6 +227,12 @@
         entry = build_entry(service, address, slots=16, state=state, born=started_ms)
         self.store.put(f"servers/{replica_id}", entry)
 
+    def set_path(self, vm: SoakVm, mode: PathMode) -> None:
+        """Change the paths from a VM to all replicas, also to later ones."""
+        self._paths[vm.host] = mode
+        for link in self.links.values():
+            link.set_path(vm.host, mode)
+
     def publish(self, **changes: Any) -> None:
         """Publish the next version of the configuration."""
         self.version += self.random_state.randint(1, 3)
@@ -253,6 +263,8 @@
             "store_address": vm.store_link.address.removeprefix("http://"),
             "seeds": [other.address for other in self.vms[:3]],
             "peer_port": vm.peer_port,
+            "handover_port": vm.handover_port,
+            "upstream_source": vm.host,
             "bounds": {
                 "key_revocation_ms": REVOCATION_MS,
                 "leaving_ms": LEAVING_MS,
--- a/tests/support/platform/partitions.py
+++ b/tests/support/platform/partitions.py
@@ -214,4 +214,13 @@
         return ""
 
 
-__all__ = ("PATHS", "STABLE_MS", "Call", "LinkedReplica", "Partition")
+__all__ = (
+    "FREE_FAILURE_SHARE",
+    "MIN_SHARE",
+    "N_FREE_FAILURES",
+    "PATHS",
+    "STABLE_MS",
+    "Call",
+    "LinkedReplica",
+    "Partition",
+)
