Repeat the runs of suspects, also those of VMs that may be killed

A run of a suspect was announced once, by the VM that sent it.

A run of which the end is known is not opened again by a late repeat, so a sound request is not blamed for a later crash.

New: a late repeat, a run heard of late.

--- a/src/quetzaldeck/decisions/poison/open_runs.py
+++ b/src/quetzaldeck/decisions/poison/open_runs.py
@@ -122,6 +122,16 @@
             self.discard(run.fingerprint, upstream)
         return runs
 
+    def list_running(self, now_ms: float) -> list[OpenRun]:
+        """:returns: awaited runs that may go on, the latest first"""
+        running = [
+            run
+            for runs in self._by_upstream.values()
+            for run in runs.values()
+            if run.is_awaited and run.until_ms > now_ms
+        ]
+        return sorted(running, key=lambda run: run.sent_ms, reverse=True)
+
     def list_ended(self, upstream: str, now_ms: float) -> list[OpenRun]:
         """:returns: the runs on an upstream that have ended by themselves"""
         return [run for run in self.list_of(upstream) if run.until_ms <= now_ms]
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -58,6 +58,8 @@
         self._runs = runs
         self._unannounced = unannounced
         self._survived: RecentTimes[str] = RecentTimes(bounds.max_crashes_held)
+        self._ended: RecentTimes[tuple[str, str]] = RecentTimes(bounds.max_crashes_held)
+        self._closed: RecentTimes[tuple[int, str]] = RecentTimes(bounds.max_answered)
         self._changed: dict[tuple[int, str], RunSighting] = {}
         self._unconfirmed: dict[tuple[int, str], tuple[OpenRun, float]] = {}
 
@@ -68,6 +70,7 @@
             before did so for another reason
         :param incarnation: the incarnation that ended; ``""`` if it is not known
         """
+        self._ended.note((upstream, incarnation), at_ms)
         for crash in self._table.list_of(upstream):
             if crash.at_ms >= at_ms - self._bounds.same_crash_ms:
                 self.prove(crash)
@@ -165,11 +168,18 @@
     def list_runs(self, max_runs: int, now_ms: float) -> list[RunSighting]:
         """:returns: what a VM has to know that missed what others told of runs"""
         presumed = [crash for crash in self._table.crashes if crash.is_presumed]
-        described = (
-            self._describe(crash, RunState.MISSING, now_ms)
+        described = [
+            sighting
             for crash in reversed(presumed)
+            for sighting in self._describe(crash, RunState.MISSING, now_ms)
+        ]
+        # Runs of others are repeated as well: the VM that told of one may be killed
+        # before all have heard of it.
+        open_runs = (
+            _describe_run(run, RunState.OPEN, now_ms)
+            for run in self._runs.list_running(now_ms)
         )
-        return [sighting for part in described for sighting in part][:max_runs]
+        return [*described, *open_runs][:max_runs]
 
     def observe_runs(self, sightings: Iterable[RunSighting], now_ms: float) -> None:
         """Merge what other VMs know, which may be late, repeated or known."""
@@ -182,37 +192,46 @@
                 case RunState.SURVIVED:
                     self._observe_survived(sighting)
                 case RunState.CLOSED:
+                    self._closed.note((sighting.fingerprint, sighting.upstream), now_ms)
                     self._observe_closed(sighting)
 
     def announce_run(self, run: OpenRun, state: RunState, now_ms: float) -> None:
         """Tell the other VMs of a run of this one."""
-        sighting = RunSighting(
-            run.fingerprint,
-            run.upstream,
-            run.incarnation,
-            now_ms - run.sent_ms,
-            run.until_ms - now_ms,
-            state,
-            run.was_answered,
-            run.is_awaited,
-        )
+        if state is RunState.CLOSED:
+            self._closed.note((run.fingerprint, run.upstream), now_ms)
+        sighting = _describe_run(run, state, now_ms)
         self._changed[run.fingerprint, run.upstream] = sighting
 
     def _observe_open(self, sighting: RunSighting, now_ms: float) -> None:
         until_ms = now_ms + sighting.remaining_ms
+        sent_ms = now_ms - sighting.age_ms
         if self._survived.find(sighting.upstream) >= until_ms:
             return
+        if self._closed.find((sighting.fingerprint, sighting.upstream)) >= sent_ms:
+            return  # A VM that has not heard of its end repeats it.
         run = OpenRun(
             sighting.fingerprint,
             sighting.upstream,
             sighting.incarnation,
-            now_ms - sighting.age_ms,
+            sent_ms,
             until_ms,
             sighting.was_answered,
             is_own=False,
             is_awaited=sighting.is_awaited,
         )
-        self._runs.note(run)
+        ended_ms = self._ended.find((run.upstream, run.incarnation))
+        if sent_ms <= ended_ms < until_ms:
+            self._note_late(run, ended_ms, now_ms)
+        else:
+            self._runs.note(run)
+
+    def _note_late(self, run: OpenRun, ended_ms: float, now_ms: float) -> None:
+        """Record a run of which this VM hears after the upstream has ended."""
+        self._closed.note((run.fingerprint, run.upstream), ended_ms)
+        if run.is_awaited and now_ms < ended_ms + self._bounds.settle_ms:
+            self._unconfirmed[run.fingerprint, run.upstream] = run, ended_ms
+        else:
+            self._count(run, ended_ms)
 
     def _observe_missing(self, sighting: RunSighting, now_ms: float) -> None:
         """Presume a crash, unless its upstream is known to have lived since."""
@@ -280,4 +299,18 @@
             )
 
 
+def _describe_run(run: OpenRun, state: RunState, now_ms: float) -> RunSighting:
+    """:returns: a run as other VMs are told of it"""
+    return RunSighting(
+        run.fingerprint,
+        run.upstream,
+        run.incarnation,
+        now_ms - run.sent_ms,
+        run.until_ms - now_ms,
+        state,
+        run.was_answered,
+        run.is_awaited,
+    )
+
+
 __all__ = ("PresumedCrash", "UpstreamEnds")
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -214,3 +214,28 @@
     registry.note_left(CULPRIT, "e0", "2", 9_000.0, 9_020.0)
     registry.ends.note_missing("e0", 9_021.0)
     assert registry.verdict(CULPRIT, 9_030.0) is Verdict.CLEAR
+
+
+def test_run_that_has_ended_is_not_opened_again_by_a_late_repeat() -> None:
+    """A VM that missed the end of a run repeats it, and a sound request is blamed."""
+    registry = PoisonRegistry(PoisonBounds())
+    opened = RunSighting(CULPRIT, "e0", "", 10.0, 900.0, RunState.OPEN, is_awaited=True)
+    registry.ends.observe_runs([opened], 1_000.0)
+    closed = opened._replace(age_ms=60.0, remaining_ms=850.0, state=RunState.CLOSED)
+    registry.ends.observe_runs([closed], 1_050.0)
+    repeated = opened._replace(age_ms=110.0, remaining_ms=800.0)
+    registry.ends.observe_runs([repeated], 1_100.0)
+    registry.ends.note_ended("e0", 1_200.0)
+    registry.ends.advance(2_000.0)
+    assert registry.n_crashes(CULPRIT, 2_000.0) == 0
+
+
+def test_run_that_is_heard_of_after_its_upstream_has_ended_counts() -> None:
+    """The only announcement that a VM gets of a run comes after the crash."""
+    registry = PoisonRegistry(PoisonBounds())
+    registry.ends.note_ended("e0", 1_000.0)
+    opened = RunSighting(
+        CULPRIT, "e0", "", 700.0, 900.0, RunState.OPEN, is_awaited=True
+    )
+    registry.ends.observe_runs([opened], 1_500.0)
+    assert registry.n_crashes(CULPRIT, 1_500.0) == 1
