Use open connections while new ones fail, and hold retries while a path is in doubt

New connections of all VMs were refused while open ones lived on; all VMs were answered on these, took that for proof that the others reach the replicas, handed over to each other and refused. Now a lost path on which attempts are still answered stays in use (open_only) until as many attempts in a row have failed as probes show a lost path.

Retries now wait for it; a failure is a reason to probe again after half a second, a mere silence after one second.

--- a/src/quetzaldeck/decisions/paths/bounds.py
+++ b/src/quetzaldeck/decisions/paths/bounds.py
@@ -20,7 +20,8 @@
     :param n_failed_connections: upstreams of which no new connection could be used,
         after which the path is probed although others answer on open connections
     :param probe_interval_ms: time between two rounds of probes of a lost path
-    :param answered_interval_ms: time between two rounds while they are answered
+    :param answered_interval_ms: time between two rounds while they are answered, and
+        attempts are only silent
     :param peer_lag_ms: age that an answer may have when another VM reports it
     :param evidence_ms: time for which an answer to another VM shows that it reaches
         the upstreams
@@ -32,7 +33,7 @@
     sound_silence_ms: float = 1_500.0
     n_failed_connections: int = 2
     probe_interval_ms: float = 500.0
-    answered_interval_ms: float = 2_000.0
+    answered_interval_ms: float = 1_000.0
     peer_lag_ms: float = 2 * MAX_SEND_DELAY_MS
     evidence_ms: float = 3_000.0
     return_ms: float = 2_000.0
--- a/src/quetzaldeck/decisions/paths/monitor.py
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -136,7 +136,7 @@
         if PathVerdict.PARTITIONED in verdicts.values():
             # Nobody may have called the other services since this VM lost its path.
             for service, verdict in verdicts.items():
-                if verdict is not PathVerdict.REACHED:
+                if not verdict.allows_attempts:
                     verdicts[service] = PathVerdict.PARTITIONED
         changed = {
             service: verdict
@@ -147,7 +147,7 @@
             if self._verdicts[service] is not PathVerdict.REACHED:
                 changed[service] = PathVerdict.REACHED
         self._verdicts = verdicts
-        if any(verdict is not PathVerdict.REACHED for verdict in changed.values()):
+        if not all(verdict.allows_attempts for verdict in changed.values()):
             # What cuts this VM off from one service often cuts it off from all.
             for service, path in self._paths.items():
                 if service not in changed:
@@ -166,7 +166,7 @@
         path = self._paths.get(service)
         return (
             path is not None
-            and verdict is not PathVerdict.REACHED
+            and verdict not in (PathVerdict.REACHED, PathVerdict.DOUBTED)
             and path.may_ask(now_ms)
         )
 
@@ -177,7 +177,7 @@
         at one moment, and comes back if the path is lost again.
         """
         path = self._paths.get(service)
-        if path is None or self.find_verdict(service) is not PathVerdict.REACHED:
+        if path is None or not self.find_verdict(service).allows_attempts:
             return False
         share = path.return_share(now_ms)
         return share < 1.0 and self._random_state.random() >= share
--- a/src/quetzaldeck/decisions/paths/service_path.py
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -25,12 +25,15 @@
         self._zones: Mapping[str, str] = {}
         self._heard_ms = -math.inf
         self._failed: set[str] = set()
+        self._n_failed_since = 0
         self._unusable: set[str] = set()
         self._suspected_ms: float | None = None
         self._lost_ms: float | None = None
         self._returned_ms: float | None = None
         self._probed_ms: dict[str, float] = {}
         self._round_ms = -math.inf
+        self._is_probing = False
+        self._has_failure = False
         self._reached_ms = -math.inf
         self._n_unanswered = 0
         self._elsewhere_ms = -math.inf
@@ -66,6 +69,18 @@
         """:returns: upstreams that have failed and sent nothing since"""
         return frozenset(self._failed)
 
+    @property
+    def _is_heard_on_open_connections(self) -> bool:
+        """Whether attempts are answered since new connections fail.
+
+        Open connections end one by one. When as many attempts have failed in a row as
+        probes that show a lost path, there are hardly any left.
+        """
+        assert self._lost_ms is not None
+        if self._heard_ms <= self._lost_ms:
+            return False
+        return self._n_failed_since < self._bounds.n_probed
+
     def set_upstreams(self, zones: Mapping[str, str]) -> None:
         """Set the upstreams that get new work.
 
@@ -80,6 +95,7 @@
     def note_heard(self, upstream: str, now_ms: float) -> None:
         """Record that an upstream has sent something, on any connection."""
         self._heard_ms = now_ms
+        self._n_failed_since = 0
         self._failed.discard(upstream)
 
     def note_failed(
@@ -92,8 +108,10 @@
         :param is_new_connection: whether nothing came on its connection
         """
         self._failed.add(upstream)
+        self._n_failed_since += 1
         if is_new_connection:
             self._unusable.add(upstream)
+        self._has_failure = True
         n_needed = min(self._bounds.n_failed_connections, len(self._zones))
         if begun_ms >= self._heard_ms or len(self._unusable) >= n_needed:
             self._suspect(begun_ms)
@@ -130,6 +148,7 @@
         if now_ms - self._round_ms < self._interval_ms():
             return ()
         self._round_ms = now_ms
+        self._is_probing = True
         # A single answer suffices, and a false suspicion is the usual case.
         n_probed = 1 if self._lost_ms is None and not self._n_unanswered else 2
         if self._lost_ms is None and self._n_unanswered:
@@ -143,6 +162,7 @@
         self, answered: Sequence[str], unanswered: Sequence[str], now_ms: float
     ) -> None:
         """Record a round of probes."""
+        self._is_probing = False
         for name in answered:
             self.note_heard(name, now_ms)
         self._failed.update(unanswered)
@@ -160,7 +180,10 @@
         :param answered_ms: when the other VMs last had answers of the upstreams
         """
         if self._lost_ms is None:
-            return PathVerdict.REACHED
+            is_doubted = self._is_probing or bool(self._n_unanswered)
+            return PathVerdict.DOUBTED if is_doubted else PathVerdict.REACHED
+        if self._is_heard_on_open_connections:
+            return PathVerdict.OPEN_ONLY
         last_ms = max(answered_ms.values(), default=-math.inf)
         if last_ms >= self._lost_ms + self._bounds.peer_lag_ms:
             self.note_served_elsewhere(last_ms)
@@ -195,9 +218,11 @@
             self._suspected_ms = since_ms
 
     def _interval_ms(self) -> float:
-        if self._lost_ms is not None:
+        if self._n_unanswered and self._lost_ms is None:
+            return 0.0
+        if self._lost_ms is not None or self._has_failure:
             return self._bounds.probe_interval_ms
-        return 0.0 if self._n_unanswered else self._bounds.answered_interval_ms
+        return self._bounds.answered_interval_ms
 
     def _note_reached(self, now_ms: float) -> None:
         self._reached_ms = now_ms
@@ -206,6 +231,7 @@
         self._lost_ms = None
         self._suspected_ms = None
         self._n_unanswered = 0
+        self._has_failure = False
         self._unusable.clear()
 
     def _rank(self, answered_ms: Mapping[str, float]) -> list[str]:
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -80,6 +80,7 @@
         )
         self._n_double_releases = 0
         self._lost_paths: dict[str, PathVerdict] = {}
+        self._doubted_paths: set[str] = set()
 
     @property
     def policy(self) -> PlacementPolicy:
@@ -98,9 +99,11 @@
 
     def observe_path(self, service: str, verdict: PathVerdict) -> None:
         """Apply whether this VM reaches the upstreams of a service."""
-        if verdict is PathVerdict.REACHED:
-            self._lost_paths.pop(service, None)
-        else:
+        self._lost_paths.pop(service, None)
+        self._doubted_paths.discard(service)
+        if verdict is PathVerdict.DOUBTED:
+            self._doubted_paths.add(service)
+        elif not verdict.allows_attempts:
             self._lost_paths[service] = verdict
 
     def check_path(self, request: Request) -> Failure | None:
@@ -243,8 +246,10 @@
             as long as there are others
         :returns: the upstreams for the request; ``None`` if it has to wait
         """
+        # An attempt that fails would count, while the next verdict is due soon.
         if request.target in self._lost_paths:
-            # An attempt would fail and count, while the next verdict is due soon.
+            return None
+        if avoided and request.target in self._doubted_paths:
             return None
         pool = self._table.list_serving(request)
         if prefers_unlimited:
--- a/src/quetzaldeck/entry/handover/offer.py
+++ b/src/quetzaldeck/entry/handover/offer.py
@@ -16,6 +16,10 @@
     from quetzaldeck.gateway.ticket import Ticket
 
 
+_PATH_REASONS = frozenset((Reason.NO_PATH, Reason.UPSTREAM_FAILED))
+"""Reasons of failures that another VM may be spared."""
+
+
 class HandoverOffer:
     """Decides for one call whether it is offered to other VMs.
 
@@ -52,7 +56,7 @@
                 return await self._run.run()
         except RequestError as error:
             failure = error.failure
-            if failure.reason is not Reason.NO_PATH or not self._may_send(failure.ran):
+            if failure.reason not in _PATH_REASONS or not self._may_send(failure.ran):
                 raise
             if not self._state.paths.may_hand_over(service):
                 raise
--- a/src/quetzaldeck/entry/path_watch.py
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -63,6 +63,7 @@
             dispatch.find_peer_answered_ms, random_state=random_state
         )
         self._probing: asyncio.Task[None] | None = None
+        self._logged: dict[str, PathVerdict] = {}
 
     @property
     def monitor(self) -> PathMonitor:
@@ -146,13 +147,12 @@
                 self._probing.cancel()
 
     def _advance(self) -> None:
+        if self._probing is None:
+            probed = self._monitor.choose_probed(self._clock.now_ms())
+            if probed:
+                self._probing = asyncio.create_task(self._run_probes(probed))
+                self._probing.add_done_callback(self._finish_probes)
         self._report_verdicts()
-        if self._probing is not None:
-            return
-        probed = self._monitor.choose_probed(self._clock.now_ms())
-        if probed:
-            self._probing = asyncio.create_task(self._run_probes(probed))
-            self._probing.add_done_callback(self._finish_probes)
 
     def _finish_probes(self, _: asyncio.Task[None]) -> None:
         self._probing = None
@@ -178,7 +178,10 @@
             for other in PathVerdict:
                 gauge = self._metrics.paths.labels(service, other.value)
                 gauge.set(float(other is verdict))
-            self._log(service, verdict, now_ms)
+            before = self._logged.get(service, PathVerdict.REACHED)
+            if verdict is not PathVerdict.DOUBTED and verdict is not before:
+                self._logged[service] = verdict
+                self._log(service, verdict, now_ms)
 
     def _log(self, service: str, verdict: PathVerdict, now_ms: float) -> None:
         path = self._monitor.find_path(service)
