--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -38,6 +38,10 @@
 NO_UPSTREAM_RETRY_MS = 1_000.0
 """Suggested retry delay for callers while no upstream serves the target."""
 
+PROBE_PAUSE_MS = 20.0
+"""Interval at which a retry looks whether the probe of a path in doubt is answered. A
+retry that does not wait for it may use up its attempts on a path that is lost."""
+
 
 class Placer:
     """Places requests and accounts for the capacity they hold until it is released.
@@ -106,6 +110,10 @@
         elif not verdict.allows_attempts:
             self._lost_paths[service] = verdict
 
+    def probe_pause_ms(self, request: Request) -> float:
+        """:returns: how long a retry waits for the probe of a path in doubt"""
+        return PROBE_PAUSE_MS if request.target in self._doubted_paths else 0.0
+
     def check_path(self, request: Request) -> Failure | None:
         """:returns: the refusal of a request whose upstreams this VM does not reach"""
         verdict = self._lost_paths.get(request.target)
@@ -246,10 +254,8 @@
             as long as there are others
         :returns: the upstreams for the request; ``None`` if it has to wait
         """
-        # An attempt that fails would count, while the next verdict is due soon.
         if request.target in self._lost_paths:
-            return None
-        if avoided and request.target in self._doubted_paths:
+            # An attempt would fail and count, while the next verdict is due soon.
             return None
         pool = self._table.list_serving(request)
         if prefers_unlimited:
--- a/src/quetzaldeck/decisions/queueing/waiting.py
+++ b/src/quetzaldeck/decisions/queueing/waiting.py
@@ -8,7 +8,7 @@
 from quetzaldeck.decisions.retries import DelayedRequests
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from quetzaldeck.decisions.admission import AdmissionPolicy
     from quetzaldeck.decisions.queueing import QueuePolicy
@@ -21,6 +21,10 @@
 upstreams also change with time: reports age and ejections end."""
 
 
+def _no_pause(_: Request) -> float:
+    return 0.0
+
+
 class WaitingRequests:
     """Keeps the queue, backoffs, latest start times and admission in sync.
 
@@ -61,9 +65,18 @@
         self._delayed.push(request, due_ms)
         self._register(request, now_ms)
 
-    def end_delays(self, now_ms: float) -> None:
-        """Queue the requests whose backoff has ended."""
+    def end_delays(
+        self, now_ms: float, pause_ms: Callable[[Request], float] = _no_pause
+    ) -> None:
+        """Queue the requests whose backoff has ended.
+
+        :param pause_ms: returns how much longer a request has to wait
+        """
         for request in self._delayed.take_due(now_ms):
+            longer_ms = pause_ms(request)
+            if longer_ms:
+                self._delayed.push(request, now_ms + longer_ms)
+                continue
             self._queue.requeue(request)
             self.note_capacity_freed()
 
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -227,7 +227,7 @@
     def poll(self) -> list[Decision]:
         """:returns: decisions to carry out now: rejections first, then dispatches"""
         now_ms = self._clock.now_ms()
-        self._waiting.end_delays(now_ms)
+        self._waiting.end_delays(now_ms, self._placer.probe_pause_ms)
         self._poison.ends.advance(now_ms)
         decisions: list[Decision] = list(self._sweep.run(now_ms))
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
