--- a/src/quetzaldeck/decisions/attempts/expiry.py
+++ b/src/quetzaldeck/decisions/attempts/expiry.py
@@ -4,9 +4,10 @@
 
 import re
 
+from quetzaldeck.clock.clock import MS_PER_SECOND
+
 EXPIRY_MARKER = "-x"
 _EXPIRY = re.compile(rf"{EXPIRY_MARKER}([0-9a-f]{{6,12}})")
-MS_PER_SECOND = 1_000
 
 
 def mark_expiry(request_id: str, deadline_wall_ms: float) -> str:
--- a/src/quetzaldeck/decisions/limits/token_bucket.py
+++ b/src/quetzaldeck/decisions/limits/token_bucket.py
@@ -4,9 +4,10 @@
 
 import math
 
+from quetzaldeck.clock.clock import MS_PER_SECOND
+
 RATE_TIME_CONSTANT_MS = 2_000.0
 """Time constant of the average token rate that is sent to other VMs."""
-MS_PER_SECOND = 1_000.0
 
 
 class TokenBucket:
--- a/src/quetzaldeck/decisions/paths/peer_chooser.py
+++ b/src/quetzaldeck/decisions/paths/peer_chooser.py
@@ -11,6 +11,8 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.paths.bounds import PathBounds
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection, Iterator, Mapping
@@ -18,7 +20,7 @@
 N_CHOICES = 2
 """VMs drawn at random, of which the less loaded one is chosen."""
 
-UNABLE_MS = 1_000.0
+UNABLE_MS = 2 * PathBounds().probe_interval_ms
 """Time for which a VM that could not take a request is not asked again."""
 
 
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -25,9 +26,6 @@
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
 
-SERVER_ERROR_STATUS = 500
-OK_STATUS = 200
-
 
 class CallRun:
     """Runs one call.
@@ -94,7 +92,7 @@
         last_event_id = self._relay.last_event_id
         async with self._runner.open(dispatch, last_event_id=last_event_id) as opened:
             is_stream = self._call.admitted.route.kind is RequestKind.STREAMING
-            if is_stream and opened.head.status == OK_STATUS:
+            if is_stream and opened.head.status == HTTPStatus.OK:
                 await self._relay.relay(
                     self.upstream,
                     opened.response,
@@ -122,7 +120,7 @@
             status=opened.head.status,
             headers=build_response_headers(opened.response.headers),
         )
-        if opened.head.status < SERVER_ERROR_STATUS:
+        if opened.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             return response
         self._failed_response = response
         detail = f"{self.upstream}: status {opened.head.status}"
--- a/src/quetzaldeck/entry/error_response.py
+++ b/src/quetzaldeck/entry/error_response.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from quetzaldeck.http import json_response
@@ -12,10 +13,6 @@
 
     from quetzaldeck.outcomes import Failure
 
-NOT_RUN_STATUS = 503
-FAILED_STATUS = 502
-TIMEOUT_STATUS = 504
-
 _STATUS_BY_REASON = {
     Reason.MALFORMED_REQUEST: 400,
     Reason.UNKNOWN_CUSTOMER: 401,
@@ -33,8 +30,12 @@
     may have run would let, say, a booking run twice.
     """
     if failure.ran is not Ran.NO:
-        return TIMEOUT_STATUS if failure.reason in _TIMEOUT_REASONS else FAILED_STATUS
-    return _STATUS_BY_REASON.get(failure.reason, NOT_RUN_STATUS)
+        return (
+            HTTPStatus.GATEWAY_TIMEOUT
+            if failure.reason in _TIMEOUT_REASONS
+            else HTTPStatus.BAD_GATEWAY
+        )
+    return _STATUS_BY_REASON.get(failure.reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 def error_response(failure: Failure, call_id: str, id_header: str) -> web.Response:
@@ -44,7 +45,10 @@
     """
     headers = {id_header: call_id} if call_id else {}
     status = http_status(failure)
-    if status == NOT_RUN_STATUS and failure.effective_retry_after_ms is not None:
+    if (
+        status == HTTPStatus.SERVICE_UNAVAILABLE
+        and failure.effective_retry_after_ms is not None
+    ):
         headers["Retry-After"] = f"{failure.effective_retry_after_ms / 1_000:.3f}"
     body = build_error_body(failure, call_id)
     return json_response(body, status=status, headers=headers)
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import uuid
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -43,9 +44,6 @@
     from quetzaldeck.entry.view import RoutingView
 
 
-BAD_REQUEST_STATUS = 400
-
-
 class CallHandler:
     """Handles the HTTP requests of a VM's callers."""
 
@@ -57,7 +55,7 @@
         try:
             handover = read_handover_head(http_request.headers)
         except ValueError as error:
-            return web.Response(status=BAD_REQUEST_STATUS, text=str(error))
+            return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
         return await self.handle(http_request, handover)
 
     async def handle(
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -34,7 +35,6 @@
 """VMs that are asked for one request: the first of them may be partitioned as well, and
 of those that are, not all know it yet."""
 
-OK_STATUS = 200
 _UNABLE_REASONS = frozenset((Reason.NO_PATH, Reason.NO_BUNDLE, Reason.SHUTTING_DOWN))
 """Reasons for which a VM takes none of the requests for a service."""
 
@@ -198,7 +198,7 @@
         response: aiohttp.ClientResponse,
     ) -> web.StreamResponse:
         is_stream = call.admitted.route.kind is RequestKind.STREAMING
-        if is_stream and response.status == OK_STATUS:
+        if is_stream and response.status == HTTPStatus.OK:
             await relay.relay(
                 peer,
                 response,
--- a/src/quetzaldeck/entry/handover/service.py
+++ b/src/quetzaldeck/entry/handover/service.py
@@ -7,15 +7,17 @@
 from aiohttp import web
 
 from quetzaldeck.entry.handler import CallHandler
-from quetzaldeck.http import HttpServiceBase, ListenAddress
+from quetzaldeck.http import (
+    SHORT_SHUTDOWN_TIMEOUT_S,
+    HttpServiceBase,
+    ListenAddress,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from quetzaldeck.entry.state import EntryState
 
-SHUTDOWN_TIMEOUT_S = 0.1
-
 
 class HandoverService(HttpServiceBase):
     """Serves requests that other VMs hand over, on a port that callers do not reach.
@@ -26,7 +28,7 @@
     :param read_state: returns the VM's state, once its session is open
     """
 
-    shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
+    shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
 
     def __init__(
         self, listen: ListenAddress, read_state: Callable[[], EntryState]
--- a/src/quetzaldeck/entry/peers/belief_service.py
+++ b/src/quetzaldeck/entry/peers/belief_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -12,7 +13,12 @@
     VERSION_FIELD,
     WAIT_FIELD,
 )
-from quetzaldeck.http import HttpServiceBase, ListenAddress, json_response
+from quetzaldeck.http import (
+    SHORT_SHUTDOWN_TIMEOUT_S,
+    HttpServiceBase,
+    ListenAddress,
+    json_response,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,12 +28,6 @@
 MAX_WAIT_MS = 30_000.0
 """Longest time for which a long poll is held, whatever wait it requests."""
 
-NO_STATE_STATUS = 503
-BAD_REQUEST_STATUS = 400
-
-SHUTDOWN_TIMEOUT_S = 0.1
-"""Short, since polling VMs turn to another VM as soon as the connection is closed."""
-
 
 class BeliefService(HttpServiceBase):
     """Answers long polls on the port for other VMs.
@@ -35,7 +35,7 @@
     :param read_feed: returns the feed, once the session is open
     """
 
-    shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
+    shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
 
     def __init__(
         self, listen: ListenAddress, read_feed: Callable[[], BeliefFeed], **kwargs: Any
@@ -59,11 +59,11 @@
             wait_ms = float(request.query[WAIT_FIELD])
         except (KeyError, ValueError) as error:
             text = f"{BELIEF_PATH}: {error!r}"
-            return web.Response(status=BAD_REQUEST_STATUS, text=text)
+            return web.Response(status=HTTPStatus.BAD_REQUEST, text=text)
         wait_ms = min(max(0.0, wait_ms), MAX_WAIT_MS)
         update = await self._read_feed().wait_for_update(revision, version, wait_ms)
         if update is None:
-            return web.Response(status=NO_STATE_STATUS)
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         return json_response(update)
 
 
--- a/src/quetzaldeck/entry/peers/belief_source.py
+++ b/src/quetzaldeck/entry/peers/belief_source.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 
 import aiohttp
 import msgspec
@@ -16,7 +17,6 @@
     decode_belief_update,
 )
 
-OK_STATUS = 200
 BEFORE_ANY_REVISION = -1
 """Lower than any revision: the answer contains everything."""
 
@@ -66,7 +66,7 @@
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise SourceError(f"{self._url}: {error!r}") from error
-        if status != OK_STATUS:
+        if status != HTTPStatus.OK:
             raise SourceError(f"{self._url}: status {status}")
         try:
             return decode_belief_update(body).translate()
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -9,22 +9,21 @@
 from quetzaldeck.clock import Clock
 from quetzaldeck.entry.handler import CallHandler
 from quetzaldeck.entry.session import EntrySession
-from quetzaldeck.http import HttpServiceBase, metrics_response, parse_listen_address
+from quetzaldeck.http import (
+    SHORT_SHUTDOWN_TIMEOUT_S,
+    HttpServiceBase,
+    metrics_response,
+    parse_listen_address,
+)
 
 if TYPE_CHECKING:
     from quetzaldeck.entry.settings import EntrySettings
 
 
-SHUTDOWN_TIMEOUT_S = 0.1
-"""Time to wait for open connections at shutdown. Since the shutdown began, each
-response has asked its caller to close the connection; waiting for callers that do not
-would exceed the grace period."""
-
-
 class EntryService(HttpServiceBase):
     """Serves the requests of callers and owns the session behind it."""
 
-    shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
+    shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
 
     def __init__(
         self, settings: EntrySettings, *, clock: Clock | None = None, **kwargs: Any
@@ -65,7 +64,7 @@
 class MetricsService(HttpServiceBase):
     """Serves metrics on an address of their own, which callers need not reach."""
 
-    shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
+    shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
 
     def __init__(
         self, settings: EntrySettings, entry: EntryService, **kwargs: Any
@@ -92,7 +91,7 @@
     :param entry: the service to report on; it must be started first
     """
 
-    shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
+    shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
 
     def __init__(
         self, settings: EntrySettings, entry: EntryService, **kwargs: Any
--- a/src/quetzaldeck/http/__init__.py
+++ b/src/quetzaldeck/http/__init__.py
@@ -6,10 +6,11 @@
 from quetzaldeck.http.connection_guard import ConnectionGuard, Stall
 from quetzaldeck.http.json import JSON_TYPE, BodyError, decode_body, json_response
 from quetzaldeck.http.metrics import metrics_response
-from quetzaldeck.http.service import HttpServiceBase
+from quetzaldeck.http.service import SHORT_SHUTDOWN_TIMEOUT_S, HttpServiceBase
 
 __all__ = (
     "JSON_TYPE",
+    "SHORT_SHUTDOWN_TIMEOUT_S",
     "BodyError",
     "ConnectionGuard",
     "HttpServiceBase",
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -22,6 +22,9 @@
 KEEP_ALIVE_S = 75.0
 """Time for which an idle connection of a caller is kept open; longer than load
 balancers usually keep theirs."""
+SHORT_SHUTDOWN_TIMEOUT_S = 0.1
+"""For services whose clients go elsewhere as soon as a connection is closed."""
+
 SHUTDOWN_TIMEOUT_S = 1.0
 """Default of ``HttpServiceBase.shutdown_timeout_s``."""
 
@@ -151,4 +154,4 @@
         await self.close()
 
 
-__all__ = ("MAX_HEADER_BYTES", "HttpServiceBase")
+__all__ = ("MAX_HEADER_BYTES", "SHORT_SHUTDOWN_TIMEOUT_S", "HttpServiceBase")
