Let a refusal of the other VM come before the own timeout, and settle verdicts sooner

Checks that wait for a verdict on a lost path count the time from its loss, not each anew, and services that never answered do not count as lost.

--- a/src/quetzaldeck/decisions/paths/monitor.py
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions.paths.bounds import PathBounds
@@ -191,9 +192,12 @@
         return any(path.reached_ms >= since_ms for path in self._list_beside(upstream))
 
     def has_lost_all(self) -> bool:
-        """:returns: whether all services are lost, which no request can have caused"""
-        paths = self._paths.values()
-        return len(paths) > 1 and all(path.lost_ms is not None for path in paths)
+        """Check whether all services are lost, which no request can have caused.
+
+        Services that never sent anything to this VM do not count.
+        """
+        known = [path for path in self._paths.values() if path.heard_ms > -math.inf]
+        return len(known) > 1 and all(path.lost_ms is not None for path in known)
 
     def demand_probes(self, upstream: str, now_ms: float) -> None:
         """Probe the paths that show whether this VM reaches others than an upstream."""
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from quetzaldeck.decisions.paths import PeerChooser
+from quetzaldeck.decisions.request import DISCONNECT_MARGIN_MS
 from quetzaldeck.entry.handover.head import HandoverHead, read_failure
 from quetzaldeck.entry.silence_watch import NoWatch
 from quetzaldeck.gateway.errors import RequestError
@@ -176,7 +177,10 @@
         self, peer: str, call: Call, relay: StreamRelay, n_attempts: int
     ) -> aiohttp.ClientResponse:
         http_request = call.http_request
+        # The other VM's refusal has to come before this VM's own timeout, which can't
+        # tell whether the call has run.
         remaining_ms = call.admitted.deadline_ms - self._clock.now_ms()
+        remaining_ms -= DISCONNECT_MARGIN_MS
         headers = build_handover_headers(
             call.headers, remaining_ms, relay.last_event_id
         )
--- a/src/quetzaldeck/entry/path_watch.py
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -124,12 +124,15 @@
         """
         monitor = self._monitor
         name = replica.replica_id
-        end_ms = self._clock.now_ms() + 2 * monitor.bounds.peer_lag_ms
+        lag_ms = 2 * monitor.bounds.peer_lag_ms
+        path = monitor.find_path(replica.service)
+        begun_ms = self._clock.now_ms()
         while not monitor.is_reached_since(name, since_ms):
             if monitor.find_verdict(replica.service) is PathVerdict.PARTITIONED:
                 return False
             now_ms = self._clock.now_ms()
-            if now_ms >= end_ms:
+            lost_ms = None if path is None else path.lost_ms
+            if now_ms >= (begun_ms if lost_ms is None else lost_ms) + lag_ms:
                 return not monitor.has_lost_all()
             monitor.demand_probes(name, now_ms)
             self._advance()
