Report a change that comes as a watch of the stand-in store ends

Traced in its log: both watchers went from revision 5 to 7 and had the entry of 7 only. The stand-in store read its events before the wait, and its revision after it: a change that came as the wait ended was left out, and the next question began after it.

--- a/tests/support/platform/store.py
+++ b/tests/support/platform/store.py
@@ -116,6 +116,8 @@
                 async with asyncio.timeout(left):
                     await changed.wait()
             except TimeoutError:
+                # A change may have come at the very end of the wait.
+                events = [item for item in self._history if item.revision > after]
                 break
             refusal = await self._refuse()
             if refusal is not None:
