Return at once to upstreams that were down for all VMs

Found by reading: after an outage of a service, and not of this VM's path, part of the requests still took a hop to other VMs for two seconds, though these reached it no sooner. Only a path that was lost while others were served takes its requests back over time. The new test failed before.

--- a/src/quetzaldeck/decisions/paths/service_path.py
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -12,6 +12,8 @@
 
     from quetzaldeck.decisions.paths.bounds import PathBounds
 
+N_PROBED_WHILE_LOST = 2
+
 
 class ServicePath:
     """Evidence of one VM on its path to the upstreams of one service.
@@ -149,11 +151,7 @@
             return ()
         self._round_ms = now_ms
         self._is_probing = True
-        # A single answer suffices, and a false suspicion is the usual case.
-        n_probed = 1 if self._lost_ms is None and not self._n_unanswered else 2
-        if self._lost_ms is None and self._n_unanswered:
-            n_probed = self._bounds.n_probed - self._n_unanswered
-        chosen = self._rank(answered_ms)[:n_probed]
+        chosen = self._rank(answered_ms)[: self._n_in_round()]
         for name in chosen:
             self._probed_ms[name] = now_ms
         return tuple(chosen)
@@ -187,7 +185,7 @@
         last_ms = max(answered_ms.values(), default=-math.inf)
         if last_ms >= self._lost_ms + self._bounds.peer_lag_ms:
             self.note_served_elsewhere(last_ms)
-        if now_ms - self._elsewhere_ms <= self._bounds.evidence_ms:
+        if self._is_served_elsewhere(now_ms):
             return PathVerdict.PARTITIONED
         is_long = now_ms - self._lost_ms >= self._bounds.sound_silence_ms
         if is_long and self._failed >= self._zones.keys():
@@ -213,10 +211,25 @@
             return 1.0
         return min(1.0, (now_ms - self._returned_ms) / self._bounds.return_ms)
 
+    def _is_served_elsewhere(self, now_ms: float) -> bool:
+        return now_ms - self._elsewhere_ms <= self._bounds.evidence_ms
+
     def _suspect(self, since_ms: float) -> None:
         if self._suspected_ms is None:
             self._suspected_ms = since_ms
 
+    def _n_in_round(self) -> int:
+        """:returns: number of upstreams to probe at once
+
+        One answer suffices, and a false suspicion is the usual case, so the first round
+        is a single probe. A lost path is probed at two upstreams, as one may be gone.
+        """
+        if self._lost_ms is not None:
+            return N_PROBED_WHILE_LOST
+        if not self._n_unanswered:
+            return 1
+        return self._bounds.n_probed - self._n_unanswered
+
     def _interval_ms(self) -> float:
         if self._n_unanswered and self._lost_ms is None:
             return 0.0
@@ -226,7 +239,7 @@
 
     def _note_reached(self, now_ms: float) -> None:
         self._reached_ms = now_ms
-        if self._lost_ms is not None:
+        if self._lost_ms is not None and self._is_served_elsewhere(now_ms):
             self._returned_ms = now_ms
         self._lost_ms = None
         self._suspected_ms = None
--- a/tests/decisions/paths/test_path_monitor.py
+++ b/tests/decisions/paths/test_path_monitor.py
@@ -77,7 +77,8 @@
     fleet.monitor.note_failed("e0", T0, is_new_connection=True)
     for step in range(3):
         fleet.probe(T0 + step)
-    fleet.judge(T0 + 10.0)
+    fleet.answered_ms["e1"] = T0 + 600.0
+    fleet.judge(T0 + 600.0)
     fleet.reached = set(ENGINES)
     back_ms = T0 + 1_000.0
     fleet.probe(back_ms)
--- a/tests/decisions/paths/test_service_path.py
+++ b/tests/decisions/paths/test_service_path.py
@@ -169,6 +169,7 @@
     """All work moves at the moment at which the path is back, to cold connections."""
     path = lose_path()
     back_ms = T0 + 5_000.0
+    path.note_served_elsewhere(back_ms)
     (first, *_) = path.choose_probed(NEVER, back_ms)
     path.note_probes((first,), (), back_ms)
     shares = [path.return_share(back_ms + part * BOUNDS.return_ms) for part in (0, 1)]
@@ -176,6 +177,15 @@
     assert 0.4 < path.return_share(back_ms + BOUNDS.return_ms / 2) < 0.6
 
 
+def test_requests_return_at_once_to_upstreams_that_were_down_for_all() -> None:
+    """Requests take a hop to VMs that reach the upstreams no sooner than this one."""
+    path = lose_path()
+    back_ms = T0 + 5_000.0
+    (first, *_) = path.choose_probed(NEVER, back_ms)
+    path.note_probes((first,), (), back_ms)
+    assert path.return_share(back_ms) == 1.0
+
+
 def test_path_that_comes_and_goes_each_second_is_probed_at_a_limited_rate() -> None:
     """A flapping link makes a VM open connections without end."""
     path = open_path()
