Tell an upstream's answer from another VM's failure by its seal

Found by reading: the second VM forwards all headers of a replica's answer. One named as the field of a failure between VMs would have been taken for a refusal that says not run, and a booking sent to a third VM. A response that is neither sealed nor a failure counts as a bad answer.

--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -7,13 +7,18 @@
 
 from aiohttp import web
 
+from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.paths import PeerChooser
 from quetzaldeck.decisions.request import DISCONNECT_MARGIN_MS
 from quetzaldeck.entry.handover.head import HandoverHead, read_failure
 from quetzaldeck.entry.silence_watch import NoWatch
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Ran, Reason
-from quetzaldeck.platform import build_handover_headers, build_response_headers
+from quetzaldeck.platform import (
+    build_handover_headers,
+    build_response_headers,
+    read_response_head,
+)
 from quetzaldeck.routing import RequestKind
 from quetzaldeck.telemetry import log_event
 from quetzaldeck.upstreams import UpstreamError
@@ -153,7 +158,7 @@
             async with translate_faults(peer):
                 response = await self._send(peer, call, relay, n_attempts)
                 try:
-                    failure = read_failure(response.headers, peer)
+                    failure = _read_failure(response, peer)
                     if failure is None:
                         return await self._receive(peer, call, relay, response)
                 finally:
@@ -226,6 +231,26 @@
         )
 
 
+def _read_failure(response: aiohttp.ClientResponse, peer: str) -> Failure | None:
+    """Distinguish the failure of another VM from the answer of an upstream.
+
+    Only an upstream's answer has its seal. The other VM forwards all its headers, so
+    they may include one that looks like a failure.
+
+    :raises UpstreamError: if the response is neither
+    """
+    if read_response_head(response.status, response.headers).is_sealed:
+        return None
+    try:
+        failure = read_failure(response.headers, peer)
+    except ValueError:
+        failure = None
+    if failure is None:
+        detail = f"{peer}: status {response.status} without the replica's seal header"
+        raise UpstreamError(AttemptFault.BAD_ANSWER, detail, upstream=peer)
+    return failure
+
+
 def _may_have_run(failure: Failure) -> Failure:
     return failure._replace(ran=Ran.UNKNOWN) if failure.ran is Ran.NO else failure
 
--- a/tests/entry/test_handover.py
+++ b/tests/entry/test_handover.py
@@ -145,6 +145,21 @@
     run_partitioned(test, CUT)
 
 
+def test_answer_with_the_field_of_a_failure_is_still_the_answer() -> None:
+    """A replica's header is taken for a refusal, and a booking runs once more."""
+
+    async def mislead(arrival: Arrival, connection: Connection) -> None:
+        await connection.answer(arrival, head="Handover-Failure: no_path;no;0")
+
+    async def test(fleet: EntryFleet, partition: Partition) -> None:
+        answer_all(partition, mislead)
+        async with aiohttp.ClientSession() as client:
+            call = await partition.send(client, CUT, BOOK_PATH)
+        assert (call.status, len(list_arrivals(partition))) == (200, 1)
+
+    run_partitioned(test, CUT)
+
+
 def test_partitioned_vms_that_believe_in_each_other_hand_over_once() -> None:
     """Two partitioned VMs hand a request to each other until its deadline."""
 
