Drop probes during which this VM was late itself

A round of probes without an answer now counts only if the VM's own timers kept their time since it began.

--- a/src/quetzaldeck/decisions/paths/monitor.py
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -128,6 +128,14 @@
                     by_result[is_answered].append(probed.upstream)
             path.note_probes(by_result[True], by_result[False], now_ms)
 
+    def drop_probes(self, probed: Iterable[ProbedUpstream], now_ms: float) -> None:
+        """Discard a round of probes that shows nothing; the next is due at once."""
+        for service in {item.service for item in probed}:
+            path = self._paths.get(service)
+            if path is not None:
+                path.note_probes((), (), now_ms)
+                path.demand_probe(now_ms)
+
     def pop_changed_verdicts(self, now_ms: float) -> dict[str, PathVerdict]:
         """:returns: verdicts that have changed since the last call, by service"""
         verdicts = {
--- a/src/quetzaldeck/entry/path_watch.py
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
@@ -63,6 +64,7 @@
             dispatch.find_peer_answered_ms, random_state=random_state
         )
         self._probing: asyncio.Task[None] | None = None
+        self._late_ms = -math.inf
         self._logged: dict[str, PathVerdict] = {}
 
     @property
@@ -143,7 +145,11 @@
         """Look for silent attempts and due probes until cancelled."""
         try:
             while True:
+                due_ms = self._clock.now_ms() + TICK_MS
                 await asyncio.sleep(TICK_MS / MS_PER_SECOND)
+                now_ms = self._clock.now_ms()
+                if now_ms - due_ms >= TICK_MS:
+                    self._late_ms = now_ms
                 self._advance()
         finally:
             if self._probing is not None:
@@ -161,6 +167,7 @@
         self._probing = None
 
     async def _run_probes(self, probed: list[ProbedUpstream]) -> None:
+        begun_ms = self._clock.now_ms()
         replicas = self._read_replicas()
         known = [item for item in probed if item.upstream in replicas]
         answers = await asyncio.gather(
@@ -170,8 +177,13 @@
             self._metrics.path_probes.labels(
                 "answered" if is_answered else "unanswered"
             ).inc()
+        now_ms = self._clock.now_ms()
+        if self._late_ms >= begun_ms and not any(answers):
+            # This VM was late itself, and may have missed the answers.
+            self._monitor.drop_probes(probed, now_ms)
+            return
         results = dict(zip(known, answers, strict=True))
-        self._monitor.note_probes(results, self._clock.now_ms())
+        self._monitor.note_probes(results, now_ms)
         self._report_verdicts()
 
     def _report_verdicts(self) -> None:
--- a/tests/decisions/paths/test_path_monitor.py
+++ b/tests/decisions/paths/test_path_monitor.py
@@ -71,6 +71,17 @@
     assert not fleet.monitor.may_hand_over("desk", T0 + 2_000.0)
 
 
+def test_probes_of_a_vm_that_was_late_itself_show_nothing() -> None:
+    """A VM that did not run for half a second takes its path for lost."""
+    fleet = Fleet()
+    fleet.monitor.note_failed("e0", T0, is_new_connection=True)
+    for step in range(10):
+        now_ms = T0 + 500.0 * step
+        fleet.monitor.drop_probes(fleet.monitor.choose_probed(now_ms), now_ms)
+        assert fleet.judge(now_ms) == {}
+    assert fleet.monitor.choose_probed(T0 + 5_000.0)
+
+
 def test_requests_stay_with_other_vms_for_a_while_after_a_partition() -> None:
     """All requests move back at one moment, to a path that may be lost again."""
     fleet = Fleet()
