--- a/src/quetzaldeck/entry/call_head.py
+++ b/src/quetzaldeck/entry/call_head.py
@@ -26,6 +26,8 @@
     :param deadline_ms: how long the caller will wait; ``None`` if it does not say
     :param prompt: ``None`` if the request carries no prompt
     :param last_event_id: event after which to resume a stream; ``None`` for a new one
+    :param shared_parts: ids of the parts of the prompt that other prompts may contain,
+        in order: all but the last
     """
 
     call_id: str
@@ -33,6 +35,7 @@
     deadline_ms: float | None
     prompt: PromptSize | None = None
     last_event_id: str | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 __all__ = ("CallHead", "PromptSize")
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -26,6 +26,9 @@
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that one log line names."""
+
 
 class CallRun:
     """Runs one call.
@@ -152,6 +155,7 @@
             upstream=error.upstream or dispatch.upstreams[-1],
             fault=error.fault.value,
             may_have_run=error.may_have_run,
+            parts=self._list_logged_parts(),
             error=error,
         )
         self.n_maybe_run += error.may_have_run
@@ -192,9 +196,14 @@
             n_attempt=dispatch.n_attempt,
             upstream=dispatch.upstreams[-1],
             run_ms=self._state.clock.now_ms() - sent_ms,
+            parts=self._list_logged_parts(),
         )
         self._state.crash_checks.note_left(dispatch.upstreams)
 
+    def _list_logged_parts(self) -> str:
+        """:returns: the shared parts of the prompt, the first ones if there are many"""
+        return ",".join(self._call.head.shared_parts[:MAX_LOGGED_PARTS])
+
     def _record_dispatch(self, dispatch: Dispatch) -> None:
         wait_ms = self._state.clock.now_ms() - self._call.arrived_ms
         if dispatch.first_token_ms:
--- a/src/quetzaldeck/platform/headers.py
+++ b/src/quetzaldeck/platform/headers.py
@@ -20,6 +20,8 @@
 _DEADLINE = "Quetzaldeck-Deadline-Ms"
 """A duration, not a point in time."""
 _TOKEN_COUNTS = "Quetzaldeck-Token-Counts"
+_PROMPT_PARTS = "Quetzaldeck-Prefix-Hash"
+"""The parts of a prompt in order: ``ID:TOKENS`` entries, separated by commas."""
 _LENGTH_HINT = "Quetzaldeck-Length-Hint"
 _LAST_EVENT = "Last-Event-Id"
 EXPECTED_REPLICA = "Quetzaldeck-Expect-Instance"
@@ -66,6 +68,7 @@
         _read_number(headers, _DEADLINE),
         _read_prompt(headers),
         headers.get(_LAST_EVENT),
+        _read_shared_parts(headers.get(_PROMPT_PARTS, "")),
     )
 
 
@@ -184,6 +187,12 @@
     return PromptSize(n_prompt, n_output, None if hint is None else int(hint))
 
 
+def _read_shared_parts(text: str) -> tuple[str, ...]:
+    """:returns: ids of all parts but the last, which belongs to one request"""
+    ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
+    return tuple(dict.fromkeys(part for part in ids[:-1] if part))
+
+
 def _read_load(text: str | None) -> ReplicaLoad | None:
     try:
         n_running, n_waiting, n_slots = _read_counts(text or "", 3)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -27,6 +27,22 @@
     assert head.prompt == PromptSize(1_460, 80, 33)
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        ("5C1E07A2:800, 5c1e07a2:1,e4402b7d:250", ("5c1e07a2",)),
+        ("e4402b7d:250", ()),
+        ("", ()),
+        (",:3,,x", ()),
+    ],
+)
+def test_parts_that_prompts_share_are_all_but_the_last(
+    text: str, parts: tuple[str, ...]
+) -> None:
+    assert read_call_head({"Quetzaldeck-Prefix-Hash": text}).shared_parts == parts
+
+
 @pytest.mark.parametrize(
     ("name", "text"),
     [
--- a/tests/support/platform/crash_check.py
+++ b/tests/support/platform/crash_check.py
@@ -9,7 +9,10 @@
     from collections.abc import Callable, Iterator
 
 N_CRASHES = 3
-"""Crashes after which a request counts as one that ends what runs it."""
+"""Crashes after which a request that is sent again counts as one that ends replicas."""
+
+N_PART_CRASHES = 5
+"""Crashes after which a part of prompts counts as one that ends replicas."""
 
 GRACE_MS = 3_000.0
 """Time after the last of these crashes from which on further sends count."""
@@ -32,9 +35,13 @@
 
 
 class CrashRecord:
-    """What replicas got of requests that end them, by request, in order of time."""
+    """What replicas got of requests that end them, by request, in order of time.
+
+    :param n_crashes: crashes after which a request counts as one that ends what runs it
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, n_crashes: int = N_CRASHES) -> None:
+        self._n_crashes = n_crashes
         self.crashes_ms: defaultdict[str, list[float]] = defaultdict(list)
         self.sendings: defaultdict[str, list[Sending]] = defaultdict(list)
 
@@ -43,7 +50,7 @@
 
         :param now_s: time of the event loop, in seconds
         """
-        crashes_ms = self.crashes_ms[name][:N_CRASHES]
+        crashes_ms = self.crashes_ms[name][: self._n_crashes]
         if not crashes_ms:
             return True
         return now_s * 1_000 > crashes_ms[-1] + GRACE_MS + MARGIN_MS
@@ -57,9 +64,9 @@
         :returns: a description of each
         """
         for name, crashes_ms in self.crashes_ms.items():
-            if len(crashes_ms) < N_CRASHES:
+            if len(crashes_ms) < self._n_crashes:
                 continue
-            counted_ms = crashes_ms[N_CRASHES - 1] + GRACE_MS
+            counted_ms = crashes_ms[self._n_crashes - 1] + GRACE_MS
             late = [
                 sending
                 for sending in self.sendings[name]
@@ -68,9 +75,9 @@
             ]
             if len(late) > MAX_SENDS:
                 yield (
-                    f"{name}: sent {len(late)} times more after {N_CRASHES} crashes, "
-                    f"{len(crashes_ms)} crashes in all"
+                    f"{name}: sent {len(late)} times more after {self._n_crashes} "
+                    f"crashes, {len(crashes_ms)} crashes in all"
                 )
 
 
-__all__ = ("CrashRecord", "Sending")
+__all__ = ("GRACE_MS", "N_PART_CRASHES", "CrashRecord", "Sending")
