--- a/src/quetzaldeck/decisions/attempts/failed_attempts.py
+++ b/src/quetzaldeck/decisions/attempts/failed_attempts.py
@@ -77,7 +77,8 @@
             if retry.ran is not Ran.NO or end.retry_after_ms is not None:
                 return retry
             return self._admission.update_retry_after(request, retry, now_ms)
-        due_ms = retry.due_ms + self._poison.pause_ms(request.fingerprint, now_ms)
+        pause_ms = self._poison.max_pause_ms(request.crash_fingerprints, now_ms)
+        due_ms = retry.due_ms + pause_ms
         self._tracked.update(
             TrackedRequest(request, tracked.n_uncorrected_tokens, history)
         )
--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/health/monitor.py
@@ -11,6 +11,7 @@
 
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.health.state import HealthState
+    from quetzaldeck.decisions.memory import InFlightAttempt
     from quetzaldeck.decisions.placement import PlacementPolicy
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
@@ -68,6 +69,24 @@
                 )
                 self._policy.note_answer(request, state)
             state.mark_prefilled(attempt_id)
+            state.ledger.mark_begun(attempt_id, now_ms)
+
+    def note_lived(
+        self,
+        request: Request,
+        attempt_id: str,
+        upstreams: Sequence[str],
+        begun_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Record that an upstream has survived the beginning of an answer.
+
+        :param begun_ms: when the answer began
+        """
+        state = self._table.get(upstreams[-1])
+        if state is not None:
+            state.ledger.mark_lived(attempt_id)
+        self._poison.note_lived(request.part_fingerprints, begun_ms, now_ms)
 
     def note_end(
         self,
@@ -85,7 +104,8 @@
             return None
         name = end.upstream or upstreams[0]
         for upstream in upstreams:
-            self._poison.note_stopped(request.fingerprint, upstream, now_ms)
+            for fingerprint in request.crash_fingerprints:
+                self._poison.note_stopped(fingerprint, upstream, now_ms)
         if end.fault in _UNSEEN_ENDS:
             others = [n for n in upstreams if n != name or end.fault is not _BROKEN]
             self.note_left(request, end.attempt_id, others, now_ms)
@@ -94,21 +114,27 @@
             return None
         if end.is_gone:
             self._poison.ends.note_ended(name, now_ms)
-        if end.fault is AttemptFault.BROKEN and request.fingerprint:
-            attempt = state.ledger.get(end.attempt_id)
+        if end.fault is AttemptFault.BROKEN:
+            self._note_crash(request, end, state, now_ms)
+        if _is_help_refused(end, upstreams):
+            state.note_help_refused(now_ms)
+        if end.fault in _FAILURES:
+            state.outcomes.note(now_ms, is_answered=False)
+        return state.health.note_fault(end.attempt_id, end.fault, now_ms)
+
+    def _note_crash(
+        self, request: Request, end: AttemptEnd, state: UpstreamState, now_ms: float
+    ) -> None:
+        attempt = state.ledger.get(end.attempt_id)
+        for fingerprint in self._list_blamed(request, attempt):
             self._poison.note_crash(
-                request.fingerprint,
-                name,
+                fingerprint,
+                state.spec.name,
                 end.incarnation or state.incarnation,
                 now_ms,
                 run_ms=None if attempt is None else now_ms - attempt.started_ms,
                 is_proven=not (request.service or self._poison.bounds.needs_proof),
             )
-        if _is_help_refused(end, upstreams):
-            state.note_help_refused(now_ms)
-        if end.fault in _FAILURES:
-            state.outcomes.note(now_ms, is_answered=False)
-        return state.health.note_fault(end.attempt_id, end.fault, now_ms)
 
     def note_unanswered(self, upstreams: Sequence[str], now_ms: float) -> None:
         """Record a failure for an attempt that has been unanswered for too long.
@@ -124,20 +150,20 @@
         self, request: Request, attempt_id: str, upstreams: Iterable[str], now_ms: float
     ) -> None:
         """Record that nobody waits for an attempt any more, which may go on running."""
-        if not request.fingerprint:
-            return
         for name in upstreams:
             state = self._table.get(name)
             attempt = None if state is None else state.ledger.get(attempt_id)
             if state is None or attempt is None:
                 continue
-            self._poison.note_left(
-                request.fingerprint,
-                name,
-                state.incarnation,
-                attempt.started_ms,
-                now_ms,
-            )
+            for fingerprint in self._list_blamed(request, attempt):
+                self._poison.note_left(
+                    fingerprint,
+                    name,
+                    state.incarnation,
+                    attempt.started_ms,
+                    now_ms,
+                    begun_ms=attempt.begun_ms,
+                )
 
     def note_alive(self) -> None:
         """Discard crashes that later reports of the same incarnation refute."""
@@ -167,6 +193,17 @@
         if request.fingerprint:
             self._poison.note_answered(request.fingerprint, now_ms)
 
+    def _list_blamed(
+        self, request: Request, attempt: InFlightAttempt | None
+    ) -> tuple[int, ...]:
+        """:returns: what may be to blame if the upstream of an attempt ends
+
+        Parts end it as it begins to write, not later.
+        """
+        if attempt is not None and attempt.has_lived:
+            return request.crash_fingerprints[:1]
+        return self._poison.select_recorded(request.crash_fingerprints)
+
     def _note_survived(self, state: UpstreamState, attempt_id: str) -> None:
         """Record that an upstream lived when it was sent an attempt that it answers.
 
--- a/src/quetzaldeck/decisions/memory/in_flight.py
+++ b/src/quetzaldeck/decisions/memory/in_flight.py
@@ -15,6 +15,8 @@
         attempt
     :param fingerprint: fingerprint of the request; 0: none
     :param is_suspect: whether the request is suspected of crashing engines
+    :param begun_ms: when the upstream began to answer it; ``None``: not yet
+    :param has_lived: whether the upstream has survived the beginning of its answer
     :param is_part: whether this engine only prefills a part for one that answers
     """
 
@@ -27,6 +29,8 @@
     fingerprint: int = 0
     is_suspect: bool = False
     is_part: bool = False
+    begun_ms: float | None = None
+    has_lived: bool = False
 
 
 __all__ = ("InFlightAttempt",)
--- a/src/quetzaldeck/decisions/memory/ledger.py
+++ b/src/quetzaldeck/decisions/memory/ledger.py
@@ -150,6 +150,20 @@
             self._since_report.subtract(attempt)
             self._since_report.add(prefilled)
 
+    def mark_begun(self, attempt_id: str, now_ms: float) -> None:
+        """Record that the engine has begun an answer."""
+        for attempts in (self._attempts, self._unreported):
+            attempt = attempts.get(attempt_id)
+            if attempt is not None:
+                attempts[attempt_id] = attempt._replace(begun_ms=now_ms)
+
+    def mark_lived(self, attempt_id: str) -> None:
+        """Record that the engine has survived the beginning of an answer."""
+        for attempts in (self._attempts, self._unreported):
+            attempt = attempts.get(attempt_id)
+            if attempt is not None:
+                attempts[attempt_id] = attempt._replace(has_lived=True)
+
     def note_report(self, reported_ms: float) -> None:
         """Mark attempts that started after a load report was measured as unreported."""
         self._unreported = {
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -81,6 +81,7 @@
             plans=self._plans,
             head_of_line=head_of_line,
             helper_selector=self._helper_selector,
+            random_state=policy.random_state,
         )
         self._n_double_releases = 0
         self._lost_paths: dict[str, PathVerdict] = {}
@@ -175,9 +176,7 @@
 
     def check_poison(self, request: Request, now_ms: float) -> Failure | None:
         """:returns: the refusal of a request that is suspected of too many crashes"""
-        if not request.fingerprint:
-            return None
-        blocked = self._poison.find_blocked(request.fingerprint, now_ms)
+        blocked = self._poison.find_blocked_by(request.crash_fingerprints, now_ms)
         if blocked is None:
             return None
         detail = (
@@ -276,7 +275,7 @@
         :returns: the reservation to make first, if one is needed
         """
         placement = self._unreserved.pop(request.request_id)
-        is_suspect = self._suspects.is_suspect(request, now_ms)
+        suspects = self._poison.list_suspects(request.crash_fingerprints, now_ms)
         self._suspects.note_start(request)
         if placement.plan is not None:
             self._plans.note_pending(attempt_id)
@@ -297,19 +296,15 @@
                     now_ms,
                     n_queued,
                     request.fingerprint,
-                    is_suspect,
+                    is_suspect=bool(suspects),
                     is_part=index < len(placement.upstreams) - 1,
                 )
             )
             if placement.is_probe:
                 state.health.start_probe(attempt_id)
-            if is_suspect:
+            for fingerprint in suspects:
                 self._poison.note_started(
-                    request.fingerprint,
-                    name,
-                    state.incarnation,
-                    request.deadline_ms,
-                    now_ms,
+                    fingerprint, name, state.incarnation, request.deadline_ms, now_ms
                 )
         return placement.plan
 
@@ -358,6 +353,8 @@
         if not self._may_start(request, pool, now_ms):
             return None
         if self._suspects.is_suspect(request, now_ms):
+            if not self._suspects.is_turn(request, now_ms):
+                return None
             return self._suspects.find(request, pool, avoided, now_ms)
         if request.service:
             return self._place_single(request, pool, avoided, now_ms)
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -10,6 +10,7 @@
 from quetzaldeck.decisions.poison import Verdict
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Sequence
 
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
@@ -20,9 +21,14 @@
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
 
+MAX_TURNS = 1_000
+"""Parts for which a turn is remembered."""
+
 
 class SuspectPlacer:
-    """Runs at most one suspected request per engine, and one copy of each.
+    """Runs at most one suspect per engine, and one copy of each suspected request.
+
+    Of the prompts that contain a suspected part, one runs at a time.
 
     If two suspects ran on an engine that crashes, the crash could be attributed to
     neither of them. VMs tell each other of the suspects that they send; two that send
@@ -33,6 +39,7 @@
     :param plans: plans reservations on several engines
     :param head_of_line: keeps long prompts away from the engines of short ones
     :param helper_selector: lists the engines that may prefill a long prompt
+    :param random_state: spreads the starts of prompts that share a suspected part
     """
 
     def __init__(
@@ -43,6 +50,7 @@
         plans: GroupPlans,
         head_of_line: HeadOfLinePolicy,
         helper_selector: HelperSelector,
+        random_state: random.Random,
     ) -> None:
         self._poison = poison
         self._candidates = candidates
@@ -50,16 +58,21 @@
         self._head_of_line = head_of_line
         self._helper_selector = helper_selector
         self._running: Counter[int] = Counter()
+        self._random_state = random_state
+        self._turns_ms: dict[int, float] = {}
 
     def is_suspect(self, request: Request, now_ms: float) -> bool:
         """:returns: whether a request is suspected of crashing engines"""
-        if not request.fingerprint or not len(self._poison):
+        if not len(self._poison):
             return False
-        return self._poison.verdict(request.fingerprint, now_ms) is not Verdict.CLEAR
+        verdict = self._poison.judge(request.crash_fingerprints, now_ms)
+        return verdict is not Verdict.CLEAR
 
     def note_start(self, request: Request) -> None:
         """Count one more running copy of a request."""
         self._running[request.fingerprint] += 1
+        for part in request.part_fingerprints:
+            self._turns_ms.pop(part, None)
 
     def note_end(self, request: Request) -> None:
         """Count one running copy of a request fewer."""
@@ -67,6 +80,28 @@
         if not self._running[request.fingerprint]:
             del self._running[request.fingerprint]
 
+    def is_turn(self, request: Request, now_ms: float) -> bool:
+        """:returns: whether this VM may start a prompt with suspected parts
+
+        Several VMs have such prompts, and a run of one is news to the others only after
+        a moment. So each starts at a time of its own after the last one has ended.
+        """
+        suspects = self._poison.list_suspects(request.part_fingerprints, now_ms)
+        if any(self._poison.is_held(part, now_ms) for part in suspects):
+            for part in suspects:
+                self._turns_ms.pop(part, None)
+            return False
+        return all(self._find_turn_ms(part, now_ms) <= now_ms for part in suspects)
+
+    def _find_turn_ms(self, part: int, now_ms: float) -> float:
+        if part not in self._turns_ms:
+            if len(self._turns_ms) >= MAX_TURNS:
+                self._turns_ms.clear()
+            spread_ms = self._poison.bounds.propagation_ms
+            delay_ms = self._random_state.uniform(0.0, spread_ms)
+            self._turns_ms[part] = now_ms + delay_ms
+        return self._turns_ms[part]
+
     def find(
         self,
         request: Request,
@@ -76,8 +111,9 @@
     ) -> Placement | None:
         """:returns: the placement of a suspect; ``None`` if it has to wait"""
         if self._running[request.fingerprint]:
-            return None
-        if self._poison.is_held(request.fingerprint, now_ms):
+            return None  # Also a copy that was sent before it was suspected.
+        suspects = self._poison.list_suspects(request.crash_fingerprints, now_ms)
+        if any(self._poison.is_held(suspect, now_ms) for suspect in suspects):
             return None
         free = [state for state in pool if self._is_free(state, now_ms)]
         if not free:
--- a/src/quetzaldeck/decisions/poison/__init__.py
+++ b/src/quetzaldeck/decisions/poison/__init__.py
@@ -1,4 +1,4 @@
-"""Detects requests that crash the engines that run them."""
+"""Detects requests, and parts of prompts, that crash the engines that run them."""
 
 from __future__ import annotations
 
@@ -11,7 +11,9 @@
 )
 from quetzaldeck.decisions.poison.fingerprint import (
     compute_fingerprint,
+    compute_part_fingerprint,
     format_fingerprint,
+    is_part,
 )
 from quetzaldeck.decisions.poison.liveness import Liveness
 from quetzaldeck.decisions.poison.registry import PoisonRegistry
@@ -35,7 +37,9 @@
     "RunState",
     "Verdict",
     "compute_fingerprint",
+    "compute_part_fingerprint",
     "decode_crash_record",
     "encode_crash_record",
     "format_fingerprint",
+    "is_part",
 )
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -18,6 +18,8 @@
         crash without the request, since three may then be coincidence, as in a series
         of crashes that reaches every upstream; and for a request that ran in the same
         crashes as another one: its next run, alone, shows which of them is to blame
+    :param max_part_crashes: takes the place of ``n_crashes`` for a part of prompts
+        while other upstreams crash as often, or if it was answered a moment before
     :param max_chance: crashes without the request raise the limit only if one run of
         it would be hit by such a crash with at least this probability
     :param wave_ms: crashes of other requests are counted from this long before the
@@ -33,6 +35,8 @@
     :param settle_ms: how long after the end of a run it takes until all VMs know
         whether the upstream has survived it
     :param answered_ms: how long an answer shows that a request does no harm
+    :param lived_ms: an upstream that writes for this long has survived the beginning of
+        an answer, on which parts of prompts crash it
     :param alive_margin_ms: a report refutes a crash if it was measured at least this
         much later; the age of a report that came through other VMs omits part of its
         network delay
@@ -48,12 +52,15 @@
     :param max_fingerprints: maximum number of requests remembered
     :param max_answered: maximum number of answered requests remembered
     :param max_crashes_held: maximum number of crashes remembered
+    :param max_parts: maximum number of parts recorded of one run
+    :param max_lived_parts: maximum number of parts remembered that were answered
     :param max_open_runs: maximum number of open runs remembered of an upstream
     """
 
     n_crashes: int = 3
     n_crashes_answered: int = 4
     max_crashes: int = 6
+    max_part_crashes: int = 5
     max_chance: float = 0.02
     wave_ms: float = 5_000.0
     forget_ms: float = 600_000.0
@@ -62,6 +69,7 @@
     linger_ms: float = 500.0
     settle_ms: float = 300.0
     answered_ms: float = 60_000.0
+    lived_ms: float = 500.0
     alive_margin_ms: float = 3_000.0
     same_crash_ms: float = 3_000.0
     min_restart_ms: float = 250.0
@@ -71,7 +79,9 @@
     max_fingerprints: int = 10_000
     max_answered: int = 4_096
     max_crashes_held: int = 1_000
-    max_open_runs: int = 32
+    max_parts: int = 32
+    max_lived_parts: int = 16_384
+    max_open_runs: int = 128
 
 
 __all__ = ("PoisonBounds",)
--- a/src/quetzaldeck/decisions/poison/crash.py
+++ b/src/quetzaldeck/decisions/poison/crash.py
@@ -56,6 +56,11 @@
     run_ms: float | None = None
     was_answered: bool = False
 
+    @property
+    def sent_ms(self) -> float:
+        """:returns: when it was sent; when its run ended if that is not known"""
+        return self.seen_ms - (self.run_ms or 0.0)
+
     def began_after(self, at_ms: float) -> bool:
         """:returns: whether the request is known to have been sent later"""
         return self.run_ms is not None and self.seen_ms - self.run_ms > at_ms
--- a/src/quetzaldeck/decisions/poison/crash_limit.py
+++ b/src/quetzaldeck/decisions/poison/crash_limit.py
@@ -45,14 +45,14 @@
         if n_crashes < bounds.n_crashes:
             return bounds.n_crashes
         own = self._table.find(fingerprint)
-        if self._is_wave(own, n_crashes):
+        if self.is_wave(own, n_crashes):
             return bounds.max_crashes
         if any(involvement.was_answered for involvement in own.values()):
             return bounds.n_crashes_answered
         return bounds.n_crashes
 
-    def _is_wave(self, own: Mapping[Crash, Involvement], n_crashes: int) -> bool:
-        """:returns: whether a request may be in crashes of others by chance
+    def is_wave(self, own: Mapping[Crash, Involvement], n_crashes: int) -> bool:
+        """:returns: whether a request, or part, may be in crashes of others by chance
 
         About as many upstreams crash without the request, and one of its runs is long
         enough to be hit. A request that ends an upstream within a fraction of a second
--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.poison.crash import Crash
+from quetzaldeck.decisions.poison.fingerprint import is_part
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 
 if TYPE_CHECKING:
@@ -14,6 +16,9 @@
     from quetzaldeck.decisions.poison.bounds import PoisonBounds
     from quetzaldeck.decisions.poison.crash import Involvement
 
+MAX_COMPARED = 100
+"""Entries that are compared to choose which one to drop."""
+
 
 class CrashTable:
     """Stores which requests ran in which crashes; the oldest are dropped first.
@@ -27,6 +32,7 @@
         self._by_upstream: dict[str, list[Crash]] = {}
         self._crashes: OrderedDict[Crash, None] = OrderedDict()
         self._cleared: RecentTimes[int] = RecentTimes(bounds.max_fingerprints)
+        self._lived_parts: RecentTimes[int] = RecentTimes(bounds.max_lived_parts)
         self._changed: set[int] = set()
 
     def __len__(self) -> int:
@@ -48,6 +54,11 @@
         """:returns: when upstreams last answered requests that ran in crashes"""
         return self._cleared
 
+    @property
+    def lived_parts(self) -> RecentTimes[int]:
+        """:returns: when upstreams last began answers on parts that they survived"""
+        return self._lived_parts
+
     def pop_changed(self) -> list[int]:
         """:returns: requests with new crashes since the last call"""
         changed = sorted(self._changed)
@@ -109,6 +120,12 @@
         """
         if involvement.seen_ms <= self._cleared.find(fingerprint):
             return
+        if is_part(fingerprint):
+            lived_ms = self._lived_parts.find(fingerprint)
+            if involvement.seen_ms <= lived_ms:
+                return
+            if involvement.seen_ms - lived_ms <= self._bounds.answered_ms:
+                involvement = involvement._replace(was_answered=True)
         if crash.counts and involvement.began_after(crash.at_ms):
             return
         self._changed.add(fingerprint)
@@ -118,7 +135,7 @@
         crash.fingerprints.add(fingerprint)
         self._by_request.move_to_end(fingerprint)
         while len(self._by_request) > self._bounds.max_fingerprints:
-            self.forget(next(iter(self._by_request)))
+            self.forget(self._find_least_known())
 
     def prove(self, crash: Crash, *, is_presumed: bool = False) -> bool:
         """Let a crash count.
@@ -142,6 +159,8 @@
             if involvement.seen_ms <= cleared_ms:
                 self.discard(fingerprint, crash)
         self._cleared.note(fingerprint, cleared_ms)
+        if is_part(fingerprint):
+            self._lived_parts.note(fingerprint, cleared_ms)
 
     def discard(self, fingerprint: int, crash: Crash) -> None:
         """Record that a request did not run in a crash, or does not count in it."""
@@ -193,6 +212,15 @@
             if now_ms - crash.at_ms > ttl_ms:
                 self.drop(crash)
 
+    def _find_least_known(self) -> int:
+        """:returns: an old request or part that was in one crash, or the oldest one
+
+        Prompts whose parts are all new do not push out what is known of others.
+        """
+        oldest = itertools.islice(self._by_request, MAX_COMPARED)
+        in_one_crash = (f for f in oldest if len(self._by_request[f]) == 1)
+        return next(in_one_crash, next(iter(self._by_request)))
+
     def _find_least_useful(self) -> Crash:
         """:returns: the oldest unproven crash, or the oldest one"""
         unproven = (crash for crash in self._crashes if not crash.counts)
--- a/src/quetzaldeck/decisions/poison/fingerprint.py
+++ b/src/quetzaldeck/decisions/poison/fingerprint.py
@@ -1,10 +1,14 @@
-"""Identifies a request that is sent again, by what an upstream would run."""
+"""Identifies what may crash upstreams: whole requests, and parts of their prompts.
+
+VMs exchange these numbers. Those of parts are negative.
+"""
 
 from __future__ import annotations
 
 import xxhash
 
 LENGTH_BYTES = 8
+MAX_PART_NUMBER = 1 << 63
 
 
 def compute_fingerprint(*parts: str | bytes) -> int:
@@ -24,9 +28,35 @@
     return digest.intdigest()
 
 
+def compute_part_fingerprint(part: str) -> int:
+    """Identify a part of a prompt.
+
+    :param part: its id; one in hexadecimal can be read off the result
+    """
+    try:
+        number = int(part, 16)
+    except ValueError:
+        number = 0
+    if not 0 < number <= MAX_PART_NUMBER:
+        number = 1 + xxhash.xxh3_64_intdigest(part.encode()) % MAX_PART_NUMBER
+    return -number
+
+
+def is_part(fingerprint: int) -> bool:
+    """:returns: whether a fingerprint is that of a part of a prompt"""
+    return fingerprint < 0
+
+
 def format_fingerprint(fingerprint: int) -> str:
-    """:returns: a fingerprint as 16 hexadecimal digits, as logs and metrics name it"""
+    """:returns: a fingerprint in hexadecimal digits, as logs and metrics name it"""
+    if is_part(fingerprint):
+        return f"part-{-fingerprint:x}"
     return f"{fingerprint:016x}"
 
 
-__all__ = ("compute_fingerprint", "format_fingerprint")
+__all__ = (
+    "compute_fingerprint",
+    "compute_part_fingerprint",
+    "format_fingerprint",
+    "is_part",
+)
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -1,4 +1,4 @@
-"""Identifies requests that crash upstreams, and clears those that only ran alongside.
+"""Identifies what crashes upstreams, and clears what only ran alongside.
 
 Failure scenario: one request crashes each upstream that runs it, and its caller retries
 it, each time through whichever VM the load balancer picks. Without this module the
@@ -12,6 +12,10 @@
 complete answer clears a request. A request is refused once ``n_crashes`` crashes count
 against it, or more where they may be coincidence, see :class:`CrashLimit`.
 
+What is to blame may be a whole request that is sent again, or one part of prompts that
+share nothing else. Each run is recorded under the fingerprint of the request and those
+of its parts, and both are judged alike: see :mod:`.verdicts` and :mod:`.part_verdicts`.
+
 An attempt that is given up before its connection breaks, because its caller leaves or
 its deadline passes, leaves an open run behind; see :mod:`.open_runs`.
 
@@ -37,15 +41,17 @@
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
 from quetzaldeck.decisions.poison.crash import Involvement
 from quetzaldeck.decisions.poison.crash_table import CrashTable
+from quetzaldeck.decisions.poison.fingerprint import is_part
 from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import CrashSighting, RunState
 from quetzaldeck.decisions.poison.upstream_ends import UpstreamEnds
-from quetzaldeck.decisions.poison.verdicts import CrashVerdicts, Verdict
+from quetzaldeck.decisions.poison.verdict import Verdict
+from quetzaldeck.decisions.poison.verdicts import CrashVerdicts
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 
     from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 
@@ -75,6 +81,9 @@
         self._runs = OpenRuns(self._bounds)
         self._answered: RecentTimes[int] = RecentTimes(self._bounds.max_answered)
         self._unannounced: set[int] = set()
+        self._announced_parts: RecentTimes[int] = RecentTimes(
+            self._bounds.max_lived_parts
+        )
         self._ends = UpstreamEnds(
             self._bounds, self._table, self._runs, self._unannounced
         )
@@ -100,21 +109,66 @@
         """:returns: whether a request runs normally, isolated, or not at all"""
         return self._verdicts.find(fingerprint, now_ms)
 
+    def judge(self, fingerprints: Collection[int], now_ms: float) -> Verdict:
+        """:returns: the verdict on a request, given it and all parts of its prompt"""
+        if not any(fingerprint in self._table for fingerprint in fingerprints):
+            return Verdict.CLEAR
+        return self._verdicts.judge(fingerprints, now_ms)
+
+    def list_suspects(
+        self, fingerprints: Collection[int], now_ms: float
+    ) -> tuple[int, ...]:
+        """:returns: which of a request and the parts of its prompt are suspected"""
+        return tuple(
+            fingerprint
+            for fingerprint in fingerprints
+            if self.verdict(fingerprint, now_ms) is not Verdict.CLEAR
+        )
+
+    def select_recorded(self, fingerprints: Sequence[int]) -> tuple[int, ...]:
+        """Choose what to record of a run whose prompt has very many parts.
+
+        :param fingerprints: the request and all its parts
+        :returns: the request, and the parts of which least is known; other ones of the
+            next request
+        """
+        max_parts = self._bounds.max_parts
+        if len(fingerprints) <= max_parts + 1:
+            return tuple(fingerprints)
+        request, *parts = fingerprints
+        first = request % len(parts)
+        rotated = parts[first:] + parts[:first]
+        rotated.sort(key=self._table.lived_parts.find)
+        return (request, *rotated[:max_parts])
+
     def pause_ms(self, fingerprint: int, now_ms: float) -> float:
-        """:returns: pause before a suspect runs; 0 for any other request"""
+        """:returns: pause before a suspect runs; 0 for any other request, or part"""
         return self._verdicts.pause_ms(fingerprint, now_ms)
 
+    def max_pause_ms(self, fingerprints: Collection[int], now_ms: float) -> float:
+        """:returns: pause before a request runs, given it and its parts"""
+        return max((self.pause_ms(item, now_ms) for item in fingerprints), default=0.0)
+
     def find_blocked(self, fingerprint: int, now_ms: float) -> BlockedRequest | None:
         """:returns: a request that is refused, and why; ``None`` if it is not"""
         return self._verdicts.find_blocked(fingerprint, now_ms)
 
+    def find_blocked_by(
+        self, fingerprints: Collection[int], now_ms: float
+    ) -> BlockedRequest | None:
+        """:returns: why a request is refused, given it and all parts of its prompt"""
+        if not any(fingerprint in self._table for fingerprint in fingerprints):
+            return None
+        return self._verdicts.find_blocked_by(fingerprints, now_ms)
+
     def list_crashed(self, fingerprint: int) -> list[str]:
         """:returns: upstreams that crashed while they ran a request, in that order"""
         return self._verdicts.list_crashed(fingerprint)
 
     def count_verdicts(self, now_ms: float) -> Counter[Verdict]:
         """:returns: number of requests that were in a crash, by verdict"""
-        return Counter(self.list_verdicts(now_ms).values())
+        verdicts = self.list_verdicts(now_ms).items()
+        return Counter(verdict for item, verdict in verdicts if not is_part(item))
 
     def list_verdicts(self, now_ms: float) -> dict[int, Verdict]:
         """:returns: verdicts on the requests that were in a crash, by fingerprint"""
@@ -156,9 +210,17 @@
         incarnation: str,
         sent_ms: float,
         now_ms: float,
+        *,
+        begun_ms: float | None = None,
     ) -> None:
-        """Record a request that an upstream may run though nobody waits for it."""
+        """Record a request that an upstream may run though nobody waits for it.
+
+        :param begun_ms: when the upstream began to answer it; ``None``: not yet
+        """
         until_ms = now_ms + self._bounds.linger_ms
+        if is_part(fingerprint) and begun_ms is not None:
+            # It has not gone on writing, so it has ended by then, if it has.
+            until_ms = min(until_ms, begun_ms + self._bounds.lived_ms)
         was_answered = self._was_answered(fingerprint, now_ms)
         run = OpenRun(
             fingerprint, upstream, incarnation, sent_ms, until_ms, was_answered
@@ -237,6 +299,26 @@
         self._table.clear(fingerprint, now_ms)
         return True
 
+    def note_lived(
+        self, parts: Collection[int], begun_ms: float, now_ms: float
+    ) -> None:
+        """Clear parts of a prompt: an upstream has survived that it wrote on them.
+
+        :param begun_ms: when it began; what crashed later is not cleared
+        """
+        for part in parts:
+            is_known = part in self._table
+            if is_known and (
+                self._announced_parts.find(part) > -math.inf
+                or self.verdict(part, now_ms) is not Verdict.CLEAR
+            ):
+                self._unannounced.add(part)
+            self._runs.forget(part)
+            if is_known:
+                self._table.clear(part, begun_ms)
+            else:
+                self._table.lived_parts.note(part, begun_ms)
+
     def pop_changed_sightings(self, now_ms: float) -> list[tuple[CrashSighting, ...]]:
         """:returns: sightings of the requests that this VM has to announce, by request
 
@@ -244,6 +326,8 @@
         """
         unannounced = sorted(self._unannounced)
         self._unannounced.clear()
+        for fingerprint in filter(is_part, unannounced):
+            self._announced_parts.note(fingerprint, now_ms)
         by_request = [tuple(self._list_sightings(item, now_ms)) for item in unannounced]
         return [sightings for sightings in by_request if sightings]
 
@@ -260,9 +344,13 @@
         listed = [f for f in self._table if self._table.n_counted(f)]
         listed += self._table.cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
         listed = random_state.sample(listed, min(len(listed), MAX_SAMPLED))
-        listed.sort(key=lambda f: self.verdict(f, now_ms) is not Verdict.REFUSED)
+        verdicts = {
+            fingerprint: self.verdict(fingerprint, now_ms) for fingerprint in listed
+        }
         sightings: list[CrashSighting] = []
-        for fingerprint in dict.fromkeys(listed):
+        for fingerprint, verdict in sorted(verdicts.items(), key=_is_not_refused):
+            if is_part(fingerprint) and verdict is Verdict.CLEAR:
+                continue
             of_request = list(self._list_sightings(fingerprint, now_ms))
             if len(sightings) + len(of_request) <= max_sightings:
                 sightings += of_request
@@ -308,4 +396,8 @@
         return answered_ms >= now_ms - self._bounds.answered_ms
 
 
+def _is_not_refused(item: tuple[int, Verdict]) -> bool:
+    return item[1] is not Verdict.REFUSED
+
+
 __all__ = ("PoisonRegistry", "Verdict")
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions.poison.crash import Involvement
+from quetzaldeck.decisions.poison.fingerprint import is_part
 from quetzaldeck.decisions.poison.open_runs import OpenRun
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import RunSighting, RunState
@@ -287,6 +288,8 @@
     ) -> Iterator[RunSighting]:
         for fingerprint in sorted(crash.fingerprints):
             involvement = self._table.find(fingerprint)[crash]
+            if is_part(fingerprint) and involvement.was_answered:
+                continue  # It is in almost every run, and hardly to blame.
             ended_age_ms = now_ms - involvement.seen_ms
             yield RunSighting(
                 fingerprint,
--- a/src/quetzaldeck/decisions/poison/verdicts.py
+++ b/src/quetzaldeck/decisions/poison/verdicts.py
@@ -7,14 +7,16 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 from quetzaldeck.decisions.poison.crash_limit import CrashLimit
+from quetzaldeck.decisions.poison.fingerprint import is_part
+from quetzaldeck.decisions.poison.part_verdicts import PartVerdicts
+from quetzaldeck.decisions.poison.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from quetzaldeck.decisions.poison.bounds import PoisonBounds
     from quetzaldeck.decisions.poison.crash import Crash
@@ -24,16 +26,8 @@
 """Number of different pauses of suspects."""
 
 
-class Verdict(StrEnum):
-    """How a request is treated, by the crashes that count against it."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    REFUSED = "refused"
-
-
 class CrashVerdicts:
-    """Judges requests; knows them by the hash of what they run.
+    """Judges requests, and parts of their prompts, by their fingerprints.
 
     :param bounds: thresholds
     :param table: all crashes
@@ -49,6 +43,7 @@
         self._bounds = bounds
         self._table = table
         self._limit = CrashLimit(bounds, table, count_upstreams)
+        self._parts = PartVerdicts(bounds, table, self._limit)
 
     def n_crashes(self, fingerprint: int, now_ms: float) -> int:
         """:returns: crashes that count against a request
@@ -56,6 +51,8 @@
         A crash does not count against a request while another request of that crash
         was in more crashes; it counts again once the other one is cleared.
         """
+        if is_part(fingerprint):
+            return self._parts.n_crashes(fingerprint, now_ms)
         oldest_ms = now_ms - self._bounds.forget_ms
         return sum(
             involvement.seen_ms >= oldest_ms
@@ -68,12 +65,37 @@
         """:returns: whether a request runs normally, isolated, or not at all"""
         if fingerprint not in self._table:
             return Verdict.CLEAR
+        if is_part(fingerprint):
+            return self._parts.find(fingerprint, now_ms)
         n_crashes = self.n_crashes(fingerprint, now_ms)
         if n_crashes >= self._find_limit(fingerprint, n_crashes):
             return Verdict.REFUSED
         is_suspect = n_crashes or self._is_in_doubt(fingerprint, now_ms)
         return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
 
+    def judge(self, fingerprints: Collection[int], now_ms: float) -> Verdict:
+        """:returns: the verdict on a request, given it and all parts of its prompt"""
+        verdicts = {self.find(fingerprint, now_ms) for fingerprint in fingerprints}
+        if verdicts == {Verdict.CLEAR}:
+            return Verdict.CLEAR
+        if self.find_blocked_by(fingerprints, now_ms) is not None:
+            return Verdict.REFUSED
+        return Verdict.SUSPECT
+
+    def find_blocked_by(
+        self, fingerprints: Collection[int], now_ms: float
+    ) -> BlockedRequest | None:
+        """:returns: why a request is refused, given it and all parts of its prompt"""
+        for fingerprint in fingerprints:
+            blocked = self.find_blocked(fingerprint, now_ms)
+            if blocked is None:
+                continue
+            if not is_part(fingerprint) or self._parts.explains(
+                fingerprint, fingerprints, now_ms
+            ):
+                return blocked
+        return None
+
     def list_crashed(self, fingerprint: int) -> list[str]:
         """:returns: upstreams that crashed while they ran a request, in that order"""
         counted = [crash for crash in self._table.find(fingerprint) if crash.counts]
@@ -101,6 +123,8 @@
         """:returns: a request that is refused, and why; ``None`` if it is not"""
         if self.find(fingerprint, now_ms) is not Verdict.REFUSED:
             return None
+        if is_part(fingerprint):
+            return self._find_blocked_part(fingerprint, now_ms)
         limit = self._find_limit(fingerprint, self.n_crashes(fingerprint, now_ms))
         own = self._table.find(fingerprint).items()
         counted = [(item.seen_ms, crash) for crash, item in own if crash.counts]
@@ -114,6 +138,12 @@
             fingerprint, tuple(self.list_crashed(fingerprint)), seen_ms[0], until_ms
         )
 
+    def _find_blocked_part(self, part: int, now_ms: float) -> BlockedRequest:
+        seen_ms = self._parts.list_counted_ms(part, now_ms)
+        until_ms = seen_ms[-1] + self._bounds.forget_ms
+        crashed = tuple(self.list_crashed(part))
+        return BlockedRequest(part, crashed, seen_ms[0], until_ms)
+
     def _is_in_doubt(self, fingerprint: int, now_ms: float) -> bool:
         """:returns: whether it ran in what may have been a crash
 
@@ -140,13 +170,25 @@
         crashes = [c for c in self._table.find(fingerprint) if c.counts]
         others = set.intersection(*(crash.fingerprints for crash in crashes))
         return any(
-            not any(item.was_answered for item in self._table.find(other).values())
+            not self._was_answered(other)
             for other in others - {fingerprint}
+            if not is_part(other)
         )
 
     def _highest_count(self, crash: Crash) -> int:
         """:returns: most crashes that any one request of ``crash`` was in"""
-        return max(self._table.n_counted(other) for other in crash.fingerprints)
+        return max(
+            self._table.n_counted(other)
+            for other in crash.fingerprints
+            if not (is_part(other) and self._was_answered(other))
+        )
+
+    def _was_answered(self, fingerprint: int) -> bool:
+        """:returns: whether it had been answered before one of its crashes"""
+        return any(
+            involvement.was_answered
+            for involvement in self._table.find(fingerprint).values()
+        )
 
 
 def _time_of(crash: Crash) -> float:
--- a/src/quetzaldeck/decisions/request.py
+++ b/src/quetzaldeck/decisions/request.py
@@ -52,6 +52,7 @@
     :param deadline_ms: monotonic time by which it must be complete
     :param prefix_hashes: hashes of prompt prefixes, shortest first
     :param fingerprint: hash of the work that the upstream would run
+    :param part_fingerprints: parts of the prompt that other prompts may contain
     :param max_attempts: maximum attempts that may have run; ``None``: the VM's limit
     :param target_ms: time-to-first-token target; 0: none
     :param max_gap_ms: maximum gap between two tokens; 0: none
@@ -73,6 +74,7 @@
     weight: float = 1.0
     prefix_hashes: tuple[int, ...] = ()
     fingerprint: int = 0
+    part_fingerprints: tuple[int, ...] = ()
     is_repeatable: bool = True
     max_attempts: int | None = None
     target_ms: float = 0.0
@@ -88,6 +90,13 @@
         last_token_ms = max(self.arrived_ms, self.last_token_ms)
         return last_token_ms + self.caller_idle_timeout_ms - DISCONNECT_MARGIN_MS
 
+    @property
+    def crash_fingerprints(self) -> tuple[int, ...]:
+        """:returns: what may be to blame if an upstream crashes: it, and its parts"""
+        if not self.fingerprint:
+            return ()
+        return (self.fingerprint, *self.part_fingerprints)
+
     @property
     def n_kv_tokens(self) -> int:
         """:returns: KV cache that the request may need, in tokens"""
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -206,7 +206,7 @@
             return failure
         self._tracked.add(TrackedRequest(request, n_uncorrected_tokens), now_ms)
         self._retries.note_admitted(request, now_ms)
-        pause_ms = self._poison.pause_ms(request.fingerprint, now_ms)
+        pause_ms = self._poison.max_pause_ms(request.crash_fingerprints, now_ms)
         if pause_ms:
             self._waiting.delay(request, now_ms + pause_ms, now_ms)
         else:
@@ -250,6 +250,20 @@
         self._placer.release_helpers(attempt_id)
         self._waiting.note_capacity_freed()
 
+    def note_lived(self, attempt_id: str) -> None:
+        """Record that an engine has survived the beginning of an answer."""
+        tracked = self._tracked.find(attempt_id)
+        if tracked is None or tracked.first_token_ms is None:
+            return
+        self._monitor.note_lived(
+            tracked.request,
+            attempt_id,
+            tracked.upstreams,
+            tracked.first_token_ms,
+            self._clock.now_ms(),
+        )
+        self._waiting.note_capacity_freed()
+
     def note_sent(self, attempt_id: str) -> None:
         """Record that an attempt was sent after it had waited for its turn."""
         tracked = self._tracked.find(attempt_id)
@@ -292,6 +306,8 @@
             self._fleet.note_permit_refused(end.upstream, end.retry_after_ms or 0.0)
         self._release(tracked)
         if end.fault is None:
+            begun_ms = tracked.first_token_ms or tracked.dispatched_ms
+            self._poison.note_lived(tracked.request.part_fingerprints, begun_ms, now_ms)
             self._learner.note_answer(tracked, end, now_ms)
             self._tracked.forget(tracked.request.request_id, now_ms)
             return None
@@ -331,7 +347,8 @@
             return
         if tracked.dispatched_ms > now_ms:
             for name in tracked.upstreams:
-                self._poison.note_stopped(tracked.request.fingerprint, name, now_ms)
+                for fingerprint in tracked.request.crash_fingerprints:
+                    self._poison.note_stopped(fingerprint, name, now_ms)
             return
         self._monitor.note_left(
             tracked.request, tracked.attempt_id, tracked.upstreams, now_ms
--- a/src/quetzaldeck/entry/call.py
+++ b/src/quetzaldeck/entry/call.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from quetzaldeck.decisions import Request
+from quetzaldeck.decisions.poison import compute_part_fingerprint
 from quetzaldeck.entry.admission import Admitted
 from quetzaldeck.entry.call_head import CallHead
 from quetzaldeck.entry.handover.head import HandoverHead
@@ -64,6 +65,7 @@
         arrived_ms=call.arrived_ms,
         deadline_ms=admitted.deadline_ms,
         fingerprint=call.fingerprint,
+        part_fingerprints=tuple(map(compute_part_fingerprint, call.head.shared_parts)),
         is_repeatable=route.is_repeatable,
         max_attempts=_max_attempts(call),
         target_ms=route.target_latency_ms,
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -44,7 +44,9 @@
         self._call = call
         self._ticket = ticket
         self._runner = AttemptRunner(state, call, ticket)
-        self._relay = StreamRelay(call, state.clock)
+        self._relay = StreamRelay(
+            call, state.clock, lived_ms=state.dispatch.poison_bounds.lived_ms
+        )
         self._failed_response: web.Response | None = None
         self.n_attempts = 0
         self.n_maybe_run = 0
@@ -104,6 +106,7 @@
                     on_first_event=lambda: self._ticket.note_first_token(
                         dispatch.attempt_id
                     ),
+                    on_lived=lambda: self._ticket.note_lived(dispatch.attempt_id),
                     on_data=lambda: self._state.paths.note_heard(self.upstream),
                 )
                 await self._ticket.end_attempt(AttemptEnd(dispatch.attempt_id))
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -214,6 +214,7 @@
                 first_byte=NoWatch(),
                 gaps=NoWatch(),
                 on_first_event=lambda: None,
+                on_lived=lambda: None,
                 on_data=lambda: None,
             )
             return await relay.finish()
--- a/src/quetzaldeck/entry/stream_relay.py
+++ b/src/quetzaldeck/entry/stream_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -30,11 +31,15 @@
     The response starts with the first complete event: until then the request can move
     to another upstream unnoticed by the caller. Status and headers are those of the
     upstream that sent this event, also if another one continues the stream.
+
+    :param lived_ms: time for which an upstream has to write until it has survived the
+        beginning of the answer
     """
 
-    def __init__(self, call: Call, clock: Clock) -> None:
+    def __init__(self, call: Call, clock: Clock, *, lived_ms: float) -> None:
         self._call = call
         self._clock = clock
+        self._lived_ms = lived_ms
         self._last_event_ms = call.arrived_ms
         self._first_event_ms: float | None = None
         self._max_gap_ms = 0.0
@@ -76,6 +81,7 @@
         first_byte: SilenceWatch | NoWatch,
         gaps: SilenceWatch | NoWatch,
         on_first_event: Callable[[], None],
+        on_lived: Callable[[], None],
         on_data: Callable[[], None],
     ) -> None:
         """Forward the events of one attempt; call :meth:`finish` once it completes.
@@ -84,11 +90,13 @@
         :param first_byte: bounds the wait for the first event
         :param gaps: bounds the wait for each further one
         :param on_first_event: called when the first event has been forwarded
+        :param on_lived: called once, when the upstream has survived the beginning
         :param on_data: called whenever bytes arrive
         :raises UpstreamError: if the stream ends early or is not an event stream
         """
         reader = EventReader()
-        has_begun = False
+        has_begun = has_lived = False
+        lived_from_ms = math.inf
         while True:
             watch = gaps if has_begun else first_byte
             data = await watch.wait(upstream.content.readany)
@@ -99,7 +107,11 @@
                 await self._forward(upstream, event)
                 if not has_begun:
                     has_begun = True
+                    lived_from_ms = self._clock.now_ms() + self._lived_ms
                     on_first_event()
+                elif not has_lived and self._clock.now_ms() >= lived_from_ms:
+                    has_lived = True
+                    on_lived()
         if reader.has_partial_event or not self._n_events:
             detail = f"{name}: the stream ended without an event or within one"
             raise UpstreamError(AttemptFault.BAD_ANSWER, detail, upstream=name)
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -16,6 +16,7 @@
     EndAttempt,
     JudgeSilence,
     NoteFirstToken,
+    NoteLived,
     NoteReserved,
     NoteSent,
     Observe,
@@ -229,7 +230,13 @@
             case EndAttempt():
                 self._end_attempt(message)
                 self._load_changed.set()
-            case NoteFirstToken() | NoteReserved() | NoteSent() | JudgeSilence():
+            case (
+                NoteFirstToken()
+                | NoteLived()
+                | NoteReserved()
+                | NoteSent()
+                | JudgeSilence()
+            ):
                 self._note_progress(message)
             case Withdraw():
                 self._scheduler.withdraw(message.request_id)
@@ -256,13 +263,16 @@
                 self._observe_update(message)
 
     def _note_progress(
-        self, message: NoteFirstToken | NoteReserved | NoteSent | JudgeSilence
+        self,
+        message: NoteFirstToken | NoteLived | NoteReserved | NoteSent | JudgeSilence,
     ) -> None:
         """Handle the progress of a running attempt."""
         match message:
             case NoteFirstToken():
                 self._scheduler.note_first_token(message.attempt_id)
                 self._load_changed.set()
+            case NoteLived():
+                self._scheduler.note_lived(message.attempt_id)
             case NoteReserved():
                 self._scheduler.note_reserved(message.attempt_id)
             case NoteSent():
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -30,6 +30,12 @@
     attempt_id: str
 
 
+class NoteLived(NamedTuple):
+    """An engine has survived the beginning of an answer."""
+
+    attempt_id: str
+
+
 class NoteSent(NamedTuple):
     """An attempt was sent after it had waited for its turn at an upstream."""
 
@@ -158,6 +164,7 @@
 Message = (
     Submit
     | NoteFirstToken
+    | NoteLived
     | NoteReserved
     | NoteSent
     | JudgeSilence
@@ -184,6 +191,7 @@
     "JudgeSilence",
     "Message",
     "NoteFirstToken",
+    "NoteLived",
     "NoteReserved",
     "NoteSent",
     "Observe",
--- a/src/quetzaldeck/gateway/ticket.py
+++ b/src/quetzaldeck/gateway/ticket.py
@@ -11,6 +11,7 @@
     EndAttempt,
     JudgeSilence,
     NoteFirstToken,
+    NoteLived,
     NoteReserved,
     NoteSent,
     Submit,
@@ -78,6 +79,10 @@
         """Notify the scheduler that the prompt has been prefilled."""
         self._send(NoteFirstToken(attempt_id))
 
+    def note_lived(self, attempt_id: str) -> None:
+        """Notify the scheduler that the engine survived the beginning of its answer."""
+        self._send(NoteLived(attempt_id))
+
     def note_reserved(self, attempt_id: str) -> None:
         """Notify the scheduler that the attempt no longer waits for memory."""
         self._send(NoteReserved(attempt_id))
--- a/tests/entry/peers/test_crash_exchange.py
+++ b/tests/entry/peers/test_crash_exchange.py
@@ -8,9 +8,14 @@
 
 import pytest
 from tests.entry.peers.peer_fleet import PeerFleet, PeerVm
-from tests.support.platform.crash_check import GRACE_MS, CrashRecord, Sending
+from tests.support.platform.crash_check import (
+    GRACE_MS,
+    N_PART_CRASHES,
+    CrashRecord,
+    Sending,
+)
 
-from quetzaldeck.decisions.poison import Verdict
+from quetzaldeck.decisions.poison import Verdict, compute_part_fingerprint
 
 SETTLE_MS = 12_000.0
 """Time after which all VMs of a fleet know each other."""
@@ -24,6 +29,7 @@
 
 N_REPLICAS = 4
 CULPRIT = 7
+PART = compute_part_fingerprint("bad")
 PACKET_BYTES = 1_472
 """Largest datagram that is not split on the way."""
 
@@ -52,11 +58,20 @@
     """Replicas of one service that a request crashes, and a caller that repeats it.
 
     :param manner: what the VMs learn
+    :param culprit: the request, or a part of prompts
+    :param record: keeps what replicas get
     """
 
     def __init__(
-        self, fleet: PeerFleet, seed: int, manner: Manner = Manner.BREAKS
+        self,
+        fleet: PeerFleet,
+        seed: int,
+        manner: Manner = Manner.BREAKS,
+        *,
+        culprit: int = CULPRIT,
+        record: CrashRecord | None = None,
     ) -> None:
+        self._culprit = culprit
         self._manner = manner
         self._checks: list[Run] = []
         self._fleet = fleet
@@ -65,7 +80,7 @@
         self._down_until_ms = dict.fromkeys(range(N_REPLICAS), 0.0)
         self._n_starts = dict.fromkeys(range(N_REPLICAS), 0)
         self._next_ms = fleet.now_ms
-        self.record = CrashRecord()
+        self.record = record or CrashRecord()
         self.disturbed_ms: dict[str, float] = {}
         self.n_refused = 0
 
@@ -90,8 +105,8 @@
         n_copies = min(len(running), self._random_state.randint(1, 3))
         for vm in self._random_state.sample(running, n_copies):
             up = [r for r, until_ms in self._down_until_ms.items() if until_ms < now_ms]
-            verdict = vm.registry.verdict(CULPRIT, now_ms)
-            is_held = vm.registry.is_held(CULPRIT, now_ms)
+            verdict = vm.registry.verdict(self._culprit, now_ms)
+            is_held = vm.registry.is_held(self._culprit, now_ms)
             if verdict is Verdict.REFUSED:
                 self.n_refused += 1
             elif up and not (verdict is Verdict.SUSPECT and is_held):
@@ -102,7 +117,9 @@
                 self._runs.append(Run(now_ms + RUN_MS, vm, name))
                 if verdict is Verdict.SUSPECT:
                     deadline_ms = now_ms + DEADLINE_MS
-                    vm.registry.note_started(CULPRIT, name, "", deadline_ms, now_ms)
+                    vm.registry.note_started(
+                        self._culprit, name, "", deadline_ms, now_ms
+                    )
 
     def _end_runs(self) -> None:
         now_ms = self._fleet.now_ms
@@ -120,11 +137,11 @@
 
     def _note_end(self, run: Run, now_ms: float) -> None:
         registry, name = run.vm.registry, run.upstream
-        registry.note_stopped(CULPRIT, name, now_ms)
+        registry.note_stopped(self._culprit, name, now_ms)
         if self._manner is Manner.BREAKS:
-            registry.note_crash(CULPRIT, name, name, now_ms, run_ms=RUN_MS)
+            registry.note_crash(self._culprit, name, name, now_ms, run_ms=RUN_MS)
             return
-        registry.note_left(CULPRIT, name, name, now_ms - RUN_MS, now_ms - 1.0)
+        registry.note_left(self._culprit, name, name, now_ms - RUN_MS, now_ms - 1.0)
         self._checks.append(run._replace(due_ms=now_ms + CHECK_MS))
 
     def _check_left(self) -> None:
@@ -164,11 +181,28 @@
     assert pool.n_refused > 20
 
 
+@pytest.mark.parametrize("manner", list(Manner))
+@pytest.mark.parametrize("n_vms", [1, 7, 78, 195, 410])
+def test_vms_together_stop_a_part_that_crashes_replicas(
+    n_vms: int, manner: Manner
+) -> None:
+    """Prompts with the part come at once through all VMs; each sees a crash or none."""
+    fleet = make_fleet(n_vms)
+    record = CrashRecord(N_PART_CRASHES)
+    pool = CrashingPool(fleet, n_vms, manner, culprit=PART, record=record)
+    pool.run(12_000.0)
+    assert list(record.find_excess()) == []
+    assert pool.n_refused > 20
+
+
 @pytest.mark.parametrize("n_vms", [7, 30])
-def test_vms_that_restart_pause_or_are_cut_off_learn_of_it(n_vms: int) -> None:
+@pytest.mark.parametrize("culprit", [CULPRIT, PART], ids=["request", "part"])
+def test_vms_that_restart_pause_or_are_cut_off_learn_of_it(
+    n_vms: int, culprit: int
+) -> None:
     """Half of the VMs are killed; others were paused or cut off at the crashes."""
     fleet = make_fleet(n_vms)
-    pool = CrashingPool(fleet, n_vms)
+    pool = CrashingPool(fleet, n_vms, culprit=culprit)
     addresses = list(fleet.vms)
     cut_off = addresses[-1]
     fleet.is_partitioned = lambda a, b: cut_off in (a, b)
@@ -186,7 +220,7 @@
         pool.note_disturbed(address)
     pool.run(9_000.0)
     assert list(pool.record.find_excess(pool.is_excused)) == []
-    verdicts = {vm.registry.verdict(CULPRIT, fleet.now_ms) for vm in fleet.vms.values()}
+    verdicts = {vm.registry.verdict(culprit, fleet.now_ms) for vm in fleet.vms.values()}
     assert verdicts == {Verdict.REFUSED}
 
 
--- a/tests/support/builders.py
+++ b/tests/support/builders.py
@@ -73,9 +73,13 @@
 
 
 def make_scheduler(
-    clock: ManualClock, names: tuple[str, ...], *, kv_tokens: int = 10_000
+    clock: ManualClock,
+    names: tuple[str, ...],
+    *,
+    kv_tokens: int = 10_000,
+    seed: int = 1,
 ) -> Scheduler:
-    placement = FewChoices(random_state=random.Random(1))
+    placement = FewChoices(random_state=random.Random(seed))
     scheduler = Scheduler(clock=clock, queue=FifoQueue(), placement=placement)
     specs = tuple(make_spec(name, kv_tokens=kv_tokens) for name in names)
     scheduler.apply_bundle(Bundle(1, 1, upstreams=specs))
