Close new connections unread while a VM can't keep up with them

Callers saw: while most new connections go to one VM that is short of processor time, it reads all of them and fails most, while the others have next to nothing to do.

Cause: nothing but the balancer's check of each second keeps connections away from a VM, and it answers that. What it has read it has to answer or refuse, which costs as much.

Now a VM whose new connections have all waited for over 200 ms, for half a second, closes those that waited so long without reading them, which costs next to nothing; their callers try another VM at once. A burst, or the backlog of a pause, is read as before. Weighed: readiness (takes two seconds, and hands the same flood to the next VM), 503 (costs a parsed request), handing over (costs the full VM more than serving).

--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -11,6 +11,7 @@
 from quetzaldeck.entry.session import EntrySession
 from quetzaldeck.http import (
     SHORT_SHUTDOWN_TIMEOUT_S,
+    ConnectionShedder,
     HttpServiceBase,
     metrics_response,
     parse_listen_address,
@@ -29,7 +30,9 @@
         self, settings: EntrySettings, *, clock: Clock | None = None, **kwargs: Any
     ) -> None:
         super().__init__(parse_listen_address(settings.listen.callers), **kwargs)
-        self._session = EntrySession(settings, clock or Clock())
+        clock = clock or Clock()
+        self._session = EntrySession(settings, clock)
+        self.shedder = ConnectionShedder(clock)
 
     @property
     def session(self) -> EntrySession:
@@ -44,6 +47,10 @@
         application.router.add_route("*", "/{path:.*}", handler.handle)
         return application
 
+    def note_shed(self) -> None:
+        """Record that a new connection was closed unread."""
+        self._session.metrics.connections_shed.inc()
+
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply settings that changed while the program runs."""
         self._session.apply_settings(settings)
--- a/src/quetzaldeck/http/__init__.py
+++ b/src/quetzaldeck/http/__init__.py
@@ -7,12 +7,14 @@
 from quetzaldeck.http.json import JSON_TYPE, BodyError, decode_body, json_response
 from quetzaldeck.http.metrics import metrics_response
 from quetzaldeck.http.service import SHORT_SHUTDOWN_TIMEOUT_S, HttpServiceBase
+from quetzaldeck.http.shedding import ConnectionShedder
 
 __all__ = (
     "JSON_TYPE",
     "SHORT_SHUTDOWN_TIMEOUT_S",
     "BodyError",
     "ConnectionGuard",
+    "ConnectionShedder",
     "HttpServiceBase",
     "ListenAddress",
     "Stall",
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from quetzaldeck.early_listener import MAX_QUEUED_CONNECTIONS
+from quetzaldeck.http.shedding import SheddingSite
 
 if TYPE_CHECKING:
     from socket import socket
@@ -16,6 +17,7 @@
     from aiohttp.web_protocol import RequestHandler
 
     from quetzaldeck.http.address import ListenAddress
+    from quetzaldeck.http.shedding import ConnectionShedder
 
 MAX_HEADER_BYTES = 16_384
 """Maximum length of a request line or header; twice the usual limit of servers."""
@@ -43,6 +45,9 @@
     shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
     """Time for connections to close after the last request has ended."""
 
+    shedder: ConnectionShedder | None = None
+    """Decides which new connections to close unread; ``None``: none are."""
+
     _runner: web.AppRunner | None = None
     _site: web.BaseSite | None = None
     _port = 0
@@ -105,6 +110,9 @@
     def abort_drain(self) -> None:  # noqa: B027 - most services have no drain
         """End a running :meth:`drain` at once: do not wait for requests in progress."""
 
+    def note_shed(self) -> None:  # noqa: B027 - most services close no connections
+        """Record that a new connection was closed unread."""
+
     async def start(self) -> None:
         """Open the application and listen."""
         application = await self.open()
@@ -125,7 +133,17 @@
         """Start to listen; after :meth:`stop_listening`, on the same port as before."""
         assert self._runner is not None
         listener, self._listener = self._listener, None
-        if listener is not None:
+        if self.shedder is not None:
+            self._site = SheddingSite(
+                self._runner,
+                self.shedder,
+                self.note_shed,
+                self._listen.host,
+                self._port or self._listen.port,
+                backlog=MAX_QUEUED_CONNECTIONS,
+                sock=listener,
+            )
+        elif listener is not None:
             self._site = web.SockSite(
                 self._runner, listener, backlog=MAX_QUEUED_CONNECTIONS
             )
--- /dev/null
+++ b/src/quetzaldeck/http/shedding.py
@@ -0,0 +1,140 @@
+"""Closes new connections unread while this process is short of processor time.
+
+Load pattern: the load balancer hands most new connections to one VM for some seconds.
+The VM reads all of them, each waits for its turn until its caller gives up, and none is
+answered, while other VMs have next to nothing to do. A caller whose connection is
+closed before a byte of it was read tries another VM at once.
+
+A burst, or the backlog of a pause, is worked off: only connections that have waited
+long, one after the other for some time, show that this process can't keep up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING, cast
+
+from aiohttp import web
+
+from quetzaldeck.http.socket_wait import read_wait_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from socket import socket
+
+    from quetzaldeck.clock import Clock
+
+MAX_WAIT_MS = 200.0
+"""Longest time for which the bytes of a new connection usually wait. Callers give up
+after a second, and a VM with a tenth of a core waits for 90 ms between its turns."""
+
+INTERVAL_MS = 500.0
+"""How long connections have to wait longer than that, without exception."""
+
+
+class ConnectionShedder:
+    """Decides which new connections to close.
+
+    The method of CoDel (RFC 8289): the shortest wait over an interval tells a queue
+    that stands from a burst.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._behind_since_ms = math.inf
+        self._last_ms = -math.inf
+
+    def is_surplus(self, wait_ms: float) -> bool:
+        """Judge a new connection.
+
+        :param wait_ms: how long its bytes have waited
+        """
+        now_ms = self._clock.now_ms()
+        has_paused = now_ms - self._last_ms > INTERVAL_MS
+        self._last_ms = now_ms
+        if wait_ms <= MAX_WAIT_MS:
+            self._behind_since_ms = math.inf
+            return False
+        if has_paused or math.isinf(self._behind_since_ms):
+            self._behind_since_ms = now_ms
+        return now_ms - self._behind_since_ms >= INTERVAL_MS
+
+
+class SheddingSite(web.BaseSite):
+    """Listens as ``web.TCPSite`` does, and closes surplus connections unread.
+
+    :param on_shed: called for each connection that is closed
+    :param sock: socket that listens already, in place of ``host`` and ``port``
+    """
+
+    def __init__(
+        self,
+        runner: web.AppRunner,
+        shedder: ConnectionShedder,
+        on_shed: Callable[[], None],
+        host: str,
+        port: int,
+        *,
+        backlog: int,
+        sock: socket | None = None,
+    ) -> None:
+        super().__init__(runner, backlog=backlog)
+        self._shedder = shedder
+        self._on_shed = on_shed
+        self._host = host
+        self._port = port
+        self._sock = sock
+
+    @property
+    def name(self) -> str:
+        """:returns: the URL of the site"""
+        return f"http://{self._host}:{self._port}"
+
+    async def start(self) -> None:
+        """Start to listen."""
+        await super().start()
+        loop = asyncio.get_running_loop()
+        if self._sock is not None:
+            self._server = await loop.create_server(
+                self._accept, sock=self._sock, backlog=self._backlog
+            )
+            return
+        self._server = await loop.create_server(
+            self._accept,
+            self._host,
+            self._port,
+            backlog=self._backlog,
+            reuse_address=True,
+        )
+
+    def _accept(self) -> asyncio.Protocol:
+        assert self._runner.server is not None
+        return _NewConnection(self._runner.server, self._shedder, self._on_shed)
+
+
+class _NewConnection(asyncio.Protocol):
+    """Judges one connection, and hands it to the HTTP server if it is not closed."""
+
+    def __init__(
+        self,
+        server: web.Server,
+        shedder: ConnectionShedder,
+        on_shed: Callable[[], None],
+    ) -> None:
+        self._server = server
+        self._shedder = shedder
+        self._on_shed = on_shed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        accepted = cast("asyncio.Transport", transport)
+        if self._shedder.is_surplus(read_wait_ms(accepted)):
+            self._on_shed()
+            accepted.abort()
+            return
+        handler = self._server()
+        accepted.set_protocol(handler)
+        handler.connection_made(transport)
+
+
+__all__ = ("ConnectionShedder", "SheddingSite")
--- a/src/quetzaldeck/telemetry/gateway_metrics.py
+++ b/src/quetzaldeck/telemetry/gateway_metrics.py
@@ -43,6 +43,11 @@
             ["kind"],
             registry=self.registry,
         )
+        self.connections_shed = Counter(
+            "quetzaldeck_connections_shed",
+            "New connections closed unread as the process was behind",
+            registry=self.registry,
+        )
         self.completed = Counter(
             "quetzaldeck_completed",
             "Requests answered whole",
