Put bad parts of prompts, and a balancer that prefers one VM, into the soak

Prompts share a part that crashes engines and nothing else, through any VM, some of their callers leave; sound ones share callers and the other parts and must not be refused. Most new connections go to one VM for some seconds.

--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -30,6 +30,9 @@
 """Covers a request that was already on its way, on a busy machine."""
 
 STORE_OUTAGE_FAULTS = ("store_down", "store_lapse", "kill_all")
+MIN_SKEWED_SHARE = 0.75
+"""Least share of calls that are served while most connections go to one VM."""
+
 MIN_ANSWERED_SHARE = 0.5
 """Least share of calls that must be answered in a run with many faults."""
 
@@ -145,6 +148,37 @@
     yield from history.crashes.find_excess(history.is_disturbed)
 
 
+@register
+def bad_parts_stop(history: History) -> Iterator[str]:
+    """Prompts with a part that has crashed five engines are not sent on by any VM."""
+    yield from history.part_crashes.find_excess(history.is_disturbed)
+
+
+@register
+def skewed_connections_are_served(history: History) -> Iterator[str]:
+    """Callers are served while most new connections go to one VM.
+
+    Not counted while replicas or VMs are disturbed in another way.
+    """
+    for skew in history.skews:
+        begin_ms, end_ms = skew.begin_ms, skew.end_ms
+        others = [
+            item
+            for item in history.fault_intervals
+            if item.begin_ms < end_ms and item.end_ms + STABLE_MS > begin_ms
+        ]
+        cuts = [
+            cut
+            for cut in history.partitions
+            if cut.begin_ms < end_ms and cut.end_ms + STABLE_MS > begin_ms
+        ]
+        counted = [ok for at_ms, ok in skew.answered if at_ms >= begin_ms + STABLE_MS]
+        if others or cuts or history.crashes.crashes_ms or not counted:
+            continue
+        if sum(counted) < MIN_SKEWED_SHARE * len(counted):
+            yield f"{sum(counted)} of {len(counted)} calls were served"
+
+
 @register
 def only_culprits_are_refused(history: History) -> Iterator[str]:
     """No other request is taken for one that crashes replicas."""
--- a/tests/soak/entry/culprits.py
+++ b/tests/soak/entry/culprits.py
@@ -26,6 +26,9 @@
 MAX_STAY_MS = 20.0
 """Longest time for which such a caller stays; a copy runs for 8 ms."""
 
+BAD_SHARE = 0.25
+"""Share of the prompts that have a bad part."""
+
 REFUSED = b"poison_suspected"
 """Reason that a VM gives if it takes a request for one that crashes replicas."""
 
@@ -38,6 +41,65 @@
     key: str
 
 
+class BadParts:
+    """Sends prompts that share a part which crashes engines, and no two alike.
+
+    Sound prompts share their callers and their other parts.
+    """
+
+    def __init__(self, world: SoakWorld, random_state: random.Random) -> None:
+        self._world = world
+        self._random_state = random_state
+        self._part = f"bad{len(world.bad_parts):x}"
+        world.bad_parts.add(self._part)
+        world.endings[self._part] = random_state.choice(list(Ending))
+        self._keys = random_state.sample(sorted(world.keys), 4)
+        self._leaving_share = random_state.choice(LEAVING_SHARES)
+
+    async def send(self, duration_s: float) -> None:
+        """Send prompts at random times, three in four of them sound."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        async with aiohttp.ClientSession() as client, asyncio.TaskGroup() as group:
+            while loop.time() < end_s:
+                vms = [vm for vm in self._world.vms if vm.is_in_rotation]
+                if vms:
+                    vm = self._random_state.choice(vms)
+                    group.create_task(self._call(client, vm))
+                rate_per_s = 4 / MEAN_INTERVAL_S
+                await asyncio.sleep(self._random_state.expovariate(rate_per_s))
+
+    async def _call(self, client: aiohttp.ClientSession, vm: SoakVm) -> None:
+        draw = self._random_state
+        number = self._world.new_call_number()
+        parts = ["5a", f"c{draw.randrange(3):x}", f"{number + 0x1000:x}"]
+        is_bad = draw.random() < BAD_SHARE
+        if is_bad:
+            parts.insert(draw.randrange(len(parts)), self._part)
+        leaves = is_bad and draw.random() < self._leaving_share
+        headers = {
+            "Host": HOST,
+            "Quetzaldeck-Attempt-Id": f"{vm.name}/x{number}",
+            "Quetzaldeck-Deadline-Ms": str(DEADLINE_MS),
+            "Quetzaldeck-Key": draw.choice(self._keys),
+            "Quetzaldeck-Token-Counts": f"{draw.randint(1_000, 3_000)},100",
+            "Quetzaldeck-Prefix-Hash": ",".join(f"{part}:100" for part in parts),
+        }
+        stay_ms = draw.uniform(1.0, MAX_STAY_MS) if leaves else 2.0 * DEADLINE_MS
+        url = f"http://{vm.address}/plan/{number}"
+        try:
+            async with (
+                asyncio.timeout(stay_ms / 1_000),
+                client.post(url, data=f"prompt {number}", headers=headers) as response,
+            ):
+                answer = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+        if REFUSED in answer and not is_bad:
+            finding = f"{vm.name} refused a prompt with {parts} beside {self._part}"
+            self._world.history.false_refusals.append(finding)
+
+
 class Culprits:
     """Sends a culprit and its neighbours; records neighbours that are taken for it."""
 
@@ -120,4 +182,4 @@
             return b""
 
 
-__all__ = ("REFUSED", "Culprits")
+__all__ = ("REFUSED", "BadParts", "Culprits")
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -8,10 +8,11 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
-from tests.soak.entry.culprits import Culprits
-from tests.soak.entry.history import FaultInterval, Partition, now_ms
+from tests.soak.entry.culprits import BadParts, Culprits
+from tests.soak.entry.history import FaultInterval, Partition, Skew, now_ms
 from tests.soak.entry.world import GRACE_S, LEAVING_MS
 from tests.soak.own.link import LinkMode, PathMode
+from tests.support.platform.skewed_callers import SkewedCallers
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -29,6 +30,8 @@
 
 MAX_PAUSE_S = 2.0
 PARTITION_S = (1.0, 7.0)
+SKEW_S = (4.0, 6.0)
+SKEWED_RATE_PER_S = 40.0
 STOP_TIMEOUT_S = GRACE_S + 2 * MAX_PAUSE_S + 2.0
 """Longer than the grace period, since another fault may pause the stopping VM."""
 
@@ -262,6 +265,29 @@
     await Culprits(world, random_state).send(random_state.uniform(5.0, 8.0))
 
 
+@register
+async def send_bad_part(world: SoakWorld, random_state: random.Random) -> None:
+    """Prompts that share one part, and nothing else, crash the engines that run them.
+
+    They come through any VM, beside sound prompts that share the other parts.
+    """
+    await BadParts(world, random_state).send(random_state.uniform(5.0, 8.0))
+
+
+@register
+async def skew_connections(world: SoakWorld, random_state: random.Random) -> None:
+    """The balancer hands most new connections to one VM."""
+    addresses = [vm.address for vm in world.vms]
+    random_state.shuffle(addresses)
+    callers = SkewedCallers(
+        addresses, random_state.choice(sorted(world.keys)), seed=random_state.random()
+    )
+    begin_ms = now_ms()
+    await callers.send(random_state.uniform(*SKEW_S), SKEWED_RATE_PER_S)
+    answered = tuple((call.sent_ms, call.status == 200) for call in callers.calls)
+    world.history.skews.append(Skew(begin_ms, now_ms(), answered))
+
+
 @register
 async def replace_replica(world: SoakWorld, random_state: random.Random) -> None:
     """A replica is replaced: marked as draining, it serves for a while, then goes."""
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from tests.support.platform.crash_check import CrashRecord
+from tests.support.platform.crash_check import N_PART_CRASHES, CrashRecord
 from tests.support.platform.rate_limit_check import ReplicaRecord
 
 LOOP_CHECK_INTERVAL_MS = 50.0
@@ -86,12 +86,25 @@
     end_ms: float
 
 
+class Skew(NamedTuple):
+    """Most new connections went to one VM for a while.
+
+    :param answered: by first attempt that a VM has read, when it was sent and whether
+        it was answered
+    """
+
+    begin_ms: float
+    end_ms: float
+    answered: tuple[tuple[float, bool], ...]
+
+
 class History:
     """Everything that the checks read.
 
     ``revoked_ms`` has the time of revocation by API key, ``leaving_ms`` the time at
     which a replica was marked as leaving, by replica, ``rate_limits`` what each replica
-    received and named, and ``crashes`` what replicas got of requests that crash them.
+    received and named, ``crashes`` what replicas got of requests that crash them, and
+    ``part_crashes`` what they got of prompts with parts that do.
     """
 
     def __init__(self) -> None:
@@ -105,6 +118,8 @@
         self.revoked_ms: dict[str, float] = {}
         self.leaving_ms: dict[str, float] = {}
         self.crashes = CrashRecord()
+        self.part_crashes = CrashRecord(N_PART_CRASHES)
+        self.skews: list[Skew] = []
         self.rate_limits: defaultdict[str, ReplicaRecord] = defaultdict(ReplicaRecord)
 
     def max_loop_stall_ms(self, begin_ms: float, end_ms: float) -> float:
@@ -158,6 +173,7 @@
     "History",
     "Partition",
     "RequestKind",
+    "Skew",
     "now_ms",
     "record_loop_stalls",
 )
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -83,6 +83,8 @@
         if culprit:
             await self._crash(culprit, arrival, connection)
             return
+        if await self._crash_on_parts(arrival, connection):
+            return
         execution = Execution(arrival.call_id, self.replica_id, now_ms(), owner, after)
         self._history.executions.append(execution)
         if self._draw(self.p_response_lost):
@@ -110,6 +112,30 @@
             crashes.crashes_ms[culprit].append(now_ms())
             self._world.crash_replica(self.replica_id, self._world.endings[culprit])
 
+    async def _crash_on_parts(self, arrival: Arrival, connection: Connection) -> bool:
+        """Crash if the prompt has a bad part that is not its last.
+
+        :returns: whether it has
+        """
+        entries = arrival.headers.get("quetzaldeck-prefix-hash", "").split(",")
+        parts = {entry.partition(":")[0] for entry in entries[:-1]}
+        bad = sorted(parts & self._world.bad_parts)
+        crashes = self._history.part_crashes
+        for part in bad:
+            sending = Sending(now_ms(), read_vm(arrival.call_id))
+            crashes.sendings[part].append(sending)
+        if not bad:
+            return False
+        await connection.begin_stream(arrival)
+        await connection.send_chunk(event(1, arrival.call_id + "."))
+        await asyncio.sleep(RUN_MS / 1_000)
+        if self._world.replicas[self.replica_id] is self and not self._has_crashed:
+            self._has_crashed = True
+            for part in bad:
+                crashes.crashes_ms[part].append(now_ms())
+            self._world.crash_replica(self.replica_id, self._world.endings[bad[0]])
+        return True
+
     async def _answer(self, arrival: Arrival, connection: Connection) -> None:
         await asyncio.sleep(self._pace * RUN_MS / 1_000)
         body = arrival.call_id.encode()
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -27,7 +27,14 @@
 """Faults added later; drawing from them would change the plans of ``SEEDS``."""
 
 NEWEST_FAULTS = frozenset(
-    {"limit_replicas", "send_culprit", "crash_replica", "partition_vms"}
+    {
+        "limit_replicas",
+        "send_culprit",
+        "crash_replica",
+        "partition_vms",
+        "send_bad_part",
+        "skew_connections",
+    }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
 
@@ -108,6 +115,35 @@
     assert result.n_calls > 200
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_bad_parts_of_prompts_are_stopped_while_vms_and_replicas_end(seed: int) -> None:
+    """Engines go on ending under one part, through VMs that start, freeze or stop."""
+    plan = (
+        PlannedFault(0.2, "send_bad_part", 10 * seed),
+        PlannedFault(0.8, "send_bad_part", 10 * seed + 1),
+        PlannedFault(1.5, "crash_replica", 2),
+        PlannedFault(2.5, "kill_vm", 1),
+        PlannedFault(3.5, "freeze_vm", 2),
+        PlannedFault(4.0, "lose_flows", 3),
+        PlannedFault(5.0, "stop_vm", 3),
+    )
+    result = uvloop.run(run_soak(seed, duration_s=10.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
+def test_callers_are_served_while_connections_and_parts_change() -> None:
+    """Most connections go to one VM while it has to learn which parts are bad."""
+    plan = (
+        PlannedFault(0.2, "send_bad_part", 5),
+        PlannedFault(1.0, "skew_connections", 1),
+        PlannedFault(3.0, "configure_often", 2),
+    )
+    result = uvloop.run(run_soak(3, duration_s=8.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
 def test_neighbours_of_several_culprits_are_not_refused_with_them() -> None:
     """Neighbours that ran beside a culprit in each of its crashes are refused too."""
     plan = tuple(PlannedFault(0.2 + 0.3 * i, "send_culprit", 100 + i) for i in range(3))
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -112,6 +112,7 @@
         self.links: dict[str, Link] = {}
         self.services: dict[str, str] = {}
         self.culprits: dict[Culprit, str] = {}
+        self.bad_parts: set[str] = set()
         self.endings: dict[str, Ending] = {}
         self._ended: set[str] = set()
         self._paths: dict[str, PathMode] = {}
--- a/tests/support/platform/skewed_callers.py
+++ b/tests/support/platform/skewed_callers.py
@@ -38,7 +38,12 @@
     """
 
     def __init__(
-        self, addresses: Sequence[str], key: str, *, share: float = 0.9, seed: int = 0
+        self,
+        addresses: Sequence[str],
+        key: str,
+        *,
+        share: float = 0.9,
+        seed: float = 0.0,
     ) -> None:
         self._addresses = list(addresses)
         self._key = key
