--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -175,6 +175,8 @@
         counted = [ok for at_ms, ok in skew.answered if at_ms >= begin_ms + STABLE_MS]
         if others or cuts or history.crashes.crashes_ms or not counted:
             continue
+        if skew.key in history.revoked_ms:
+            continue
         if sum(counted) < MIN_SKEWED_SHARE * len(counted):
             yield f"{sum(counted)} of {len(counted)} calls were served"
 
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -93,6 +93,7 @@
         it was answered
     """
 
+    key: str
     begin_ms: float
     end_ms: float
     answered: tuple[tuple[float, bool], ...]
