Let others pass suspects that wait, and hold suspects until checks have ended

Requests of a customer waited behind a suspect of it that runs apart, as a queue of a customer offers only its first request: sound prompts that share their caller with bad ones were held up. A suspect that has to wait is now kept out of the queue and looks again every 40 ms (test_suspect_that_waits_does_not_hold_up_others_of_its_customer; one test of the registry advances its clock by that before it expects the next suspect).

Prompts with fewer suspected parts go first, and VMs that greet one another say which parts are sound.

--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -42,6 +42,9 @@
 """Interval at which a retry looks whether the probe of a path in doubt is answered. A
 retry that does not wait for it may use up its attempts on a path that is lost."""
 
+SUSPECT_PAUSE_MS = 40.0
+"""Interval at which a suspect looks whether it can run: shorter than its run."""
+
 
 class Placer:
     """Places requests and accounts for the capacity they hold until it is released.
@@ -111,9 +114,27 @@
         elif not verdict.allows_attempts:
             self._lost_paths[service] = verdict
 
-    def probe_pause_ms(self, request: Request) -> float:
-        """:returns: how long a retry waits for the probe of a path in doubt"""
-        return PROBE_PAUSE_MS if request.target in self._doubted_paths else 0.0
+    def pause_ms(self, request: Request, now_ms: float) -> float:
+        """:returns: how long a request stays out of the queue, so that others can pass
+
+        0 if it can be queued.
+        """
+        if request.target in self._doubted_paths:
+            return PROBE_PAUSE_MS
+        return self.suspect_pause_ms(request, now_ms)
+
+    def suspect_pause_ms(self, request: Request, now_ms: float) -> float:
+        """:returns: how long a suspect stays out of the queue; 0: it can run now
+
+        Others of its customer do not wait behind it.
+        """
+        if not self._suspects.is_suspect(request, now_ms):
+            return 0.0
+        pool = self._table.list_serving(request)
+        can_run = self._suspects.is_turn(request, now_ms) and (
+            self._suspects.find(request, pool, (), now_ms) is not None
+        )
+        return 0.0 if can_run else SUSPECT_PAUSE_MS
 
     def check_path(self, request: Request) -> Failure | None:
         """:returns: the refusal of a request whose upstreams this VM does not reach"""
@@ -353,8 +374,6 @@
         if not self._may_start(request, pool, now_ms):
             return None
         if self._suspects.is_suspect(request, now_ms):
-            if not self._suspects.is_turn(request, now_ms):
-                return None
             return self._suspects.find(request, pool, avoided, now_ms)
         if request.service:
             return self._place_single(request, pool, avoided, now_ms)
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -85,13 +85,17 @@
 
         Several VMs have such prompts, and a run of one is news to the others only after
         a moment. So each starts at a time of its own after the last one has ended.
+        Prompts with fewer of the suspected parts go first: if one of them is answered,
+        that tells the sound parts from the bad one.
         """
         suspects = self._poison.list_suspects(request.part_fingerprints, now_ms)
         if any(self._poison.is_held(part, now_ms) for part in suspects):
             for part in suspects:
                 self._turns_ms.pop(part, None)
             return False
-        return all(self._find_turn_ms(part, now_ms) <= now_ms for part in suspects)
+        rank_ms = (len(suspects) - 1) * self._poison.bounds.propagation_ms
+        turns_ms = [self._find_turn_ms(part, now_ms) for part in suspects]
+        return all(turn_ms + rank_ms <= now_ms for turn_ms in turns_ms)
 
     def _find_turn_ms(self, part: int, now_ms: float) -> float:
         if part not in self._turns_ms:
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -18,8 +18,10 @@
         crash without the request, since three may then be coincidence, as in a series
         of crashes that reaches every upstream; and for a request that ran in the same
         crashes as another one: its next run, alone, shows which of them is to blame
-    :param max_part_crashes: takes the place of ``n_crashes`` for a part of prompts
-        while other upstreams crash as often, or if it was answered a moment before
+    :param n_part_crashes: a part of prompts is refused after this many crashes one
+        after the other; a sound part may be in several beside bad ones
+    :param max_part_crashes: takes its place while other upstreams crash as often, or
+        for a part that was answered a moment before
     :param max_chance: crashes without the request raise the limit only if one run of
         it would be hit by such a crash with at least this probability
     :param wave_ms: crashes of other requests are counted from this long before the
@@ -34,6 +36,8 @@
         connection was closed; most notice it sooner
     :param settle_ms: how long after the end of a run it takes until all VMs know
         whether the upstream has survived it
+    :param verify_ms: the same of a run that nobody waits for: an upstream that is
+        silent has to miss two checks
     :param answered_ms: how long an answer shows that a request does no harm
     :param lived_ms: an upstream that writes for this long has survived the beginning of
         an answer, on which parts of prompts crash it
@@ -60,6 +64,7 @@
     n_crashes: int = 3
     n_crashes_answered: int = 4
     max_crashes: int = 6
+    n_part_crashes: int = 3
     max_part_crashes: int = 5
     max_chance: float = 0.02
     wave_ms: float = 5_000.0
@@ -68,6 +73,7 @@
     presumed_ms: float = 5_000.0
     linger_ms: float = 500.0
     settle_ms: float = 300.0
+    verify_ms: float = 1_600.0
     answered_ms: float = 60_000.0
     lived_ms: float = 500.0
     alive_margin_ms: float = 3_000.0
--- a/src/quetzaldeck/decisions/poison/part_verdicts.py
+++ b/src/quetzaldeck/decisions/poison/part_verdicts.py
@@ -64,12 +64,12 @@
 
     def find_limit(self, part: int, counted: dict[Crash, Involvement]) -> int:
         """:returns: number of crashes one after the other at which a part is refused"""
-        if len(counted) < self._bounds.n_crashes:
-            return self._bounds.n_crashes
+        if len(counted) < self._bounds.n_part_crashes:
+            return self._bounds.n_part_crashes
         may_be_chance = self._limit.is_wave(counted, len(counted))
         if may_be_chance or _is_trusted(self._table.find(part)):
             return self._bounds.max_part_crashes
-        return self._bounds.n_crashes
+        return self._bounds.n_part_crashes
 
     def explains(self, part: int, fingerprints: Collection[int], now_ms: float) -> bool:
         """Check whether a refused part rules out a request that contains it.
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -256,8 +256,12 @@
 
     def is_held(self, fingerprint: int, now_ms: float) -> bool:
         """:returns: whether a suspect has to wait for the outcome of another run"""
-        runs = self._runs.find(fingerprint)
-        return any(run.until_ms + self._bounds.settle_ms > now_ms for run in runs)
+        bounds = self._bounds
+        return any(
+            run.until_ms + (bounds.settle_ms if run.is_awaited else bounds.verify_ms)
+            > now_ms
+            for run in self._runs.find(fingerprint)
+        )
 
     def runs_suspect(self, upstream: str, now_ms: float) -> bool:
         """:returns: whether an upstream runs a suspect, of this VM or another one"""
@@ -344,14 +348,13 @@
         listed = [f for f in self._table if self._table.n_counted(f)]
         listed += self._table.cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
         listed = random_state.sample(listed, min(len(listed), MAX_SAMPLED))
-        verdicts = {
-            fingerprint: self.verdict(fingerprint, now_ms) for fingerprint in listed
-        }
+        verdicts = {item: self.verdict(item, now_ms) for item in listed}
         sightings: list[CrashSighting] = []
-        for fingerprint, verdict in sorted(verdicts.items(), key=_is_not_refused):
-            if is_part(fingerprint) and verdict is Verdict.CLEAR:
-                continue
+        for fingerprint, verdict in sorted(verdicts.items(), key=_urgency):
             of_request = list(self._list_sightings(fingerprint, now_ms))
+            if is_part(fingerprint) and verdict is Verdict.CLEAR:
+                # That it is sound says enough: it is in almost every crash.
+                of_request = [item for item in of_request if not item.upstream]
             if len(sightings) + len(of_request) <= max_sightings:
                 sightings += of_request
         return sightings
@@ -396,8 +399,10 @@
         return answered_ms >= now_ms - self._bounds.answered_ms
 
 
-def _is_not_refused(item: tuple[int, Verdict]) -> bool:
-    return item[1] is not Verdict.REFUSED
+def _urgency(item: tuple[int, Verdict]) -> tuple[bool, bool]:
+    fingerprint, verdict = item
+    is_clear_part = is_part(fingerprint) and verdict is Verdict.CLEAR
+    return is_clear_part, verdict is not Verdict.REFUSED
 
 
 __all__ = ("PoisonRegistry", "Verdict")
--- a/src/quetzaldeck/decisions/queueing/waiting.py
+++ b/src/quetzaldeck/decisions/queueing/waiting.py
@@ -80,6 +80,16 @@
             self._queue.requeue(request)
             self.note_capacity_freed()
 
+    def set_aside(self, now_ms: float, pause_ms: Callable[[Request], float]) -> None:
+        """Take requests out of the queue for some time, so that others can go first.
+
+        :param pause_ms: returns how long a request has to wait; 0: it stays
+        """
+        for request in tuple(self._queue):
+            longer_ms = pause_ms(request)
+            if longer_ms and self._queue.remove(request.request_id):
+                self._delayed.push(request, now_ms + longer_ms)
+
     def take(
         self, now_ms: float, place: PlaceFunction
     ) -> tuple[Request, tuple[str, ...]] | None:
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.admission import BoundsOnly
@@ -207,6 +208,7 @@
         self._tracked.add(TrackedRequest(request, n_uncorrected_tokens), now_ms)
         self._retries.note_admitted(request, now_ms)
         pause_ms = self._poison.max_pause_ms(request.crash_fingerprints, now_ms)
+        pause_ms = pause_ms or self._placer.suspect_pause_ms(request, now_ms)
         if pause_ms:
             self._waiting.delay(request, now_ms + pause_ms, now_ms)
         else:
@@ -227,8 +229,11 @@
     def poll(self) -> list[Decision]:
         """:returns: decisions to carry out now: rejections first, then dispatches"""
         now_ms = self._clock.now_ms()
-        self._waiting.end_delays(now_ms, self._placer.probe_pause_ms)
         self._poison.ends.advance(now_ms)
+        self._waiting.end_delays(now_ms, partial(self._placer.pause_ms, now_ms=now_ms))
+        if len(self._poison):
+            pause_ms = partial(self._placer.suspect_pause_ms, now_ms=now_ms)
+            self._waiting.set_aside(now_ms, pause_ms)
         decisions: list[Decision] = list(self._sweep.run(now_ms))
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
--- a/tests/decisions/poison/test_poison_registry.py
+++ b/tests/decisions/poison/test_poison_registry.py
@@ -9,6 +9,7 @@
 from quetzaldeck.bundle.document import Bundle, UpstreamSpec
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
+from quetzaldeck.decisions.placement.placer import SUSPECT_PAUSE_MS
 from quetzaldeck.decisions.poison import (
     BlockedRequest,
     CrashSighting,
@@ -436,6 +437,7 @@
     first = poll_dispatch(scheduler)
     assert scheduler.poll() == []
     scheduler.end_attempt(AttemptEnd(first.attempt_id))
+    clock.advance(SUSPECT_PAUSE_MS)
     second = poll_dispatch(scheduler)
     assert second.request.request_id != first.request.request_id
 
--- a/tests/entry/test_unseen_crashes.py
+++ b/tests/entry/test_unseen_crashes.py
@@ -15,13 +15,15 @@
 from tests.support.platform.crashing import (
     CULPRIT,
     DEADLINE_MS,
+    OTHER_KEY,
     Ending,
     Sender,
     Shape,
     add_replicas,
+    publish_customers,
 )
 from tests.support.platform.fleet import run_fleet
-from tests.support.platform.site import LOOK_PATH
+from tests.support.platform.site import BOOK_PATH, DESK, LOOK_PATH
 
 if TYPE_CHECKING:
     from tests.support.platform.fleet import EntryFleet
@@ -98,3 +100,37 @@
         assert sender.count_after("neighbour", settled_ms).keys() == {200}
 
     run_fleet(test, n_vms=N_VMS)
+
+
+def test_three_requests_that_end_silent_hosts_are_stopped() -> None:
+    """Copies of suspects are sent before the end of the last run is known."""
+
+    async def test(fleet: EntryFleet) -> None:
+        await publish_customers(fleet)
+        culprits = {
+            "look": Shape(LOOK_PATH, b""),
+            "other look": Shape(LOOK_PATH, b"", OTHER_KEY),
+            "book": Shape(BOOK_PATH, b"booking"),
+        }
+        record = CrashRecord()
+        await add_replicas(
+            fleet,
+            DESK,
+            12,
+            culprits,
+            record,
+            ending=Ending.SILENT,
+            lapse_ms=2_500.0,
+        )
+        fleet.store.delete("servers/d0")
+        sender = Sender(fleet)
+        async with aiohttp.ClientSession() as client, asyncio.TaskGroup() as group:
+            for _ in range(14):
+                for name, shape in culprits.items():
+                    group.create_task(
+                        sender.send(client, name, shape, deadline_ms=2_500.0)
+                    )
+                    await asyncio.sleep(0.5)
+        assert list(record.find_excess()) == []
+
+    run_fleet(test, n_vms=3)
