--- a/src/quetzaldeck/http/shedding.py
+++ b/src/quetzaldeck/http/shedding.py
@@ -25,9 +25,9 @@
 
     from quetzaldeck.clock import Clock
 
-MAX_WAIT_MS = 200.0
-"""Longest time for which the bytes of a new connection usually wait. Callers give up
-after a second, and a VM with a tenth of a core waits for 90 ms between its turns."""
+MAX_WAIT_MS = 500.0
+"""Half of the second after which callers give up a connection that is not read. A VM
+with a tenth of a core waits for 90 ms between its turns."""
 
 INTERVAL_MS = 500.0
 """How long connections have to wait longer than that, without exception."""
