Choose the ports of test programs under locks

Seen: two VMs of different test processes listened on the same port, as a program listens some time after its port is chosen; and test processes that ran for long found no free port.

Cause: a port was only bound for a moment to see whether it is free. The test of the choice shrank the range, and its four ports then lay in the part of another process, whose programs used one of them.

A chosen port is now locked until its test ends, with locks that end with the process.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,12 +8,15 @@
 import pytest
 from hypothesis import HealthCheck, settings
 from tests.known_red import read_known_red
+from tests.ports import release_ports
 
 from quetzaldeck.bundle.signing import generate_key
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.telemetry import configure_logging
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from loguru import Message
 
 MANY_EXAMPLES = 5_000
@@ -59,6 +62,13 @@
     configure_logging(CapturedStderr())
 
 
+@pytest.fixture(autouse=True)
+def release_chosen_ports() -> Iterator[None]:
+    """Release the ports of a test as it ends: a process has some 1,400."""
+    with release_ports():
+        yield
+
+
 @pytest.fixture
 def clock() -> ManualClock:
     """:returns: a clock that the test advances"""
