--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 # using all cores.
 N_TEST_WORKERS ?= 4
 test: install
-	$(BIN)/python -m pytest -n $(N_TEST_WORKERS) --dist worksteal -rxX --xfail-tb
+	$(BIN)/python -m pytest -n $(N_TEST_WORKERS) --dist worksteal -rxXEf --xfail-tb
 
 # Tries many more inputs than "make check", different ones on each run; prints statistics.
 fuzz: install
