Time out by the time for which the event loop has run

Callers saw refusals while replicas, the store and other VMs were sound: a VM whose processor was busy elsewhere found both the answer and the end of the timeout overdue once it ran again, and the timer came first.

RunningTimeout waits in steps, and a step that ends late counts as one, so what has arrived is processed first. Reads of the store and the directory, reports and orders of replicas, permits, beliefs and the channel between own processes use it.

--- a/src/quetzaldeck/clock/clock.py
+++ b/src/quetzaldeck/clock/clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 
 MS_PER_SECOND = 1000.0
@@ -30,4 +31,16 @@
         return time.time() * MS_PER_SECOND
 
 
-__all__ = ("MS_PER_SECOND", "Clock")
+def round_timer_s(wait_ms: float) -> float:
+    """Round the time of a timer up to whole milliseconds.
+
+    The event loop rounds to the nearest one. Who checks the clock as the timer fires,
+    and waits for the rest, would do so many times, each time for nothing.
+
+    :param wait_ms: time to wait, in milliseconds
+    :returns: time to wait, in seconds
+    """
+    return math.ceil(wait_ms) / MS_PER_SECOND
+
+
+__all__ = ("MS_PER_SECOND", "Clock", "round_timer_s")
--- a/src/quetzaldeck/directory/http.py
+++ b/src/quetzaldeck/directory/http.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import aiohttp
 import msgspec
 
@@ -16,6 +14,7 @@
     vm_lists,
 )
 from quetzaldeck.directory.vm_entry import VmEntry
+from quetzaldeck.running_timeout import RunningTimeout
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -48,7 +47,7 @@
     async def _get(self, path: str, timeout_ms: float) -> Published | None:
         try:
             async with (
-                asyncio.timeout(timeout_ms / 1_000),
+                RunningTimeout(timeout_ms),
                 self._session.get(self._address + path) as response,
             ):
                 if response.status in (HTTP_NOT_FOUND, HTTP_NOT_MODIFIED):
@@ -74,7 +73,7 @@
         """Read the list; see :meth:`VmList.read`."""
         try:
             async with (
-                asyncio.timeout(READ_TIMEOUT_MS / 1_000),
+                RunningTimeout(READ_TIMEOUT_MS),
                 self._session.get(self._address + "/v1/vms") as response,
             ):
                 if response.status != HTTP_OK:
--- a/src/quetzaldeck/entry/peers/belief_source.py
+++ b/src/quetzaldeck/entry/peers/belief_source.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from http import HTTPStatus
 
 import aiohttp
@@ -16,6 +15,7 @@
     WAIT_FIELD,
     decode_belief_update,
 )
+from quetzaldeck.running_timeout import RunningTimeout
 
 BEFORE_ANY_REVISION = -1
 """Lower than any revision: the answer contains everything."""
@@ -59,7 +59,7 @@
         }
         try:
             async with (
-                asyncio.timeout((wait_ms + self._answer_ms) / 1_000),
+                RunningTimeout(wait_ms + self._answer_ms),
                 self._client.get(self._url, params=params) as response,
             ):
                 body = await response.read()
--- a/src/quetzaldeck/entry/peers/permit_client.py
+++ b/src/quetzaldeck/entry/peers/permit_client.py
@@ -6,9 +6,9 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.rate_limits import Permit
 from quetzaldeck.entry.peers.messages import PermitRequest, build_limit_update
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -93,7 +93,7 @@
         future = asyncio.get_running_loop().create_future()
         self._answers[number] = future
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
+            async with RunningTimeout(ANSWER_TIMEOUT_MS):
                 answer: PermitAnswer = await future
         except TimeoutError:
             return None
--- a/src/quetzaldeck/peers/api.py
+++ b/src/quetzaldeck/peers/api.py
@@ -34,6 +34,7 @@
         :param vm: id of the VM that has to answer
         :param address: base URL of its agent
         :param kind: message kind, e.g. ``gossip`` or ``claim``
+        :param timeout_ms: stalls of this process do not count
         :returns: the identity of the answering peer, and the body of its answer
         :raises PeerError: if no authentic answer arrives in time
         """
--- a/src/quetzaldeck/peers/hmac_channel.py
+++ b/src/quetzaldeck/peers/hmac_channel.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
@@ -11,6 +10,7 @@
 from quetzaldeck.peers.errors import PeerRefusal, RefusedMessageError
 from quetzaldeck.peers.metrics import PeerMetrics
 from quetzaldeck.peers.seal import SEAL_HEADER, Seal, decode_seal, encode_seal
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry.log import log_event
 
 if TYPE_CHECKING:
@@ -91,7 +91,7 @@
             msg = "no peer keys are set; add peers.keys to the agent's settings"
             raise PeerError(msg)
         try:
-            async with asyncio.timeout(timeout_ms / 1_000):
+            async with RunningTimeout(timeout_ms):
                 return await self._ask_with_retry(vm, address, kind, body)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             if isinstance(error, RefusedMessageError):
--- a/src/quetzaldeck/platform/orders.py
+++ b/src/quetzaldeck/platform/orders.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -10,6 +9,7 @@
 
 from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.platform.headers import EXPECTED_REPLICA, WRONG_REPLICA_STATUS
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
 
@@ -77,7 +77,7 @@
         body = msgspec.json.encode(order)
         async with (
             translate_faults(replica.replica_id),
-            asyncio.timeout(ORDER_TIMEOUT_MS / 1_000),
+            RunningTimeout(ORDER_TIMEOUT_MS),
         ):
             response = await self._client.send(
                 replica.address, "POST", "/order", headers, body
--- a/src/quetzaldeck/platform/reports.py
+++ b/src/quetzaldeck/platform/reports.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -10,6 +9,7 @@
 
 from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.platform.headers import EXPECTED_REPLICA
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
 
@@ -57,7 +57,7 @@
         headers = CIMultiDict({EXPECTED_REPLICA: name})
         async with (
             translate_faults(name),
-            asyncio.timeout(REPORT_TIMEOUT_MS / 1_000),
+            RunningTimeout(REPORT_TIMEOUT_MS),
         ):
             response = await self._client.send(
                 replica.address, "GET", "/report", headers, None
--- a/src/quetzaldeck/platform/store.py
+++ b/src/quetzaldeck/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
 import aiohttp
@@ -21,6 +20,7 @@
 )
 from quetzaldeck.platform.wire_configuration import decode_configuration
 from quetzaldeck.platform.wire_replica import decode_replica
+from quetzaldeck.running_timeout import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -107,7 +107,7 @@
     ) -> T:
         try:
             async with (
-                asyncio.timeout(timeout_ms / 1_000),
+                RunningTimeout(timeout_ms),
                 self._client.get(self._base + path, params=params) as response,
             ):
                 body = await response.read()
