--- a/tests/claims/test_fleet_claims.py
+++ b/tests/claims/test_fleet_claims.py
@@ -6,12 +6,13 @@
 import random
 from collections import Counter
 
-import uvloop
 from tests.claims.callers import Callers
 from tests.support.fleet import Fleet, FleetSettings
 from tests.support.fleet.settings import FAST_CLAIMS
+from tests.support.virtual_time import run_by_default
 
 from quetzaldeck.demo.session import wait_until_ready
+from quetzaldeck.gateway.settings import UpstreamBounds
 
 WAIT_S = 20.0
 N_BOOKINGS = 80
@@ -59,7 +60,26 @@
 
 
 def test_resend_receives_the_recorded_answer() -> None:
-    uvloop.run(run_resends())
+    run_by_default(run_resends())
+
+
+async def run_slow_booking() -> None:
+    settings = FleetSettings(
+        n_vms=3, n_engines=1, service_duration_ms=UpstreamBounds().idle_ms + 500
+    )
+    async with (
+        Fleet(settings) as fleet,
+        Callers(fleet, random_state=random.Random(6)) as callers,
+    ):
+        await wait_until_settled(fleet)
+        outcome = await callers.call("entry-1", callers.make_key(), deadline_ms=9_000)
+        assert (outcome.status, len(fleet.executions)) == (200, 1)
+        callers.check()
+
+
+def test_booking_is_answered_though_its_service_is_silent_for_long() -> None:
+    """A booking that runs is given up as silent, and nothing can replace it."""
+    run_by_default(run_slow_booking())
 
 
 async def run_churn() -> None:
@@ -106,7 +126,7 @@
     run once, and a refusal with ``ran: no`` must be true. A booking may stay in doubt
     only if a VM stopped while it had a call for it.
     """
-    uvloop.run(run_churn())
+    run_by_default(run_churn())
 
 
 async def run_replacement() -> None:
@@ -136,7 +156,7 @@
     No VM that granted or ran it is left. The caller must get the original
     answer, not a second booking.
     """
-    uvloop.run(run_replacement())
+    run_by_default(run_replacement())
 
 
 async def run_without_agent() -> None:
@@ -155,7 +175,7 @@
 
 
 def test_gateway_without_agent_refuses_non_repeatable_calls() -> None:
-    uvloop.run(run_without_agent())
+    run_by_default(run_without_agent())
 
 
 async def run_groups() -> None:
@@ -185,7 +205,7 @@
 
 def test_groups_of_voters_run_keys_once() -> None:
     """A fleet larger than a group of voters, where most VMs do not vote on a key."""
-    uvloop.run(run_groups())
+    run_by_default(run_groups())
 
 
 async def run_alone() -> None:
@@ -202,7 +222,7 @@
 
 
 def test_fleet_of_one_runs_keys_once() -> None:
-    uvloop.run(run_alone())
+    run_by_default(run_alone())
 
 
 async def run_disconnecting_caller() -> None:
@@ -230,4 +250,4 @@
     The second VM cannot win the claim and relays the answer of the first one. If the
     first call were aborted with its connection, the answer would be lost.
     """
-    uvloop.run(run_disconnecting_caller())
+    run_by_default(run_disconnecting_caller())
