--- a/src/quetzaldeck/bench/bench_attempt.py
+++ b/src/quetzaldeck/bench/bench_attempt.py
@@ -22,7 +22,7 @@
         """:returns: the VM's scheduler"""
 
     def is_running(self, attempt: BenchAttempt) -> bool:
-        """:returns: whether this is the current attempt of an open submission"""
+        """:returns: whether this attempt of an open submission may yet write"""
 
     def count_execution(self, attempt: BenchAttempt) -> None:
         """Count an execution: an upstream began to run the attempt."""
@@ -33,8 +33,8 @@
     def observe_load(self, report: LoadReport) -> None:
         """Receive a load report from an upstream."""
 
-    def abandon_attempt(self, attempt: BenchAttempt, fault: AttemptFault) -> None:
-        """End an attempt that may have run, so that it can be retried."""
+    def leave_attempt(self, attempt: BenchAttempt) -> None:
+        """Let a silent attempt go on until the one that replaces it writes."""
 
     def fail_attempt(
         self,
--- a/src/quetzaldeck/bench/bench_service.py
+++ b/src/quetzaldeck/bench/bench_service.py
@@ -66,8 +66,8 @@
             return
         self._running.discard(attempt_id)
         attempt = self._attempts.pop(attempt_id, None)
-        if attempt is not None and not attempt.is_silent:
-            attempt.vm.receive(attempt, is_last=True)
+        if attempt is not None:
+            self._send(attempt, is_last=True)
         self._fill()
 
 
--- a/src/quetzaldeck/bench/bench_upstream.py
+++ b/src/quetzaldeck/bench/bench_upstream.py
@@ -16,7 +16,7 @@
 
 
 class BenchUpstream(ABC):
-    """An upstream that can crash, slow down or lose open connections silently."""
+    """An upstream that can crash, pause, slow down or lose connections silently."""
 
     def __init__(
         self, spec: UpstreamSpec, shape: FleetShape, events: EventQueue
@@ -29,6 +29,13 @@
         self._n_incarnation = 1
         self._n_reports = 0
         self._attempts: dict[str, BenchAttempt] = {}
+        self._held: list[tuple[BenchAttempt, bool]] = []
+        self._is_paused = False
+
+    @property
+    def is_reporting(self) -> bool:
+        """:returns: whether it sends load reports now"""
+        return not self.is_down and not self._is_paused
 
     @property
     def incarnation(self) -> str:
@@ -52,7 +59,9 @@
     def crash(self) -> None:
         """Go down: all running attempts are lost and their connections break."""
         self.is_down = True
-        lost = list(self._attempts.values())
+        held = {attempt.attempt_id: attempt for attempt, _ in self._held}
+        lost = list((held | self._attempts).values())
+        self._held.clear()
         self._attempts.clear()
         self._clear()
         for attempt in lost:
@@ -65,12 +74,30 @@
         self._n_incarnation += 1
         self._n_reports = 0
 
+    def pause(self) -> None:
+        """Hold back all that it sends; nothing is lost."""
+        self._is_paused = True
+
+    def resume(self) -> None:
+        """Send what was held back, and go on."""
+        self._is_paused = False
+        held, self._held = self._held, []
+        for attempt, is_last in held:
+            self._send(attempt, is_last=is_last)
+
     def silence_connections(self) -> None:
         """Stop delivery on all open connections; VMs notice at their idle timeout."""
         for attempt in self._attempts.values():
             attempt.is_silent = True
             attempt.vm.schedule_idle_timeout(attempt, self._shape.idle_timeout_ms)
 
+    def _send(self, attempt: BenchAttempt, *, is_last: bool) -> None:
+        """Send a token, or a whole plain answer, to the VM."""
+        if self._is_paused:
+            self._held.append((attempt, is_last))
+        elif not attempt.is_silent:
+            attempt.vm.receive(attempt, is_last=is_last)
+
     @abstractmethod
     def report(self) -> LoadReport:
         """:returns: the current load"""
--- a/src/quetzaldeck/bench/fault.py
+++ b/src/quetzaldeck/bench/fault.py
@@ -12,13 +12,15 @@
     ``CRASH`` takes the upstream ``target`` down: its running requests are lost and its
     connections break. ``SLOW`` multiplies the duration of its steps by ``factor``.
     ``SILENT`` stops delivery on its open connections for good; new ones work.
-    ``LEAVING`` announces that it is leaving. ``ZONE_LOSS`` takes down every upstream
+    ``PAUSE`` holds back all that the upstream sends until the fault ends. ``LEAVING``
+    announces that it is leaving. ``ZONE_LOSS`` takes down every upstream
     and VM of a zone. ``STALE_REPORTS`` stops the load reports of all upstreams.
     """
 
     CRASH = "crash"
     SLOW = "slow"
     SILENT = "silent"
+    PAUSE = "pause"
     LEAVING = "leaving"
     ZONE_LOSS = "zone_loss"
     STALE_REPORTS = "stale_reports"
--- a/src/quetzaldeck/bench/pass_engine.py
+++ b/src/quetzaldeck/bench/pass_engine.py
@@ -174,8 +174,7 @@
             attempt.vm.observe_load(self.report())
         if is_last:
             del self._attempts[attempt.attempt_id]
-        if not attempt.is_silent:
-            attempt.vm.receive(attempt, is_last=is_last)
+        self._send(attempt, is_last=is_last)
 
 
 __all__ = ("PassEngine",)
--- a/src/quetzaldeck/bench/submission.py
+++ b/src/quetzaldeck/bench/submission.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from quetzaldeck.bench.bench_attempt import BenchAttempt
     from quetzaldeck.bench.call import Call
+    from quetzaldeck.outcomes import Failure
 
 
 class CallState:
@@ -46,8 +47,17 @@
         self.state = state
         self.request = request
         self.attempt: BenchAttempt | None = None
+        self.left: list[BenchAttempt] = []
+        """Silent attempts that go on until the one that replaces them writes."""
+        self.failure: Failure | None = None
+        """Why nothing replaces the attempts that go on; ``None``: something may."""
         self.n_delivered = 0
 
+    @property
+    def living(self) -> list[BenchAttempt]:
+        """:returns: the attempts that may yet write"""
+        return [*self.left, *([self.attempt] if self.attempt is not None else [])]
+
     @property
     def has_dispatched(self) -> bool:
         """:returns: whether an attempt was dispatched"""
--- a/src/quetzaldeck/cli/entry_program.py
+++ b/src/quetzaldeck/cli/entry_program.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NoReturn
 
 from quetzaldeck.cli.running import load_settings, run_services
-from quetzaldeck.entry.handover.service import HandoverService
+from quetzaldeck.entry.handover_service import HandoverService
 from quetzaldeck.entry.peers import BeliefService
 from quetzaldeck.entry.service import EntryService, MetricsService, ReadinessService
 from quetzaldeck.entry.settings import EntrySettings
--- a/src/quetzaldeck/decisions/attempts/failed_attempts.py
+++ b/src/quetzaldeck/decisions/attempts/failed_attempts.py
@@ -7,16 +7,17 @@
 from quetzaldeck.decisions.attempts.tracked import TrackedRequest
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.rate_limits import latest_turn_ms
-from quetzaldeck.decisions.retries import grow_estimate
+from quetzaldeck.decisions.retries import Retry, grow_estimate
 from quetzaldeck.outcomes import Failure, Ran
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.admission import AdmissionPolicy
-    from quetzaldeck.decisions.attempts.tracked import TrackedRequests
+    from quetzaldeck.decisions.attempts.tracked import LeftAttempt, TrackedRequests
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.queueing.waiting import WaitingRequests
+    from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import RetryPolicy
 
 
@@ -55,13 +56,26 @@
 
         :returns: the final failure, ``None`` if the request will be retried
         """
-        history = tracked.history.after(end, tracked.upstreams)
         if end.fault is AttemptFault.TOO_LONG:
             tracked = self._tracked.resize(tracked, grow_estimate, now_ms)
-        request = tracked.request
-        if end.n_output_tokens:
-            # The caller received tokens, so its idle timeout starts again.
-            request = request._replace(last_token_ms=now_ms)
+        retry = self.decide(tracked, end, now_ms)
+        if isinstance(retry, Failure):
+            charge = tracked.charge.after(end)
+            self._retries.give_back(tracked.request, charge, now_ms)
+            self._tracked.forget(tracked.request.request_id, now_ms)
+            return retry
+        self.queue(tracked, end, retry, now_ms)
+        return None
+
+    def decide(
+        self, tracked: TrackedRequest, end: AttemptEnd, now_ms: float
+    ) -> Retry | Failure:
+        """Decide whether another attempt follows one that ends.
+
+        A retry is charged to the budgets; nothing else changes.
+        """
+        history = tracked.history.after(end, tracked.upstreams)
+        request = _renew_idle_timeout(tracked.request, end, now_ms)
         failure = self._placer.check(request, now_ms)
         if failure is None:
             latest_start_ms = self._admission.latest_start_ms(request)
@@ -69,21 +83,45 @@
                 request, now_ms, latest_turn_ms(latest_start_ms, now_ms)
             )
         if failure is not None:
-            self._tracked.forget(request.request_id, now_ms)
             return failure._replace(ran=history.ran)
         retry = self._retries.decide(request, end, history, now_ms)
-        if isinstance(retry, Failure):
-            self._tracked.forget(request.request_id, now_ms)
-            if retry.ran is not Ran.NO or end.retry_after_ms is not None:
-                return retry
-            return self._admission.update_retry_after(request, retry, now_ms)
+        if isinstance(retry, Retry):
+            return retry
+        if retry.ran is not Ran.NO or end.retry_after_ms is not None:
+            return retry
+        return self._admission.update_retry_after(request, retry, now_ms)
+
+    def queue(
+        self,
+        tracked: TrackedRequest,
+        end: AttemptEnd,
+        retry: Retry,
+        now_ms: float,
+        *,
+        left: tuple[LeftAttempt, ...] = (),
+    ) -> None:
+        """Queue the next attempt of a request.
+
+        :param left: attempts that go on meanwhile, besides those that did before
+        """
+        request = _renew_idle_timeout(tracked.request, end, now_ms)
+        history = tracked.history.after(end, tracked.upstreams)
         pause_ms = self._poison.max_pause_ms(request.crash_fingerprints, now_ms)
-        due_ms = retry.due_ms + pause_ms
         self._tracked.update(
-            TrackedRequest(request, tracked.n_uncorrected_tokens, history)
+            TrackedRequest(
+                request,
+                tracked.n_uncorrected_tokens,
+                history,
+                left=(*tracked.left, *left),
+                charge=tracked.charge.after(end).add(retry.charge),
+            )
         )
-        self._waiting.delay(request, due_ms, now_ms)
-        return None
+        self._waiting.delay(request, retry.due_ms + pause_ms, now_ms)
+
+
+def _renew_idle_timeout(request: Request, end: AttemptEnd, now_ms: float) -> Request:
+    """:returns: the request, whose caller waits anew if it has received tokens"""
+    return request._replace(last_token_ms=now_ms) if end.n_output_tokens else request
 
 
 __all__ = ("FailedAttemptHandler",)
--- a/src/quetzaldeck/decisions/health/monitor.py
+++ b/src/quetzaldeck/decisions/attempts/monitor.py
@@ -165,6 +165,13 @@
                     begun_ms=attempt.begun_ms,
                 )
 
+    def note_resumed(self, upstreams: Sequence[str], now_ms: float) -> None:
+        """Take back the silence of an attempt that goes on: its upstream is sound."""
+        state = self._table.get(upstreams[-1])
+        if state is not None:
+            state.health.note_resumed()
+            state.outcomes.take_back_failure(now_ms)
+
     def note_alive(self) -> None:
         """Discard crashes that later reports of the same incarnation refute."""
         if not len(self._poison):
--- a/src/quetzaldeck/decisions/attempts/tracked.py
+++ b/src/quetzaldeck/decisions/attempts/tracked.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from quetzaldeck.decisions.memory import InFlightAttempt
 from quetzaldeck.decisions.request import Request
-from quetzaldeck.decisions.retries import AttemptHistory
+from quetzaldeck.decisions.retries import NO_CHARGE, AttemptHistory, RetryCharge
+from quetzaldeck.decisions.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -13,6 +15,20 @@
     from quetzaldeck.decisions.limits import CustomerLimiter
 
 
+class LeftAttempt(NamedTuple):
+    """An attempt that was silent and is being replaced; it may still go on.
+
+    :param in_flight: its entry in the ledger of each upstream
+    """
+
+    attempt_id: str
+    upstreams: tuple[str, ...]
+    dispatched_ms: float
+    backlog_ms: float
+    first_token_ms: float | None
+    in_flight: tuple[tuple[UpstreamState, InFlightAttempt], ...]
+
+
 class TrackedRequest(NamedTuple):
     """State of one admitted request.
 
@@ -24,6 +40,8 @@
         latest if it waits for its turn at an upstream that limits its rate
     :param backlog_ms: prefill backlog of the busiest engine of the attempt at dispatch
     :param first_token_ms: when its first token arrived; ``None``: not yet
+    :param left: attempts that go on until one that replaces them writes
+    :param charge: what the budgets were charged for the running or the next attempt
     """
 
     request: Request
@@ -34,6 +52,8 @@
     dispatched_ms: float = 0.0
     backlog_ms: float = 0.0
     first_token_ms: float | None = None
+    left: tuple[LeftAttempt, ...] = ()
+    charge: RetryCharge = NO_CHARGE
 
 
 class TrackedRequests:
@@ -55,6 +75,10 @@
     def __getitem__(self, request_id: str) -> TrackedRequest:
         return self._tracked[request_id]
 
+    def get(self, request_id: str) -> TrackedRequest | None:
+        """:returns: the state of a request; ``None`` if it is not tracked"""
+        return self._tracked.get(request_id)
+
     def find(self, attempt_id: str) -> TrackedRequest | None:
         """:returns: the request of a running attempt, ``None`` if it does not run"""
         request_id = self._by_attempt.get(attempt_id)
@@ -105,4 +129,4 @@
         return tracked
 
 
-__all__ = ("TrackedRequest", "TrackedRequests")
+__all__ = ("LeftAttempt", "TrackedRequest", "TrackedRequests")
--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from quetzaldeck.decisions.groups.plan import GroupPlan
+from quetzaldeck.decisions.group_plan import GroupPlan
 from quetzaldeck.decisions.request import Request
 from quetzaldeck.outcomes.failure import Failure
 
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -11,7 +11,7 @@
     from collections.abc import Collection, Iterable
 
     from quetzaldeck.clock import Clock
-    from quetzaldeck.decisions.health.monitor import AttemptMonitor
+    from quetzaldeck.decisions.attempts.monitor import AttemptMonitor
     from quetzaldeck.decisions.loads.load_report import LoadReport
     from quetzaldeck.decisions.loads.peer_load import VmLoad
     from quetzaldeck.decisions.placement import CacheEvents, PlacementPolicy
--- a/src/quetzaldeck/decisions/groups/plan.py
+++ b/src/quetzaldeck/decisions/group_plan.py
@@ -9,7 +9,7 @@
     from collections.abc import Sequence
 
     from quetzaldeck.bundle.document import UpstreamSpec
-    from quetzaldeck.decisions.groups.bounds import GroupBounds
+    from quetzaldeck.decisions.group_bounds import GroupBounds
     from quetzaldeck.decisions.request import Request
 
 
--- a/src/quetzaldeck/decisions/groups/__init__.py
+++ b/src/quetzaldeck/decisions/groups/__init__.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from quetzaldeck.decisions.groups.bounds import GroupBounds
-from quetzaldeck.decisions.groups.plan import GroupPlan, build_plan, n_reservable_tokens
+from quetzaldeck.decisions.group_bounds import GroupBounds
+from quetzaldeck.decisions.group_plan import GroupPlan, build_plan, n_reservable_tokens
 from quetzaldeck.decisions.groups.planner import GroupPlanner
 
 __all__ = (
--- a/src/quetzaldeck/decisions/groups/planner.py
+++ b/src/quetzaldeck/decisions/groups/planner.py
@@ -15,8 +15,8 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.groups.bounds import GroupBounds
-from quetzaldeck.decisions.groups.plan import GroupPlan, build_plan, n_reservable_tokens
+from quetzaldeck.decisions.group_bounds import GroupBounds
+from quetzaldeck.decisions.group_plan import GroupPlan, build_plan, n_reservable_tokens
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/quetzaldeck/decisions/health/outcomes.py
+++ b/src/quetzaldeck/decisions/health/outcomes.py
@@ -65,6 +65,12 @@
         one = Outcomes(1.0, 0.0) if is_answered else Outcomes(0.0, 1.0)
         self.replace(self.at(now_ms).add(one), now_ms)
 
+    def take_back_failure(self, now_ms: float) -> None:
+        """Remove a failure that has turned out to be none."""
+        outcomes = self.at(now_ms)
+        n_failed = max(0.0, outcomes.n_failed - 1.0)
+        self.replace(outcomes._replace(n_failed=n_failed), now_ms)
+
     def replace(self, outcomes: Outcomes, now_ms: float) -> None:
         """Replace the counts; equal counts are a repetition and keep their age."""
         if outcomes != self._outcomes:
--- a/src/quetzaldeck/decisions/health/upstream_health.py
+++ b/src/quetzaldeck/decisions/health/upstream_health.py
@@ -212,6 +212,14 @@
             self._restarts = ()
             self.start_warm_up(now_ms)
 
+    def note_resumed(self) -> None:
+        """Take back a silence: the upstream has gone on where it had stopped."""
+        self._n_silent = 0
+        if self._ejected is HealthState.SILENT:
+            self._ejected = None
+            self._n_holds = 0
+            self._hold_until_ms = 0.0
+
     def note_first_token(
         self, n_tokens: int, duration_ms: float, now_ms: float
     ) -> None:
--- a/src/quetzaldeck/decisions/paths/bounds.py
+++ b/src/quetzaldeck/decisions/paths/bounds.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from quetzaldeck.decisions.loads.load_changes import MAX_SEND_DELAY_MS
-from quetzaldeck.decisions.retries.silence import MIN_FIRST_BYTE_THRESHOLD_MS
+from quetzaldeck.decisions.silence_thresholds import MIN_FIRST_BYTE_THRESHOLD_MS
 
 
 class PathBounds(NamedTuple):
--- a/src/quetzaldeck/decisions/paths/monitor.py
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     FindAnswered = Callable[[str], float]
 
@@ -99,8 +99,13 @@
         if path is not None:
             path.note_failed(upstream, begun_ms, is_new_connection=is_new_connection)
 
-    def choose_probed(self, now_ms: float) -> list[ProbedUpstream]:
-        """:returns: upstreams to probe now"""
+    def choose_probed(
+        self, now_ms: float, skipped: Collection[str] = ()
+    ) -> list[ProbedUpstream]:
+        """:returns: upstreams to probe now
+
+        :param skipped: services whose last probes are still under way
+        """
         for upstream, sent_ms in self._sent.values():
             path = self._paths.get(self.find_service(upstream))
             if path is not None:
@@ -108,6 +113,7 @@
         return [
             ProbedUpstream(service, name)
             for service, path in self._paths.items()
+            if service not in skipped
             for name in path.choose_probed(self._list_answered(service), now_ms)
         ]
 
@@ -128,14 +134,6 @@
                     by_result[is_answered].append(probed.upstream)
             path.note_probes(by_result[True], by_result[False], now_ms)
 
-    def drop_probes(self, probed: Iterable[ProbedUpstream], now_ms: float) -> None:
-        """Discard a round of probes that shows nothing; the next is due at once."""
-        for service in {item.service for item in probed}:
-            path = self._paths.get(service)
-            if path is not None:
-                path.note_probes((), (), now_ms)
-                path.demand_probe(now_ms)
-
     def pop_changed_verdicts(self, now_ms: float) -> dict[str, PathVerdict]:
         """:returns: verdicts that have changed since the last call, by service"""
         verdicts = {
@@ -199,13 +197,47 @@
         """
         return any(path.reached_ms >= since_ms for path in self._list_beside(upstream))
 
-    def has_lost_all(self) -> bool:
-        """Check whether all services are lost, which no request can have caused.
-
-        Services that never sent anything to this VM do not count.
+    def judge_failure(
+        self,
+        upstream: str,
+        service: str,
+        since_ms: float,
+        begun_ms: float,
+        now_ms: float,
+    ) -> bool | None:
+        """Check whether a failure to reach an upstream says anything about it.
+
+        No request can have crashed the upstreams of all services. So a service of which
+        nothing answers is not judged before a probe of another one is answered.
+
+        :param service: its service, also if it is not registered any more
+        :param since_ms: when connections to it broke
+        :param begun_ms: since when the result is waited for
+        :returns: ``False`` if the path of this VM may be the fault; ``None``: not known
+            yet
         """
-        known = [path for path in self._paths.values() if path.heard_ms > -math.inf]
-        return len(known) > 1 and all(path.lost_ms is not None for path in known)
+        if self.is_reached_since(upstream, since_ms):
+            return True
+        if self.find_verdict(service) is PathVerdict.PARTITIONED:
+            return False
+        path = self._paths.get(service)
+        is_lost = path is not None and path.lost_ms is not None
+        shown_ms = path.unanswered_ms if path is not None and is_lost else None
+        lag_ms = 2 * self._bounds.peer_lag_ms
+        if now_ms < (begun_ms if shown_ms is None else shown_ms) + lag_ms:
+            return None
+        others = [
+            other
+            for other in self._paths.values()
+            if other is not path and other.heard_ms > -math.inf
+        ]
+        if not others or any(other.reached_ms >= since_ms for other in others):
+            return True
+        if all(other.lost_ms is not None for other in others):
+            return False
+        for other in others:
+            other.demand_probe(now_ms)
+        return None if now_ms < begun_ms + 2 * lag_ms else False
 
     def demand_probes(self, upstream: str, now_ms: float) -> None:
         """Probe the paths that show whether this VM reaches others than an upstream."""
--- a/src/quetzaldeck/decisions/paths/service_path.py
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -12,7 +12,8 @@
 
     from quetzaldeck.decisions.paths.bounds import PathBounds
 
-N_PROBED_WHILE_LOST = 2
+N_PROBED_TOGETHER = 2
+"""Upstreams that are probed at once where one may well be gone."""
 
 
 class ServicePath:
@@ -33,6 +34,10 @@
         self._lost_ms: float | None = None
         self._returned_ms: float | None = None
         self._probed_ms: dict[str, float] = {}
+        self._unanswered_ms: dict[str, float] = {}
+        self._unreached: set[str] = set()
+        self._first_ms: float | None = None
+        self._shown_ms = -math.inf
         self._round_ms = -math.inf
         self._is_probing = False
         self._has_failure = False
@@ -46,6 +51,11 @@
         """:returns: since when nothing came on this path; ``None``: it is not lost"""
         return self._lost_ms
 
+    @property
+    def unanswered_ms(self) -> float | None:
+        """:returns: when the first unanswered probe began since one was answered"""
+        return self._first_ms
+
     @property
     def heard_ms(self) -> float:
         """:returns: when an upstream of the service last sent anything"""
@@ -91,14 +101,18 @@
         self._zones = zones
         self._failed &= zones.keys()
         self._unusable &= zones.keys()
-        for name in self._probed_ms.keys() - zones.keys():
-            del self._probed_ms[name]
+        self._unreached &= zones.keys()
+        for times in (self._probed_ms, self._unanswered_ms):
+            for name in times.keys() - zones.keys():
+                del times[name]
 
     def note_heard(self, upstream: str, now_ms: float) -> None:
         """Record that an upstream has sent something, on any connection."""
         self._heard_ms = now_ms
         self._n_failed_since = 0
         self._failed.discard(upstream)
+        self._unreached.discard(upstream)
+        self._unanswered_ms.pop(upstream, None)
 
     def note_failed(
         self, upstream: str, begun_ms: float, *, is_new_connection: bool
@@ -151,7 +165,7 @@
             return ()
         self._round_ms = now_ms
         self._is_probing = True
-        chosen = self._rank(answered_ms)[: self._n_in_round()]
+        chosen = self._rank(answered_ms)[: self._n_in_round(now_ms)]
         for name in chosen:
             self._probed_ms[name] = now_ms
         return tuple(chosen)
@@ -168,9 +182,11 @@
             self._note_reached(now_ms)
             return
         self._returned_ms = None
+        self._note_unanswered(unanswered, now_ms)
         self._n_unanswered += len(unanswered)
         if self._lost_ms is None and self._n_unanswered >= self._bounds.n_probed:
             self._lost_ms = now_ms if self._suspected_ms is None else self._suspected_ms
+            self._shown_ms = max(self._unanswered_ms.values(), default=now_ms)
 
     def judge(self, answered_ms: Mapping[str, float], now_ms: float) -> PathVerdict:
         """:returns: what the evidence shows
@@ -182,13 +198,13 @@
             return PathVerdict.DOUBTED if is_doubted else PathVerdict.REACHED
         if self._is_heard_on_open_connections:
             return PathVerdict.OPEN_ONLY
-        last_ms = max(answered_ms.values(), default=-math.inf)
-        if last_ms >= self._lost_ms + self._bounds.peer_lag_ms:
-            self.note_served_elsewhere(last_ms)
+        for name, begun_ms in self._unanswered_ms.items():
+            last_ms = answered_ms.get(name, -math.inf)
+            if last_ms >= begun_ms + self._bounds.peer_lag_ms:
+                self.note_served_elsewhere(last_ms)
         if self._is_served_elsewhere(now_ms):
             return PathVerdict.PARTITIONED
-        is_long = now_ms - self._lost_ms >= self._bounds.sound_silence_ms
-        if is_long and self._failed >= self._zones.keys():
+        if self._may_be_down(now_ms) and self._failed >= self._zones.keys():
             return PathVerdict.DOWN
         return PathVerdict.UNREACHED
 
@@ -211,6 +227,14 @@
             return 1.0
         return min(1.0, (now_ms - self._returned_ms) / self._bounds.return_ms)
 
+    def _may_be_down(self, now_ms: float) -> bool:
+        """Whether sound upstreams would be known to answer, here or elsewhere."""
+        assert self._lost_ms is not None
+        if now_ms - self._lost_ms < self._bounds.sound_silence_ms:
+            return False
+        # Only answers younger than the probes count, and other VMs report them later.
+        return now_ms - self._shown_ms >= 2 * self._bounds.peer_lag_ms
+
     def _is_served_elsewhere(self, now_ms: float) -> bool:
         return now_ms - self._elsewhere_ms <= self._bounds.evidence_ms
 
@@ -218,16 +242,35 @@
         if self._suspected_ms is None:
             self._suspected_ms = since_ms
 
-    def _n_in_round(self) -> int:
+    def _note_unanswered(self, names: Sequence[str], now_ms: float) -> None:
+        """Record from when on answers to other VMs show that the path is at fault.
+
+        An upstream that answered another VM before it was probed may have ended since.
+        So each counts from its own first probe; those that are not probed yet count
+        from the first probe of any, unless they are new.
+        """
+        if not names:
+            return
+        if self._first_ms is None:
+            self._first_ms = min(self._probed_ms.get(name, now_ms) for name in names)
+            self._unanswered_ms = dict.fromkeys(self._zones, self._first_ms)
+        for name in names:
+            if name in self._zones and name not in self._unreached:
+                self._unreached.add(name)
+                self._unanswered_ms[name] = self._probed_ms.get(name, now_ms)
+
+    def _n_in_round(self, now_ms: float) -> int:
         """:returns: number of upstreams to probe at once
 
         One answer suffices, and a false suspicion is the usual case, so the first round
-        is a single probe. A lost path is probed at two upstreams, as one may be gone.
+        is a single probe. Two upstreams are probed if the path is lost, or if nothing
+        was heard for long, as one may be gone.
         """
         if self._lost_ms is not None:
-            return N_PROBED_WHILE_LOST
+            return N_PROBED_TOGETHER
         if not self._n_unanswered:
-            return 1
+            is_quiet = now_ms - self._heard_ms > self._bounds.evidence_ms
+            return N_PROBED_TOGETHER if is_quiet else 1
         return self._bounds.n_probed - self._n_unanswered
 
     def _interval_ms(self) -> float:
@@ -246,6 +289,9 @@
         self._n_unanswered = 0
         self._has_failure = False
         self._unusable.clear()
+        self._unanswered_ms.clear()
+        self._unreached.clear()
+        self._first_ms = None
 
     def _rank(self, answered_ms: Mapping[str, float]) -> list[str]:
         """:returns: upstreams, first those that best show whether the path works
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -329,6 +329,20 @@
                 )
         return placement.plan
 
+    def restore(
+        self,
+        request: Request,
+        attempt_id: str,
+        in_flight: Sequence[tuple[UpstreamState, InFlightAttempt]],
+    ) -> None:
+        """Account again for an attempt that was released and goes on.
+
+        :param in_flight: its entry in the ledger of each upstream
+        """
+        self._suspects.note_start(request)
+        for state, attempt in in_flight:
+            self._table.keep(state).add(attempt)
+
     def list_helpers(self, attempt_id: str) -> tuple[str, ...]:
         """:returns: helpers of an attempt"""
         return self._helper_accounting.list_helpers(attempt_id)
--- a/src/quetzaldeck/decisions/request.py
+++ b/src/quetzaldeck/decisions/request.py
@@ -59,6 +59,8 @@
     :param caller_idle_timeout_ms: time without a token after which the caller
         disconnects; 0: it never does
     :param last_token_ms: monotonic time of the last token sent to the caller; 0: none
+    :param connection_idle_ms: silence after which the connection to an upstream may be
+        lost; 0: none
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     max_gap_ms: float = 0.0
     caller_idle_timeout_ms: float = 0.0
     last_token_ms: float = 0.0
+    connection_idle_ms: float = 0.0
 
     @property
     def next_token_deadline_ms(self) -> float:
--- a/src/quetzaldeck/decisions/retries/budget.py
+++ b/src/quetzaldeck/decisions/retries/budget.py
@@ -66,13 +66,21 @@
         self._retried += n_tokens
         return True
 
+    def give_back(self, n_tokens: int, charged_ms: float, now_ms: float) -> None:
+        """Take back what is left of a charge for a retry that was never sent."""
+        self._decay(now_ms)
+        n_left = n_tokens * self._decay_factor(now_ms - charged_ms)
+        self._retried = max(0.0, self._retried - n_left)
+
     def _decay(self, now_ms: float) -> None:
         if self._updated_ms is not None:
-            elapsed_ms = max(0.0, now_ms - self._updated_ms)
-            factor = math.pow(0.5, elapsed_ms / self._half_life_ms)
+            factor = self._decay_factor(now_ms - self._updated_ms)
             self._admitted *= factor
             self._retried *= factor
         self._updated_ms = now_ms
 
+    def _decay_factor(self, elapsed_ms: float) -> float:
+        return math.pow(0.5, max(0.0, elapsed_ms) / self._half_life_ms)
+
 
 __all__ = ("RetryBudget",)
--- a/src/quetzaldeck/decisions/retries/history.py
+++ b/src/quetzaldeck/decisions/retries/history.py
@@ -22,6 +22,7 @@
     :param avoided: upstreams on which the request failed, oldest first
     :param may_have_run: whether any upstream may have started to run the request
     :param has_output: whether any upstream generated a part of the answer
+    :param is_handed_over: whether another VM makes the attempts that are left
     """
 
     n_dispatched: int = 0
@@ -32,6 +33,7 @@
     avoided: tuple[str, ...] = ()
     may_have_run: bool = False
     has_output: bool = False
+    is_handed_over: bool = False
 
     @property
     def ran(self) -> Ran:
@@ -40,6 +42,16 @@
             return Ran.YES
         return Ran.UNKNOWN if self.may_have_run else Ran.NO
 
+    def resume(self, upstreams: tuple[str, ...]) -> AttemptHistory:
+        """:returns: the history without the silence of an attempt that goes on
+
+        :param upstreams: its upstreams
+        """
+        return self._replace(
+            n_maybe_run=self.n_maybe_run - 1,
+            avoided=tuple(name for name in self.avoided if name not in upstreams),
+        )
+
     def after(self, end: AttemptEnd, upstreams: tuple[str, ...]) -> AttemptHistory:
         """:returns: the history with one more failed attempt
 
--- a/src/quetzaldeck/decisions/retries/policy.py
+++ b/src/quetzaldeck/decisions/retries/policy.py
@@ -18,6 +18,7 @@
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.retries.bounds import RetryBounds
 from quetzaldeck.decisions.retries.budget import RetryBudget
+from quetzaldeck.decisions.retries.charge import NO_CHARGE, RetryCharge
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
@@ -47,9 +48,11 @@
     """Decision to make another attempt.
 
     :param due_ms: monotonic time before which the attempt must not start
+    :param charge: what the budgets were charged for it
     """
 
     due_ms: float
+    charge: RetryCharge = NO_CHARGE
 
 
 class RetryPolicy:
@@ -100,6 +103,8 @@
         failure = Failure(reason, history.ran, retry_after_ms)
         if end.fault is AttemptFault.REFUSED:
             return failure._replace(retry_after_ms=end.retry_after_ms)
+        if history.is_handed_over:
+            return failure
         if not request.is_repeatable and history.may_have_run:
             return failure
         if (
@@ -110,9 +115,17 @@
         due_ms = now_ms + self._delay(end, history)
         if due_ms >= min(request.deadline_ms, request.next_token_deadline_ms):
             return failure
-        if not self._try_spend(request, end, now_ms):
+        charge = self._try_spend(request, end, now_ms)
+        if charge is None:
             return failure._replace(reason=Reason.RETRY_BUDGET_SPENT)
-        return Retry(due_ms)
+        return Retry(due_ms, charge)
+
+    def give_back(self, request: Request, charge: RetryCharge, now_ms: float) -> None:
+        """Take back a charge for an attempt that was certainly never sent."""
+        if charge.n_tokens:
+            self._budget.give_back(charge.n_tokens, charge.charged_ms, now_ms)
+        if self._resend_budget is not None and charge.resent_ms is not None:
+            self._resend_budget.give_back(request.target, charge.resent_ms, now_ms)
 
     def may_retry(
         self, request: Request, history: AttemptHistory, now_ms: float
@@ -121,7 +134,7 @@
 
         :param history: the attempts before the running one
         """
-        if not request.is_repeatable:
+        if history.is_handed_over or not request.is_repeatable:
             return False
         if history.n_maybe_run + 1 >= self._max_attempts(request):
             return False
@@ -139,10 +152,12 @@
             return self._bounds.max_attempts
         return min(self._bounds.max_attempts, request.max_attempts)
 
-    def _try_spend(self, request: Request, end: AttemptEnd, now_ms: float) -> bool:
+    def _try_spend(
+        self, request: Request, end: AttemptEnd, now_ms: float
+    ) -> RetryCharge | None:
         """Charge one more attempt to the budgets that apply to it.
 
-        :returns: whether they allow it
+        :returns: the charge; ``None`` if they do not allow it
         """
         resend_budget = self._resend_budget if end.was_sent else None
         # Both are checked before either is charged: a retry that one budget refuses
@@ -150,10 +165,17 @@
         if resend_budget is not None and not resend_budget.can_spend(
             request.target, now_ms
         ):
-            return False
-        if end.may_have_run and not self._budget.try_spend(request.n_kv_tokens, now_ms):
-            return False
-        return resend_budget is None or resend_budget.try_spend(request.target, now_ms)
+            return None
+        charge = NO_CHARGE
+        if end.may_have_run:
+            if not self._budget.try_spend(request.n_kv_tokens, now_ms):
+                return None
+            charge = charge._replace(n_tokens=request.n_kv_tokens, charged_ms=now_ms)
+        if resend_budget is not None and resend_budget.try_spend(
+            request.target, now_ms
+        ):
+            charge = charge._replace(resent_ms=now_ms)
+        return charge
 
     def _delay(self, end: AttemptEnd, history: AttemptHistory) -> float:
         """:returns: delay before the next attempt, in milliseconds
--- a/src/quetzaldeck/decisions/retries/resend_budget.py
+++ b/src/quetzaldeck/decisions/retries/resend_budget.py
@@ -57,6 +57,15 @@
         self._recent(self._resent, service, now_ms).append(now_ms)
         return True
 
+    def give_back(self, service: str, charged_ms: float, now_ms: float) -> None:
+        """Take back a charge for a resend that was never sent.
+
+        :param charged_ms: when it was charged
+        """
+        resent = self._recent(self._resent, service, now_ms)
+        if charged_ms in resent:
+            resent.remove(charged_ms)
+
     def _recent(
         self, times: dict[str, deque[float]], service: str, now_ms: float
     ) -> deque[float]:
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -9,22 +9,27 @@
 from quetzaldeck.decisions.attempts.answer_learner import AnswerLearner
 from quetzaldeck.decisions.attempts.attempt_starter import AttemptStarter
 from quetzaldeck.decisions.attempts.failed_attempts import FailedAttemptHandler
-from quetzaldeck.decisions.attempts.tracked import TrackedRequest, TrackedRequests
-from quetzaldeck.decisions.decision import AttemptFault
+from quetzaldeck.decisions.attempts.monitor import AttemptMonitor
+from quetzaldeck.decisions.attempts.tracked import (
+    LeftAttempt,
+    TrackedRequest,
+    TrackedRequests,
+)
+from quetzaldeck.decisions.decision import AttemptEnd, AttemptFault
 from quetzaldeck.decisions.estimation import TokenEstimator
 from quetzaldeck.decisions.fleet_observer import FleetObserver
 from quetzaldeck.decisions.groups import GroupPlanner
 from quetzaldeck.decisions.head_of_line import Unprotected
-from quetzaldeck.decisions.health.monitor import AttemptMonitor
 from quetzaldeck.decisions.limits import CustomerLimiter
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.poison import PoisonRegistry
 from quetzaldeck.decisions.queueing.queue_sweep import QueueSweep
 from quetzaldeck.decisions.queueing.waiting import WaitingRequests
 from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
-from quetzaldeck.decisions.retries import RetryPolicy
-from quetzaldeck.decisions.retries.silence import SilencePolicy, SilenceVerdict
+from quetzaldeck.decisions.retries import NO_CHARGE, RetryPolicy
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
+from quetzaldeck.decisions.silence.policy import SilencePolicy
+from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_table import UpstreamTable
 from quetzaldeck.outcomes import Failure, Reason
@@ -33,7 +38,7 @@
     from quetzaldeck.bundle.document import Bundle
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.admission import AdmissionPolicy
-    from quetzaldeck.decisions.decision import AttemptEnd, Decision
+    from quetzaldeck.decisions.decision import Decision
     from quetzaldeck.decisions.groups import GroupBounds
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.paths import PathVerdict
@@ -44,6 +49,13 @@
     from quetzaldeck.decisions.retries import ResendBudget
 
 
+_VERDICTS = {
+    Reason.UPSTREAM_RATE_LIMITED: SilenceVerdict.RATE_LIMITED,
+    Reason.POISON_SUSPECTED: SilenceVerdict.SUSPECTED,
+}
+"""Reasons why nothing replaces a silent attempt that its log line tells apart."""
+
+
 class Scheduler:
     """Decides which requests are admitted, queued or refused, and where they run.
 
@@ -225,6 +237,8 @@
             if self._silence.is_first_token_overdue(tracked, now_ms):
                 self._monitor.note_unanswered(tracked.upstreams, now_ms)
             self._release(tracked)
+            if not tracked.attempt_id:
+                self._retries.give_back(tracked.request, tracked.charge, now_ms)
 
     def poll(self) -> list[Decision]:
         """:returns: decisions to carry out now: rejections first, then dispatches"""
@@ -287,15 +301,113 @@
         self._waiting.note_capacity_freed()
 
     def judge_silence(self, attempt_id: str, silent_ms: float) -> SilenceVerdict:
-        """Decide whether to abandon an attempt that sends nothing and retry elsewhere.
+        """Decide whether another attempt replaces one that sends nothing.
+
+        If so, the other one is queued in the same step: nothing can refuse it that
+        allowed this one to be given up. The silent attempt may go on until the other
+        one writes; see :meth:`resume_attempt`.
 
         :param silent_ms: time since its last event, or since it started
-        :returns: whether it is abandoned, or why not
+        :returns: whether it is replaced, or why not
         """
         tracked = self._tracked.find(attempt_id)
         if tracked is None:
-            return SilenceVerdict.ABANDON
-        return self._silence.judge(tracked, silent_ms, self._clock.now_ms())
+            return SilenceVerdict.NO_RETRY
+        now_ms = self._clock.now_ms()
+        verdict = self._silence.judge(tracked, silent_ms, now_ms)
+        if verdict is not SilenceVerdict.REPLACE:
+            return verdict
+        end = AttemptEnd(
+            attempt_id,
+            AttemptFault.SILENT,
+            n_output_tokens=int(tracked.first_token_ms is not None),
+            upstream=tracked.upstreams[-1],
+        )
+        retry = self._failed.decide(tracked, end, now_ms)
+        if isinstance(retry, Failure):
+            return _VERDICTS.get(retry.reason, SilenceVerdict.NO_RETRY)
+        left = self._build_left(tracked)
+        self._monitor.note_end(tracked.request, end, tracked.upstreams, now_ms)
+        self._release(tracked)
+        self._failed.queue(tracked, end, retry, now_ms, left=(left,))
+        return verdict
+
+    def resume_attempt(self, request_id: str, attempt_id: str) -> bool:
+        """Take back an attempt that was to be replaced, and goes on first.
+
+        What was to replace it is given up, whether it waits or runs.
+
+        :returns: whether the attempt is tracked again; if not, its request is not
+        """
+        tracked = self._tracked.get(request_id)
+        if tracked is None:
+            return False
+        left = next((a for a in tracked.left if a.attempt_id == attempt_id), None)
+        if left is None:
+            return False
+        now_ms = self._clock.now_ms()
+        self._waiting.discard(request_id, now_ms)
+        history = tracked.history
+        if tracked.attempt_id:
+            end = AttemptEnd(tracked.attempt_id, AttemptFault.SILENT)
+            history = history.after(end, tracked.upstreams)
+            self._note_left(tracked, now_ms)
+            self._release(tracked)
+        else:
+            self._retries.give_back(tracked.request, tracked.charge, now_ms)
+        self._tracked.update(
+            tracked._replace(
+                history=history.resume(left.upstreams),
+                attempt_id=attempt_id,
+                upstreams=left.upstreams,
+                dispatched_ms=left.dispatched_ms,
+                backlog_ms=left.backlog_ms,
+                first_token_ms=left.first_token_ms,
+                left=tuple(a for a in tracked.left if a is not left),
+                charge=NO_CHARGE,
+            )
+        )
+        self._placer.restore(tracked.request, attempt_id, left.in_flight)
+        self._monitor.note_resumed(left.upstreams, now_ms)
+        return True
+
+    def drop_attempt(self, attempt_id: str) -> None:
+        """Forget an attempt that is not sent after all, which shows nothing."""
+        tracked = self._tracked.find(attempt_id)
+        if tracked is None:
+            return
+        now_ms = self._clock.now_ms()
+        for name in tracked.upstreams:
+            for fingerprint in tracked.request.crash_fingerprints:
+                self._poison.note_stopped(fingerprint, name, now_ms)
+        self._release(tracked)
+        self._retries.give_back(tracked.request, tracked.charge, now_ms)
+        self._tracked.update(
+            tracked._replace(attempt_id="", upstreams=(), charge=NO_CHARGE)
+        )
+
+    def note_handed_over(self, request_id: str) -> None:
+        """Record that another VM makes the attempts that are left to a request."""
+        tracked = self._tracked.get(request_id)
+        if tracked is not None:
+            history = tracked.history._replace(is_handed_over=True)
+            self._tracked.update(tracked._replace(history=history))
+
+    def _build_left(self, tracked: TrackedRequest) -> LeftAttempt:
+        in_flight = []
+        for name in tracked.upstreams:
+            state = self._upstreams.get(name)
+            attempt = None if state is None else state.ledger.get(tracked.attempt_id)
+            if state is not None and attempt is not None:
+                in_flight.append((state, attempt))
+        return LeftAttempt(
+            tracked.attempt_id,
+            tracked.upstreams,
+            tracked.dispatched_ms,
+            tracked.backlog_ms,
+            tracked.first_token_ms,
+            tuple(in_flight),
+        )
 
     def end_attempt(self, end: AttemptEnd) -> Failure | None:
         """Handle the end of an attempt; a failed one is retried if allowed.
--- /dev/null
+++ b/src/quetzaldeck/decisions/silence/__init__.py
@@ -0,0 +1,1 @@
+"""Silent attempts: when they are checked, and whether another one replaces them."""
--- a/src/quetzaldeck/decisions/retries/silence.py
+++ b/src/quetzaldeck/decisions/silence/policy.py
@@ -1,4 +1,4 @@
-"""Decides when to abandon an attempt on a silent upstream for a retry on another one.
+"""Decides when another attempt is to replace one on a silent upstream.
 
 Load pattern: two cases that look alike. An upstream hangs and will never respond; its
 request should go elsewhere as soon as possible. Or all upstreams are busy, and parts of
@@ -8,7 +8,7 @@
 A fixed timeout abandons attempts on busy engines though none hangs, and when the retry
 budget is spent, the caller gets an error instead of an answer that was under way.
 
-So an attempt is abandoned only if the prefill backlog of its engines at dispatch does
+So an attempt is replaced only if the prefill backlog of its engines at dispatch does
 not explain the silence, and only if another upstream may get the request: the bounds on
 attempts, the caller's idle timeout and the budgets must allow it. Otherwise the attempt
 goes on and is rechecked later. Prompts that engines get after the dispatch do not count
@@ -17,6 +17,9 @@
 timeout: a retry after that would come too late. It does not matter whether the other
 upstream has capacity right now, since the request goes to the first one that has.
 
+Sound upstreams are silent for a second now and then. So an attempt that is replaced
+goes on as well, and whichever writes first ends the other.
+
 A request that is suspected of crashing upstreams runs once at a time. Its retry has to
 wait until it is known whether the upstream has survived the attempt that is abandoned,
 so the attempt goes on for as long as that would take. If it is answered in that time,
@@ -25,29 +28,20 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.silence.verdict import SilenceVerdict
+from quetzaldeck.decisions.silence_thresholds import (
+    first_byte_threshold_ms,
+    stream_gap_threshold_ms,
+)
+
 if TYPE_CHECKING:
     from quetzaldeck.decisions.attempts.tracked import TrackedRequest
     from quetzaldeck.decisions.placement.placer import Placer
+    from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries.policy import RetryPolicy
 
-FIRST_BYTE_TARGET_FACTOR = 2.0
-"""Multiple of the time-to-first-token target after which a silent attempt is checked.
-A later first token is late by more than its target."""
-
-MIN_FIRST_BYTE_THRESHOLD_MS = 500.0
-"""Minimum threshold for the first byte; below it, busy upstreams look silent."""
-
-GAP_FACTOR = 4.0
-"""Multiple of the accepted gap between tokens after which a stream is taken to have
-stalled and may continue elsewhere; callers disconnect after eight times the gap."""
-
-MIN_GAP_THRESHOLD_MS = 1_000.0
-"""Minimum gap that counts as a stall. An engine that prefills a long prompt, or waits
-for a helper that died, pauses for less."""
-
 BACKLOG_FACTOR = 3.0
 """Multiple of the prefill backlog up to which it explains a silence. In a burst of long
 prompts all engines are busy for seconds."""
@@ -56,38 +50,6 @@
 """Part of the caller's idle timeout that a backlog may use up; the rest is left for a
 retry on another upstream."""
 
-SILENCE_RECHECK_MS = 100.0
-"""Interval at which a silent attempt is rechecked: a fifth of the minimum threshold, so
-that it adds little delay when an upstream hangs."""
-
-
-def first_byte_threshold_ms(target_ms: float) -> float:
-    """:returns: silence before the first byte after which an attempt is checked"""
-    return max(MIN_FIRST_BYTE_THRESHOLD_MS, FIRST_BYTE_TARGET_FACTOR * target_ms)
-
-
-def stream_gap_threshold_ms(max_gap_ms: float) -> float | None:
-    """:returns: gap in a stream after which its attempt is checked; ``None``: never
-
-    :param max_gap_ms: accepted gap between two tokens; 0: none is stated
-    """
-    return max(MIN_GAP_THRESHOLD_MS, GAP_FACTOR * max_gap_ms) if max_gap_ms else None
-
-
-class SilenceVerdict(StrEnum):
-    """Decision on a silent attempt: abandon it, or why it goes on.
-
-    ``BACKLOG``: the prefill backlog explains the silence. ``NO_RETRY``: the request may
-    not be retried. ``NO_OTHER``: there is no other upstream for it. ``HELD``: its retry
-    would have to wait for the outcome of this attempt.
-    """
-
-    ABANDON = "left"
-    BACKLOG = "backlog"
-    NO_RETRY = "no_retry"
-    NO_OTHER = "no_other"
-    HELD = "held"
-
 
 class SilencePolicy:
     """Distinguishes hanging upstreams from busy ones.
@@ -114,16 +76,18 @@
     def judge(
         self, tracked: TrackedRequest, silent_ms: float, now_ms: float
     ) -> SilenceVerdict:
-        """:returns: whether to abandon the running attempt, or why not
+        """:returns: whether another attempt may replace the running one, or why not
 
         :param silent_ms: time since the last byte from the attempt, or since it began
         """
         request = tracked.request
         if self._placer.check_path(request) is not None:
-            # Another VM may serve it, or nobody can: the caller gains by no wait.
             may_leave = request.is_repeatable
-            return SilenceVerdict.ABANDON if may_leave else SilenceVerdict.NO_RETRY
+            return SilenceVerdict.NO_PATH if may_leave else SilenceVerdict.NO_RETRY
         explained_ms = BACKLOG_FACTOR * tracked.backlog_ms
+        if request.connection_idle_ms:
+            # Upstreams that are busy send heartbeats.
+            explained_ms = 0.0
         if request.caller_idle_timeout_ms:
             max_explained_ms = MAX_BACKLOG_SHARE * request.caller_idle_timeout_ms
             explained_ms = min(explained_ms, max_explained_ms)
@@ -137,9 +101,16 @@
         if not self._retries.may_retry(request, tracked.history, now_ms):
             return SilenceVerdict.NO_RETRY
         avoided = (*tracked.history.avoided, *tracked.upstreams)
+        if _may_have_lost_connection(request, silent_ms):
+            # The same upstream may answer on another connection.
+            avoided = ()
         if not self._placer.has_alternative(request, avoided):
             return SilenceVerdict.NO_OTHER
-        return SilenceVerdict.ABANDON
+        return SilenceVerdict.REPLACE
+
+
+def _may_have_lost_connection(request: Request, silent_ms: float) -> bool:
+    return 0.0 < request.connection_idle_ms <= silent_ms
 
 
 def _threshold_ms(tracked: TrackedRequest) -> float:
@@ -150,10 +121,4 @@
     return stream_gap_threshold_ms(request.max_gap_ms) or 0.0
 
 
-__all__ = (
-    "SILENCE_RECHECK_MS",
-    "SilencePolicy",
-    "SilenceVerdict",
-    "first_byte_threshold_ms",
-    "stream_gap_threshold_ms",
-)
+__all__ = ("SilencePolicy",)
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -70,6 +70,17 @@
         self._states = states
         self._rebuild_index()
 
+    def keep(self, state: UpstreamState) -> UpstreamState:
+        """Keep the state of an upstream of which an attempt goes on after all.
+
+        :param state: its state when the attempt was left
+        :returns: its state now, which is another one if the upstream was dropped and
+            added again meanwhile
+        """
+        return self.get(state.spec.name) or self._retired.setdefault(
+            state.spec.name, state
+        )
+
     def observe(self, reports: Iterable[LoadReport], now_ms: float) -> None:
         """Apply load reports."""
         for report in reports:
--- a/src/quetzaldeck/entry/admission.py
+++ b/src/quetzaldeck/entry/admission.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.outcomes import Failure, Reason
-from quetzaldeck.routing import Route
+from quetzaldeck.routing import RequestKind, Route
 
 if TYPE_CHECKING:
     import random
@@ -52,15 +52,22 @@
     now_ms: float,
     has_fresh_keys: bool,
     random_state: random.Random,
+    service: str = "",
 ) -> Admitted | Failure:
     """Admit or refuse an incoming request.
 
     :param has_fresh_keys: whether the key list is recent enough to authenticate with
+    :param service: service that may have run it already; ``""``: none
     :returns: the admitted request, or the refusal
     """
     route = view.routes.find(host, path)
     if route is None:
         return Failure(Reason.NOT_FOUND, detail=f"no route for {host} {path}")
+    if service and not route.serves(service):
+        if route.kind is RequestKind.STREAMING:
+            detail = f"route {route.name} has no service {service} to go on at"
+            return Failure(Reason.NO_UPSTREAM, detail=detail)
+        service = ""
     customer = ""
     priority = route.priority
     if view.keys is not None and not route.is_public:
@@ -79,7 +86,7 @@
         bounds_ms.append(head.deadline_ms)
     return Admitted(
         route,
-        choose_service(route, random_state),
+        service or choose_service(route, random_state),
         customer,
         priority,
         now_ms + min(bounds_ms),
@@ -88,18 +95,28 @@
 
 
 def recheck_call(
-    view: RoutingView, admitted: Admitted, head: CallHead, host: str, path: str
+    view: RoutingView,
+    admitted: Admitted,
+    head: CallHead,
+    host: str,
+    path: str,
+    *,
+    may_have_run: bool = False,
 ) -> Failure | None:
     """Check a request again before it is sent, if the configuration has changed.
 
     While the request was queued its route may have been removed or pointed to another
-    service, or its key revoked.
+    service, or its key revoked. A request that may have run already ends under the
+    configuration that admitted it, unless its key is revoked.
 
+    :param may_have_run: whether an upstream may have run it
     :returns: the refusal; ``None`` if it may be sent
     """
     if view.version == admitted.version:
         return None
     route = view.routes.find(host, path)
+    if may_have_run:
+        route = admitted.route
     if route is None or not route.serves(admitted.service):
         detail = (
             f"configuration version {view.version} removed the route or its service"
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -8,23 +8,24 @@
 import aiohttp
 
 from quetzaldeck.decisions import AttemptFault, LoadReport
-from quetzaldeck.decisions.retries.silence import (
+from quetzaldeck.decisions.silence_thresholds import (
     first_byte_threshold_ms,
     stream_gap_threshold_ms,
 )
 from quetzaldeck.entry.forwarding_parameters import ForwardingParameters, Helper
 from quetzaldeck.entry.memory_reservation import MemoryReservation
 from quetzaldeck.entry.response_head import ResponseHead
-from quetzaldeck.entry.silence_watch import SilenceWatch
 from quetzaldeck.gateway.messages import ObserveLoad
+from quetzaldeck.gateway.silence_watch import SilenceWatch
 from quetzaldeck.platform import build_request_headers, read_response_head
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from quetzaldeck.decisions import Dispatch
+    from quetzaldeck.decisions.silence.verdict import SilenceVerdict
     from quetzaldeck.entry.call import Call
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
@@ -44,15 +45,27 @@
 
 
 class AttemptRunner:
-    """Sends a call to the upstream of a dispatch and validates the response.
+    """Sends a call to the upstream of one dispatch and validates the response.
 
     :param ticket: the scheduler's handle for the admitted request
+    :param check: called right before the call is sent; raises if it must not be
+    :param on_verdict: is told what the scheduler says while the upstream is silent
     """
 
-    def __init__(self, state: EntryState, call: Call, ticket: Ticket) -> None:
+    def __init__(
+        self,
+        state: EntryState,
+        call: Call,
+        ticket: Ticket,
+        *,
+        check: Callable[[], None],
+        on_verdict: Callable[[SilenceVerdict], None],
+    ) -> None:
         self._state = state
+        self._check = check
         self._call = call
         self._ticket = ticket
+        self._on_verdict = on_verdict
         self._may_have_run = False
         self._members: frozenset[str] = frozenset()
         self._incarnation = ""
@@ -62,22 +75,22 @@
 
     @property
     def sent_ms(self) -> float | None:
-        """:returns: when the current attempt was sent; ``None``: not sent"""
+        """:returns: when the attempt was sent; ``None``: not yet"""
         return self._sent_ms
 
     @property
     def replica(self) -> Replica | None:
-        """:returns: the last replica sent to; ``None``: none yet"""
+        """:returns: the replica sent to; ``None``: none yet"""
         return self._replica
 
     @property
     def incarnation(self) -> str:
-        """:returns: incarnation of the last replica sent to; ``""`` if unknown"""
+        """:returns: incarnation of that replica; ``""`` if unknown"""
         return self._incarnation
 
     @property
     def may_have_run(self) -> bool:
-        """:returns: whether a replica may have run the call, or may yet run it"""
+        """:returns: whether the replica may have run the call, or may yet run it"""
         return self._may_have_run
 
     def watch_first_byte(self, dispatch: Dispatch) -> SilenceWatch:
@@ -111,20 +124,25 @@
         :param last_event_id: event after which to resume a stream
         :raises UpstreamError: if the upstream did not respond, or not with a valid head
         """
-        may_have_run_before = self._may_have_run
-        self._sent_ms = None
-        self._has_response = False
         try:
             async with self._open_response(dispatch, last_event_id) as opened:
                 yield opened
         except UpstreamError as error:
-            if not error.may_have_run:
-                self._may_have_run = may_have_run_before
+            self._may_have_run = self._may_have_run and error.may_have_run
             self._note_path_fault(dispatch.upstreams[-1], error)
             raise
         finally:
             self._state.paths.note_ended(dispatch.attempt_id)
 
+    def note_silent(self, dispatch: Dispatch) -> None:
+        """Record that the upstream is silent, which may be a fault of the path."""
+        if self._sent_ms is not None:
+            self._state.paths.note_failed(
+                dispatch.upstreams[-1],
+                self._sent_ms,
+                is_new_connection=not self._has_response,
+            )
+
     def _note_path_fault(self, name: str, error: UpstreamError) -> None:
         """Record a fault that may be one of the path to the upstream."""
         if error.fault not in _PATH_FAULTS or self._sent_ms is None:
@@ -188,6 +206,7 @@
             last_event_id,
         )
         replica = self._find_replica(name)
+        self._check()
         self._incarnation = replica.incarnation
         self._replica = replica
         headers = build_request_headers(self._call.headers, parameters)
@@ -305,6 +324,7 @@
             dispatch.attempt_id,
             self._call.head.call_id,
             bound_ms,
+            self._on_verdict,
         )
 
 
--- a/src/quetzaldeck/entry/call.py
+++ b/src/quetzaldeck/entry/call.py
@@ -9,14 +9,15 @@
 
 from quetzaldeck.decisions import Request
 from quetzaldeck.decisions.poison import compute_part_fingerprint
-from quetzaldeck.entry.admission import Admitted
+from quetzaldeck.entry.admission import Admitted, recheck_call
 from quetzaldeck.entry.call_head import CallHead
-from quetzaldeck.entry.handover.head import HandoverHead
+from quetzaldeck.entry.handover_head import HandoverHead
 from quetzaldeck.platform.caller_timeouts import stream_idle_timeout_ms
 from quetzaldeck.routing import RequestKind, Route
 
 if TYPE_CHECKING:
     from quetzaldeck.entry.view import RoutingView
+    from quetzaldeck.outcomes import Failure
 
 TOKENS_WITHOUT_PROMPT = 1
 """Token count of a request without a prompt: the least that token accounting allows."""
@@ -74,6 +75,27 @@
     )
 
 
+def check_call(
+    call: Call, view: RoutingView | None, *, may_have_run: bool
+) -> Failure | None:
+    """Check whether the configuration in force allows a call to be sent now.
+
+    :param may_have_run: whether an upstream of this VM may have run it
+    :returns: the refusal; ``None`` if it may be sent
+    """
+    if view is None:
+        return None
+    has_run_elsewhere = call.handover is not None and call.handover.may_have_run
+    return recheck_call(
+        view,
+        call.admitted,
+        call.head,
+        call.http_request.host,
+        call.http_request.rel_url.raw_path,
+        may_have_run=may_have_run or has_run_elsewhere,
+    )
+
+
 def _max_attempts(call: Call) -> int | None:
     """:returns: attempts left that may run; ``None``: the VM's limit applies"""
     max_attempts = call.admitted.route.max_attempts
@@ -92,4 +114,4 @@
     return stream_idle_timeout_ms(route.target_latency_ms, route.max_gap_ms)
 
 
-__all__ = ("Call", "build_request")
+__all__ = ("Call", "build_request", "check_call")
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -3,60 +3,96 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
+import math
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-
+from quetzaldeck.clock.clock import round_timer_s
 from quetzaldeck.decisions import AttemptEnd, AttemptFault
-from quetzaldeck.decisions.poison import format_fingerprint
-from quetzaldeck.entry.admission import recheck_call
-from quetzaldeck.entry.attempt import AttemptRunner
+from quetzaldeck.decisions.silence.verdict import SilenceVerdict
+from quetzaldeck.entry.attempt_log import AttemptLog
+from quetzaldeck.entry.attempt_run import AttemptRun
+from quetzaldeck.entry.call import check_call
 from quetzaldeck.entry.stream_relay import StreamRelay
 from quetzaldeck.gateway.errors import RequestError
-from quetzaldeck.platform import build_response_headers
-from quetzaldeck.routing import RequestKind
-from quetzaldeck.telemetry import log_event
+from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.upstreams import UpstreamError
 
 if TYPE_CHECKING:
+    from aiohttp import web
+
     from quetzaldeck.decisions import Dispatch
-    from quetzaldeck.entry.attempt import OpenResponse
     from quetzaldeck.entry.call import Call
+    from quetzaldeck.entry.handover.offer import HandoverOffer
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
 
-MAX_LOGGED_PARTS = 8
-"""Parts of a prompt that one log line names."""
+
+class _RefusedError(Exception):
+    """An attempt must not be sent any more."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
 
 
 class CallRun:
-    """Runs one call.
+    """Runs one call; an attempt that is silent goes on until another one writes.
+
+    What is given up is ended only by what takes its place. So a call is answered as
+    long as any of its attempts lives, whatever stops the others: the configuration, a
+    budget, a fault of the next upstream. The first attempt that has something for the
+    caller claims it, and the others are cancelled.
 
     A 5xx response from a replica is kept: if no further attempt can be made, the caller
     receives it unchanged.
 
-    :param ticket: the scheduler's handle for the admitted request
+    :param ticket: the scheduler's handle for the request, not entered yet
+    :param offer: hands the call over to another VM
     """
 
-    def __init__(self, state: EntryState, call: Call, ticket: Ticket) -> None:
+    def __init__(
+        self, state: EntryState, call: Call, ticket: Ticket, offer: HandoverOffer
+    ) -> None:
         self._state = state
         self._call = call
         self._ticket = ticket
-        self._runner = AttemptRunner(state, call, ticket)
+        self._offer = offer
+        self._log = AttemptLog(state, call)
         self._relay = StreamRelay(
             call, state.clock, lived_ms=state.dispatch.poison_bounds.lived_ms
         )
+        self._ended: asyncio.Queue[asyncio.Task[object] | None] = asyncio.Queue()
+        self._living: list[AttemptRun] = []
+        # What may replace the attempts that live: the next one, or another VM.
+        self._dispatching: asyncio.Task[Dispatch] | None = None
+        self._handing_over: asyncio.Task[web.StreamResponse] | None = None
+        self._cancelled: list[asyncio.Task[object]] = []
+        # Why nothing replaces them, and an error that a replica has sent.
+        self._failure: RequestError | None = None
         self._failed_response: web.Response | None = None
+        # Of attempts that have ended; those that live are counted when asked.
+        self._may_have_run = False
+        self._n_maybe_run = 0
+        self._has_offered = False
+        self._may_retry = True
         self.n_attempts = 0
-        self.n_maybe_run = 0
         self.upstream = ""
         self.predicted_first_event_ms: float | None = None
 
     @property
     def may_have_run(self) -> bool:
         """:returns: whether a replica may have run the call, or may yet run it"""
-        return self._runner.may_have_run
+        return (
+            self._may_have_run
+            or self._offer.may_have_run
+            or any(attempt.runner.may_have_run for attempt in self._living)
+        )
+
+    @property
+    def n_maybe_run(self) -> int:
+        """:returns: attempts of this VM that a replica may have run, or may yet run"""
+        living = [attempt for attempt in self._living if not attempt.is_left]
+        return self._n_maybe_run + sum(a.runner.may_have_run for a in living)
 
     @property
     def relay(self) -> StreamRelay:
@@ -64,167 +100,370 @@
         return self._relay
 
     async def run(self) -> web.StreamResponse:
-        """Make attempts until one yields a complete response.
+        """Run the call here, or have another VM run it.
 
         :returns: the response
         :raises RequestError: if there is none
         """
-        while True:
-            dispatch = await self._ticket.next_dispatch()
-            self._record_dispatch(dispatch)
+        if self._offer.is_preferred():
             try:
-                return await self._attempt(dispatch)
-            except asyncio.CancelledError:
-                self._record_left(dispatch)
+                return await self._offer.hand_over(self._relay, 0)
+            except RequestError as error:
+                if error.failure.ran is not Ran.NO:
+                    raise
+                self._offer.may_have_run = False
+        try:
+            async with self._ticket:
+                return await self._run_attempts()
+        except RequestError as error:
+            if self._has_offered:
                 raise
-            except UpstreamError as error:
-                try:
-                    await self._report_fault(dispatch, error)
-                except RequestError:
-                    if (
-                        self._failed_response is None
-                        or self._relay.response is not None
-                    ):
-                        raise
-                    return self._failed_response
-
-    async def _attempt(self, dispatch: Dispatch) -> web.StreamResponse:
-        await self._runner.acquire_permits(dispatch)
-        # The configuration may have changed while the attempt waited for its turn.
-        self._recheck()
+            if not self._offer.allows(error.failure, self.n_maybe_run):
+                raise
+        return await self._offer.hand_over(self._relay, self.n_maybe_run)
+
+    async def _run_attempts(self) -> web.StreamResponse:
+        """Make attempts until one yields a complete response."""
+        try:
+            self._request_dispatch()
+            with self._state.watch_view(self._handle_new_view):
+                while True:
+                    response = await self._handle_ended(await self._next_ended())
+                    response = response or self._find_last_response()
+                    if response is not None:
+                        return response
+        finally:
+            await self._stop()
+
+    async def _next_ended(self) -> asyncio.Task[object] | None:
+        """Wait for the end of an attempt, or of what is to replace one.
+
+        :returns: what has ended; ``None`` if nothing has, but waiting may be in vain
+        """
+        wait_ms = self._remaining_wait_ms()
+        timeout_s = None if wait_ms == math.inf else round_timer_s(wait_ms)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._ended.get()
+        except TimeoutError:
+            return None
+
+    def _remaining_wait_ms(self) -> float:
+        """:returns: for how long the call may still be answered
+
+        Nothing can replace a silent attempt once the call has failed otherwise. A
+        caller that has received nothing is told so as soon as its upstream has been
+        silent for longer than sound ones may be.
+        """
+        if self._dispatching is not None or self._handing_over is not None:
+            return math.inf
+        if not self._living:
+            return 0.0
+        if self._failure is None or self._relay.response is not None:
+            return math.inf
+        heard_ms = max(attempt.heard_ms for attempt in self._living)
+        bound_ms = self._state.paths.monitor.bounds.sound_silence_ms
+        return max(0.0, heard_ms + bound_ms - self._state.clock.now_ms())
+
+    async def _handle_ended(
+        self, task: asyncio.Task[object] | None
+    ) -> web.StreamResponse | None:
+        """:returns: the response, if it is complete
+
+        :raises RequestError: if the caller is gone
+        """
+        if task is None:
+            return None
+        if task is self._dispatching:
+            dispatching, self._dispatching = self._dispatching, None
+            try:
+                self._start(dispatching.result())
+                self._failure = None
+            except RequestError as error:
+                self._fail(error)
+        elif task is self._handing_over:
+            handing_over, self._handing_over = self._handing_over, None
+            try:
+                return handing_over.result()
+            except RequestError as error:
+                self._failure = error
+        else:
+            for attempt in self._living:
+                if attempt.task is task:
+                    return await self._handle_ended_attempt(attempt)
+        return None
+
+    async def _handle_ended_attempt(
+        self, attempt: AttemptRun
+    ) -> web.StreamResponse | None:
+        self._living.remove(attempt)
+        self._may_have_run = self._may_have_run or attempt.runner.may_have_run
+        try:
+            response = attempt.task.result()
+        except UpstreamError as error:
+            self._failed_response = attempt.failed_response or self._failed_response
+            await self._report_fault(attempt, error)
+            return None
+        except _RefusedError as error:
+            self._ticket.drop_attempt(attempt.dispatch.attempt_id)
+            self._refuse(error)
+            return None
+        self.upstream = attempt.upstream
+        return response
+
+    def _find_last_response(self) -> web.StreamResponse | None:
+        """:returns: a replica's own error, if nothing better may still come
+
+        :raises RequestError: if nothing may come, and there is none
+        """
+        if self._remaining_wait_ms() or not self._ended.empty():
+            return None
+        assert self._failure is not None
+        if self._failed_response is None or self._relay.response is not None:
+            raise self._failure
+        return self._failed_response
+
+    def _start(self, dispatch: Dispatch) -> None:
+        if dispatch.first_token_ms:
+            wait_ms = self._state.clock.now_ms() - self._call.arrived_ms
+            self.predicted_first_event_ms = wait_ms + dispatch.first_token_ms
+        self._log.record_dispatch(dispatch)
         self.n_attempts = dispatch.n_attempt
         self.upstream = dispatch.upstreams[-1]
-        last_event_id = self._relay.last_event_id
-        async with self._runner.open(dispatch, last_event_id=last_event_id) as opened:
-            is_stream = self._call.admitted.route.kind is RequestKind.STREAMING
-            if is_stream and opened.head.status == HTTPStatus.OK:
-                await self._relay.relay(
-                    self.upstream,
-                    opened.response,
-                    first_byte=self._runner.watch_first_byte(dispatch),
-                    gaps=self._runner.watch_gaps(dispatch),
-                    on_first_event=lambda: self._ticket.note_first_token(
-                        dispatch.attempt_id
-                    ),
-                    on_lived=lambda: self._ticket.note_lived(dispatch.attempt_id),
-                    on_data=lambda: self._state.paths.note_heard(self.upstream),
-                )
-                await self._ticket.end_attempt(AttemptEnd(dispatch.attempt_id))
-                return await self._relay.finish()
-            response = await self._read_whole(opened)
-        await self._ticket.end_attempt(AttemptEnd(dispatch.attempt_id))
-        return response
+        attempt = AttemptRun(
+            self._state,
+            self._call,
+            self._ticket,
+            self._relay,
+            dispatch,
+            check=self._prepare,
+            claim=self._claim,
+            on_verdict=self._handle_verdict,
+        )
+        self._living.append(attempt)
+        attempt.task.add_done_callback(self._ended.put_nowait)
+
+    async def _claim(self, winner: AttemptRun) -> None:
+        """Let an attempt write to the caller, and give up all others."""
+        self._failure = None
+        if len(self._living) == 1 and not winner.is_left and not self._handing_over:
+            return
+        self._give_up_others(winner)
+        if not winner.is_left:
+            return
+        winner.is_left = False
+        self._n_maybe_run -= 1
+        self._log.record_resumed(winner)
+        is_tracked = await self._ticket.resume_attempt(winner.dispatch.attempt_id)
+        self._may_retry = is_tracked
+
+    async def _claim_for_other_vm(self) -> None:
+        self._give_up_others(None)
+        self._ticket.withdraw()
 
-    async def _read_whole(self, opened: OpenResponse) -> web.Response:
-        """Read a response that is not a stream.
+    def _give_up_others(self, winner: AttemptRun | None) -> None:
+        others = [attempt for attempt in self._living if attempt is not winner]
+        for attempt in others:
+            self._give_up(attempt)
+        if self._dispatching is not None:
+            self._cancel(self._dispatching)
+            self._dispatching = None
+        if self._handing_over is not None and winner is not None:
+            self._cancel(self._handing_over)
+            self._handing_over = None
+
+    def _give_up(self, attempt: AttemptRun) -> None:
+        self._living.remove(attempt)
+        self._may_have_run = self._may_have_run or attempt.runner.may_have_run
+        self._cancel(attempt.task)
+        if attempt.runner.sent_ms is None and attempt.dispatch.plan is None:
+            self._ticket.drop_attempt(attempt.dispatch.attempt_id)
+        if not attempt.is_left:
+            self._n_maybe_run += attempt.runner.may_have_run
+            self._record_left(attempt)
+
+    def _cancel(self, task: asyncio.Task[object]) -> None:
+        task.cancel()
+        self._cancelled.append(task)
+
+    async def _stop(self) -> None:
+        """Cancel what still runs, and wait until it has released what it holds."""
+        self._give_up_others(None)
+        if self._handing_over is not None:
+            self._cancel(self._handing_over)
+        await asyncio.gather(*self._cancelled, return_exceptions=True)
+
+    def _handle_verdict(self, attempt: AttemptRun, verdict: SilenceVerdict) -> None:
+        if verdict is SilenceVerdict.REPLACE:
+            self._replace(attempt)
+        elif self._has_offered:
+            return
+        elif verdict is SilenceVerdict.NO_PATH:
+            self._offer_to_other_vm()
+        else:
+            # The path may have been lost for a moment.
+            self._failure = None
 
-        :raises UpstreamError: if its status is a server error
+    def _replace(self, attempt: AttemptRun) -> None:
+        """Wait for the attempt that replaces a silent one, which goes on meanwhile."""
+        attempt.is_left = True
+        self._n_maybe_run += 1
+        self._state.metrics.attempt_faults.labels(AttemptFault.SILENT.value).inc()
+        attempt.runner.note_silent(attempt.dispatch)
+        self._state.crash_checks.note_left(attempt.dispatch.upstreams)
+        self._request_dispatch()
+
+    def _fail(self, error: RequestError) -> None:
+        """Record that this VM makes no further attempt; another one may.
+
+        Attempts that are still alive go on meanwhile.
+        """
+        self._failure = error
+        if not self._living or self._has_offered:
+            return
+        if self._offer.allows(error.failure, self.n_maybe_run):
+            self._hand_over()
+
+    def _request_dispatch(self) -> None:
+        self._dispatching = asyncio.create_task(self._ticket.next_dispatch())
+        self._dispatching.add_done_callback(self._ended.put_nowait)
+
+    def _offer_to_other_vm(self) -> None:
+        """Hand the call over while its silent attempt goes on.
+
+        A caller that has received nothing is refused if no VM may take it.
         """
-        body = await opened.response.read()
-        response = web.Response(
-            body=body,
-            status=opened.head.status,
-            headers=build_response_headers(opened.response.headers),
+        failure = Failure(Reason.NO_PATH, Ran.UNKNOWN)
+        if self._offer.allows(failure, self.n_maybe_run):
+            self._hand_over()
+        else:
+            self._failure = RequestError(failure)
+            self._ended.put_nowait(None)
+
+    def _hand_over(self) -> None:
+        """Have another VM make the attempts that are left; this one makes no more."""
+        self._has_offered = True
+        self._ticket.note_handed_over()
+        hand_over = self._offer.hand_over(
+            self._relay, self.n_maybe_run, self._claim_for_other_vm
         )
-        if opened.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            return response
-        self._failed_response = response
-        detail = f"{self.upstream}: status {opened.head.status}"
-        raise UpstreamError(AttemptFault.FAILED, detail, upstream=self.upstream)
+        self._handing_over = asyncio.create_task(hand_over)
+        self._handing_over.add_done_callback(self._ended.put_nowait)
 
-    def _recheck(self) -> None:
-        view = self._state.view
-        if view is None:
+    def _prepare(self, attempt: AttemptRun) -> None:
+        """Check whether an attempt may be sent, and free the memory that it may need.
+
+        A long prompt may fit into the replicas only once: attempts that hold memory for
+        it are given up for one that has to reserve it.
+
+        :raises _RefusedError: if the configuration in force does not allow it
+        """
+        self._recheck()
+        if attempt.dispatch.plan is None:
+            return
+        for other in tuple(self._living):
+            if other is not attempt and other.dispatch.plan is not None:
+                self._give_up(other)
+
+    def _handle_new_view(self) -> None:
+        """End what waits to be sent if it would not be sent any more.
+
+        An attempt waits for its turn at an upstream, or for memory; a call waits for
+        its next attempt.
+        """
+        for attempt in tuple(self._living):
+            if attempt.runner.sent_ms is None and not attempt.task.done():
+                self._end_if_refused(attempt)
+        if self._dispatching is None or self._dispatching.done():
+            return
+        if self._living or self._handing_over is not None:
             return
-        http_request = self._call.http_request
-        failure = recheck_call(
-            view,
-            self._call.admitted,
-            self._call.head,
-            http_request.host,
-            http_request.rel_url.raw_path,
+        try:
+            self._recheck()
+        except _RefusedError as error:
+            self._cancel(self._dispatching)
+            self._dispatching = None
+            self._refuse(error)
+            self._ended.put_nowait(None)
+
+    def _end_if_refused(self, attempt: AttemptRun) -> None:
+        try:
+            self._recheck()
+        except _RefusedError as error:
+            self._give_up(attempt)
+            self._ticket.drop_attempt(attempt.dispatch.attempt_id)
+            self._refuse(error)
+
+    def _refuse(self, error: _RefusedError) -> None:
+        """Record that the configuration in force does not allow the next attempt."""
+        ran = Ran.UNKNOWN if self.may_have_run else error.failure.ran
+        self._fail(RequestError(error.failure._replace(ran=ran)))
+
+    def _recheck(self) -> None:
+        """Check whether the configuration in force allows an attempt.
+
+        :raises _RefusedError: if it does not
+        """
+        failure = check_call(
+            self._call, self._state.view, may_have_run=self.may_have_run
         )
         if failure is not None:
-            raise RequestError(failure)
-
-    async def _report_fault(self, dispatch: Dispatch, error: UpstreamError) -> None:
-        self._state.metrics.attempt_faults.labels(error.fault.value).inc()
-        log_event(
-            "attempt_failed",
-            level="WARNING",
-            request=self._call.head.call_id,
-            fingerprint=format_fingerprint(self._call.fingerprint),
-            n_attempt=dispatch.n_attempt,
-            upstream=error.upstream or dispatch.upstreams[-1],
-            fault=error.fault.value,
-            may_have_run=error.may_have_run,
-            parts=self._list_logged_parts(),
-            error=error,
-        )
-        self.n_maybe_run += error.may_have_run
-        name = dispatch.upstreams[-1]
+            raise _RefusedError(failure)
+
+    async def _report_fault(self, attempt: AttemptRun, error: UpstreamError) -> None:
+        """Record the fault of an attempt; one that is not replaced yet is retried."""
+        self._log.record_fault(attempt, error)
+        try:
+            if not attempt.is_left:
+                await self._retry(attempt, error)
+        finally:
+            self._check_replica(attempt, error)
+
+    async def _retry(self, attempt: AttemptRun, error: UpstreamError) -> None:
+        """Ask the scheduler for the next attempt."""
+        self._n_maybe_run += error.may_have_run
+        if not self._may_retry:
+            self._fail(RequestError(Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)))
+            return
+        try:
+            await self._ticket.end_attempt(self._build_end(attempt, error))
+        except RequestError as failure:
+            self._fail(failure)
+        else:
+            self._request_dispatch()
+
+    def _build_end(self, attempt: AttemptRun, error: UpstreamError) -> AttemptEnd:
+        name = attempt.upstream
         is_addressed = error.upstream in ("", name)
-        end = AttemptEnd(
-            dispatch.attempt_id,
+        return AttemptEnd(
+            attempt.dispatch.attempt_id,
             error.fault,
             n_output_tokens=self._relay.n_events,
             may_have_run=error.may_have_run,
             was_sent=error.was_sent,
             upstream=error.upstream,
-            incarnation=(self._runner.incarnation or name) if is_addressed else "",
+            incarnation=(attempt.runner.incarnation or name) if is_addressed else "",
             retry_after_ms=error.retry_after_ms,
             is_gone=error.is_gone,
         )
-        try:
-            await self._ticket.end_attempt(end)
-        finally:
-            replica = self._runner.replica
-            checks = self._state.crash_checks
-            if error.fault is AttemptFault.BROKEN and replica is not None:
-                checks.note_broken(replica)
-                checks.note_left(dispatch.upstreams[:-1])
-            elif error.fault is AttemptFault.SILENT:
-                checks.note_left(dispatch.upstreams)
-
-    def _record_left(self, dispatch: Dispatch) -> None:
+
+    def _check_replica(self, attempt: AttemptRun, error: UpstreamError) -> None:
+        """Find out whether the replica of a failed attempt lives."""
+        replica = attempt.runner.replica
+        checks = self._state.crash_checks
+        if error.fault is AttemptFault.BROKEN and replica is not None:
+            checks.note_broken(replica)
+            checks.note_left(attempt.dispatch.upstreams[:-1])
+        elif error.fault is AttemptFault.SILENT:
+            checks.note_left(attempt.dispatch.upstreams)
+
+    def _record_left(self, attempt: AttemptRun) -> None:
         """Record an attempt that nobody waits for any more; its replica may run it."""
-        sent_ms = self._runner.sent_ms
+        sent_ms = attempt.runner.sent_ms
         if sent_ms is None:
             return
-        self._state.metrics.upstreams.attempts_left.inc()
-        log_event(
-            "attempt_left",
-            request=self._call.head.call_id,
-            fingerprint=format_fingerprint(self._call.fingerprint),
-            n_attempt=dispatch.n_attempt,
-            upstream=dispatch.upstreams[-1],
-            run_ms=self._state.clock.now_ms() - sent_ms,
-            parts=self._list_logged_parts(),
-        )
-        self._state.crash_checks.note_left(dispatch.upstreams)
-
-    def _list_logged_parts(self) -> str:
-        """:returns: the shared parts of the prompt, the first ones if there are many"""
-        return ",".join(self._call.head.shared_parts[:MAX_LOGGED_PARTS])
-
-    def _record_dispatch(self, dispatch: Dispatch) -> None:
-        wait_ms = self._state.clock.now_ms() - self._call.arrived_ms
-        if dispatch.first_token_ms:
-            self.predicted_first_event_ms = wait_ms + dispatch.first_token_ms
-        if dispatch.n_attempt == 1:
-            length = dispatch.request.length_class.value
-            metric = self._state.metrics.queue_wait_seconds.labels(length)
-            metric.observe(wait_ms / 1_000)
-        log_event(
-            "dispatched",
-            request=self._call.head.call_id,
-            fingerprint=format_fingerprint(self._call.fingerprint),
-            n_attempt=dispatch.n_attempt,
-            upstream=dispatch.upstreams[-1],
-            readers=",".join((*dispatch.upstreams[:-1], *dispatch.helpers)),
-            n_prompt_tokens=dispatch.request.n_prompt_tokens,
-            wait_ms=wait_ms,
-        )
+        self._log.record_left(attempt, sent_ms)
+        self._state.crash_checks.note_left(attempt.dispatch.upstreams)
 
 
 __all__ = ("CallRun",)
--- a/src/quetzaldeck/entry/crash_checks.py
+++ b/src/quetzaldeck/entry/crash_checks.py
@@ -20,7 +20,7 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
-from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.clock.clock import MS_PER_SECOND, round_timer_s
 from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.gateway.messages import ObserveCheck
 from quetzaldeck.routing import Replica
@@ -68,6 +68,16 @@
     registered: frozenset[tuple[str, int]]
 
 
+class _Gone(NamedTuple):
+    """A replica whose entry is gone, with what was sent to it.
+
+    :param at_ms: since when
+    """
+
+    replica: Replica
+    at_ms: float
+
+
 class CrashChecks:
     """Owns the checks that run; at most one of each replica for each reason.
 
@@ -103,6 +113,8 @@
         self._following: dict[str, asyncio.Task[None]] = {}
         self._breaks: dict[str, _Break] = {}
         self._repeated: set[str] = set()
+        self._known: dict[str, Replica] = {}
+        self._gone: dict[str, _Gone] = {}
 
     def note_broken(self, replica: Replica) -> None:
         """Check a replica to which a connection has just broken."""
@@ -110,16 +122,23 @@
 
     def note_left(self, names: Iterable[str]) -> None:
         """Check replicas later that may run a request for which nobody waits."""
-        replicas = self._read_replicas()
         for name in names:
-            replica = replicas.get(name)
+            replica = self._find(name)
             if replica is not None and name not in self._following:
                 self._note_break(replica)
                 self._own_task(self._following, name, self._follow(replica))
 
     def apply_replicas(self) -> None:
         """Take another incarnation at the address of a replica as proof."""
-        oldest_ms = self._clock.now_ms() - self._bounds.unproven_ms
+        now_ms = self._clock.now_ms()
+        oldest_ms = now_ms - self._bounds.unproven_ms
+        replicas = self._read_replicas()
+        for name in self._known.keys() - replicas.keys():
+            self._gone[name] = _Gone(self._known[name], now_ms)
+        self._known = dict(replicas)
+        for name, gone in tuple(self._gone.items()):
+            if name in replicas or gone.at_ms < oldest_ms:
+                del self._gone[name]
         for name, broken in tuple(self._breaks.items()):
             if broken.first_ms < oldest_ms:
                 del self._breaks[name]
@@ -171,8 +190,13 @@
             self._breaks[name] = broken
         return broken
 
+    def _find(self, name: str) -> Replica | None:
+        """:returns: a replica, also one whose entry has expired before the attempt"""
+        gone = self._gone.get(name)
+        return self._read_replicas().get(name) or (gone and gone.replica)
+
     def _is_leaving(self, name: str) -> bool:
-        current = self._read_replicas().get(name)
+        current = self._find(name)
         return current is not None and current.is_leaving
 
     async def _run_checks(self, name: str) -> None:
@@ -191,7 +215,7 @@
         name = replica.replica_id
         wait_ms = self._bounds.linger_ms
         while True:
-            await asyncio.sleep(wait_ms / MS_PER_SECOND)
+            await asyncio.sleep(round_timer_s(wait_ms))
             due_ms = self._dispatch.find_due_check_ms(name)
             if due_ms is None:
                 self._breaks.pop(name, None)
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -21,13 +21,13 @@
 from quetzaldeck.entry.call import Call, build_request
 from quetzaldeck.entry.call_run import CallRun
 from quetzaldeck.entry.error_response import error_response, http_status
-from quetzaldeck.entry.handover.head import (
+from quetzaldeck.entry.handover.offer import HandoverOffer
+from quetzaldeck.entry.handover_head import (
     FAILURE,
     format_failure,
     read_handover_head,
     remove_handover_fields,
 )
-from quetzaldeck.entry.handover.offer import HandoverOffer
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.settings import CallerBounds
@@ -39,7 +39,7 @@
 if TYPE_CHECKING:
     from quetzaldeck.entry.admission import Admitted
     from quetzaldeck.entry.call_head import CallHead
-    from quetzaldeck.entry.handover.head import HandoverHead
+    from quetzaldeck.entry.handover_head import HandoverHead
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.entry.view import RoutingView
 
@@ -120,7 +120,7 @@
                 f"was admitted under version {handover.version}"
             )
             raise RequestError(Failure(Reason.NO_BUNDLE, detail=detail))
-        admitted = self._admit(view, http_request, head, arrived_ms)
+        admitted = self._admit(view, http_request, head, arrived_ms, handover)
         try:
             body = await read_body(http_request, _caller_bounds(view))
             call = Call(
@@ -136,11 +136,24 @@
                 else CIMultiDict(http_request.headers),
                 handover,
             )
+            if handover is not None:
+                await self._confirm_path(admitted)
             return await self._run(call, view)
         except RequestError as error:
             error.route = admitted.route.name
             raise
 
+    async def _confirm_path(self, admitted: Admitted) -> None:
+        """Check that this VM reaches the service of a request.
+
+        :raises RequestError: if that is not known
+        """
+        service = admitted.service
+        remaining_ms = max(0.0, admitted.deadline_ms - self._state.clock.now_ms())
+        if not await self._state.paths.confirm(service, remaining_ms):
+            detail = f"{service}: it is not known that this VM reaches an upstream"
+            raise RequestError(Failure(Reason.NO_PATH, detail=detail))
+
     async def _wait_for_view(self, head: CallHead) -> RoutingView:
         """:returns: the configuration in force; a VM that just started waits for one
 
@@ -163,7 +176,20 @@
         http_request: web.Request,
         head: CallHead,
         arrived_ms: float,
+        handover: HandoverHead | None,
     ) -> Admitted:
+        """Admit a request, under the version that admitted it before if it goes on.
+
+        :raises RequestError: if it is refused
+        """
+        service = ""
+        if handover is not None and handover.may_have_run:
+            service = handover.service
+            routes = self._state.past_routes.find(
+                handover.version, arrived_ms - handover.age_ms
+            )
+            if routes is not None:
+                view = view._replace(version=handover.version, routes=routes)
         admitted = admit_call(
             view,
             head,
@@ -172,6 +198,7 @@
             now_ms=arrived_ms,
             has_fresh_keys=self._state.has_fresh_keys,
             random_state=self._state.random_state,
+            service=service,
         )
         if isinstance(admitted, Failure):
             raise RequestError(admitted)
@@ -179,28 +206,27 @@
 
     async def _run(self, call: Call, view: RoutingView) -> web.StreamResponse:
         ticket = self._state.dispatch.open_ticket(build_request(call, view))
-        run = CallRun(self._state, call, ticket)
-        offer = HandoverOffer(self._state, call, run)
+        run = CallRun(self._state, call, ticket, HandoverOffer(self._state, call))
         remaining_ms = call.admitted.deadline_ms - self._state.clock.now_ms()
         try:
             with self._state.in_flight.translate_abort(call.request_id):
                 async with asyncio.timeout(max(0.0, remaining_ms) / 1_000):
-                    response = await offer.run(ticket)
+                    response = await run.run()
         except TimeoutError:
-            ran = Ran.UNKNOWN if run.may_have_run or offer.may_have_run else Ran.NO
+            ran = Ran.UNKNOWN if run.may_have_run else Ran.NO
             raise self._build_error(
-                run, Failure(Reason.DEADLINE_EXCEEDED, ran)
+                call, run, Failure(Reason.DEADLINE_EXCEEDED, ran)
             ) from None
         except RequestError as error:
-            raise self._build_error(run, error.failure) from None
+            raise self._build_error(call, run, error.failure) from None
         except Exception as error:
             detail = locate_error(error)
             failure = Failure(Reason.INTERNAL_ERROR, Ran.UNKNOWN, detail=detail)
-            raise self._build_error(run, failure) from error
+            raise self._build_error(call, run, failure) from error
         self._record_response(call, run, response)
         return response
 
-    def _build_error(self, run: CallRun, failure: Failure) -> RequestError:
+    def _build_error(self, call: Call, run: CallRun, failure: Failure) -> RequestError:
         """End a failed call.
 
         An error body written after a stream has started would be read as a part of the
@@ -212,9 +238,22 @@
         response = run.relay.response
         if response is None:
             return RequestError(failure)
+        self._record_cut_off(call, run, failure)
         run.relay.abort()
         return RequestError(failure._replace(ran=Ran.YES), response)
 
+    def _record_cut_off(self, call: Call, run: CallRun, failure: Failure) -> None:
+        self._state.metrics.responses_cut_off.labels(failure.reason.value).inc()
+        log_event(
+            "response_cut_off",
+            level="WARNING",
+            request=call.head.call_id,
+            reason=failure.reason.value,
+            n_attempts=run.n_attempts,
+            n_events=run.relay.n_events,
+            remaining_ms=call.admitted.deadline_ms - self._state.clock.now_ms(),
+        )
+
     def _record_response(
         self, call: Call, run: CallRun, response: web.StreamResponse
     ) -> None:
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -10,8 +10,7 @@
 from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.paths import PeerChooser
 from quetzaldeck.decisions.request import DISCONNECT_MARGIN_MS
-from quetzaldeck.entry.handover.head import HandoverHead, read_failure
-from quetzaldeck.entry.silence_watch import NoWatch
+from quetzaldeck.entry.handover_head import HandoverHead, read_failure
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.platform import (
@@ -23,10 +22,11 @@
 from quetzaldeck.telemetry import log_event
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
+from quetzaldeck.upstreams.watch import NoWatch
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     import aiohttp
 
@@ -37,20 +37,30 @@
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.telemetry import UpstreamMetrics
 
-MAX_PEERS_ASKED = 3
-"""VMs that are asked for one request: the first of them may be partitioned as well, and
-of those that are, not all know it yet."""
+    Claim = Callable[[], Awaitable[None]]
+
+MAX_PEERS_ASKED = 8
+"""VMs that are asked for one request: many may be partitioned as well, or shut down,
+which they say at once."""
+
+MAX_PEERS_TRIED = 3
+"""VMs that may spend the time of one request: of those that are partitioned, not all
+know it yet. So many are asked at most while no VM is known to reach the upstreams."""
 
 _UNABLE_REASONS = frozenset((Reason.NO_PATH, Reason.NO_BUNDLE, Reason.SHUTTING_DOWN))
 """Reasons for which a VM takes none of the requests for a service."""
 
 
 class _RefusedError(Exception):
-    """A VM has not run a request, so that another one may."""
+    """A VM has not run a request, so that another one may.
+
+    :param has_tried: whether it took time to find that out
+    """
 
-    def __init__(self, failure: Failure) -> None:
+    def __init__(self, failure: Failure, *, has_tried: bool) -> None:
         super().__init__(failure.detail)
         self.failure = failure
+        self.has_tried = has_tried
 
 
 class Handover:
@@ -98,12 +108,23 @@
         return route.max_attempts is None or n_attempts < route.max_attempts
 
     async def run(
-        self, call: Call, relay: StreamRelay, n_attempts: int
+        self,
+        call: Call,
+        relay: StreamRelay,
+        n_attempts: int,
+        claim: Claim,
+        check: Callable[[int], Failure | None],
+        *,
+        is_inquiry: bool,
     ) -> web.StreamResponse:
         """Have another VM run a call.
 
         :param relay: continues the caller's stream if it has begun
         :param n_attempts: attempts that may have run
+        :param claim: awaited before the response is forwarded
+        :param check: called before a VM is asked, with the attempts that may have run;
+            returns why none may run the call
+        :param is_inquiry: whether it is not known that any VM reaches the upstreams
         :returns: the response of an upstream
         :raises RequestError: if no VM has run it, or if it failed there
         """
@@ -113,20 +134,28 @@
             Ran.NO if not n_attempts else Ran.UNKNOWN,
             detail=f"{call.admitted.service}: no VM is known that reaches an upstream",
         )
-        while len(asked) < MAX_PEERS_ASKED:
+        n_tried = 0
+        max_asked = MAX_PEERS_TRIED if is_inquiry else MAX_PEERS_ASKED
+        while len(asked) < max_asked and n_tried < MAX_PEERS_TRIED:
             peer = self._choose(call.admitted.service, asked)
             if peer is None or not self.may_send(call, n_attempts, Ran.NO):
                 break
+            refusal = check(n_attempts)
+            if refusal is not None:
+                failure = refusal
+                break
             asked.append(peer)
             try:
                 with self._chooser.track(peer):
-                    response = await self._ask(peer, call, relay, n_attempts)
+                    response = await self._ask(peer, call, relay, n_attempts, claim)
             except _RefusedError as error:
                 failure = error.failure
+                n_tried += error.has_tried
             except UpstreamError as error:
                 self._log(call, peer, f"failed: {error}")
                 self._metrics.handovers.labels("failed").inc()
                 n_attempts += 1
+                n_tried += 1
                 if not call.admitted.route.is_repeatable:
                     ran = Ran.UNKNOWN
                     raise RequestError(Failure(Reason.UPSTREAM_FAILED, ran)) from None
@@ -145,7 +174,12 @@
         return self._chooser.choose(service, zones, asked, self._clock.now_ms())
 
     async def _ask(
-        self, peer: str, call: Call, relay: StreamRelay, n_attempts: int
+        self,
+        peer: str,
+        call: Call,
+        relay: StreamRelay,
+        n_attempts: int,
+        claim: Claim,
     ) -> web.StreamResponse:
         """Send a call to one VM.
 
@@ -160,7 +194,7 @@
                 try:
                     failure = _read_failure(response, peer)
                     if failure is None:
-                        return await self._receive(peer, call, relay, response)
+                        return await self._receive(peer, call, relay, response, claim)
                 finally:
                     response.close()
         except UpstreamError as error:
@@ -169,14 +203,16 @@
             self._chooser.note_unable(peer, service, self._clock.now_ms())
             self._log(call, peer, f"not reached: {error}")
             self._metrics.handovers.labels("unreached").inc()
-            raise _RefusedError(Failure(Reason.NO_PATH, detail=str(error))) from error
+            failure = Failure(Reason.NO_PATH, detail=str(error))
+            raise _RefusedError(failure, has_tried=True) from error
         self._log(call, peer, f"refused: {failure.reason.value}")
         self._metrics.handovers.labels("refused").inc()
         if failure.ran is not Ran.NO:
             raise RequestError(failure)
-        if failure.reason in _UNABLE_REASONS:
+        is_unable = failure.reason in _UNABLE_REASONS
+        if is_unable:
             self._chooser.note_unable(peer, service, self._clock.now_ms())
-        raise _RefusedError(failure)
+        raise _RefusedError(failure, has_tried=not is_unable)
 
     async def _send(
         self, peer: str, call: Call, relay: StreamRelay, n_attempts: int
@@ -189,7 +225,12 @@
         headers = build_handover_headers(
             call.headers, remaining_ms, relay.last_event_id
         )
-        head = HandoverHead(call.admitted.version, n_attempts)
+        head = HandoverHead(
+            call.admitted.version,
+            n_attempts,
+            call.admitted.service,
+            self._clock.now_ms() - call.arrived_ms,
+        )
         headers.update(head.build_headers())
         return await self._client.send(
             f"{peer}:{self._port}",
@@ -205,6 +246,7 @@
         call: Call,
         relay: StreamRelay,
         response: aiohttp.ClientResponse,
+        claim: Claim,
     ) -> web.StreamResponse:
         is_stream = call.admitted.route.kind is RequestKind.STREAMING
         if is_stream and response.status == HTTPStatus.OK:
@@ -213,12 +255,20 @@
                 response,
                 first_byte=NoWatch(),
                 gaps=NoWatch(),
+                claim=claim,
                 on_first_event=lambda: None,
                 on_lived=lambda: None,
                 on_data=lambda: None,
             )
+            await claim()
             return await relay.finish()
         body = await response.read()
+        if relay.response is not None:
+            detail = (
+                f"{peer}: status {response.status} in place of the rest of a stream"
+            )
+            raise UpstreamError(AttemptFault.BAD_ANSWER, detail, upstream=peer)
+        await claim()
         headers = build_response_headers(response.headers)
         return web.Response(body=body, status=response.status, headers=headers)
 
--- a/src/quetzaldeck/entry/handover/offer.py
+++ b/src/quetzaldeck/entry/handover/offer.py
@@ -1,76 +1,86 @@
-"""Runs a call on this VM, or on another one while this one does not reach upstreams."""
+"""Decides whether a call is offered to other VMs, while this one can't serve it."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.decisions.paths import PathVerdict
+from quetzaldeck.entry.call import check_call
 from quetzaldeck.outcomes import Ran, Reason
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from aiohttp import web
 
     from quetzaldeck.entry.call import Call
-    from quetzaldeck.entry.call_run import CallRun
     from quetzaldeck.entry.state import EntryState
-    from quetzaldeck.gateway.ticket import Ticket
+    from quetzaldeck.entry.stream_relay import StreamRelay
+    from quetzaldeck.outcomes import Failure
 
 
 _PATH_REASONS = frozenset((Reason.NO_PATH, Reason.UPSTREAM_FAILED))
 """Reasons of failures that another VM may be spared."""
 
 
-class HandoverOffer:
-    """Decides for one call whether it is offered to other VMs.
+async def _claim_nothing() -> None:
+    """Nobody else serves the call."""
+
 
-    :param run: runs it on this VM
-    """
+class HandoverOffer:
+    """Offers one call to other VMs."""
 
-    def __init__(self, state: EntryState, call: Call, run: CallRun) -> None:
+    def __init__(self, state: EntryState, call: Call) -> None:
         self._state = state
         self._call = call
-        self._run = run
-        self._may_have_run = False
+        self.may_have_run = False
+        """Whether another VM may have run the call, or may yet run it."""
 
-    @property
-    def may_have_run(self) -> bool:
-        """:returns: whether another VM may have run the call, or may yet run it"""
-        return self._may_have_run
+    def is_preferred(self) -> bool:
+        """:returns: whether another VM should run the call at once"""
+        service = self._call.admitted.service
+        return self._state.paths.prefers_hand_over(service) and (
+            self._state.handover.may_send(self._call, 0, Ran.NO)
+        )
 
-    async def run(self, ticket: Ticket) -> web.StreamResponse:
-        """Run the call here, or have another VM run it.
+    def allows(self, failure: Failure, n_attempts: int) -> bool:
+        """:returns: whether another VM may run a call that has failed here
 
-        :param ticket: the scheduler's handle for the call
+        :param n_attempts: attempts that may have run
+        """
+        return (
+            failure.reason in _PATH_REASONS
+            and self._state.handover.may_send(self._call, n_attempts, failure.ran)
+            and self._state.paths.may_hand_over(self._call.admitted.service)
+        )
+
+    async def hand_over(
+        self,
+        relay: StreamRelay,
+        n_attempts: int,
+        claim: Callable[[], Awaitable[None]] = _claim_nothing,
+    ) -> web.StreamResponse:
+        """Have another VM run the call.
+
+        :param relay: continues the caller's stream if it has begun
+        :param n_attempts: attempts that may have run
+        :param claim: awaited before the response is forwarded
         :raises RequestError: if it was not answered
         """
-        service = self._call.admitted.service
-        if self._state.paths.prefers_hand_over(service) and self._may_send(Ran.NO):
-            try:
-                return await self._hand_over()
-            except RequestError as error:
-                if error.failure.ran is not Ran.NO:
-                    raise
-                self._may_have_run = False
-        try:
-            async with ticket:
-                return await self._run.run()
-        except RequestError as error:
-            failure = error.failure
-            if failure.reason not in _PATH_REASONS or not self._may_send(failure.ran):
-                raise
-            if not self._state.paths.may_hand_over(service):
-                raise
-        return await self._hand_over()
-
-    def _may_send(self, ran: Ran) -> bool:
-        handover = self._state.handover
-        return handover.may_send(self._call, self._run.n_maybe_run, ran)
-
-    async def _hand_over(self) -> web.StreamResponse:
-        self._may_have_run = True
+        self.may_have_run = True
+        verdict = self._state.paths.monitor.find_verdict(self._call.admitted.service)
         return await self._state.handover.run(
-            self._call, self._run.relay, self._run.n_maybe_run
+            self._call,
+            relay,
+            n_attempts,
+            claim,
+            self._check,
+            is_inquiry=verdict in (PathVerdict.UNREACHED, PathVerdict.DOWN),
         )
 
+    def _check(self, n_attempts: int) -> Failure | None:
+        view = self._state.view
+        return check_call(self._call, view, may_have_run=n_attempts > 0)
+
 
 __all__ = ("HandoverOffer",)
--- a/src/quetzaldeck/entry/handover/head.py
+++ b/src/quetzaldeck/entry/handover_head.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from multidict import CIMultiDict
@@ -15,10 +16,12 @@
 
 VERSION = "Handover-Version"
 N_ATTEMPTS = "Handover-Attempts"
+SERVICE = "Handover-Service"
+AGE = "Handover-Age"
 FAILURE = "Handover-Failure"
 """Present if the response is the failure of the other VM, not that of an upstream."""
 
-_FIELDS = (VERSION, N_ATTEMPTS, FAILURE)
+_FIELDS = (VERSION, N_ATTEMPTS, SERVICE, AGE, FAILURE)
 
 
 class HandoverHead(NamedTuple):
@@ -26,22 +29,44 @@
 
     :param version: version of the configuration under which it was admitted
     :param n_attempts: attempts that may have run
+    :param service: the service chosen for it; ``""``: not stated
+    :param age_ms: time since it arrived at the sending VM
     """
 
     version: int
     n_attempts: int
+    service: str = ""
+    age_ms: float = 0.0
+
+    @property
+    def may_have_run(self) -> bool:
+        """:returns: whether an upstream may have run the request"""
+        return self.n_attempts > 0
 
     def build_headers(self) -> dict[str, str]:
         """:returns: the header fields"""
-        return {VERSION: str(self.version), N_ATTEMPTS: str(self.n_attempts)}
+        return {
+            VERSION: str(self.version),
+            N_ATTEMPTS: str(self.n_attempts),
+            SERVICE: self.service,
+            # Rounded down: a request must not seem to have come earlier than it did.
+            AGE: str(math.floor(self.age_ms)),
+        }
 
 
 def read_handover_head(headers: Mapping[str, str]) -> HandoverHead:
     """Parse the fields of a request that was handed over.
 
-    :raises ValueError: if a field is missing or not a number
+    VMs of an earlier release state neither the service nor the age.
+
+    :raises ValueError: if another field is missing, or one is not a number
     """
-    return HandoverHead(int(headers.get(VERSION, "")), int(headers.get(N_ATTEMPTS, "")))
+    return HandoverHead(
+        int(headers.get(VERSION, "")),
+        int(headers.get(N_ATTEMPTS, "")),
+        headers.get(SERVICE, ""),
+        float(headers.get(AGE, "0")),
+    )
 
 
 def remove_handover_fields(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
--- a/src/quetzaldeck/entry/path_watch.py
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.paths import PathMonitor, PathVerdict
 from quetzaldeck.gateway.messages import ObservePath
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -36,12 +37,17 @@
 """Interval at which a result of demanded probes is looked for. Many checks may wait at
 once, when all replicas seem to crash."""
 
+CONFIRM_WAIT_MS = 100.0
+"""Time for a probe before a request from another VM is taken. That VM may ask others,
+and an upstream that is reached answers sooner."""
+
 
 class PathWatch:
     """Owns the probes of upstreams that may be out of reach.
 
     :param read_replicas: returns the replicas that are known, by id
-    :param probe: asks a replica on a new connection; returns whether it answers
+    :param probe: asks a replica on a new connection; returns whether it answers in a
+        time during which this VM has run
     :param dispatch: is told of verdicts, and knows what other VMs report
     """
 
@@ -63,8 +69,7 @@
         self._monitor = PathMonitor(
             dispatch.find_peer_answered_ms, random_state=random_state
         )
-        self._probing: asyncio.Task[None] | None = None
-        self._late_ms = -math.inf
+        self._probing: dict[str, asyncio.Task[None]] = {}
         self._logged: dict[str, PathVerdict] = {}
 
     @property
@@ -124,66 +129,94 @@
             services are out of reach, as far as can be known within the time in which
             other VMs report their answers
         """
-        monitor = self._monitor
         name = replica.replica_id
-        lag_ms = 2 * monitor.bounds.peer_lag_ms
-        path = monitor.find_path(replica.service)
         begun_ms = self._clock.now_ms()
-        while not monitor.is_reached_since(name, since_ms):
-            if monitor.find_verdict(replica.service) is PathVerdict.PARTITIONED:
-                return False
+        while True:
             now_ms = self._clock.now_ms()
-            lost_ms = None if path is None else path.lost_ms
-            if now_ms >= (begun_ms if lost_ms is None else lost_ms) + lag_ms:
-                return not monitor.has_lost_all()
-            monitor.demand_probes(name, now_ms)
+            may_conclude = self._monitor.judge_failure(
+                name, replica.service, since_ms, begun_ms, now_ms
+            )
+            if may_conclude is not None:
+                return may_conclude
+            self._monitor.demand_probes(name, now_ms)
             self._advance()
             await asyncio.sleep(PROBE_WAIT_MS / MS_PER_SECOND)
+
+    async def confirm(self, service: str, max_wait_ms: float) -> bool:
+        """Check that upstreams of a service are reached, with a probe if need be.
+
+        A VM that nobody calls, or that has just started, does not know whether it is
+        partitioned itself.
+
+        :param max_wait_ms: time that the request has left
+        :returns: ``False`` if nothing was heard lately and no probe is answered in time
+        """
+        path = self._monitor.find_path(service)
+        if path is None:
+            return True
+        since_ms = self._clock.now_ms() - self._monitor.bounds.evidence_ms
+        try:
+            async with RunningTimeout(min(CONFIRM_WAIT_MS, max_wait_ms)):
+                while path.heard_ms < since_ms:
+                    path.demand_probe(self._clock.now_ms())
+                    self._advance()
+                    probing = self._probing.get(service)
+                    if path.lost_ms is not None or probing is None:
+                        return False
+                    await asyncio.wait((probing,))
+        except TimeoutError:
+            return False
         return True
 
     async def run(self) -> None:
         """Look for silent attempts and due probes until cancelled."""
         try:
             while True:
-                due_ms = self._clock.now_ms() + TICK_MS
                 await asyncio.sleep(TICK_MS / MS_PER_SECOND)
-                now_ms = self._clock.now_ms()
-                if now_ms - due_ms >= TICK_MS:
-                    self._late_ms = now_ms
                 self._advance()
         finally:
-            if self._probing is not None:
-                self._probing.cancel()
+            for probing in self._probing.values():
+                probing.cancel()
 
     def _advance(self) -> None:
-        if self._probing is None:
-            probed = self._monitor.choose_probed(self._clock.now_ms())
-            if probed:
-                self._probing = asyncio.create_task(self._run_probes(probed))
-                self._probing.add_done_callback(self._finish_probes)
+        """Start due probes. Services do not wait for the probes of one that hangs."""
+        probed = self._monitor.choose_probed(self._clock.now_ms(), self._probing)
+        by_service: dict[str, list[ProbedUpstream]] = {}
+        for item in probed:
+            by_service.setdefault(item.service, []).append(item)
+        for service, items in by_service.items():
+            probing = asyncio.create_task(self._run_probes(items))
+            self._probing[service] = probing
+            probing.add_done_callback(partial(self._finish_probes, service))
         self._report_verdicts()
 
-    def _finish_probes(self, _: asyncio.Task[None]) -> None:
-        self._probing = None
+    def _finish_probes(self, service: str, _: asyncio.Task[None]) -> None:
+        del self._probing[service]
 
     async def _run_probes(self, probed: list[ProbedUpstream]) -> None:
-        begun_ms = self._clock.now_ms()
         replicas = self._read_replicas()
-        known = [item for item in probed if item.upstream in replicas]
-        answers = await asyncio.gather(
-            *(self._probe(replicas[item.upstream]) for item in known)
-        )
-        for is_answered in answers:
+        tasks = {
+            asyncio.create_task(self._probe(replicas[item.upstream])): item
+            for item in probed
+            if item.upstream in replicas
+        }
+        results: dict[ProbedUpstream, bool] = {}
+        pending = set(tasks)
+        try:
+            # One answer shows that the path works, and others may hang.
+            while pending and not any(results.values()):
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                results.update({tasks[task]: task.result() for task in done})
+        finally:
+            for task in pending:
+                task.cancel()
+        for is_answered in results.values():
             self._metrics.path_probes.labels(
                 "answered" if is_answered else "unanswered"
             ).inc()
-        now_ms = self._clock.now_ms()
-        if self._late_ms >= begun_ms and not any(answers):
-            # This VM was late itself, and may have missed the answers.
-            self._monitor.drop_probes(probed, now_ms)
-            return
-        results = dict(zip(known, answers, strict=True))
-        self._monitor.note_probes(results, now_ms)
+        self._monitor.note_probes(results, self._clock.now_ms())
         self._report_verdicts()
 
     def _report_verdicts(self) -> None:
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -16,11 +17,16 @@
     metrics_response,
     parse_listen_address,
 )
+from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
     from quetzaldeck.entry.settings import EntrySettings
 
 
+SHED_LOG_INTERVAL_MS = 1_000.0
+"""A VM that closes connections is short of time, also for a line about each."""
+
+
 class EntryService(HttpServiceBase):
     """Serves the requests of callers and owns the session behind it."""
 
@@ -32,6 +38,9 @@
         super().__init__(parse_listen_address(settings.listen.callers), **kwargs)
         clock = clock or Clock()
         self._session = EntrySession(settings, clock)
+        self._clock = clock
+        self._n_shed = 0
+        self._shed_logged_ms = -math.inf
         self.shedder = ConnectionShedder(clock)
 
     @property
@@ -48,8 +57,18 @@
         return application
 
     def note_shed(self) -> None:
-        """Record that a new connection was closed unread."""
+        """Record that a new connection was closed unread.
+
+        Nothing else tells of its request. The first one is logged at once, later ones
+        together.
+        """
         self._session.metrics.connections_shed.inc()
+        self._n_shed += 1
+        now_ms = self._clock.now_ms()
+        if now_ms - self._shed_logged_ms >= SHED_LOG_INTERVAL_MS:
+            log_event("connections_shed", level="WARNING", n_connections=self._n_shed)
+            self._shed_logged_ms = now_ms
+            self._n_shed = 0
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply settings that changed while the program runs."""
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -73,15 +73,18 @@
         store_client = await self._stack.enter_async_context(aiohttp.ClientSession())
         source_host = self._settings.upstream_source
         upstreams = await self._stack.enter_async_context(
-            UpstreamClient(echo_header=CALL_ID, source_host=source_host)
+            UpstreamClient(self._clock, echo_header=CALL_ID, source_host=source_host)
         )
         check_client = await self._stack.enter_async_context(
             UpstreamClient(
-                echo_header=CALL_ID, reuses_connections=False, source_host=source_host
+                self._clock,
+                echo_header=CALL_ID,
+                reuses_connections=False,
+                source_host=source_host,
             )
         )
         handover_client = await self._stack.enter_async_context(
-            UpstreamClient(echo_header=CALL_ID)
+            UpstreamClient(self._clock, echo_header=CALL_ID)
         )
         dispatch = DispatchTask(self._build_scheduler(), self.metrics, self._clock)
         self._state = EntryState(
@@ -92,7 +95,7 @@
             upstreams=upstreams,
             belief=FleetBelief(build_belief_bounds(self._settings.bounds)),
             orders=ReplicaOrders(upstreams),
-            health_checks=HealthChecks(check_client),
+            health_checks=HealthChecks(check_client, self._clock),
             probes=ReplicaReports(check_client),
             peer_client=handover_client,
             group_bounds=ENTRY_GROUPS,
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
@@ -12,6 +13,7 @@
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.crash_checks import CrashChecks
 from quetzaldeck.entry.handover.client import Handover
+from quetzaldeck.entry.past_routes import PastRoutes
 from quetzaldeck.entry.path_watch import PathWatch
 from quetzaldeck.entry.peers.permits import Permits
 from quetzaldeck.entry.presumed_crashes import PresumedCrashes
@@ -31,6 +33,8 @@
 from quetzaldeck.upstreams import UpstreamError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
     from quetzaldeck.belief import FleetBelief
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.groups import GroupBounds
@@ -123,8 +127,10 @@
         self.in_flight = InFlightRequests()
         metrics.in_flight.set_function(self.in_flight.__len__)
         self.drain = Drain(self.in_flight, build_shutdown(settings.bounds), metrics)
+        self.past_routes = PastRoutes(clock)
         self._view: RoutingView | None = None
         self._has_view = asyncio.Event()
+        self._view_watchers: set[Callable[[], None]] = set()
 
     @property
     def view(self) -> RoutingView | None:
@@ -143,6 +149,15 @@
             self._view is not None and not self.drain.is_leaving and self.has_fresh_keys
         )
 
+    @contextmanager
+    def watch_view(self, on_change: Callable[[], None]) -> Iterator[None]:
+        """Call ``on_change`` after each change of the configuration in force."""
+        self._view_watchers.add(on_change)
+        try:
+            yield
+        finally:
+            self._view_watchers.discard(on_change)
+
     async def wait_for_view(self, timeout_ms: float) -> RoutingView | None:
         """:returns: the first configuration; ``None`` if none is loaded in time"""
         try:
@@ -179,8 +194,7 @@
         if service is None:
             return True
         if service.engine is None:
-            liveness = await self._health_checks.check(replica, service.health_path)
-            return liveness is Liveness.ALIVE
+            return await self._health_checks.is_reached(replica, service.health_path)
         try:
             await self._probes.read_pace(replica)
         except UpstreamError as error:
@@ -198,9 +212,13 @@
         if configuration is None:
             return
         if self._view is None or self._view.version != configuration.version:
+            if self._view is not None:
+                self.past_routes.add(self._view)
             self._view = build_view(configuration)
             self._has_view.set()
             self.metrics.bundle_version.set(configuration.version)
+            for on_change in tuple(self._view_watchers):
+                on_change()
         self.dispatch.send(ApplyBundle(build_bundle(self.belief, self._view)))
         self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
         self.dispatch.send(Observe((), list_leaving(self.belief)))
--- a/src/quetzaldeck/entry/stream_relay.py
+++ b/src/quetzaldeck/entry/stream_relay.py
@@ -15,14 +15,14 @@
 from quetzaldeck.upstreams import UpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     import aiohttp
 
     from quetzaldeck.clock import Clock
     from quetzaldeck.entry.call import Call
     from quetzaldeck.entry.event_reader import StreamEvent
-    from quetzaldeck.entry.silence_watch import NoWatch, SilenceWatch
+    from quetzaldeck.upstreams.watch import Watch
 
 
 class StreamRelay:
@@ -78,8 +78,9 @@
         name: str,
         upstream: aiohttp.ClientResponse,
         *,
-        first_byte: SilenceWatch | NoWatch,
-        gaps: SilenceWatch | NoWatch,
+        first_byte: Watch,
+        gaps: Watch,
+        claim: Callable[[], Awaitable[None]],
         on_first_event: Callable[[], None],
         on_lived: Callable[[], None],
         on_data: Callable[[], None],
@@ -89,6 +90,7 @@
         :param name: the upstream that responds
         :param first_byte: bounds the wait for the first event
         :param gaps: bounds the wait for each further one
+        :param claim: awaited before events are forwarded that the caller lacks
         :param on_first_event: called when the first event has been forwarded
         :param on_lived: called once, when the upstream has survived the beginning
         :param on_data: called whenever bytes arrive
@@ -103,7 +105,10 @@
             if not data:
                 break
             on_data()
-            for event in self._parse_events(name, reader, data):
+            events = self._parse_events(name, reader, data)
+            if not all(self._is_duplicate(event) for event in events):
+                await claim()
+            for event in events:
                 await self._forward(upstream, event)
                 if not has_begun:
                     has_begun = True
--- a/src/quetzaldeck/entry/upstream_client.py
+++ b/src/quetzaldeck/entry/upstream_client.py
@@ -15,15 +15,13 @@
 
     from multidict import CIMultiDict
 
+    from quetzaldeck.clock import Clock
+
 MAX_IDLE_S = 15.0
 """Idle time after which a connection is closed: it is unlikely to be used again, and
 each one counts towards the connections that an upstream accepts from all VMs
 together."""
 
-CONNECT_TIMEOUT_MS = 500.0
-"""Hundreds of times the latency between zones, but less than an interactive caller is
-willing to wait."""
-
 MAX_HEAD_BYTES = 32_768
 """Limit on the status line and on each response header, four times what servers usually
 allow."""
@@ -40,11 +38,13 @@
 
     def __init__(
         self,
+        clock: Clock,
         *,
         echo_header: str,
         reuses_connections: bool = True,
         source_host: str = "",
     ) -> None:
+        self._clock = clock
         self._echo_header = echo_header
         self._source_host = source_host
         self._reuses_connections = reuses_connections
@@ -52,6 +52,7 @@
 
     async def __aenter__(self) -> UpstreamClient:
         connector = UpstreamConnector(
+            self._clock,
             echo_header=self._echo_header,
             max_idle_s=MAX_IDLE_S if self._reuses_connections else None,
             source_host=self._source_host,
@@ -91,9 +92,8 @@
         :returns: the response, which has to be closed, also after an error
         """
         assert self._client is not None
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_MS / 1_000
-        )
+        # The connector has its own timeout; the caller of this method bounds the rest.
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=None)
         return await self._client.request(
             method,
             URL(f"http://{address}{raw_path}", encoded=True),
--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -5,13 +5,13 @@
 import functools
 import re
 import socket
-import time
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -19,6 +19,9 @@
 
     from aiohttp.client_reqrep import ClientResponse
     from aiohttp.connector import AddrInfoType, Connection
+    from aiohttp.tracing import Trace
+
+    from quetzaldeck.clock import Clock
 
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
@@ -32,6 +35,10 @@
 gives up keep-alive probes by it, whatever their count: a shorter time than until the
 last probe would close the connection of a sound upstream that misses one."""
 
+CONNECT_TIMEOUT_MS = 500.0
+"""Hundreds of times the latency between zones, but less than an interactive caller is
+willing to wait."""
+
 DEFAULT_KEEP_ALIVE_MS = 900.0
 """Keep-alive time assumed for an upstream that states none: an upstream that keeps idle
 connections for a second or longer is required to state it."""
@@ -57,11 +64,14 @@
       as it may be closed at any moment after that.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, *, echo_header: str) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, *, clock: Clock, echo_header: str
+    ) -> None:
         super().__init__(loop)
+        self._clock = clock
         self._echo_header = echo_header
         self._expected_id: str | None = None
-        self._reusable_until_s: float | None = None
+        self._reusable_until_ms: float | None = None
 
     @property
     def echo_header(self) -> str:
@@ -77,8 +87,8 @@
         if self._buffer or self._tail:
             return False
         if (
-            self._reusable_until_s is not None
-            and time.monotonic() > self._reusable_until_s
+            self._reusable_until_ms is not None
+            and self._clock.now_ms() > self._reusable_until_ms
         ):
             return False
         return super().is_connected()
@@ -112,7 +122,7 @@
         idle_ms = (
             DEFAULT_KEEP_ALIVE_MS if match is None else int(match.group(1)) * 1_000
         )
-        self._reusable_until_s = time.monotonic() + idle_ms * KEEP_ALIVE_SHARE / 1_000
+        self._reusable_until_ms = self._clock.now_ms() + idle_ms * KEEP_ALIVE_SHARE
 
 
 class UpstreamRequest(ClientRequest):
@@ -134,7 +144,12 @@
     """
 
     def __init__(
-        self, *, echo_header: str, max_idle_s: float | None, source_host: str = ""
+        self,
+        clock: Clock,
+        *,
+        echo_header: str,
+        max_idle_s: float | None,
+        source_host: str = "",
     ) -> None:
         super().__init__(
             local_addr=(source_host, 0) if source_host else None,
@@ -146,9 +161,19 @@
         )
         # aiohttp annotates this attribute with its own class; a subclass works as well.
         self._factory = functools.partial(  # type: ignore[assignment]
-            UpstreamProtocol, loop=self._loop, echo_header=echo_header
+            UpstreamProtocol, loop=self._loop, clock=clock, echo_header=echo_header
         )
 
+    async def _create_connection(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> ResponseHandler:
+        """Open a connection; see the base class.
+
+        :raises TimeoutError: if the upstream does not accept it in time
+        """
+        async with RunningTimeout(CONNECT_TIMEOUT_MS):
+            return await super()._create_connection(req, traces, timeout)
+
 
 def open_socket(address: AddrInfoType) -> socket.socket:
     """:returns: a socket on which the kernel detects that the other end is gone"""
--- a/src/quetzaldeck/gateway/answer.py
+++ b/src/quetzaldeck/gateway/answer.py
@@ -54,6 +54,16 @@
         """:returns: length of the text so far, in characters"""
         return self._offset
 
+    def lacks(self, chunk: Chunk) -> bool:
+        """:returns: whether a chunk would add to the answer or end it"""
+        is_end = self.finish_reason is None and chunk.finish_reason is not None
+        return is_end or chunk.offset + len(chunk.text) > self._offset
+
+    def continue_with(self, attempt_id: str) -> None:
+        """Accept only chunks of this attempt; keep those that it has sent already."""
+        if attempt_id != self._attempt_id:
+            self.begin_attempt(attempt_id)
+
     def begin_attempt(self, attempt_id: str) -> None:
         """Accept only chunks of this attempt from now on."""
         self._attempt_id = attempt_id
--- a/src/quetzaldeck/gateway/body.py
+++ b/src/quetzaldeck/gateway/body.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Reason
+from quetzaldeck.running_timeout import RunningTimeout
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -29,9 +29,9 @@
     parts: list[bytes] = []
     n_bytes = 0
     try:
-        async with asyncio.timeout(bounds.body_total_ms / 1_000):
+        async with RunningTimeout(bounds.body_total_ms):
             while True:
-                async with asyncio.timeout(bounds.body_idle_ms / 1_000):
+                async with RunningTimeout(bounds.body_idle_ms):
                     part = await request.content.readany()
                 if not part:
                     return b"".join(parts)
--- a/src/quetzaldeck/gateway/claim_end_task.py
+++ b/src/quetzaldeck/gateway/claim_end_task.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -49,6 +50,11 @@
         self._unconfirmed: deque[ClaimEnd] = deque()
         self._has_unconfirmed = asyncio.Event()
 
+    @property
+    def n_unconfirmed(self) -> int:
+        """:returns: number of reports to which the agent has not responded yet"""
+        return len(self._unconfirmed)
+
     async def report(self, end: ClaimEnd) -> None:
         """Report an end; returns after the first try, later ones follow unattended."""
         if await self._try_report(end, FIRST_TIMEOUT_MS):
@@ -94,7 +100,7 @@
     async def _try_report(self, end: ClaimEnd, timeout_ms: float) -> bool:
         try:
             async with (
-                asyncio.timeout(timeout_ms / 1_000),
+                RunningTimeout(timeout_ms),
                 self._client.post(
                     self._agent_address + CLAIM_END_PATH,
                     data=msgspec.json.encode(end),
--- a/src/quetzaldeck/gateway/completions.py
+++ b/src/quetzaldeck/gateway/completions.py
@@ -11,6 +11,7 @@
 
 from quetzaldeck.decisions import Request
 from quetzaldeck.decisions.prefix import CHARACTERS_PER_TOKEN, hash_prefixes
+from quetzaldeck.gateway.admission_check import AdmissionCheck
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.parse import parse_call
@@ -72,15 +73,25 @@
             deadline_ms=deadline_ms,
             prefix_hashes=hash_prefixes(call.prompt),
             fingerprint=fingerprint,
+            connection_idle_ms=self._state.settings.upstreams.idle_ms,
         )
-        return await self._serve(http_request, request, call)
+        check = AdmissionCheck(
+            self._state,
+            headers.get("Authorization"),
+            lambda customer: _check_allowed(customer, call),
+        )
+        return await self._serve(http_request, request, call, check)
 
     async def _serve(
-        self, http_request: web.Request, request: Request, call: CompletionCall
+        self,
+        http_request: web.Request,
+        request: Request,
+        call: CompletionCall,
+        check: AdmissionCheck,
     ) -> web.StreamResponse:
         remaining_ms = request.deadline_ms - self._state.clock.now_ms()
         async with self._state.dispatch.open_ticket(request) as ticket:
-            relay = Relay(self._state, ticket, call)
+            relay = Relay(self._state, ticket, call, check)
             if call.is_streamed:
                 writer = StreamWriter(
                     http_request,
@@ -119,8 +130,7 @@
                 ):
                     async for text in texts:
                         self._note_ttft(relay, request)
-                        finish_reason = relay.answer.finish_reason
-                        chunk = build_chunk(call, request_id, text, finish_reason)
+                        chunk = build_chunk(call, request_id, text, relay.finish_reason)
                         await writer.send(msgspec.json.encode(chunk))
                 return await writer.finish()
         except TimeoutError:
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -9,13 +9,16 @@
 from quetzaldeck.decisions import AttemptFault, Rejection
 from quetzaldeck.decisions.health import HealthState
 from quetzaldeck.decisions.poison import Verdict
+from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.gateway.crash_log import CrashLog
 from quetzaldeck.gateway.degraded_upstreams import DegradedUpstreamsLog
 from quetzaldeck.gateway.messages import (
     ApplyBundle,
+    DropAttempt,
     EndAttempt,
     JudgeSilence,
     NoteFirstToken,
+    NoteHandedOver,
     NoteLived,
     NoteReserved,
     NoteSent,
@@ -31,6 +34,7 @@
     ObserveRateLimit,
     ObserveRuns,
     ObserveUsage,
+    ResumeAttempt,
     Submit,
     Withdraw,
 )
@@ -236,6 +240,9 @@
                 | NoteReserved()
                 | NoteSent()
                 | JudgeSilence()
+                | ResumeAttempt()
+                | NoteHandedOver()
+                | DropAttempt()
             ):
                 self._note_progress(message)
             case Withdraw():
@@ -264,7 +271,16 @@
 
     def _note_progress(
         self,
-        message: NoteFirstToken | NoteLived | NoteReserved | NoteSent | JudgeSilence,
+        message: (
+            NoteFirstToken
+            | NoteLived
+            | NoteReserved
+            | NoteSent
+            | JudgeSilence
+            | ResumeAttempt
+            | NoteHandedOver
+            | DropAttempt
+        ),
     ) -> None:
         """Handle the progress of a running attempt."""
         match message:
@@ -281,7 +297,20 @@
                 verdict = self._scheduler.judge_silence(
                     message.attempt_id, message.silent_ms
                 )
+                if verdict is SilenceVerdict.REPLACE:
+                    self._metrics.upstreams.retries.labels(AttemptFault.SILENT).inc()
+                    self._load_changed.set()
                 _reply(message.reply, verdict)
+            case DropAttempt():
+                self._scheduler.drop_attempt(message.attempt_id)
+            case NoteHandedOver():
+                self._scheduler.note_handed_over(message.request_id)
+            case ResumeAttempt():
+                is_tracked = self._scheduler.resume_attempt(
+                    message.request_id, message.attempt_id
+                )
+                self._load_changed.set()
+                _reply(message.reply, is_tracked)
 
     def _observe_load(
         self,
--- a/src/quetzaldeck/gateway/exchange_task.py
+++ b/src/quetzaldeck/gateway/exchange_task.py
@@ -15,6 +15,7 @@
 from quetzaldeck.gateway.messages import Observe
 from quetzaldeck.gateway.record_exchange import RecordExchange
 from quetzaldeck.gateway.usage_records import USAGE_KIND, UsageRecords
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -79,7 +80,7 @@
         )
         sent = msgspec.json.encode(report)
         async with (
-            asyncio.timeout(EXCHANGE_TIMEOUT_MS / 1_000),
+            RunningTimeout(EXCHANGE_TIMEOUT_MS),
             self._client.post(
                 self._state.settings.agent_address + "/v1/exchange", data=sent
             ) as response,
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -12,7 +12,7 @@
 from quetzaldeck.decisions.paths import PathVerdict
 from quetzaldeck.decisions.placement import CacheEvents
 from quetzaldeck.decisions.poison import CrashSighting, Liveness, RunSighting
-from quetzaldeck.decisions.retries.silence import SilenceVerdict
+from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.outcomes import Failure
 
 
@@ -49,13 +49,33 @@
 
 
 class JudgeSilence(NamedTuple):
-    """Ask whether to abandon an attempt that has been silent for ``silent_ms``."""
+    """Ask whether to replace an attempt that has been silent for ``silent_ms``."""
 
     attempt_id: str
     silent_ms: float
     reply: asyncio.Future[SilenceVerdict]
 
 
+class ResumeAttempt(NamedTuple):
+    """An attempt that was to be replaced goes on first."""
+
+    request_id: str
+    attempt_id: str
+    reply: asyncio.Future[bool]
+
+
+class DropAttempt(NamedTuple):
+    """An attempt is not sent after all."""
+
+    attempt_id: str
+
+
+class NoteHandedOver(NamedTuple):
+    """Another VM makes the attempts that are left to a request."""
+
+    request_id: str
+
+
 class EndAttempt(NamedTuple):
     """An attempt ended."""
 
@@ -168,6 +188,9 @@
     | NoteReserved
     | NoteSent
     | JudgeSilence
+    | ResumeAttempt
+    | NoteHandedOver
+    | DropAttempt
     | EndAttempt
     | Withdraw
     | ApplyBundle
@@ -187,10 +210,12 @@
 
 __all__ = (
     "ApplyBundle",
+    "DropAttempt",
     "EndAttempt",
     "JudgeSilence",
     "Message",
     "NoteFirstToken",
+    "NoteHandedOver",
     "NoteLived",
     "NoteReserved",
     "NoteSent",
@@ -206,6 +231,7 @@
     "ObserveRateLimit",
     "ObserveRuns",
     "ObserveUsage",
+    "ResumeAttempt",
     "Submit",
     "Withdraw",
 )
--- a/src/quetzaldeck/gateway/services.py
+++ b/src/quetzaldeck/gateway/services.py
@@ -8,24 +8,24 @@
 
 from aiohttp import web
 
-from quetzaldeck.decisions import AttemptEnd, Request
+from quetzaldeck.decisions import Request
 from quetzaldeck.decisions.poison import compute_fingerprint
 from quetzaldeck.exchange.claim_messages import ClaimRequest
+from quetzaldeck.gateway.admission_check import AdmissionCheck
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.claimed_call import ClaimedCall, new_claim_request_id
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.request_headers import read_deadline_ms, read_idempotency_key
 from quetzaldeck.gateway.responses import REQUEST_ID_HEADER
 from quetzaldeck.gateway.service_path import may_repeat, strip_prefix
+from quetzaldeck.gateway.service_run import ServiceRun
 from quetzaldeck.outcomes import Failure, Ran, Reason
-from quetzaldeck.upstreams import ServiceCall, UpstreamError
+from quetzaldeck.upstreams import ServiceCall
 from quetzaldeck.upstreams.http_service import HOP_BY_HOP
 
 if TYPE_CHECKING:
-    from quetzaldeck.bundle import ServiceSpec
-    from quetzaldeck.decisions import Dispatch
+    from quetzaldeck.bundle import CustomerSpec, ServiceSpec
     from quetzaldeck.gateway.state import GatewayState
-    from quetzaldeck.gateway.ticket import Ticket
     from quetzaldeck.upstreams import ServiceAnswer
 
 _NOT_FORWARDED = HOP_BY_HOP | {"authorization", REQUEST_ID_HEADER.lower()}
@@ -47,9 +47,7 @@
         arrived_ms = self._state.clock.now_ms()
         headers = http_request.headers
         customer = self._state.customers.authenticate(headers.get("Authorization"))
-        service = self._find_service(http_request.path)
-        if service is None or service.name not in customer.services:
-            raise RequestError(Failure(Reason.NOT_FOUND))
+        service = self._find_allowed_service(customer, http_request.path)
         path = strip_prefix(service, http_request.raw_path)
         is_repeatable = may_repeat(service, http_request.method, path)
         key = read_idempotency_key(headers)
@@ -77,17 +75,37 @@
                 customer.name, service.name, http_request.method, path, body
             ),
             is_repeatable=is_repeatable,
+            connection_idle_ms=self._state.settings.upstreams.idle_ms,
         )
+        check = self._build_check(http_request, service)
         if is_repeatable:
-            answer = await self._serve(request, call)
+            answer = await self._serve(request, call, check)
         else:
-            answer = await self._serve_once(request, call, key)
+            answer = await self._serve_once(request, call, check, key)
         return web.Response(
             status=answer.status,
             body=answer.body,
             headers=[*answer.headers, (REQUEST_ID_HEADER, request_id)],
         )
 
+    def _find_allowed_service(self, customer: CustomerSpec, path: str) -> ServiceSpec:
+        """:raises RequestError: if there is none that the customer may use"""
+        service = self._find_service(path)
+        if service is None or service.name not in customer.services:
+            raise RequestError(Failure(Reason.NOT_FOUND))
+        return service
+
+    def _build_check(
+        self, http_request: web.Request, service: ServiceSpec
+    ) -> AdmissionCheck:
+        def check_allowed(customer: CustomerSpec) -> None:
+            found = self._find_allowed_service(customer, http_request.path)
+            if found.name != service.name:
+                raise RequestError(Failure(Reason.NOT_FOUND))
+
+        authorization = http_request.headers.get("Authorization")
+        return AdmissionCheck(self._state, authorization, check_allowed)
+
     def _find_service(self, path: str) -> ServiceSpec | None:
         for service in self._state.bundle.services:
             if path == service.prefix or path.startswith(service.prefix + "/"):
@@ -95,7 +113,7 @@
         return None
 
     async def _serve_once(
-        self, request: Request, call: ServiceCall, key: str
+        self, request: Request, call: ServiceCall, check: AdmissionCheck, key: str
     ) -> ServiceAnswer:
         """Serve a call that may not be repeated, or replay its earlier answer."""
         claim_request = ClaimRequest(
@@ -106,7 +124,7 @@
             request.deadline_ms - self._state.clock.now_ms(),
         )
         claimed = ClaimedCall(self._state, self._state.agent_client, claim_request)
-        running = asyncio.create_task(self._run_claimed(request, call, claimed))
+        running = asyncio.create_task(self._run_claimed(request, call, check, claimed))
         try:
             return await asyncio.shield(running)
         except asyncio.CancelledError:
@@ -119,64 +137,39 @@
             raise
 
     async def _run_claimed(
-        self, request: Request, call: ServiceCall, claimed: ClaimedCall
+        self,
+        request: Request,
+        call: ServiceCall,
+        check: AdmissionCheck,
+        claimed: ClaimedCall,
     ) -> ServiceAnswer:
         async with claimed:
             if claimed.answer is not None:
                 return claimed.answer
-            answer = await self._serve(request, call, claimed)
+            answer = await self._serve(request, call, check, claimed)
             claimed.store_answer(answer)
             return answer
 
     async def _serve(
-        self, request: Request, call: ServiceCall, claimed: ClaimedCall | None = None
+        self,
+        request: Request,
+        call: ServiceCall,
+        check: AdmissionCheck,
+        claimed: ClaimedCall | None = None,
     ) -> ServiceAnswer:
         remaining_ms = request.deadline_ms - self._state.clock.now_ms()
-        dispatch: Dispatch | None = None
+        run: ServiceRun | None = None
         try:
             async with (
                 asyncio.timeout(remaining_ms / 1_000),
                 self._state.dispatch.open_ticket(request) as ticket,
             ):
-                while True:
-                    dispatch = await ticket.next_dispatch()
-                    answer = await self._run_attempt(ticket, dispatch, call, claimed)
-                    if answer is not None:
-                        return answer
+                run = ServiceRun(self._state, ticket, call, check, claimed)
+                return await run.run()
         except TimeoutError:
-            ran = Ran.NO if dispatch is None else Ran.UNKNOWN
+            ran = Ran.UNKNOWN if run is not None and run.has_dispatched else Ran.NO
             raise RequestError(Failure(Reason.DEADLINE_EXCEEDED, ran)) from None
 
-    async def _run_attempt(
-        self,
-        ticket: Ticket,
-        dispatch: Dispatch,
-        call: ServiceCall,
-        claimed: ClaimedCall | None,
-    ) -> ServiceAnswer | None:
-        name = dispatch.upstreams[0]
-        remaining_ms = ticket.request.deadline_ms - self._state.clock.now_ms()
-        if claimed is not None:
-            claimed.begin_dispatch()
-        try:
-            async with self._state.connections.use_service(name) as upstream:
-                answer = await upstream.call(call, remaining_ms)
-        except UpstreamError as error:
-            if claimed is not None and not error.may_have_run:
-                claimed.undo_dispatch()
-            self._state.metrics.attempt_faults.labels(error.fault.value).inc()
-            await ticket.end_attempt(
-                AttemptEnd(
-                    dispatch.attempt_id,
-                    error.fault,
-                    may_have_run=error.may_have_run,
-                    is_gone=error.is_gone,
-                )
-            )
-            return None
-        await ticket.end_attempt(AttemptEnd(dispatch.attempt_id))
-        return answer
-
 
 def _digest(service: str, call: ServiceCall) -> str:
     """:returns: digest of a call, to detect the reuse of its key for another call"""
--- a/src/quetzaldeck/gateway/settings.py
+++ b/src/quetzaldeck/gateway/settings.py
@@ -49,7 +49,11 @@
         int, Option("Timeout for opening a connection.", unit="ms", minimum=10)
     ] = 1_000
     idle_ms: Annotated[
-        int, Option("Timeout for the next byte, heartbeats included.", unit="ms")
+        int,
+        Option(
+            "Silence, heartbeats included, after which another attempt is queued.",
+            unit="ms",
+        ),
     ] = 3_000
 
 
--- a/src/quetzaldeck/gateway/state.py
+++ b/src/quetzaldeck/gateway/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
@@ -17,6 +17,8 @@
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
     import aiohttp
 
     from quetzaldeck.bundle import Bundle
@@ -65,6 +67,7 @@
         self._bundle: Bundle | None = None
         self._customers: CustomerIndex | None = None
         self._has_bundle = asyncio.Event()
+        self._bundle_watchers: set[Callable[[], None]] = set()
 
     @property
     def bundle_version(self) -> int:
@@ -99,6 +102,15 @@
             async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
                 await self._has_bundle.wait()
 
+    @contextmanager
+    def watch_bundle(self, on_change: Callable[[], None]) -> Iterator[None]:
+        """Call ``on_change`` after each change of the bundle in force."""
+        self._bundle_watchers.add(on_change)
+        try:
+            yield
+        finally:
+            self._bundle_watchers.discard(on_change)
+
     def cache_cursor(self, upstream: str) -> CacheCursor:
         """:returns: the position up to which cache events of an engine are known"""
         return self._cache_cursors.get(upstream, CacheCursor())
@@ -117,6 +129,8 @@
         self.connections.apply_specs(bundle.upstreams)
         self.metrics.bundle_version.set(bundle.version)
         self.dispatch.send(ApplyBundle(bundle))
+        for on_change in tuple(self._bundle_watchers):
+            on_change()
 
 
 __all__ = ("GatewayState",)
--- a/src/quetzaldeck/gateway/stream_writer.py
+++ b/src/quetzaldeck/gateway/stream_writer.py
@@ -11,6 +11,7 @@
 
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Ran, Reason, build_error_body
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams.sse import DONE, KEEP_ALIVE, encode_event
 
 if TYPE_CHECKING:
@@ -108,7 +109,7 @@
         try:
             async with (
                 self._lock,
-                asyncio.timeout(self._bounds.write_idle_ms / 1_000),
+                RunningTimeout(self._bounds.write_idle_ms),
             ):
                 if not self._response.prepared:
                     await self._response.prepare(self._http_request)
--- a/src/quetzaldeck/gateway/ticket.py
+++ b/src/quetzaldeck/gateway/ticket.py
@@ -8,12 +8,15 @@
 from quetzaldeck.decisions import Rejection
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.messages import (
+    DropAttempt,
     EndAttempt,
     JudgeSilence,
     NoteFirstToken,
+    NoteHandedOver,
     NoteLived,
     NoteReserved,
     NoteSent,
+    ResumeAttempt,
     Submit,
     Withdraw,
 )
@@ -23,7 +26,7 @@
     from types import TracebackType
 
     from quetzaldeck.decisions import AttemptEnd, Decision, Dispatch, Request
-    from quetzaldeck.decisions.retries.silence import SilenceVerdict
+    from quetzaldeck.decisions.silence.verdict import SilenceVerdict
     from quetzaldeck.gateway.messages import Message
     from quetzaldeck.outcomes import Failure
 
@@ -63,6 +66,10 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        self.withdraw()
+
+    def withdraw(self) -> None:
+        """Have the scheduler forget the request and release what it holds."""
         self._send(Withdraw(self._request.request_id))
 
     async def next_dispatch(self) -> Dispatch:
@@ -92,12 +99,34 @@
         self._send(NoteSent(attempt_id))
 
     async def judge_silence(self, attempt_id: str, silent_ms: float) -> SilenceVerdict:
-        """:returns: whether to abandon a silent attempt, or why not"""
+        """:returns: whether another attempt replaces a silent one, or why not"""
         loop = asyncio.get_running_loop()
         reply: asyncio.Future[SilenceVerdict] = loop.create_future()
         self._send(JudgeSilence(attempt_id, silent_ms, reply))
         return await reply
 
+    async def resume_attempt(self, attempt_id: str) -> bool:
+        """Take back an attempt that was to be replaced, and goes on first.
+
+        Decisions on what was to replace it are dropped.
+
+        :returns: whether the scheduler tracks it again
+        """
+        reply: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._send(ResumeAttempt(self._request.request_id, attempt_id, reply))
+        is_tracked = await reply
+        while not self._decisions.empty():
+            self._decisions.get_nowait()
+        return is_tracked
+
+    def drop_attempt(self, attempt_id: str) -> None:
+        """Notify the scheduler that an attempt is not sent after all."""
+        self._send(DropAttempt(attempt_id))
+
+    def note_handed_over(self) -> None:
+        """Notify the scheduler that another VM makes the attempts that are left."""
+        self._send(NoteHandedOver(self._request.request_id))
+
     async def end_attempt(self, end: AttemptEnd) -> None:
         """Notify the scheduler of the end of an attempt.
 
--- a/src/quetzaldeck/platform/health_checks.py
+++ b/src/quetzaldeck/platform/health_checks.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
 from multidict import CIMultiDict
 
-from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.platform.headers import (
     EXPECTED_REPLICA,
     WRONG_REPLICA_STATUS,
     read_response_head,
 )
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams.http import is_refused
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from quetzaldeck.clock import Clock
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.routing import Replica
 
@@ -34,14 +34,28 @@
     :param client: opens a new connection for each request
     """
 
-    def __init__(self, client: UpstreamClient) -> None:
+    def __init__(self, client: UpstreamClient, clock: Clock) -> None:
         self._client = client
+        self._clock = clock
 
     async def check(self, replica: Replica, path: str) -> Liveness:
         """:returns: whether a replica lives, whatever it says of its health"""
+        begun_ms = self._clock.now_ms()
+        liveness = await self._ask(replica, path)
+        is_late = self._clock.now_ms() > begun_ms + CHECK_TIMEOUT_MS
+        if is_late and liveness is Liveness.ALIVE and not replica.incarnation:
+            # Nothing shows whether it has started again meanwhile.
+            return Liveness.UNKNOWN
+        return liveness
+
+    async def is_reached(self, replica: Replica, path: str) -> bool:
+        """:returns: whether a replica answers, though it may have started again"""
+        return await self._ask(replica, path) is Liveness.ALIVE
+
+    async def _ask(self, replica: Replica, path: str) -> Liveness:
         headers = CIMultiDict({EXPECTED_REPLICA: replica.replica_id})
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_MS / MS_PER_SECOND):
+            async with RunningTimeout(CHECK_TIMEOUT_MS):
                 response = await self._client.send(
                     replica.address, "GET", path, headers, None
                 )
--- a/src/quetzaldeck/telemetry/gateway_metrics.py
+++ b/src/quetzaldeck/telemetry/gateway_metrics.py
@@ -60,6 +60,12 @@
             ["reason", "ran"],
             registry=self.registry,
         )
+        self.responses_cut_off = Counter(
+            "quetzaldeck_responses_cut_off",
+            "Responses that had begun and ended incomplete, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
         self.requests_aborted = Counter(
             "quetzaldeck_cut_off",
             "Requests that a stop of this gateway cut off",
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -116,6 +116,11 @@
             "Attempts whose caller left, or whose deadline passed, before they ended",
             registry=registry,
         )
+        self.attempts_resumed = Counter(
+            "quetzaldeck_attempts_resumed",
+            "Silent attempts that went on before another one replaced them",
+            registry=registry,
+        )
         self.crash_checks = Counter(
             "quetzaldeck_crash_checks",
             "Checks of upstreams to which a connection has broken, by result",
--- a/src/quetzaldeck/upstreams/api.py
+++ b/src/quetzaldeck/upstreams/api.py
@@ -25,6 +25,7 @@
         RunningSequence,
     )
     from quetzaldeck.upstreams.call import ServiceAnswer, ServiceCall
+    from quetzaldeck.upstreams.watch import Watch
 
 
 class UpstreamTimeouts(NamedTuple):
@@ -56,6 +57,16 @@
         self._session = session
         self._timeouts = timeouts
 
+    @property
+    def name(self) -> str:
+        """:returns: name of the upstream in the bundle"""
+        return self._spec.name
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """:returns: the connection pool that calls of this adapter use"""
+        return self._session
+
     @abstractmethod
     async def read_load(self) -> LoadReport:
         """:returns: the upstream's report of its load
@@ -68,9 +79,12 @@
     """Adapter of a model engine."""
 
     @abstractmethod
-    def complete(self, attempt: Attempt) -> AsyncGenerator[Chunk, None]:
+    def complete(self, attempt: Attempt, watch: Watch) -> AsyncGenerator[Chunk, None]:
         """Run an attempt.
 
+        A silence of the engine does not end it.
+
+        :param watch: awaits the head of the response and each line, heartbeats included
         :returns: chunks as the engine sends them: they may be out of order, duplicated
             or belong to another attempt
         :raises UpstreamError: if the engine fails or stops responding
@@ -114,9 +128,14 @@
     """Adapter of a replica of a plain service."""
 
     @abstractmethod
-    async def call(self, call: ServiceCall, timeout_ms: float) -> ServiceAnswer:
+    async def call(
+        self, call: ServiceCall, timeout_ms: float, watch: Watch
+    ) -> ServiceAnswer:
         """Forward a call once, without resending it.
 
+        A silence of the service does not end it.
+
+        :param watch: awaits the head of the response and each part of its body
         :raises UpstreamError: if no complete response is received
         """
 
--- a/src/quetzaldeck/upstreams/connections.py
+++ b/src/quetzaldeck/upstreams/connections.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.upstreams.api import (
     EngineUpstream,
@@ -21,6 +23,7 @@
     from types import TracebackType
 
     from quetzaldeck.bundle.document import UpstreamSpec
+    from quetzaldeck.upstreams.api import Upstream
     from quetzaldeck.upstreams.pools import ConnectionPool
 
 
@@ -68,11 +71,33 @@
 
     @asynccontextmanager
     async def use_service(self, name: str) -> AsyncIterator[ServiceUpstream]:
-        """Use the adapter of a replica of a plain service for one call."""
+        """Use the adapter of a replica of a plain service for one call.
+
+        A silent call may go on, but other calls get new connections.
+        """
         spec = self._specs[name]
         adapter = service_protocols.get(spec.protocol)
+        loop = asyncio.get_running_loop()
         async with self._use(name) as pool:
-            yield adapter(spec, pool.session, self._timeouts)
+            idle_s = self._timeouts.idle_ms / MS_PER_SECOND
+            timer = loop.call_later(idle_s, self._replace, name, pool)
+            try:
+                yield adapter(spec, pool.session, self._timeouts)
+            finally:
+                timer.cancel()
+
+    def note_silent(self, upstream: Upstream) -> None:
+        """Replace the pool of an adapter, on which a call receives nothing.
+
+        The call may go on, but others get new connections.
+        """
+        pool = self._pools.get(upstream.name)
+        if pool.session is upstream.session:
+            self._replace(upstream.name, pool)
+
+    def _replace(self, name: str, pool: ConnectionPool) -> None:
+        if self._pools.replace(name, pool):
+            self._on_replaced(name)
 
     @asynccontextmanager
     async def _use(self, name: str) -> AsyncIterator[ConnectionPool]:
@@ -80,9 +105,8 @@
             try:
                 yield pool
             except UpstreamError as error:
-                is_silent = error.fault is AttemptFault.SILENT
-                if is_silent and self._pools.replace(name, pool):
-                    self._on_replaced(name)
+                if error.fault is AttemptFault.SILENT:
+                    self._replace(name, pool)
                 raise
 
 
--- a/src/quetzaldeck/upstreams/http.py
+++ b/src/quetzaldeck/upstreams/http.py
@@ -35,11 +35,14 @@
 def build_timeout(
     timeouts: UpstreamTimeouts, total_ms: float | None
 ) -> aiohttp.ClientTimeout:
-    """:returns: the timeouts as aiohttp's client takes them"""
+    """Build the timeouts that aiohttp's client applies.
+
+    It counts stalls of this process as silence, so the time for the next byte is not
+    among them.
+    """
     return aiohttp.ClientTimeout(
         total=None if total_ms is None else max(total_ms, 1) / MS_PER_SECOND,
         sock_connect=timeouts.connect_ms / MS_PER_SECOND,
-        sock_read=timeouts.idle_ms / MS_PER_SECOND,
     )
 
 
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -11,7 +11,10 @@
 from quetzaldeck.upstreams.send_once import send_once
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from quetzaldeck.upstreams.call import ServiceCall
+    from quetzaldeck.upstreams.watch import Watch
 
 HOP_BY_HOP = frozenset(
     (
@@ -33,11 +36,13 @@
 class HttpService(ServiceUpstream):
     """Forwards calls unchanged."""
 
-    async def call(self, call: ServiceCall, timeout_ms: float) -> ServiceAnswer:
+    async def call(
+        self, call: ServiceCall, timeout_ms: float, watch: Watch
+    ) -> ServiceAnswer:
         """Forward a call once; see :meth:`ServiceUpstream.call`."""
-        async with (
-            translate_faults(self._spec.name),
-            self._session.request(
+
+        async def send() -> aiohttp.ClientResponse:
+            return await self._session.request(
                 call.method,
                 self._spec.address + call.path,
                 headers=list(call.headers),
@@ -45,15 +50,21 @@
                 allow_redirects=False,
                 middlewares=(send_once,),
                 timeout=build_timeout(self._timeouts, timeout_ms),
-            ) as response,
+            )
+
+        async with (
+            translate_faults(self._spec.name),
+            await watch.wait(send) as response,
         ):
-            body = await response.read()
+            parts = []
+            while data := await watch.wait(response.content.readany):
+                parts.append(data)
             headers = tuple(
                 (name, value)
                 for name, value in response.headers.items()
                 if name.lower() not in HOP_BY_HOP
             )
-            return ServiceAnswer(response.status, headers, body)
+            return ServiceAnswer(response.status, headers, b"".join(parts))
 
     async def read_load(self) -> LoadReport:
         """:returns: an empty report, since plain services do not report their load"""
--- a/src/quetzaldeck/upstreams/openai_engine.py
+++ b/src/quetzaldeck/upstreams/openai_engine.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.decisions.placement.cache_events import CacheEvent, CacheEvents
+from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams.api import EngineUpstream, engine_protocols
 from quetzaldeck.upstreams.attempt import Chunk, Export, Owner, RunningSequence
 from quetzaldeck.upstreams.errors import UpstreamError
@@ -22,6 +23,7 @@
 )
 from quetzaldeck.upstreams.openai_bodies import build_completion, build_prefill
 from quetzaldeck.upstreams.sse import DONE, decode_line
+from quetzaldeck.upstreams.watch import IdleTimeout
 from quetzaldeck.upstreams.wire import (
     ChunkBody,
     ExportBody,
@@ -40,13 +42,14 @@
         PrefillPart,
         Reservation,
     )
+    from quetzaldeck.upstreams.watch import Watch
 
 _CHUNK_DECODER = msgspec.json.Decoder(ChunkBody)
 _LOAD_DECODER = msgspec.json.Decoder(LoadBody)
 _RESERVATION_DECODER = msgspec.json.Decoder(ReservationState)
 _EXPORT_DECODER = msgspec.json.Decoder(ExportBody)
 _SEQUENCES_DECODER = msgspec.json.Decoder(list[SequenceBody])
-_CONTROL_TIMEOUT_MS = 2_000.0
+CONTROL_TIMEOUT_MS = 2_000.0
 _CACHED_KIND = "cached"
 _END_OF_STREAM_TIMEOUT_MS = 20.0
 
@@ -55,28 +58,33 @@
 class OpenAiEngine(EngineUpstream):
     """Client of the engine protocol that docs/UPSTREAM.md specifies."""
 
-    async def complete(self, attempt: Attempt) -> AsyncGenerator[Chunk, None]:
+    async def complete(
+        self, attempt: Attempt, watch: Watch
+    ) -> AsyncGenerator[Chunk, None]:
         """Run an attempt; see :meth:`EngineUpstream.complete`."""
         name = self._spec.name
-        timeout = build_timeout(self._timeouts, attempt.timeout_ms)
         is_whole_chat = attempt.call.is_chat and attempt.prompt_part is None
         path = "/v1/chat/completions" if is_whole_chat else "/v1/completions"
         incarnation = ""
-        async with (
-            translate_faults(name) as origin,
-            self._session.post(
+
+        async def send() -> aiohttp.ClientResponse:
+            return await self._session.post(
                 self._spec.address + path,
                 data=msgspec.json.encode(build_completion(attempt)),
                 headers={"Content-Type": "application/json"},
-                timeout=timeout,
-            ) as response,
+                timeout=build_timeout(self._timeouts, attempt.timeout_ms),
+            )
+
+        async with (
+            translate_faults(name) as origin,
+            await watch.wait(send) as response,
         ):
             origin.read_header(response)
             incarnation = origin.incarnation
             check_status(name, response)
             is_complete = False
             try:
-                async for data in self._read_events(response):
+                async for data in _read_events(response, watch):
                     chunk = self._decode_chunk(data)
                     is_own = chunk.attempt_id == attempt.attempt_id
                     is_complete = is_complete or (
@@ -95,17 +103,6 @@
             incarnation=incarnation,
         )
 
-    async def _read_events(
-        self, response: aiohttp.ClientResponse
-    ) -> AsyncIterator[bytes]:
-        async for line in response.content:
-            data = decode_line(line)
-            if data is None:
-                continue
-            if data == DONE:
-                return
-            yield data
-
     def _decode_chunk(self, data: bytes) -> Chunk:
         try:
             body = _CHUNK_DECODER.decode(data)
@@ -156,18 +153,23 @@
     async def prefill(self, part: PrefillPart) -> Export:
         """Prefill a prompt part; see :meth:`EngineUpstream.prefill`."""
         name = self._spec.name
-        async with (
-            translate_faults(name) as origin,
-            self._session.post(
+        watch = IdleTimeout(self._timeouts.idle_ms)
+
+        async def send() -> aiohttp.ClientResponse:
+            return await self._session.post(
                 self._spec.address + "/v1/prefill",
                 data=msgspec.json.encode(build_prefill(part)),
                 headers={"Content-Type": "application/json"},
                 timeout=build_timeout(self._timeouts, part.timeout_ms),
-            ) as response,
+            )
+
+        async with (
+            translate_faults(name) as origin,
+            await watch.wait(send) as response,
         ):
             origin.read_header(response)
             check_status(name, response)
-            async for data in self._read_events(response):
+            async for data in _read_events(response, watch):
                 try:
                     return Export(**_EXPORT_DECODER.decode(data))
                 except msgspec.DecodeError as error:
@@ -225,18 +227,20 @@
         return UpstreamError(AttemptFault.BAD_ANSWER, detail, upstream=name)
 
     async def _get(self, path: str) -> bytes:
-        timeout = build_timeout(self._timeouts, _CONTROL_TIMEOUT_MS)
+        timeout = build_timeout(self._timeouts, None)
         async with (
             translate_faults(self._spec.name),
+            RunningTimeout(CONTROL_TIMEOUT_MS),
             self._session.get(self._spec.address + path, timeout=timeout) as response,
         ):
             check_status(self._spec.name, response)
             return await response.read()
 
     async def _post(self, path: str, body: Any) -> bytes:
-        timeout = build_timeout(self._timeouts, _CONTROL_TIMEOUT_MS)
+        timeout = build_timeout(self._timeouts, None)
         async with (
             translate_faults(self._spec.name),
+            RunningTimeout(CONTROL_TIMEOUT_MS),
             self._session.post(
                 self._spec.address + path,
                 data=msgspec.json.encode(body),
@@ -247,6 +251,18 @@
             return await response.read()
 
 
+async def _read_events(
+    response: aiohttp.ClientResponse, watch: Watch
+) -> AsyncIterator[bytes]:
+    while line := await watch.wait(response.content.readline):
+        data = decode_line(line)
+        if data is None:
+            continue
+        if data == DONE:
+            return
+        yield data
+
+
 async def _read_to_end(response: aiohttp.ClientResponse) -> None:
     """Read what follows the last chunk, so that the connection can be reused.
 
@@ -260,4 +276,4 @@
                 pass
 
 
-__all__ = ("OpenAiEngine",)
+__all__ = ("CONTROL_TIMEOUT_MS", "OpenAiEngine")
--- a/src/quetzaldeck/upstreams/pools.py
+++ b/src/quetzaldeck/upstreams/pools.py
@@ -7,14 +7,38 @@
 
 import aiohttp
 
+from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.running_timeout import RunningTimeout
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from types import TracebackType
 
+    from aiohttp.client_proto import ResponseHandler
+    from aiohttp.client_reqrep import ClientRequest
+    from aiohttp.tracing import Trace
+
 KEEPALIVE_TIMEOUT_S = 15.0
 """Idle time after which a connection is closed; it is unlikely to be used again."""
 
 
+class PoolConnector(aiohttp.TCPConnector):
+    """Opens connections; stalls of this process do not count as connect time."""
+
+    async def _create_connection(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> ResponseHandler:
+        """Open a connection; see the base class.
+
+        :raises TimeoutError: if the upstream does not accept it in time
+        """
+        if timeout.sock_connect is None:
+            return await super()._create_connection(req, traces, timeout)
+        unbounded = aiohttp.ClientTimeout(total=None, sock_connect=None)
+        async with RunningTimeout(timeout.sock_connect * MS_PER_SECOND):
+            return await super()._create_connection(req, traces, unbounded)
+
+
 class ConnectionPool:
     """Connections to one upstream.
 
@@ -22,7 +46,7 @@
     """
 
     def __init__(self, generation: int) -> None:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S)
+        connector = PoolConnector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S)
         self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
         self.generation = generation
         self.n_users = 0
--- a/tests/decisions/groups/test_groups.py
+++ b/tests/decisions/groups/test_groups.py
@@ -14,8 +14,8 @@
 )
 
 from quetzaldeck.clock import ManualClock
+from quetzaldeck.decisions.group_plan import n_reservable_tokens
 from quetzaldeck.decisions.groups import GroupBounds, GroupPlanner, build_plan
-from quetzaldeck.decisions.groups.plan import n_reservable_tokens
 from quetzaldeck.outcomes import Reason
 
 BOUNDS = GroupBounds()
