--- a/tests/entry/test_handover.py
+++ b/tests/entry/test_handover.py
@@ -23,6 +23,8 @@
 from tests.support.platform.store import CONFIGURATION_KEY
 
 from quetzaldeck.decisions.paths import PathVerdict
+from quetzaldeck.decisions.paths.peer_chooser import UNABLE_MS
+from quetzaldeck.entry.handover.client import MAX_PEERS_TRIED
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -194,6 +196,115 @@
     run_fleet(partitioned, 2)
 
 
+def test_callers_are_served_though_most_vms_are_partitioned() -> None:
+    """The few VMs that are asked are partitioned as well, and callers are refused."""
+    hosts = tuple(f"127.0.1.{number}" for number in range(1, 7))
+
+    async def test(fleet: EntryFleet, partition: Partition) -> None:
+        calls = []
+        async with aiohttp.ClientSession() as client:
+            for _ in range(4):
+                # Nothing is left of what the VMs have learned from refusals.
+                await asyncio.sleep(UNABLE_MS / 1_000)
+                calls += [await partition.send(client, h, LOOK_PATH) for h in hosts]
+        assert {call.status for call in calls} == {200}
+
+    run_partitioned(test, *hosts, n_vms=8)
+
+
+def test_few_vms_are_asked_whether_they_reach_a_service_that_is_down() -> None:
+    """Callers of a service that is down wait for the refusals of many VMs."""
+    n_vms = 8
+
+    async def test(fleet: EntryFleet) -> None:
+        partition = Partition(fleet)
+        await partition.add_replicas()
+        await partition.send_all(0.3)
+        partition.set_paths(fleet.vms, PathMode.RESET)
+        await partition.send_all(3.0)
+        state = fleet.vms[CUT].state
+        assert state.paths.monitor.find_verdict("desk") is PathVerdict.DOWN
+        refusals = state.metrics.upstreams.handovers.labels("refused")
+        n_before = refusals._value.get()
+        await asyncio.sleep(UNABLE_MS / 1_000)
+        async with aiohttp.ClientSession() as client:
+            call = await partition.send(client, CUT, LOOK_PATH)
+        assert call.status == 503
+        assert 1 <= refusals._value.get() - n_before <= MAX_PEERS_TRIED
+
+    run_fleet(test, n_vms)
+
+
+def test_vm_that_has_started_behind_a_partition_takes_no_request() -> None:
+    """A VM that has not reached a replica yet holds requests that others serve."""
+
+    async def test(fleet: EntryFleet, partition: Partition) -> None:
+        await fleet.stop(OTHER)
+        partition.set_paths((OTHER,), PathMode.SILENT)
+        await fleet.start(OTHER)
+        await fleet.wait(lambda: fleet.vms[OTHER].state.is_ready)
+        async with aiohttp.ClientSession() as client, asyncio.TaskGroup() as group:
+            for _ in range(20):
+                group.create_task(
+                    partition.send(client, CUT, BOOK_PATH, deadline_ms=600)
+                )
+                await asyncio.sleep(0.02)
+        assert {call.status for call in partition.calls} == {200}
+
+    run_partitioned(test, CUT)
+
+
+def test_vm_that_has_just_started_takes_requests_of_others() -> None:
+    """A VM that nobody has called yet refuses what it could serve."""
+
+    async def test(fleet: EntryFleet, partition: Partition) -> None:
+        await fleet.stop(OTHER)
+        await fleet.start(OTHER)
+        await fleet.wait(lambda: fleet.vms[OTHER].state.is_ready)
+        async with aiohttp.ClientSession() as client:
+            call = await partition.send(client, CUT, BOOK_PATH)
+        assert call.status == 200
+
+    run_partitioned(test, CUT, n_vms=2)
+
+
+def test_requests_are_taken_though_a_replica_of_a_quiet_service_hangs() -> None:
+    """All VMs first probe the replica that hangs, and refuse what others could run."""
+
+    async def test(fleet: EntryFleet, partition: Partition) -> None:
+        monitor = fleet.vms[CUT].state.paths.monitor
+        await asyncio.sleep(1.5 * monitor.bounds.evidence_ms / 1_000)
+        # What a VM with calls of its own would have told it.
+        monitor.note_served_elsewhere("desk", 1e12)
+        hung = next(r for r in partition.replicas if r.service == "desk")
+        for host in fleet.vms:
+            hung.link.set_path(host, PathMode.SILENT)
+        async with aiohttp.ClientSession() as client, asyncio.TaskGroup() as group:
+            for _ in range(12):
+                group.create_task(partition.send(client, CUT, LOOK_PATH))
+                await asyncio.sleep(0.2)
+        assert [call.status for call in partition.calls] == [200] * 12
+
+    run_partitioned(test, CUT, n_vms=6)
+
+
+def test_request_that_no_vm_took_has_not_run_though_its_deadline_is_near() -> None:
+    """A VM that probes its path for too long leaves open whether a booking has run."""
+
+    async def test(fleet: EntryFleet, partition: Partition) -> None:
+        monitor = fleet.vms[OTHER].state.paths.monitor
+        await asyncio.sleep(1.5 * monitor.bounds.evidence_ms / 1_000)
+        partition.set_paths(fleet.vms, PathMode.SILENT)
+        async with (
+            aiohttp.ClientSession() as client,
+            await partition.open(client, CUT, BOOK_PATH, deadline_ms=90) as response,
+        ):
+            failure = json.loads(await response.read())["error"]
+        assert (failure["reason"], failure["ran"]) == ("no_path", "no")
+
+    run_partitioned(test, CUT, n_vms=2)
+
+
 def test_caller_cannot_claim_that_its_request_was_handed_over() -> None:
     """A caller sets the fields between VMs, and its request is not handed over."""
 
--- a/tests/soak/test_link.py
+++ b/tests/soak/test_link.py
@@ -7,6 +7,7 @@
 import pytest
 import uvloop
 from tests.soak.own import Link, LinkMode
+from tests.soak.own.link import PathMode
 
 TIMEOUT_S = 0.2
 
@@ -54,9 +55,28 @@
             await exchange(blocked, b"entry-1")
 
 
+async def run_lost_answers() -> None:
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    async with server, Link(server.sockets[0].getsockname()[1]) as link:
+        streams = await connect(link)
+        assert await exchange(streams, b"one") == b"one"
+        link.set_path("127.0.0.1", PathMode.ANSWERS_LOST)
+        with pytest.raises(TimeoutError):
+            await exchange(streams, b"two")
+        link.set_path("127.0.0.1", PathMode.OPEN)
+        with pytest.raises(TimeoutError):
+            await exchange(streams, b"three")
+        assert await exchange(await connect(link), b"four") == b"four"
+
+
 def test_link_silences_open_connections_and_serves_new_ones() -> None:
     uvloop.run(run_silenced_connections())
 
 
 def test_link_drops_the_bytes_of_blocked_sources() -> None:
     uvloop.run(run_blocked_source())
+
+
+def test_connection_that_lost_bytes_delivers_none_that_follow_them() -> None:
+    """Guards against streams with a hole in them, which TCP never delivers."""
+    uvloop.run(run_lost_answers())
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -71,3 +71,22 @@
         if path.stem != "__init__"
     }
     TopologicalSorter(imports).prepare()
+
+
+def test_no_part_of_the_decisions_that_paths_and_retries_use_depends_on_them() -> None:
+    """Placement, paths and retries that name each other read as one module."""
+    package = Path(quetzaldeck.__file__).parent / "decisions"
+    imports: dict[str, set[str]] = {}
+    for path in package.rglob("*.py"):
+        part = path.relative_to(package).parts[0].removesuffix(".py")
+        names = [name.split(".") for name in list_imports(path)]
+        imports.setdefault(part, set()).update(
+            name[2]
+            for name in names
+            if name[:2] == ["quetzaldeck", "decisions"] and len(name) > 2
+        )
+    for part in ("paths", "retries", "decision", "group_plan"):
+        used = imports[part] - {part}
+        while more := set().union(*(imports.get(name, ()) for name in used)) - used:
+            used |= more
+        assert part not in used, (part, sorted(used))
