Refuse only culprits of crashes that several requests ran in

What callers saw: a sound request, or a prompt that shares a sound part, was refused with the culprit beside which it ran on replicas that ended silently; and culprits that ended replicas after their callers left were missed by VMs that had not sent them.

Cause: any request of a crash counted alike, runs told by other VMs were forgotten with later copies, and suspects of one crash started together, so that their crashes could not be told apart.

Suspects of one crash start on a replica one after the other; a request whose crashes others explain is not refused, and one crash that is only presumed may be left over; VMs tell what they sent to a replica that another VM finds missing, and repeat runs whose outcome is open to VMs that missed them.

Cost: a culprit in silent crashes shared with others may end five replicas; the rule allows three retries after the third crash.

--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -297,7 +297,7 @@
         """
         placement = self._unreserved.pop(request.request_id)
         suspects = self._poison.list_suspects(request.crash_fingerprints, now_ms)
-        self._suspects.note_start(request)
+        self._suspects.note_start(request, attempt_id, placement.upstreams)
         if placement.plan is not None:
             self._plans.note_pending(attempt_id)
         self._helper_accounting.reserve(request, attempt_id, placement, now_ms)
@@ -339,7 +339,8 @@
 
         :param in_flight: its entry in the ledger of each upstream
         """
-        self._suspects.note_start(request)
+        upstreams = tuple(state.spec.name for state, _ in in_flight)
+        self._suspects.note_start(request, attempt_id, upstreams)
         for state, attempt in in_flight:
             self._table.keep(state).add(attempt)
 
@@ -361,7 +362,7 @@
         """Release the capacity that an attempt holds; call it once per attempt."""
         self._plans.note_settled(attempt_id)
         self.release_helpers(attempt_id)
-        self._suspects.note_end(request)
+        self._suspects.note_end(request, attempt_id)
         for name in upstreams:
             state = self._table.get(name)
             if state is None:
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.health import list_usable
 from quetzaldeck.decisions.placement.placement import Placement
+from quetzaldeck.decisions.placement.suspect_order import SuspectOrder
 from quetzaldeck.decisions.poison import Verdict
 
 if TYPE_CHECKING:
@@ -32,7 +32,8 @@
 
     If two suspects ran on an engine that crashes, the crash could be attributed to
     neither of them. VMs tell each other of the suspects that they send; two that send
-    one in the same moment do not know it of each other.
+    one in the same moment do not know it of each other, so they go in turn, see
+    :class:`SuspectOrder`.
 
     :param poison: registry of suspected requests
     :param candidates: filters upstreams by capacity
@@ -57,7 +58,8 @@
         self._plans = plans
         self._head_of_line = head_of_line
         self._helper_selector = helper_selector
-        self._running: Counter[int] = Counter()
+        self._order = SuspectOrder(poison)
+        self._running: dict[int, dict[str, tuple[str, ...]]] = {}
         self._random_state = random_state
         self._turns_ms: dict[int, float] = {}
 
@@ -68,35 +70,47 @@
         verdict = self._poison.judge(request.crash_fingerprints, now_ms)
         return verdict is not Verdict.CLEAR
 
-    def note_start(self, request: Request) -> None:
-        """Count one more running copy of a request."""
-        self._running[request.fingerprint] += 1
+    def note_start(
+        self, request: Request, attempt_id: str, upstreams: tuple[str, ...]
+    ) -> None:
+        """Record a running copy of a request."""
+        self._running.setdefault(request.fingerprint, {})[attempt_id] = upstreams
         for part in request.part_fingerprints:
             self._turns_ms.pop(part, None)
 
-    def note_end(self, request: Request) -> None:
-        """Count one running copy of a request fewer."""
-        self._running[request.fingerprint] -= 1
-        if not self._running[request.fingerprint]:
-            del self._running[request.fingerprint]
+    def note_end(self, request: Request, attempt_id: str) -> None:
+        """Forget a copy of a request that has ended."""
+        copies = self._running.get(request.fingerprint, {})
+        copies.pop(attempt_id, None)
+        if not copies:
+            self._running.pop(request.fingerprint, None)
 
     def is_turn(self, request: Request, now_ms: float) -> bool:
         """:returns: whether this VM may start a prompt with suspected parts
 
         Several VMs have such prompts, and a run of one is news to the others only after
         a moment. So each starts at a time of its own after the last one has ended.
-        Prompts with fewer of the suspected parts go first: if one of them is answered,
-        that tells the sound parts from the bad one.
+        Prompts with fewer parts that may be to blame go first: if one of them is
+        answered, that tells the sound parts from the bad one. A run that its deadline
+        cuts off tells nothing, and the others have to wait for its outcome.
         """
         suspects = self._poison.list_suspects(request.part_fingerprints, now_ms)
         if any(self._poison.is_held(part, now_ms) for part in suspects):
             for part in suspects:
                 self._turns_ms.pop(part, None)
             return False
-        rank_ms = (len(suspects) - 1) * self._poison.bounds.propagation_ms
+        rank = self._poison.count_doubted(request.part_fingerprints, now_ms) - 1
+        rank += self._is_late(request, now_ms)
+        rank_ms = rank * self._poison.bounds.propagation_ms
         turns_ms = [self._find_turn_ms(part, now_ms) for part in suspects]
         return all(turn_ms + rank_ms <= now_ms for turn_ms in turns_ms)
 
+    def _is_late(self, request: Request, now_ms: float) -> bool:
+        """:returns: whether a run may be cut off before it shows anything"""
+        budget_ms = request.deadline_ms - request.arrived_ms
+        enough_ms = min(self._poison.bounds.lived_ms, budget_ms / 2.0)
+        return request.deadline_ms - now_ms < enough_ms
+
     def _find_turn_ms(self, part: int, now_ms: float) -> float:
         if part not in self._turns_ms:
             if len(self._turns_ms) >= MAX_TURNS:
@@ -114,8 +128,11 @@
         now_ms: float,
     ) -> Placement | None:
         """:returns: the placement of a suspect; ``None`` if it has to wait"""
-        if self._running[request.fingerprint]:
-            return None  # Also a copy that was sent before it was suspected.
+        is_last = self._order.is_last_to_expire(
+            request.fingerprint, request.deadline_ms, now_ms
+        )
+        if not is_last or self._runs_copy(request.fingerprint):
+            return None
         suspects = self._poison.list_suspects(request.crash_fingerprints, now_ms)
         if any(self._poison.is_held(suspect, now_ms) for suspect in suspects):
             return None
@@ -124,6 +141,8 @@
             return None
         if self._plans.is_needed(request, pool):
             return self._find_group(request, pool, free, avoided, now_ms)
+        fingerprint = request.fingerprint
+        free = [s for s in free if self._order.may_start(fingerprint, s, now_ms)]
         candidates = [
             state
             for state in list_usable(free)
@@ -136,6 +155,18 @@
         least_loaded = min(untried or candidates, key=_n_requests)
         return Placement((least_loaded.spec.name,))
 
+    def _runs_copy(self, fingerprint: int) -> bool:
+        """:returns: whether this VM runs a copy of which more may become known
+
+        Also one that was sent before the request was suspected.
+        """
+        running = self._running.get(fingerprint, {}).values()
+        return any(
+            not self._poison.ends.is_counted(fingerprint, name)
+            for upstreams in running
+            for name in upstreams
+        )
+
     def _find_group(
         self,
         request: Request,
@@ -163,11 +194,14 @@
         may have ended before.
         """
         name = state.spec.name
-        return not (
+        if (
             state.ledger.n_suspects
             or self._poison.runs_suspect(name, now_ms)
             or self._poison.ends.is_presumed(name)
-        )
+        ):
+            self._order.note_taken(name)
+            return False
+        return True
 
 
 def _n_requests(state: UpstreamState) -> int:
--- a/src/quetzaldeck/decisions/poison/bounds.py
+++ b/src/quetzaldeck/decisions/poison/bounds.py
@@ -16,8 +16,8 @@
         ends at the same time, and the next run alone shows whether it does harm
     :param max_crashes: takes the place of ``n_crashes`` while about as many upstreams
         crash without the request, since three may then be coincidence, as in a series
-        of crashes that reaches every upstream; and for a request that ran in the same
-        crashes as another one: its next run, alone, shows which of them is to blame
+        of crashes that reaches every upstream; and for the first of several requests
+        that ran in the same crashes: a run of one, alone, shows which is to blame
     :param n_part_crashes: a part of prompts is refused after this many crashes one
         after the other; a sound part may be in several beside bad ones
     :param max_part_crashes: takes its place while other upstreams crash as often, or
--- a/src/quetzaldeck/decisions/poison/crash.py
+++ b/src/quetzaldeck/decisions/poison/crash.py
@@ -49,7 +49,7 @@
 
     :param seen_ms: when its run ended
     :param run_ms: how long it had run; ``None``: unknown
-    :param was_answered: whether it had been answered a moment before
+    :param was_answered: whether a VM knows that it had been answered a moment before
     """
 
     seen_ms: float
@@ -72,6 +72,8 @@
         upstream that had ended.
         """
         first, last = sorted((self, other), key=_seen_ms_of)
+        was_answered = self.was_answered or other.was_answered
+        first = first._replace(was_answered=was_answered)
         if first.run_ms is None or last.run_ms is None:
             return first._replace(run_ms=None)
         sent_ms = min(first.seen_ms - first.run_ms, last.seen_ms - last.run_ms)
--- a/src/quetzaldeck/decisions/poison/crash_table.py
+++ b/src/quetzaldeck/decisions/poison/crash_table.py
@@ -124,7 +124,7 @@
             lived_ms = self._lived_parts.find(fingerprint)
             if involvement.seen_ms <= lived_ms:
                 return
-            if involvement.seen_ms - lived_ms <= self._bounds.answered_ms:
+            if self._is_recent(lived_ms, involvement):
                 involvement = involvement._replace(was_answered=True)
         if crash.counts and involvement.began_after(crash.at_ms):
             return
@@ -137,6 +137,10 @@
         while len(self._by_request) > self._bounds.max_fingerprints:
             self.forget(self._find_least_known())
 
+    def _is_recent(self, answered_ms: float, involvement: Involvement) -> bool:
+        """:returns: whether an answer came shortly before a run that ended so"""
+        return involvement.seen_ms - answered_ms <= self._bounds.answered_ms
+
     def prove(self, crash: Crash, *, is_presumed: bool = False) -> bool:
         """Let a crash count.
 
@@ -154,10 +158,16 @@
         return True
 
     def clear(self, fingerprint: int, cleared_ms: float) -> None:
-        """Forget the crashes of a request from before it was answered."""
+        """Forget the crashes of a request from before it was answered.
+
+        Crashes that came a moment later are known of a part that had been answered.
+        """
         for crash, involvement in tuple(self.find(fingerprint).items()):
             if involvement.seen_ms <= cleared_ms:
                 self.discard(fingerprint, crash)
+            elif is_part(fingerprint) and self._is_recent(cleared_ms, involvement):
+                known = self._by_request[fingerprint]
+                known[crash] = involvement._replace(was_answered=True)
         self._cleared.note(fingerprint, cleared_ms)
         if is_part(fingerprint):
             self._lived_parts.note(fingerprint, cleared_ms)
--- a/src/quetzaldeck/decisions/poison/open_runs.py
+++ b/src/quetzaldeck/decisions/poison/open_runs.py
@@ -33,6 +33,7 @@
     :param is_own: whether this VM has sent it
     :param is_awaited: whether the VM that has sent it still waits for the answer, and
         would tell how it ends
+    :param left: an earlier run there for which nobody waits any more
     """
 
     fingerprint: int
@@ -43,6 +44,7 @@
     was_answered: bool = False
     is_own: bool = True
     is_awaited: bool = False
+    left: OpenRun | None = None
 
 
 class OpenRuns:
@@ -69,13 +71,23 @@
         return tuple(self._by_upstream.get(upstream, {}).values())
 
     def note(self, run: OpenRun) -> None:
-        """Add a run, which may be known already."""
+        """Add a run, which may be known already.
+
+        VMs repeat what they know, and what they tell of the time of a run is late by
+        its way. So what others tell does not change one that was left and may go on:
+        not that it is awaited, which it was before, nor until when it may go on.
+        """
         runs = self._by_upstream.setdefault(run.upstream, OrderedDict())
         known = runs.get(run.fingerprint)
-        if known is not None and known.incarnation == run.incarnation:
+        if known is not None and _may_be_same(known.incarnation, run.incarnation):
+            was_left = not known.is_awaited and run.sent_ms <= known.until_ms
+            if was_left and not run.is_own:
+                return
+            left = known.left if known.is_awaited else known
             run = run._replace(
                 sent_ms=min(known.sent_ms, run.sent_ms),
                 is_own=known.is_own or run.is_own,
+                left=left if run.is_awaited else None,
             )
         runs[run.fingerprint] = run
         runs.move_to_end(run.fingerprint)
@@ -116,21 +128,26 @@
             run
             for run in self.list_of(upstream)
             if not (run.is_own and run.is_awaited)
-            and not (incarnation and run.incarnation and run.incarnation != incarnation)
+            and _may_be_same(run.incarnation, incarnation)
         ]
         for run in runs:
             self.discard(run.fingerprint, upstream)
         return runs
 
-    def list_running(self, now_ms: float) -> list[OpenRun]:
-        """:returns: awaited runs that may go on, the latest first"""
-        running = [
+    def list_held(self, now_ms: float) -> list[OpenRun]:
+        """:returns: runs that may go on or whose outcome is open, the latest first"""
+        held = [
             run
             for runs in self._by_upstream.values()
             for run in runs.values()
-            if run.is_awaited and run.until_ms > now_ms
+            if self.find_outcome_ms(run) > now_ms
         ]
-        return sorted(running, key=lambda run: run.sent_ms, reverse=True)
+        return sorted(held, key=lambda run: run.sent_ms, reverse=True)
+
+    def find_outcome_ms(self, run: OpenRun) -> float:
+        """:returns: when all VMs know whether the upstream has survived a run"""
+        bounds = self._bounds
+        return run.until_ms + (bounds.settle_ms if run.is_awaited else bounds.verify_ms)
 
     def list_ended(self, upstream: str, now_ms: float) -> list[OpenRun]:
         """:returns: the runs on an upstream that have ended by themselves"""
@@ -166,4 +183,9 @@
                     self.discard(run.fingerprint, upstream)
 
 
+def _may_be_same(incarnation: str, other: str) -> bool:
+    """:returns: whether two incarnations are the same, as far as is known"""
+    return incarnation == other or not (incarnation and other)
+
+
 __all__ = ("OpenRun", "OpenRuns")
--- a/src/quetzaldeck/decisions/poison/part_verdicts.py
+++ b/src/quetzaldeck/decisions/poison/part_verdicts.py
@@ -58,6 +58,11 @@
             is_suspect = bool(counted) or self._is_in_doubt(own, now_ms)
         return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
 
+    def is_doubted(self, part: int) -> bool:
+        """:returns: whether a part ran in a crash, and in no answer since or before"""
+        own = self._table.find(part)
+        return bool(own) and not _is_trusted(own)
+
     def n_crashes(self, part: int, now_ms: float) -> int:
         """:returns: crashes one after the other that count against a part"""
         return _count_successive(self._list_counted(part, now_ms).values())
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -84,6 +84,7 @@
         self._announced_parts: RecentTimes[int] = RecentTimes(
             self._bounds.max_lived_parts
         )
+        self._doubted_elsewhere: set[int] = set()
         self._ends = UpstreamEnds(
             self._bounds, self._table, self._runs, self._unannounced
         )
@@ -125,6 +126,28 @@
             if self.verdict(fingerprint, now_ms) is not Verdict.CLEAR
         )
 
+    def count_doubted(self, parts: Collection[int], now_ms: float) -> int:
+        """:returns: how many parts are suspected, or ran in crashes and in no answer
+
+        While one part explains all crashes, others of them are not suspected. Either
+        may be to blame.
+        """
+        return sum(
+            self._verdicts.is_doubted(part)
+            or self.verdict(part, now_ms) is not Verdict.CLEAR
+            for part in parts
+        )
+
+    def list_rivals(self, fingerprint: int) -> set[int]:
+        """:returns: other requests that ran in crashes of a request, if not cleared"""
+        return {
+            other
+            for crash in self._table.find(fingerprint)
+            if crash.counts
+            for other in crash.fingerprints - {fingerprint}
+            if not is_part(other)
+        }
+
     def select_recorded(self, fingerprints: Sequence[int]) -> tuple[int, ...]:
         """Choose what to record of a run whose prompt has very many parts.
 
@@ -226,6 +249,7 @@
             fingerprint, upstream, incarnation, sent_ms, until_ms, was_answered
         )
         self._open_run(run, now_ms)
+        self._ends.note_open(run, now_ms)
 
     def note_started(
         self,
@@ -250,16 +274,23 @@
 
     def note_stopped(self, fingerprint: int, upstream: str, now_ms: float) -> None:
         """Record that an upstream does not run a request of this VM any longer."""
-        run = self._runs.discard(fingerprint, upstream)
-        if run is not None:
-            self._ends.announce_run(run, RunState.CLOSED, now_ms)
+        runs = self._runs.find(fingerprint)
+        run = next((run for run in runs if run.upstream == upstream), None)
+        if run is None or not run.is_awaited:
+            return  # A run that was left before has not ended with another copy.
+        self._runs.discard(fingerprint, upstream)
+        self._ends.announce_run(run, RunState.CLOSED, now_ms)
+        if run.left is not None:
+            self._open_run(run.left, now_ms)
 
     def is_held(self, fingerprint: int, now_ms: float) -> bool:
-        """:returns: whether a suspect has to wait for the outcome of another run"""
-        bounds = self._bounds
+        """:returns: whether a suspect has to wait for the outcome of another run
+
+        Not for that of a run on an upstream in whose presumed crash it is counted.
+        """
         return any(
-            run.until_ms + (bounds.settle_ms if run.is_awaited else bounds.verify_ms)
-            > now_ms
+            self._runs.find_outcome_ms(run) > now_ms
+            and not self._ends.is_counted(run.fingerprint, run.upstream)
             for run in self._runs.find(fingerprint)
         )
 
@@ -314,10 +345,12 @@
             is_known = part in self._table
             if is_known and (
                 self._announced_parts.find(part) > -math.inf
+                or part in self._doubted_elsewhere
                 or self.verdict(part, now_ms) is not Verdict.CLEAR
             ):
                 self._unannounced.add(part)
             self._runs.forget(part)
+            self._doubted_elsewhere.discard(part)
             if is_known:
                 self._table.clear(part, begun_ms)
             else:
@@ -343,7 +376,8 @@
         Refused requests come first, in random order, then other suspects and requests
         that were cleared a moment ago.
 
-        :param max_sightings: maximum number; all sightings of a request, or none
+        :param max_sightings: maximum number; all sightings of a request, or none, but
+            the latest ones of a request that was in more crashes than that
         """
         listed = [f for f in self._table if self._table.n_counted(f)]
         listed += self._table.cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
@@ -355,6 +389,8 @@
             if is_part(fingerprint) and verdict is Verdict.CLEAR:
                 # That it is sound says enough: it is in almost every crash.
                 of_request = [item for item in of_request if not item.upstream]
+            if len(of_request) > max_sightings:
+                of_request = sorted(of_request, key=_age_ms_of)[:max_sightings]
             if len(sightings) + len(of_request) <= max_sightings:
                 sightings += of_request
         return sightings
@@ -391,14 +427,33 @@
                 )
                 self._table.add(sighting.fingerprint, crash, involvement)
                 self._ends.prove(crash)
+                self._note_doubted(sighting)
             else:
+                self._doubted_elsewhere.discard(sighting.fingerprint)
                 self._table.clear(sighting.fingerprint, seen_ms)
 
+    def _note_doubted(self, sighting: CrashSighting) -> None:
+        """Note that a VM has seen no answer on a part that others have answered.
+
+        It may have started a moment ago. Without being told, it would take a part that
+        most prompts share for the one that several bad ones have in common.
+        """
+        part = sighting.fingerprint
+        if sighting.was_answered or self._table.lived_parts.find(part) == -math.inf:
+            return
+        if len(self._doubted_elsewhere) >= self._bounds.max_lived_parts:
+            self._doubted_elsewhere.clear()
+        self._doubted_elsewhere.add(part)
+
     def _was_answered(self, fingerprint: int, now_ms: float) -> bool:
         answered_ms = self._answered.find(fingerprint)
         return answered_ms >= now_ms - self._bounds.answered_ms
 
 
+def _age_ms_of(sighting: CrashSighting) -> float:
+    return sighting.age_ms
+
+
 def _urgency(item: tuple[int, Verdict]) -> tuple[bool, bool]:
     fingerprint, verdict = item
     is_clear_part = is_part(fingerprint) and verdict is Verdict.CLEAR
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -137,6 +137,14 @@
             if self._add(run, min(run.until_ms, checked_ms)).is_certain:
                 self._unannounced.add(run.fingerprint)
 
+    def note_open(self, run: OpenRun, now_ms: float) -> None:
+        """Count a run that is left on an upstream which is presumed to have crashed."""
+        for crash in self._table.list_of(run.upstream):
+            if crash.is_presumed and run.sent_ms <= crash.at_ms:
+                self._runs.discard(run.fingerprint, run.upstream)
+                self._add(run, min(run.until_ms, now_ms))
+                self._announce(crash, RunState.MISSING, now_ms)
+
     def advance(self, now_ms: float) -> None:
         """Count runs on upstreams that have ended, of VMs that do not tell of them.
 
@@ -152,6 +160,13 @@
         """:returns: whether an upstream is presumed to have crashed"""
         return any(crash.is_presumed for crash in self._table.list_of(upstream))
 
+    def is_counted(self, fingerprint: int, upstream: str) -> bool:
+        """:returns: whether a request is in a presumed crash of an upstream"""
+        return any(
+            crash.is_presumed and crash.upstream == upstream
+            for crash in self._table.find(fingerprint)
+        )
+
     def list_presumed(self) -> list[PresumedCrash]:
         """:returns: the crashes of which it has to be found out whether they are any"""
         return [
@@ -176,11 +191,18 @@
         ]
         # Runs of others are repeated as well: the VM that told of one may be killed
         # before all have heard of it.
-        open_runs = (
+        open_runs = [
             _describe_run(run, RunState.OPEN, now_ms)
-            for run in self._runs.list_running(now_ms)
-        )
-        return [*described, *open_runs][:max_runs]
+            for run in self._runs.list_held(now_ms)
+            if run.is_awaited or self._is_doubted(run)
+        ]
+        # The latest run leads: a VM that has not heard of it may send a copy.
+        return [*open_runs[:1], *described, *open_runs[1:]][:max_runs]
+
+    def _is_doubted(self, run: OpenRun) -> bool:
+        """:returns: whether a run that was left is one of a suspect"""
+        is_sound = is_part(run.fingerprint) and run.was_answered
+        return run.fingerprint in self._table and not is_sound
 
     def observe_runs(self, sightings: Iterable[RunSighting], now_ms: float) -> None:
         """Merge what other VMs know, which may be late, repeated or known."""
@@ -210,6 +232,8 @@
             return
         if self._closed.find((sighting.fingerprint, sighting.upstream)) >= sent_ms:
             return  # A VM that has not heard of its end repeats it.
+        if self._has_counted(sighting, sent_ms):
+            return
         run = OpenRun(
             sighting.fingerprint,
             sighting.upstream,
@@ -226,6 +250,16 @@
         else:
             self._runs.note(run)
 
+    def _has_counted(self, sighting: RunSighting, sent_ms: float) -> bool:
+        """:returns: whether this VM knows the crash in which a run ended"""
+        own = self._table.find(sighting.fingerprint)
+        return any(
+            crash.upstream == sighting.upstream
+            and crash.counts
+            and involvement.seen_ms >= sent_ms
+            for crash, involvement in own.items()
+        )
+
     def _note_late(self, run: OpenRun, ended_ms: float, now_ms: float) -> None:
         """Record a run of which this VM hears after the upstream has ended."""
         self._closed.note((run.fingerprint, run.upstream), ended_ms)
@@ -245,7 +279,11 @@
         run_ms = max(0.0, ended_ms - now_ms + sighting.age_ms)
         involvement = Involvement(ended_ms, run_ms, sighting.was_answered)
         self._table.add(sighting.fingerprint, crash, involvement)
-        self._table.prove(crash, is_presumed=True)
+        if self._table.prove(crash, is_presumed=True):
+            # This VM may not conclude it from its own checks, see `PathMonitor`.
+            self._presume_runs(sighting.upstream, ended_ms)
+            if crash.fingerprints - {sighting.fingerprint}:
+                self._announce(crash, RunState.MISSING, now_ms)
 
     def _observe_closed(self, sighting: RunSighting) -> None:
         self._unconfirmed.pop((sighting.fingerprint, sighting.upstream), None)
--- a/src/quetzaldeck/decisions/poison/verdicts.py
+++ b/src/quetzaldeck/decisions/poison/verdicts.py
@@ -73,6 +73,10 @@
         is_suspect = n_crashes or self._is_in_doubt(fingerprint, now_ms)
         return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
 
+    def is_doubted(self, part: int) -> bool:
+        """:returns: whether a part ran in a crash, and in no answer since or before"""
+        return self._parts.is_doubted(part)
+
     def judge(self, fingerprints: Collection[int], now_ms: float) -> Verdict:
         """:returns: the verdict on a request, given it and all parts of its prompt"""
         verdicts = {self.find(fingerprint, now_ms) for fingerprint in fingerprints}
@@ -157,23 +161,49 @@
         )
 
     def _find_limit(self, fingerprint: int, n_crashes: int) -> int:
-        limit = self._limit.find(fingerprint, n_crashes)
-        if n_crashes >= limit and self._is_tied(fingerprint):
-            return self._bounds.max_crashes
-        return limit
+        """:returns: number of crashes at which a request is refused
 
-    def _is_tied(self, fingerprint: int) -> bool:
-        """:returns: whether another request may be to blame for all its crashes
-
-        One that had been answered before it ran in them is less likely to be.
+        Of requests that may each be to blame for the same crashes one is refused. The
+        others run alone: if one of them crashes an upstream, it was in the most
+        crashes, and that clears the one that is refused.
         """
-        crashes = [c for c in self._table.find(fingerprint) if c.counts]
-        others = set.intersection(*(crash.fingerprints for crash in crashes))
-        return any(
-            not self._was_answered(other)
-            for other in others - {fingerprint}
-            if not is_part(other)
-        )
+        limit = self._limit.find(fingerprint, n_crashes)
+        if n_crashes < limit:
+            return limit
+        rivals = self._find_rivals(fingerprint)
+        if not rivals:
+            return limit
+        if self._was_answered(fingerprint) or min(rivals) < fingerprint:
+            return n_crashes + 1
+        return self._bounds.max_crashes
+
+    def _find_rivals(self, fingerprint: int) -> set[int]:
+        """:returns: other requests that explain its crashes; none if they do not
+
+        Each was in as many crashes as are no coincidence. One that had been answered
+        before it ran in them is less likely to be to blame.
+
+        One crash that is only presumed may be left over: not all that ran there is
+        known, as VMs tell of it one after the other, and one that was killed tells of
+        nothing. The next run, alone, would leave over another one.
+        """
+        rivals: set[int] = set()
+        n_left_over = 0
+        for crash in self._table.find(fingerprint):
+            if not crash.counts:
+                continue
+            others = {
+                other
+                for other in crash.fingerprints - {fingerprint}
+                if not is_part(other)
+                and self._table.n_counted(other) >= self._bounds.n_crashes
+                and not self._was_answered(other)
+            }
+            rivals |= others
+            n_left_over += not others
+            if not others and (n_left_over > 1 or not crash.is_presumed):
+                return set()
+        return rivals
 
     def _highest_count(self, crash: Crash) -> int:
         """:returns: most crashes that any one request of ``crash`` was in"""
--- a/tests/decisions/poison/test_open_runs.py
+++ b/tests/decisions/poison/test_open_runs.py
@@ -106,3 +106,84 @@
     now_ms = 1_000.0
     assert registry.verdict(CULPRIT, now_ms) is Verdict.SUSPECT
     assert registry.verdict(BYSTANDER, now_ms) is Verdict.CLEAR
+
+
+def test_run_that_others_repeat_after_its_caller_has_left_counts() -> None:
+    """Guards against crashes that nobody counts, as an echo revives an awaited run.
+
+    What VMs repeat of a run may be old by the time that it has travelled.
+    """
+    sender, other = PoisonRegistry(), PoisonRegistry()
+    for registry in (sender, other):
+        registry.note_crash(1, "e0", "0", 0.0, run_ms=60.0)
+    sender.note_started(1, "e1", "0", 2_000.0, 1_000.0)
+    other.ends.observe_runs(sender.ends.pop_changed_runs(), 1_150.0)
+    sender.note_stopped(1, "e1", 1_060.0)
+    sender.note_left(1, "e1", "0", 1_000.0, 1_060.0)
+    sender.ends.observe_runs(other.ends.list_runs(3, 1_200.0), 1_210.0)
+    sender.ends.note_ended("e1", 1_600.0)
+    assert sender.n_crashes(1, 1_600.0) == 2
+
+
+def test_news_that_a_run_was_left_are_not_undone_by_older_ones() -> None:
+    """Guards against suspects that start before it is known how the last one ended."""
+    sender, other = PoisonRegistry(), PoisonRegistry()
+    for registry in (sender, other):
+        registry.note_crash(1, "e0", "0", 0.0, run_ms=60.0)
+    sender.note_started(1, "e1", "0", 1_200.0, 1_000.0)
+    started = sender.ends.pop_changed_runs()
+    sender.note_left(1, "e1", "0", 1_000.0, 1_060.0)
+    other.ends.observe_runs(sender.ends.pop_changed_runs(), 1_100.0)
+    other.ends.observe_runs(started, 1_150.0)
+    assert other.is_held(1, 1_560.0 + PoisonBounds().verify_ms - 10.0)
+
+
+def test_greetings_repeat_a_run_beside_several_presumed_crashes() -> None:
+    """Guards against copies through VMs that missed the news of a run."""
+    teller, listener = PoisonRegistry(), PoisonRegistry()
+    for number in range(4):
+        leave(teller, f"e{number}", 100.0)
+        teller.ends.note_missing(f"e{number}", 700.0)
+    listener.note_crash(CULPRIT, "e0", "0", 0.0, run_ms=60.0)
+    teller.note_started(CULPRIT, "e9", "0", 2_000.0, 1_000.0)
+    listener.ends.observe_runs(teller.ends.list_runs(3, 1_200.0), 1_200.0)
+    assert listener.is_held(CULPRIT, 1_200.0)
+
+
+def test_greetings_repeat_a_run_whose_caller_has_left() -> None:
+    """Guards against copies through VMs that missed the news that it was left."""
+    teller, listener = PoisonRegistry(), PoisonRegistry()
+    for registry in (teller, listener):
+        registry.note_crash(CULPRIT, "e0", "0", 0.0, run_ms=60.0)
+    leave(teller, "e9", 1_000.0)
+    until_ms = 1_000.0 + PoisonBounds().linger_ms + PoisonBounds().verify_ms
+    for now_ms in (1_200.0, until_ms - 100.0):
+        missed = PoisonRegistry()
+        missed.note_crash(CULPRIT, "e0", "0", 0.0, run_ms=60.0)
+        missed.ends.observe_runs(teller.ends.list_runs(3, now_ms), now_ms)
+        assert missed.is_held(CULPRIT, now_ms)
+    assert teller.ends.list_runs(3, until_ms + 100.0) == []
+
+
+def test_run_is_not_repeated_to_a_vm_that_knows_how_it_ended() -> None:
+    """Guards against sound prompts that wait for a run that has ended."""
+    teller, listener = PoisonRegistry(), PoisonRegistry()
+    for registry in (teller, listener):
+        registry.note_crash(CULPRIT, "e0", "0", 0.0, run_ms=60.0)
+    leave(teller, "e9", 1_000.0)
+    repeated = teller.ends.list_runs(3, 1_100.0)
+    listener.note_crash(CULPRIT, "e9", "0", 1_050.0, run_ms=60.0)
+    listener.ends.observe_runs(repeated, 1_110.0)
+    assert not listener.is_held(CULPRIT, 1_110.0)
+
+
+def test_run_that_was_left_is_not_prolonged_by_what_others_repeat() -> None:
+    """Guards against a silent upstream that is not presumed to have ended in time."""
+    sender, other = PoisonRegistry(), PoisonRegistry()
+    for registry in (sender, other):
+        registry.note_crash(CULPRIT, "e0", "0", 0.0, run_ms=60.0)
+    leave(sender, "e1", 1_000.0)
+    other.ends.observe_runs(sender.ends.pop_changed_runs(), 1_100.0)
+    sender.ends.observe_runs(other.ends.list_runs(3, 1_200.0), 1_210.0)
+    sender.ends.note_missing("e1", 1_000.0 + PoisonBounds().linger_ms + 50.0)
+    assert sender.ends.is_presumed("e1")
--- a/tests/decisions/poison/test_part_verdicts.py
+++ b/tests/decisions/poison/test_part_verdicts.py
@@ -18,8 +18,10 @@
     Decision,
     Dispatch,
     Request,
+    Scheduler,
 )
 from quetzaldeck.decisions.poison import (
+    CrashSighting,
     Liveness,
     PoisonBounds,
     PoisonRegistry,
@@ -223,6 +225,63 @@
     assert listener.judge((9, FIRST), 1_700.0) is Verdict.CLEAR
 
 
+def tell(teller: PoisonRegistry, listener: PoisonRegistry, now_ms: float) -> None:
+    """Tell a VM what another one has to announce."""
+    for sightings in teller.pop_changed_sightings(now_ms):
+        listener.observe(sightings, now_ms)
+
+
+def test_vm_that_has_restarted_is_told_that_a_part_is_sound() -> None:
+    """Guards against a VM that refuses a shared part which others answer all the time.
+
+    Prompts with bad parts, each another one, end engines, and it has seen no answer.
+    """
+    restarted, other = PoisonRegistry(), PoisonRegistry()
+    other.note_lived((FIRST,), 0.0, 500.0)
+    for number, bad in enumerate((BAD, CLUB, OTHER), start=1):
+        at_ms = number * 1_000.0
+        crash(restarted, number, at_ms, FIRST, bad)
+        tell(restarted, other, at_ms)
+        assert other.verdict(FIRST, at_ms) is Verdict.CLEAR
+        other.note_lived((FIRST,), at_ms + 100.0, at_ms + 600.0)
+        tell(other, restarted, at_ms + 600.0)
+        assert restarted.verdict(FIRST, at_ms + 600.0) is Verdict.CLEAR
+
+
+def test_sound_part_is_told_once_for_each_crash() -> None:
+    """Guards against an announcement of each VM for each answer."""
+    restarted, other = PoisonRegistry(), PoisonRegistry()
+    other.note_lived((FIRST,), 0.0, 500.0)
+    crash(restarted, 1, 1_000.0, FIRST, BAD)
+    tell(restarted, other, 1_000.0)
+    n_told = 0
+    for at_ms in range(1_100, 3_000, 100):
+        other.note_lived((FIRST,), at_ms, at_ms + 500.0)
+        n_told += len(other.pop_changed_sightings(at_ms + 500.0))
+    assert n_told == 1
+
+
+def test_part_is_sound_in_whatever_order_a_vm_learns_of_it() -> None:
+    """Guards against suspecting a part of which an answer was told after its crash."""
+    first, last = PoisonRegistry(), PoisonRegistry()
+    cleared = [CrashSighting(FIRST, "", "", 500.0)]
+    crashed = [CrashSighting(FIRST, "e0", "0", 100.0, RUN_MS)]
+    first.observe([*cleared, *crashed], 1_000.0)
+    last.observe([*crashed, *cleared], 1_000.0)
+    assert first.verdict(FIRST, 1_000.0) is Verdict.CLEAR
+    assert last.verdict(FIRST, 1_000.0) is Verdict.CLEAR
+
+
+def test_part_is_sound_whichever_vm_saw_its_crash_first() -> None:
+    """Guards against taking the word of a VM that has seen no answer for all others."""
+    knows = CrashSighting(FIRST, "e0", "0", 90.0, RUN_MS, was_answered=True)
+    for seen_first in (80.0, 100.0):
+        registry = PoisonRegistry()
+        started = CrashSighting(FIRST, "e0", "0", seen_first, RUN_MS)
+        registry.observe([started, knows], 1_000.0)
+        assert registry.verdict(FIRST, 1_000.0) is Verdict.CLEAR
+
+
 def test_greetings_repeat_bad_parts_and_not_sound_ones() -> None:
     """Guards against greetings filled with parts that are in every crash."""
     registry = PoisonRegistry()
@@ -235,6 +294,24 @@
     assert sum(sighting.fingerprint == BAD for sighting in listed) == 3
 
 
+@pytest.mark.parametrize("n_crashes", [3, 8, 12])
+@pytest.mark.parametrize("culprit", [7, BAD], ids=["request", "part"])
+def test_greetings_repeat_what_was_in_very_many_crashes(
+    culprit: int, n_crashes: int
+) -> None:
+    """Guards against VMs that missed the news and are never told of the worst."""
+    teller, listener = PoisonRegistry(), PoisonRegistry()
+    for number in range(1, n_crashes + 1):
+        name = f"e{number}"
+        at_ms = number * 1_000.0
+        teller.note_crash(culprit, name, name, at_ms, run_ms=RUN_MS)
+    now_ms = (n_crashes + 1) * 1_000.0
+    listed = teller.list_state(8, now_ms, random_state=random.Random(0))
+    assert len(listed) <= 8
+    listener.observe(listed, now_ms)
+    assert listener.verdict(culprit, now_ms) is Verdict.REFUSED
+
+
 def test_fingerprints_of_parts_are_told_apart_and_can_be_read() -> None:
     part = compute_part_fingerprint("91bd3f06")
     assert is_part(part)
@@ -288,6 +365,56 @@
     assert dispatch.request.request_id == "r3"
 
 
+def start_first(*requests: Request, clock: ManualClock, scheduler: Scheduler) -> str:
+    """:returns: id of the request that is started first of several suspects"""
+    for request in requests:
+        scheduler.submit(request)
+    decisions: list[Decision] = []
+    while not decisions:
+        clock.advance(20.0)
+        decisions = scheduler.poll()
+    (dispatch,) = decisions
+    assert isinstance(dispatch, Dispatch)
+    return dispatch.request.request_id
+
+
+def test_prompts_without_parts_of_any_crash_run_first() -> None:
+    """Guards against refusing a shared part beside two bad ones, each in fewer crashes.
+
+    Neither of these is suspected while the shared part explains all crashes.
+    """
+    clock = ManualClock(1_000.0)
+    scheduler = make_entry_scheduler(clock, ENGINES)
+    crash(scheduler.poison, 1, clock.now_ms(), FIRST, BAD)
+    crash(scheduler.poison, 2, clock.now_ms(), FIRST, OTHER)
+    assert scheduler.poison.verdict(BAD, clock.now_ms()) is Verdict.CLEAR
+    clock.advance(PoisonBounds().propagation_ms)
+    bad = make_prompt("r3", FIRST, BAD, now_ms=clock.now_ms())
+    sound = make_prompt("r4", FIRST, CLUB, now_ms=clock.now_ms())
+    assert start_first(bad, sound, clock=clock, scheduler=scheduler) == "r4"
+
+
+def test_prompts_with_time_left_run_first() -> None:
+    """Guards against runs of suspects that their deadlines cut off, and show nothing.
+
+    Others of their parts wait meanwhile, until theirs have passed as well.
+    """
+    clock = ManualClock(1_000.0)
+    scheduler = make_entry_scheduler(clock, ENGINES)
+    crash(scheduler.poison, 1, clock.now_ms(), FIRST)
+    clock.advance(PoisonBounds().propagation_ms)
+    old, new = (
+        make_prompt(name, FIRST, now_ms=clock.now_ms())._replace(
+            arrived_ms=arrived_ms, deadline_ms=arrived_ms + 1_200.0
+        )
+        for name, arrived_ms in (
+            ("r2", clock.now_ms() - 800.0),
+            ("r3", clock.now_ms()),
+        )
+    )
+    assert start_first(old, new, clock=clock, scheduler=scheduler) == "r3"
+
+
 def test_suspect_that_waits_does_not_hold_up_others_of_its_customer() -> None:
     """Guards against sound prompts that wait behind one that runs apart."""
     clock = ManualClock(1_000.0)
