Play sound replicas that fall silent for a second beside other faults

The soak: replicas are silent for up to 1.6 s and go on, routes change beside it, and nothing that was accepted may be lost (check nothing_is_lost).

--- a/tests/soak/entry/__main__.py
+++ b/tests/soak/entry/__main__.py
@@ -8,7 +8,8 @@
 
 import click
 import uvloop
-from tests.soak.entry.run import run_soak
+from tests.soak.entry.faults import FAULTS, plan_faults
+from tests.soak.entry.run import RATE_PER_S, run_soak
 
 
 @click.command()
@@ -16,19 +17,36 @@
 @click.option("--first", default=0, help="First seed; 0: a random one.")
 @click.option("--seconds", default=12.0, help="Duration of a run.")
 @click.option("--vms", default=3, help="Number of entry VMs.")
+@click.option("--rate", default=RATE_PER_S, help="Calls per second.")
+@click.option(
+    "--fault",
+    "faults",
+    multiple=True,
+    type=click.Choice(sorted(FAULTS)),
+    help="Draw from these faults only; may be repeated.",
+)
 @click.option(
     "--logs",
     type=click.Path(path_type=Path),
     help="Directory for the logs of failed runs.",
 )
 def main(
-    *, seeds: int, first: int, seconds: float, vms: int, logs: Path | None
+    *,
+    seeds: int,
+    first: int,
+    seconds: float,
+    vms: int,
+    rate: float,
+    faults: tuple[str, ...],
+    logs: Path | None,
 ) -> None:
     """Run seeds one after the other and print the invariants that were violated."""
     start = first or random.SystemRandom().randrange(1, 1_000_000)
     n_failed = 0
     for seed in range(start, start + seeds):
-        result = uvloop.run(run_soak(seed, duration_s=seconds, n_vms=vms))
+        plan = plan_faults(random.Random(seed), seconds, faults or tuple(FAULTS))
+        soak = run_soak(seed, duration_s=seconds, n_vms=vms, rate_per_s=rate, plan=plan)
+        result = uvloop.run(soak)
         click.echo(
             f"seed {seed}: {len(result.faults)} faults, {result.n_answered} of "
             f"{result.n_calls} answered, {len(result.findings)} findings"
--- a/tests/soak/entry/callers.py
+++ b/tests/soak/entry/callers.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from tests.soak.entry.history import CallRecord, RequestKind, now_ms
+from tests.soak.entry.replicas import LONG_CALL_PREFIX
 from tests.support.platform.site import HOST
 
 if TYPE_CHECKING:
@@ -23,6 +24,10 @@
     RequestKind.BOOK: 800.0,
     RequestKind.LOOK_UP: 800.0,
 }
+LONG_CALL_DEADLINE_MS = 4_000.0
+LONG_CALL_PROBABILITY = 0.5
+"""Share of calls that take long while a fault asks for such calls."""
+
 LONG_PROMPT_PROBABILITY = 0.05
 DISCONNECT_PROBABILITY = 0.05
 """Share of callers that disconnect before their response is complete."""
@@ -89,12 +94,17 @@
         random_state = world.random_state
         ready = [vm for vm in world.vms if vm.is_in_rotation] or world.vms
         vm = random_state.choice(ready)
+        is_in_rotation = vm.is_in_rotation
         kind = random_state.choice(list(RequestKind))
         known = [*world.keys, *world.history.revoked_ms]
         key = random_state.choice(known)
         self._n_calls += 1
         call_id = f"{vm.name}/c{self._n_calls}"
         deadline_ms = DEADLINES_MS[kind]
+        # No draw without such a fault: it would change the runs of older seeds.
+        if world.n_wanting_long_calls and random_state.random() < LONG_CALL_PROBABILITY:
+            call_id = f"{vm.name}/{LONG_CALL_PREFIX}{self._n_calls}"
+            deadline_ms = LONG_CALL_DEADLINE_MS
         n_prompt_tokens = (
             500_000 if random_state.random() < LONG_PROMPT_PROBABILITY else 3_000
         )
@@ -136,6 +146,7 @@
             status,
             body,
             is_complete,
+            is_in_rotation,
         )
         world.history.calls.append(record)
 
--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -9,12 +9,14 @@
 from tests.soak.entry.history import RequestKind
 from tests.soak.entry.replicas import build_complete_stream
 from tests.soak.entry.world import LEAVING_MS, REVOCATION_MS
+from tests.soak.own.link import PathMode
 from tests.support.platform.partitions import (
     FREE_FAILURE_SHARE,
     MIN_SHARE,
     N_FREE_FAILURES,
     STABLE_MS,
 )
+from tests.support.platform.site import build_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -29,6 +31,40 @@
 LEAVING_TOLERANCE_MS = 400.0
 """Covers a request that was already on its way, on a busy machine."""
 
+GENTLE_FAULTS = frozenset(
+    {
+        "change_routes",
+        "configure_often",
+        "hang_up",
+        "partition_vms",
+        "revoke_key",
+        "silence_replicas",
+        "skew_connections",
+    }
+)
+"""Faults that end no connection and no answer of a replica.
+
+``partition_vms`` does so for the VMs it cuts off, which are left out by themselves.
+"""
+
+FAULTS_OF_VMS = frozenset(
+    {
+        "cut_vm_off",
+        "freeze_vm",
+        "kill_all",
+        "kill_vm",
+        "stop_vm",
+        "store_down",
+        "store_forgets",
+        "store_lapse",
+    }
+)
+"""Faults that leave replicas alone; their intervals name the VMs they affect."""
+
+MIN_REMAINING_MS = 500.0
+"""Least time to its deadline at which the end of a call counts as a loss."""
+
+ROUTE_TIMEOUT_MS = build_configuration()["routes"][0]["timeoutMs"]
 STORE_OUTAGE_FAULTS = ("store_down", "store_lapse", "kill_all")
 MIN_SKEWED_SHARE = 0.75
 """Least share of calls that are served while most connections go to one VM."""
@@ -79,6 +115,48 @@
             yield f"{call.call_id} ({call.kind}) got {call.body[:80]!r}"
 
 
+@register
+def nothing_is_lost(history: History) -> Iterator[str]:
+    """A call gets its whole answer or a refusal while replicas break nothing off.
+
+    Replicas may be silent for a second, and routes may change or be gone. Calls of VMs
+    that another fault affects, or that are out of rotation, are left out, those of VMs
+    that only new connections are refused to are not.
+    """
+    for call in history.calls:
+        if call.status and (call.is_complete or call.status != 200):
+            continue
+        if not call.is_in_rotation:
+            continue
+        took_ms = call.ended_ms - call.sent_ms
+        remaining_ms = min(call.deadline_ms, ROUTE_TIMEOUT_MS) - took_ms
+        if remaining_ms < MIN_REMAINING_MS or _may_be_broken_off(history, call):
+            continue
+        yield (
+            f"{call.call_id} at {call.vm} ended after {took_ms:.0f} ms with status "
+            f"{call.status} and {len(call.body)} bytes"
+        )
+
+
+def _may_be_broken_off(history: History, call: CallRecord) -> bool:
+    """:returns: whether a fault broke off answers or affected the VM of a call"""
+    begin_ms, end_ms = call.sent_ms, call.ended_ms
+    is_cut = any(
+        call.vm in cut.vms
+        and cut.mode != PathMode.REFUSE
+        and cut.begin_ms < end_ms
+        and cut.end_ms + STABLE_MS > begin_ms
+        for cut in history.partitions
+    )
+    is_broken = any(
+        fault.name not in GENTLE_FAULTS | FAULTS_OF_VMS
+        and fault.begin_ms < end_ms
+        and fault.end_ms > begin_ms
+        for fault in history.injections
+    )
+    return is_cut or is_broken or history.is_affected(call.vm, begin_ms, end_ms)
+
+
 @register
 def calls_end(history: History) -> Iterator[str]:
     """A call ends by its deadline, unless a fault affected its VM meanwhile."""
@@ -213,6 +291,7 @@
             if begin_ms <= call.sent_ms < partition.end_ms
             and call.key not in history.revoked_ms
             and not _is_in_store_outage(history, call)
+            and not _has_no_route(history, call)
             and not history.is_disturbed("", call.sent_ms - STABLE_MS, call.ended_ms)
         ]
         cut = [call.status == 200 for call in calls if call.vm in partition.vms]
@@ -239,7 +318,7 @@
 
     Calls are not counted while the store is unavailable or all VMs restart: a VM
     without configuration, or with API keys that are too old, has to refuse. Nor while
-    all VMs are cut off from all replicas.
+    all VMs are cut off from all replicas, or the configuration has no route for them.
     """
     vms = {call.vm for call in history.calls}
     valid = [
@@ -248,6 +327,7 @@
         if call.key not in history.revoked_ms
         and not _is_in_store_outage(history, call)
         and not _is_cut_with_all(history, call, vms)
+        and not _has_no_route(history, call)
     ]
     n_answered = sum(call.status == 200 and call.is_complete for call in valid)
     if n_answered < MIN_ANSWERED_SHARE * len(valid):
@@ -263,6 +343,15 @@
     )
 
 
+def _has_no_route(history: History, call: CallRecord) -> bool:
+    return any(
+        call.kind in gap.kinds
+        and gap.begin_ms < call.ended_ms
+        and gap.end_ms > call.sent_ms
+        for gap in history.route_gaps
+    )
+
+
 def _is_cut_with_all(history: History, call: CallRecord, vms: set[str]) -> bool:
     """:returns: whether no VM reached a replica while a call was in progress"""
     return any(
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -9,9 +9,17 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from tests.soak.entry.culprits import BadParts, Culprits
-from tests.soak.entry.history import FaultInterval, Partition, Skew, now_ms
+from tests.soak.entry.history import (
+    FaultInterval,
+    Partition,
+    RequestKind,
+    RouteGap,
+    Skew,
+    now_ms,
+)
 from tests.soak.entry.world import GRACE_S, LEAVING_MS
 from tests.soak.own.link import LinkMode, PathMode
+from tests.support.platform.site import DESK, ENGINES, build_configuration
 from tests.support.platform.skewed_callers import SkewedCallers
 
 if TYPE_CHECKING:
@@ -32,6 +40,11 @@
 PARTITION_S = (1.0, 7.0)
 SKEW_S = (4.0, 6.0)
 SKEWED_RATE_PER_S = 40.0
+SILENCE_S = (0.85, 1.55)
+MAX_SILENCES = 4
+VERSION_INTERVAL_S = (0.5, 1.5)
+N_ADDED_ROUTES = 20
+MAX_CHANGES = 4
 STOP_TIMEOUT_S = GRACE_S + 2 * MAX_PAUSE_S + 2.0
 """Longer than the grace period, since another fault may pause the stopping VM."""
 
@@ -311,6 +324,56 @@
         await asyncio.sleep(0.1)
 
 
+@register
+async def silence_replicas(world: SoakWorld, random_state: random.Random) -> None:
+    """Sound replicas send nothing for a second and go on, again and again."""
+    share = random_state.choice([0.0, 0.2, 1.0])
+    world.n_wanting_long_calls += 1
+    for _ in range(random_state.randint(2, MAX_SILENCES)):
+        serving = world.serving
+        n_silent = max(1, round(share * len(serving)))
+        links = [world.links[r] for r in random_state.sample(serving, n_silent)]
+        for link in links:
+            link.hold_answers()
+        await asyncio.sleep(random_state.uniform(*SILENCE_S))
+        for link in links:
+            link.release_answers()
+        await asyncio.sleep(random_state.uniform(*SILENCE_S))
+    world.n_wanting_long_calls -= 1
+
+
+@register
+async def change_routes(world: SoakWorld, random_state: random.Random) -> None:
+    """Every second version adds, moves or drops routes, or takes a key away.
+
+    The next version restores the routes; the key stays revoked.
+    """
+    world.n_wanting_long_calls += 1
+    for _ in range(random_state.randint(2, MAX_CHANGES)):
+        change = random_state.choice(["add", "move", "drop", "revoke"])
+        plan, book, look = build_configuration()["routes"]
+        begin_ms = now_ms()
+        if change == "add":
+            names = [f"added{number}" for number in range(N_ADDED_ROUTES)]
+            added = [{**look, "name": name, "prefix": f"/{name}/"} for name in names]
+            world.publish(routes=[plan, book, look, *added])
+        elif change == "move":
+            moved = [{**plan, "service": DESK}, {**look, "service": ENGINES}]
+            world.publish(routes=[book, *moved])
+        elif change == "drop":
+            world.publish(routes=[book])
+        else:
+            await revoke_key(world, random_state)
+        await asyncio.sleep(random_state.uniform(*VERSION_INTERVAL_S))
+        world.publish()
+        if change == "drop":
+            kinds = frozenset({RequestKind.PLAN, RequestKind.LOOK_UP})
+            gap = RouteGap(kinds, begin_ms, now_ms() + RECOVERY_MS)
+            world.history.route_gaps.append(gap)
+        await asyncio.sleep(random_state.uniform(*VERSION_INTERVAL_S))
+    world.n_wanting_long_calls -= 1
+
+
 def plan_faults(
     random_state: random.Random, duration_s: float, names: Sequence[str]
 ) -> tuple[PlannedFault, ...]:
@@ -339,9 +402,16 @@
         for fault in plan:
             await asyncio.sleep(max(0.0, begin_s + fault.at_s - loop.time()))
             names.append(fault.name)
-            injection = FAULTS[fault.name](world, random.Random(fault.seed))
-            group.create_task(injection)  # type: ignore[arg-type]
+            group.create_task(_inject(world, fault))
     return names
 
 
+async def _inject(world: SoakWorld, fault: PlannedFault) -> None:
+    """Inject one fault and record when it acted."""
+    begin_ms = now_ms()
+    await FAULTS[fault.name](world, random.Random(fault.seed))
+    ended = FaultInterval(fault.name, "", begin_ms, now_ms() + RECOVERY_MS)
+    world.history.injections.append(ended)
+
+
 __all__ = ("FAULTS", "PlannedFault", "inject", "plan_faults")
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -47,7 +47,10 @@
 
 
 class CallRecord(NamedTuple):
-    """One request as its caller saw it; status 0: no response."""
+    """One request as its caller saw it; status 0: no response.
+
+    :param is_in_rotation: whether a load balancer would have sent it to its VM
+    """
 
     call_id: str
     kind: RequestKind
@@ -59,6 +62,7 @@
     status: int
     body: bytes
     is_complete: bool
+    is_in_rotation: bool
 
 
 class LoopStall(NamedTuple):
@@ -86,6 +90,14 @@
     end_ms: float
 
 
+class RouteGap(NamedTuple):
+    """The configuration had no route for some kinds of request for a while."""
+
+    kinds: frozenset[RequestKind]
+    begin_ms: float
+    end_ms: float
+
+
 class Skew(NamedTuple):
     """Most new connections went to one VM for a while.
 
@@ -103,7 +115,8 @@
     """Everything that the checks read.
 
     ``revoked_ms`` has the time of revocation by API key, ``leaving_ms`` the time at
-    which a replica was marked as leaving, by replica, ``rate_limits`` what each replica
+    which a replica was marked as leaving, by replica, ``injections`` when each fault
+    acted, excused or not, ``rate_limits`` what each replica
     received and named, ``crashes`` what replicas got of requests that crash them, and
     ``part_crashes`` what they got of prompts with parts that do.
     """
@@ -112,7 +125,9 @@
         self.executions: list[Execution] = []
         self.calls: list[CallRecord] = []
         self.fault_intervals: list[FaultInterval] = []
+        self.injections: list[FaultInterval] = []
         self.partitions: list[Partition] = []
+        self.route_gaps: list[RouteGap] = []
         self.stop_failures: list[str] = []
         self.false_refusals: list[str] = []
         self.loop_stalls: list[LoopStall] = []
@@ -174,6 +189,7 @@
     "History",
     "Partition",
     "RequestKind",
+    "RouteGap",
     "Skew",
     "now_ms",
     "record_loop_stalls",
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -18,6 +18,10 @@
 N_EVENTS = 12
 EVENT_INTERVAL_MS = 15.0
 RUN_MS = 8.0
+LONG_CALL_PREFIX = "long"
+N_LONG_EVENTS = 40
+LONG_EVENT_INTERVAL_MS = 50.0
+LONG_RUN_MS = 400.0
 SEAL_FIELD = "Quetzaldeck-Response-Seal: mark"
 
 
@@ -137,7 +141,8 @@
         return True
 
     async def _answer(self, arrival: Arrival, connection: Connection) -> None:
-        await asyncio.sleep(self._pace * RUN_MS / 1_000)
+        run_ms = LONG_RUN_MS if is_long(arrival.call_id) else RUN_MS
+        await asyncio.sleep(self._pace * run_ms / 1_000)
         body = arrival.call_id.encode()
         length = f"Content-Length: {len(body)}"
         self._note_naming(arrival)
@@ -151,8 +156,10 @@
     ) -> None:
         self._note_naming(arrival)
         await connection.begin_stream(arrival)
-        for number in range(first + 1, N_EVENTS + 1):
-            await asyncio.sleep(self._pace * EVENT_INTERVAL_MS / 1_000)
+        is_long_call = is_long(arrival.call_id)
+        interval_ms = LONG_EVENT_INTERVAL_MS if is_long_call else EVENT_INTERVAL_MS
+        for number in range(first + 1, count_events(arrival.call_id) + 1):
+            await asyncio.sleep(self._pace * interval_ms / 1_000)
             await connection.send_chunk(event(number, arrival.call_id + "."))
         await connection.end_stream()
 
@@ -177,10 +184,20 @@
     return call_id.partition("/")[0]
 
 
+def is_long(call_id: str) -> bool:
+    """:returns: whether a call takes long enough to be hit by faults of a second"""
+    return call_id.rpartition("/")[2].startswith(LONG_CALL_PREFIX)
+
+
+def count_events(call_id: str) -> int:
+    """:returns: number of events of a call's stream"""
+    return N_LONG_EVENTS if is_long(call_id) else N_EVENTS
+
+
 def build_complete_stream(call_id: str) -> bytes:
     """:returns: body of a complete stream, as its caller must receive it"""
-    numbers = range(1, N_EVENTS + 1)
+    numbers = range(1, count_events(call_id) + 1)
     return b"".join(event(number, call_id + ".") for number in numbers)
 
 
-__all__ = ("SoakReplica", "build_complete_stream")
+__all__ = ("LONG_CALL_PREFIX", "SoakReplica", "build_complete_stream")
--- a/tests/soak/entry/run.py
+++ b/tests/soak/entry/run.py
@@ -87,4 +87,4 @@
     )
 
 
-__all__ = ("SoakResult", "run_soak")
+__all__ = ("RATE_PER_S", "SoakResult", "run_soak")
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -9,6 +9,7 @@
 import pytest
 import uvloop
 from tests.soak.entry.faults import FAULTS, PlannedFault, inject, plan_faults
+from tests.soak.entry.history import History
 from tests.soak.entry.run import run_soak
 
 if TYPE_CHECKING:
@@ -34,12 +35,21 @@
         "partition_vms",
         "send_bad_part",
         "skew_connections",
+        "silence_replicas",
+        "change_routes",
     }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
 
 NEWER_SEEDS = {720: "first seed with replicas that do not answer and slow engines"}
 
+SILENCES = {
+    "all_then_dropped": (6, 2),
+    "all_then_moved": (10, 22),
+    "one_in_five_then_moved": (23, 22),
+}
+"""Seeds of which replicas fall silent, and of what changes in the configuration."""
+
 PLANS = {
     "two_faults_restart_one_vm": (
         PlannedFault(0.5, "stop_vm", 1),
@@ -172,7 +182,8 @@
     monkeypatch.setitem(FAULTS, "hang_up", draw)
     plan = tuple(PlannedFault(0.0, "hang_up", seed) for seed in range(3))
     for seed in (1, 2):
-        world = cast("SoakWorld", SimpleNamespace(random_state=random.Random(seed)))
+        stand_in = SimpleNamespace(random_state=random.Random(seed), history=History())
+        world = cast("SoakWorld", stand_in)
         assert uvloop.run(inject(world, plan)) == [fault.name for fault in plan]
     assert len(draws) == 2 * len(plan)
     assert draws[: len(plan)] == draws[len(plan) :]
@@ -191,3 +202,19 @@
     result = uvloop.run(run_soak(seed, duration_s=16.0, plan=plan))
     assert result.findings == ()
     assert result.n_calls > 400
+
+
+@pytest.mark.parametrize("name", SILENCES)
+def test_nothing_is_lost_while_sound_replicas_are_silent_for_a_second(
+    name: str,
+) -> None:
+    """Replicas pause and go on, while routes are added, moved, dropped and restored."""
+    silence_seed, change_seed = SILENCES[name]
+    plan = (
+        PlannedFault(0.1, "change_routes", change_seed),
+        PlannedFault(1.2, "silence_replicas", silence_seed),
+        PlannedFault(1.6, "hang_up", 1),
+    )
+    result = uvloop.run(run_soak(1, duration_s=1.0, rate_per_s=60.0, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 100
