Handle the ends of attempt tasks in one class

Relay and ServiceRun each kept the attempts that run, the wait for the next dispatch and the failure that ends the request, in the same order of steps. AttemptTasks does this for both; Relay keeps what concerns chunks, and ServiceRun what concerns claims.

A call whose wait for the next attempt ends with a new bundle now awaits the cancelled wait before it returns, as completions did already.

--- a/src/quetzaldeck/gateway/relay.py
+++ b/src/quetzaldeck/gateway/relay.py
@@ -9,6 +9,7 @@
 from quetzaldeck.decisions import AttemptEnd, AttemptFault
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.gateway.answer import MAX_BUFFERED_CHUNKS, Answer, DropReason
+from quetzaldeck.gateway.attempt_tasks import AttemptTask, AttemptTasks
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.group_run import GroupRun
 from quetzaldeck.gateway.release_task import Release
@@ -40,25 +41,17 @@
     finish_reason: str | None
 
 
-class _AttemptRun:
-    """One attempt, as a task that owns its connection.
+class _AttemptRun(AttemptTask[None]):
+    """One attempt.
 
-    ``is_left``: another attempt is to replace it, and it goes on until that one adds to
-    the answer. ``early``: chunks that came before the ones that precede them, while it
-    was not known which attempt goes on.
+    ``early``: chunks that came before the ones that precede them, while it was not
+    known which attempt goes on.
     """
 
     def __init__(self, dispatch: Dispatch) -> None:
-        self.dispatch = dispatch
-        self.is_left = False
+        super().__init__(dispatch)
         self.has_text = False
         self.early: list[Chunk] = []
-        self.task: asyncio.Task[None] | None = None
-
-    @property
-    def attempt_id(self) -> str:
-        """:returns: id of the attempt"""
-        return self.dispatch.attempt_id
 
 
 class Relay:
@@ -85,11 +78,14 @@
         self._check = check
         self._events: asyncio.Queue[_Text | asyncio.Task[object]] = asyncio.Queue()
         self._finish_reason: str | None = None
-        self._living: list[_AttemptRun] = []
-        self._writer: _AttemptRun | None = None
-        self._dispatching: asyncio.Task[Dispatch] | None = None
-        self._cancelled: list[asyncio.Task[object]] = []
-        self._failure: RequestError | None = None
+        self._attempts: AttemptTasks[None] = AttemptTasks(
+            ticket,
+            state.metrics,
+            check=self._recheck,
+            start=self._start,
+            on_end=self._events.put_nowait,
+        )
+        self._writer: AttemptTask[None] | None = None
         self._may_retry = True
         self.answer = Answer()
         self.has_dispatched = False
@@ -109,9 +105,8 @@
 
         :raises RequestError: if the answer cannot be completed in time
         """
-        try:
-            self._request_dispatch()
-            with self._state.watch_bundle(self._handle_new_bundle):
+        async with self._attempts:
+            with self._state.watch_bundle(self._attempts.handle_new_bundle):
                 while True:
                     event = await self._events.get()
                     self._events.task_done()
@@ -119,60 +114,32 @@
                         self._finish_reason = event.finish_reason
                         yield event.text
                         continue
-                    if await self._handle_ended(event):
+                    run = self._attempts.take_ended(event)
+                    if run is not None and await self._handle_ended(run):
                         return
-                    if self._dispatching is None and not self._living:
-                        assert self._failure is not None
-                        raise self._failure
-        finally:
-            await self._stop()
-
-    async def _handle_ended(self, task: asyncio.Task[object]) -> bool:
-        """:returns: whether an attempt has ended that completed the answer"""
-        if task is self._dispatching:
-            dispatching, self._dispatching = self._dispatching, None
-            try:
-                self._start(dispatching.result())
-            except RequestError as error:
-                self._failure = error
-            return False
-        for run in self._living:
-            if run.task is task:
-                self._living.remove(run)
-                return await self._handle_ended_attempt(run)
-        return False
+                    self._attempts.raise_if_none_left()
 
-    async def _handle_ended_attempt(self, run: _AttemptRun) -> bool:
+    async def _handle_ended(self, run: AttemptTask[None]) -> bool:
+        """:returns: whether the attempt has completed the answer"""
         if self._writer is run:
             self._writer = None
-        assert run.task is not None
         try:
-            run.task.result()
+            run.result()
         except UpstreamError as error:
             await self._note_fault(run, error)
             return False
-        except RequestError as error:
-            self._ticket.drop_attempt(run.attempt_id)
-            self._failure = error
-            return False
         await self._ticket.end_attempt(self._build_end(run.dispatch))
         return True
 
-    def _request_dispatch(self) -> None:
-        self._dispatching = asyncio.create_task(self._ticket.next_dispatch())
-        self._dispatching.add_done_callback(self._events.put_nowait)
-
     def _start(self, dispatch: Dispatch) -> None:
         self._note_dispatch(dispatch)
-        run = _AttemptRun(dispatch)
         if dispatch.plan is not None:
             # A long prompt may fit into the engines only once.
-            for other in tuple(self._living):
+            for other in self._attempts.living:
                 if other.dispatch.plan is not None:
-                    self._give_up(other)
-        run.task = asyncio.create_task(self._run_attempt(run))
-        run.task.add_done_callback(self._events.put_nowait)
-        self._living.append(run)
+                    self._attempts.give_up(other)
+        run = _AttemptRun(dispatch)
+        self._attempts.run(run, self._run_attempt(run))
 
     async def _run_attempt(self, run: _AttemptRun) -> None:
         dispatch = run.dispatch
@@ -196,17 +163,6 @@
         if failure is not None:
             raise RequestError(failure)
 
-    def _handle_new_bundle(self) -> None:
-        """End a request that waits for its next attempt if it would not be sent."""
-        if self._living or self._dispatching is None or self._dispatching.done():
-            return
-        try:
-            self._recheck()
-        except RequestError as error:
-            self._failure = error
-            self._cancel(self._dispatching)
-            self._dispatching = None
-
     @asynccontextmanager
     async def _reserve(
         self, plan: GroupPlan, attempt: Attempt
@@ -300,14 +256,8 @@
     async def _claim(self, run: _AttemptRun) -> None:
         """Let an attempt continue the answer, and give up all others."""
         self._writer = run
-        self._failure = None
         self.answer.continue_with(run.attempt_id)
-        for other in tuple(self._living):
-            if other is not run:
-                self._give_up(other)
-        if self._dispatching is not None:
-            self._cancel(self._dispatching)
-            self._dispatching = None
+        self._attempts.keep_only(run)
         if run.is_left:
             run.is_left = False
             self._may_retry = await self._ticket.resume_attempt(run.attempt_id)
@@ -318,7 +268,9 @@
         def handle_verdict(verdict: SilenceVerdict) -> None:
             self._state.connections.note_silent(engine)
             if verdict is SilenceVerdict.REPLACE:
-                self._replace(run)
+                if self._writer is run:
+                    self._writer = None
+                self._attempts.replace(run)
 
         return SilenceWatch(
             self._ticket,
@@ -329,32 +281,6 @@
             handle_verdict,
         )
 
-    def _replace(self, run: _AttemptRun) -> None:
-        """Wait for the attempt that replaces a silent one, which goes on meanwhile."""
-        run.is_left = True
-        if self._writer is run:
-            self._writer = None
-        faults = self._state.metrics.attempt_faults
-        faults.labels(AttemptFault.SILENT.value).inc()
-        self._request_dispatch()
-
-    def _give_up(self, run: _AttemptRun) -> None:
-        self._living.remove(run)
-        if run.task is not None:
-            self._cancel(run.task)
-
-    def _cancel(self, task: asyncio.Task[object]) -> None:
-        task.cancel()
-        self._cancelled.append(task)
-
-    async def _stop(self) -> None:
-        """Cancel what still runs, and wait until it has released what it holds."""
-        for run in tuple(self._living):
-            self._give_up(run)
-        if self._dispatching is not None:
-            self._cancel(self._dispatching)
-        await asyncio.gather(*self._cancelled, return_exceptions=True)
-
     def _check_end(self, run: _AttemptRun) -> None:
         """Check that the attempt completed the answer.
 
@@ -404,7 +330,7 @@
             incarnation="" if error is None else error.incarnation,
         )
 
-    async def _note_fault(self, run: _AttemptRun, error: UpstreamError) -> None:
+    async def _note_fault(self, run: AttemptTask[None], error: UpstreamError) -> None:
         """Have the next attempt made, unless one is to replace this one already."""
         dispatch = run.dispatch
         self._state.metrics.attempt_faults.labels(error.fault.value).inc()
@@ -420,16 +346,12 @@
             return
         if not self._may_retry:
             failure = Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)
-            self._failure = RequestError(failure)
+            self._attempts.failure = RequestError(failure)
             return
-        try:
-            await self._ticket.end_attempt(self._build_end(dispatch, error))
-        except RequestError as failed:
-            self._failure = failed
-        else:
-            # Another attempt may have gone on meanwhile, and dropped the retry.
-            if self._writer is None:
-                self._request_dispatch()
+        is_retried = await self._attempts.end_failed(self._build_end(dispatch, error))
+        # Another attempt may have gone on meanwhile, and dropped the retry.
+        if is_retried and self._writer is None:
+            self._attempts.request_dispatch()
 
     def _note_dispatch(self, dispatch: Dispatch) -> None:
         request = dispatch.request
--- a/src/quetzaldeck/gateway/service_run.py
+++ b/src/quetzaldeck/gateway/service_run.py
@@ -5,8 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions import AttemptEnd, AttemptFault
+from quetzaldeck.decisions import AttemptEnd
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
+from quetzaldeck.gateway.attempt_tasks import AttemptTask, AttemptTasks
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.silence_watch import SilenceWatch
 from quetzaldeck.upstreams import UpstreamError
@@ -20,15 +21,6 @@
     from quetzaldeck.upstreams import ServiceAnswer, ServiceCall
 
 
-class _Attempt:
-    """One attempt; ``is_left``: another one is to replace it, and it goes on."""
-
-    def __init__(self, dispatch: Dispatch) -> None:
-        self.dispatch = dispatch
-        self.is_left = False
-        self.task: asyncio.Task[ServiceAnswer] | None = None
-
-
 class ServiceRun:
     """Runs one call; an attempt that is silent goes on until another one answers.
 
@@ -55,9 +47,13 @@
         self._check = check
         self._claimed = claimed
         self._ended: asyncio.Queue[asyncio.Task[object]] = asyncio.Queue()
-        self._living: list[_Attempt] = []
-        self._dispatching: asyncio.Task[Dispatch] | None = None
-        self._failure: RequestError | None = None
+        self._attempts: AttemptTasks[ServiceAnswer] = AttemptTasks(
+            ticket,
+            state.metrics,
+            check=self._recheck,
+            start=self._start,
+            on_end=self._ended.put_nowait,
+        )
         self._has_dispatched = False
         self._may_have_run = False
 
@@ -72,104 +68,64 @@
         :returns: the answer
         :raises RequestError: if there is none
         """
-        try:
-            self._request_dispatch()
-            with self._state.watch_bundle(self._handle_new_bundle):
+        async with self._attempts:
+            with self._state.watch_bundle(self._attempts.handle_new_bundle):
                 while True:
-                    answer = await self._handle_ended(await self._ended.get())
-                    if answer is not None:
-                        return answer
-                    if self._dispatching is None and not self._living:
-                        assert self._failure is not None
-                        raise self._failure
-        finally:
-            await self._stop()
-
-    async def _handle_ended(self, task: asyncio.Task[object]) -> ServiceAnswer | None:
-        """:returns: the answer, if an attempt has ended with one"""
-        if task is self._dispatching:
-            dispatching, self._dispatching = self._dispatching, None
-            try:
-                self._start(dispatching.result())
-            except RequestError as error:
-                self._failure = error
-            return None
-        for attempt in self._living:
-            if attempt.task is task:
-                self._living.remove(attempt)
-                return await self._handle_ended_attempt(attempt)
-        return None
-
-    async def _handle_ended_attempt(self, attempt: _Attempt) -> ServiceAnswer | None:
-        assert attempt.task is not None
-        attempt_id = attempt.dispatch.attempt_id
+                    attempt = self._attempts.take_ended(await self._ended.get())
+                    if attempt is not None:
+                        answer = await self._handle_ended(attempt)
+                        if answer is not None:
+                            return answer
+                    self._attempts.raise_if_none_left()
+
+    async def _handle_ended(
+        self, attempt: AttemptTask[ServiceAnswer]
+    ) -> ServiceAnswer | None:
+        """:returns: the answer, if the attempt has ended with one"""
         try:
-            answer = attempt.task.result()
+            answer = attempt.result()
         except UpstreamError as error:
             await self._note_fault(attempt, error)
             return None
-        except RequestError as error:
-            self._ticket.drop_attempt(attempt_id)
-            self._failure = error
-            return None
         if attempt.is_left:
-            await self._ticket.resume_attempt(attempt_id)
-        await self._ticket.end_attempt(AttemptEnd(attempt_id))
+            await self._ticket.resume_attempt(attempt.attempt_id)
+        await self._ticket.end_attempt(AttemptEnd(attempt.attempt_id))
         return answer
 
-    async def _note_fault(self, attempt: _Attempt, error: UpstreamError) -> None:
+    async def _note_fault(
+        self, attempt: AttemptTask[ServiceAnswer], error: UpstreamError
+    ) -> None:
         """Have the next attempt made, unless one is to replace this one already."""
         self._state.metrics.attempt_faults.labels(error.fault.value).inc()
         self._may_have_run = self._may_have_run or error.may_have_run
         if attempt.is_left:
             return
         end = AttemptEnd(
-            attempt.dispatch.attempt_id,
+            attempt.attempt_id,
             error.fault,
             may_have_run=error.may_have_run,
             is_gone=error.is_gone,
         )
-        try:
-            await self._ticket.end_attempt(end)
-        except RequestError as failure:
-            self._failure = failure
-        else:
-            self._request_dispatch()
-
-    def _request_dispatch(self) -> None:
-        self._dispatching = asyncio.create_task(self._ticket.next_dispatch())
-        self._dispatching.add_done_callback(self._ended.put_nowait)
+        if await self._attempts.end_failed(end):
+            self._attempts.request_dispatch()
 
     def _start(self, dispatch: Dispatch) -> None:
         self._has_dispatched = True
-        attempt = _Attempt(dispatch)
-        attempt.task = asyncio.create_task(self._send(attempt))
-        attempt.task.add_done_callback(self._ended.put_nowait)
-        self._living.append(attempt)
+        attempt: AttemptTask[ServiceAnswer] = AttemptTask(dispatch)
+        self._attempts.run(attempt, self._send(attempt))
 
-    def _recheck(self, attempt: _Attempt | None = None) -> None:
+    def _recheck(self, attempt: AttemptTask[ServiceAnswer] | None = None) -> None:
         """Check whether the bundle in force allows the next attempt.
 
         :param attempt: the one that is about to be sent
         :raises RequestError: if it does not
         """
-        others = [other for other in self._living if other is not attempt]
+        others = [other for other in self._attempts.living if other is not attempt]
         failure = self._check.run(may_have_run=self._may_have_run or bool(others))
         if failure is not None:
             raise RequestError(failure)
 
-    def _handle_new_bundle(self) -> None:
-        """End a call that waits for its next attempt if it would not be sent."""
-        if self._living or self._dispatching is None or self._dispatching.done():
-            return
-        try:
-            self._recheck()
-        except RequestError as error:
-            self._failure = error
-            self._dispatching.cancel()
-            self._dispatching = None
-
-    async def _send(self, attempt: _Attempt) -> ServiceAnswer:
+    async def _send(self, attempt: AttemptTask[ServiceAnswer]) -> ServiceAnswer:
         self._recheck(attempt)
         request = self._ticket.request
         remaining_ms = request.deadline_ms - self._state.clock.now_ms()
@@ -177,7 +133,7 @@
         watch = SilenceWatch(
             self._ticket,
             self._state.clock,
-            attempt.dispatch.attempt_id,
+            attempt.attempt_id,
             request.request_id,
             idle_ms if self._claimed is None else None,
             lambda verdict: self._handle_verdict(attempt, verdict),
@@ -193,23 +149,11 @@
                 self._claimed.undo_dispatch()
             raise
 
-    def _handle_verdict(self, attempt: _Attempt, verdict: SilenceVerdict) -> None:
+    def _handle_verdict(
+        self, attempt: AttemptTask[ServiceAnswer], verdict: SilenceVerdict
+    ) -> None:
         if verdict is SilenceVerdict.REPLACE:
-            attempt.is_left = True
-            faults = self._state.metrics.attempt_faults
-            faults.labels(AttemptFault.SILENT.value).inc()
-            self._request_dispatch()
-
-    async def _stop(self) -> None:
-        """Cancel what still runs, and wait until it has released its connections."""
-        tasks: list[asyncio.Task[object]] = [
-            attempt.task for attempt in self._living if attempt.task is not None
-        ]
-        if self._dispatching is not None:
-            tasks.append(self._dispatching)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+            self._attempts.replace(attempt)
 
 
 __all__ = ("ServiceRun",)
