--- a/src/quetzaldeck/decisions/admission/predicted_wait.py
+++ b/src/quetzaldeck/decisions/admission/predicted_wait.py
@@ -17,8 +17,8 @@
     MAX_RETRY_AFTER_MS,
     RetryAfterSchedule,
 )
+from quetzaldeck.decisions.decision import MAX_HELPERS
 from quetzaldeck.decisions.estimation import BiasCorrection, ServiceTimes
-from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
 from quetzaldeck.decisions.queueing.fair import DEFAULT_STRETCH
 from quetzaldeck.decisions.request import LengthClass
 from quetzaldeck.outcomes import Failure, Ran, Reason
--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -9,6 +9,9 @@
 from quetzaldeck.decisions.request import Request
 from quetzaldeck.outcomes.failure import Failure
 
+MAX_HELPERS = 16
+"""Most helpers of one request."""
+
 
 class Dispatch(NamedTuple):
     """Send a request to an upstream now.
@@ -99,4 +102,11 @@
     is_gone: bool = False
 
 
-__all__ = ("AttemptEnd", "AttemptFault", "Decision", "Dispatch", "Rejection")
+__all__ = (
+    "MAX_HELPERS",
+    "AttemptEnd",
+    "AttemptFault",
+    "Decision",
+    "Dispatch",
+    "Rejection",
+)
--- a/src/quetzaldeck/decisions/head_of_line/reading_lane.py
+++ b/src/quetzaldeck/decisions/head_of_line/reading_lane.py
@@ -7,12 +7,12 @@
 
 import xxhash
 
+from quetzaldeck.decisions.decision import MAX_HELPERS
 from quetzaldeck.decisions.head_of_line.api import (
     HeadOfLinePolicy,
     head_of_line_policies,
 )
 from quetzaldeck.decisions.head_of_line.short_candidates import draw_candidates
-from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
 from quetzaldeck.decisions.token_gaps import TokenGaps
 
 if TYPE_CHECKING:
--- a/src/quetzaldeck/decisions/placement/first_token.py
+++ b/src/quetzaldeck/decisions/placement/first_token.py
@@ -23,6 +23,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.decision import MAX_HELPERS
 from quetzaldeck.decisions.placement.api import PlacementPolicy, placement_policies
 from quetzaldeck.decisions.placement.median_latency import median_ms_per_token
 from quetzaldeck.decisions.token_gaps import TokenGaps
@@ -36,9 +37,6 @@
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
 
-MAX_HELPERS = 16
-"""Most helpers of one request."""
-
 PART_SHARE_OF_GAP = 0.125
 """Share of the shortest gap between tokens for which one prompt part may delay the
 running sequences. An engine may prefill parts of several prompts within one pass."""
@@ -165,4 +163,4 @@
     return prefill_ms + figures.stride * figures.sequence_ms
 
 
-__all__ = ("MAX_HELPERS", "FirstToken")
+__all__ = ("FirstToken",)
--- a/tests/decisions/head_of_line/test_long_prompts_at_many_engines.py
+++ b/tests/decisions/head_of_line/test_long_prompts_at_many_engines.py
@@ -15,9 +15,9 @@
 from tests.support.builders import make_entry_scheduler, make_request, poll_dispatch
 
 from quetzaldeck.bundle.engine_figures import EngineFigures
+from quetzaldeck.decisions.decision import MAX_HELPERS
 from quetzaldeck.decisions.head_of_line.reading_lane import MAX_PREFILL_SHARE_OF_TARGET
 from quetzaldeck.decisions.loads.peer_load import VmLoad
-from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
 
 if TYPE_CHECKING:
     from quetzaldeck.clock import ManualClock
--- a/tests/decisions/placement/test_first_token.py
+++ b/tests/decisions/placement/test_first_token.py
@@ -9,10 +9,10 @@
 
 from quetzaldeck.bundle import UpstreamSpec
 from quetzaldeck.bundle.engine_figures import EngineFigures
+from quetzaldeck.decisions.decision import MAX_HELPERS
 from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.memory import InFlightAttempt
 from quetzaldeck.decisions.placement import FirstToken
-from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
--- a/tests/decisions/placement/test_refused_help.py
+++ b/tests/decisions/placement/test_refused_help.py
@@ -14,11 +14,11 @@
 from tests.support.builders import make_entry_scheduler, make_request, poll_dispatch
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch, Rejection
+from quetzaldeck.decisions.decision import MAX_HELPERS
 from quetzaldeck.decisions.health.help_refusals import (
     HELP_REFUSAL_HOLD_MS,
     HelpRefusals,
 )
-from quetzaldeck.decisions.placement.first_token import MAX_HELPERS
 
 if TYPE_CHECKING:
     from quetzaldeck.clock import ManualClock
