Give the functions on pools of upstreams a part of their own

The state of an upstream holds its health, while three modules of health chose among such states, so that the two parts depended on each other, and with them the loads. What chooses among the upstreams of a pool is now in decisions/pools, and decisions/health judges one upstream.

--- a/src/quetzaldeck/decisions/health/__init__.py
+++ b/src/quetzaldeck/decisions/health/__init__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from quetzaldeck.decisions.health.bounds import HealthBounds
-from quetzaldeck.decisions.health.pool import admit_probes, list_usable
 from quetzaldeck.decisions.health.state import HealthState
 from quetzaldeck.decisions.health.upstream_health import (
     UpstreamHealth,
@@ -14,7 +13,5 @@
     "HealthBounds",
     "HealthState",
     "UpstreamHealth",
-    "admit_probes",
     "compute_ms_per_token",
-    "list_usable",
 )
--- a/src/quetzaldeck/decisions/placement/candidates.py
+++ b/src/quetzaldeck/decisions/placement/candidates.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.health import admit_probes, list_usable
+from quetzaldeck.decisions.pools import admit_probes, list_usable
 from quetzaldeck.decisions.request import LengthClass
 
 if TYPE_CHECKING:
--- a/src/quetzaldeck/decisions/placement/group_plans.py
+++ b/src/quetzaldeck/decisions/placement/group_plans.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.health import list_usable
+from quetzaldeck.decisions.pools import list_usable
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/quetzaldeck/decisions/placement/helper_selector.py
+++ b/src/quetzaldeck/decisions/placement/helper_selector.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.health.pace import exclude_slow
+from quetzaldeck.decisions.pools import exclude_slow
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -11,9 +11,6 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.groups import GroupPlanner
-from quetzaldeck.decisions.health import list_usable
-from quetzaldeck.decisions.health.pace import exclude_slow
-from quetzaldeck.decisions.health.partial_failures import exclude_failing
 from quetzaldeck.decisions.memory import InFlightAttempt
 from quetzaldeck.decisions.paths import PathVerdict
 from quetzaldeck.decisions.placement.candidates import CandidateFilter, find_soonest
@@ -22,6 +19,7 @@
 from quetzaldeck.decisions.placement.helper_selector import HelperSelector
 from quetzaldeck.decisions.placement.placement import Placement
 from quetzaldeck.decisions.placement.suspect_placer import SuspectPlacer
+from quetzaldeck.decisions.pools import exclude_failing, exclude_slow, list_usable
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from quetzaldeck.decisions.health import list_usable
 from quetzaldeck.decisions.placement.placement import Placement
 from quetzaldeck.decisions.placement.suspect_order import SuspectOrder
 from quetzaldeck.decisions.poison import Verdict
+from quetzaldeck.decisions.pools import list_usable
 
 if TYPE_CHECKING:
     import random
--- a/src/quetzaldeck/decisions/health/partial_failures.py
+++ b/src/quetzaldeck/decisions/pools/partial_failures.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.health.outcomes import Outcomes
-from quetzaldeck.decisions.health.pool import MAX_AVOIDED_SHARE
+from quetzaldeck.decisions.pools.usable import MAX_AVOIDED_SHARE
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.estimation import predict_first_token_ms
-from quetzaldeck.decisions.health.partial_failures import find_failing
+from quetzaldeck.decisions.pools import find_failing
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
--- a/tests/decisions/health/test_partial_failures.py
+++ b/tests/decisions/health/test_partial_failures.py
@@ -20,8 +20,8 @@
     DecayingOutcomes,
     Outcomes,
 )
-from quetzaldeck.decisions.health.partial_failures import exclude_failing
 from quetzaldeck.decisions.policies import Policies, build_scheduler
+from quetzaldeck.decisions.pools import exclude_failing
 from quetzaldeck.decisions.upstream_state import UpstreamState
 
 POLICIES = Policies("fair", "first_token", "predicted_wait", "reading_lane")
--- a/tests/decisions/health/test_upstream_health.py
+++ b/tests/decisions/health/test_upstream_health.py
@@ -9,12 +9,8 @@
 
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch
-from quetzaldeck.decisions.health import (
-    HealthBounds,
-    HealthState,
-    UpstreamHealth,
-    list_usable,
-)
+from quetzaldeck.decisions.health import HealthBounds, HealthState, UpstreamHealth
+from quetzaldeck.decisions.pools import list_usable
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.upstream_state import UpstreamState
