Move what waits and what is tried again to decisions/scheduling

Queue policies, admission and attempts named each other: admission counts the queue, the requests that wait tell admission, their rejection looks up attempts, and failed attempts wait again. These three steps of the scheduler now have a part of their own that uses the others, and no part of the decisions depends on itself any more.

The test of four parts is replaced by one of all parts, which holds for imports for annotations and for imports of a module from its package as well.

--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -16,7 +16,7 @@
     from quetzaldeck.decisions.loads.peer_load import VmLoad
     from quetzaldeck.decisions.placement import CacheEvents, PlacementPolicy
     from quetzaldeck.decisions.poison import CrashSighting, PoisonRegistry, RunSighting
-    from quetzaldeck.decisions.queueing.waiting import WaitingRequests
+    from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
     from quetzaldeck.decisions.upstream_table import UpstreamTable
 
 
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -8,7 +8,6 @@
 from quetzaldeck.decisions.admission import BoundsOnly
 from quetzaldeck.decisions.attempts.answer_learner import AnswerLearner
 from quetzaldeck.decisions.attempts.attempt_starter import AttemptStarter
-from quetzaldeck.decisions.attempts.failed_attempts import FailedAttemptHandler
 from quetzaldeck.decisions.attempts.monitor import AttemptMonitor
 from quetzaldeck.decisions.attempts.tracked import (
     LeftAttempt,
@@ -23,11 +22,12 @@
 from quetzaldeck.decisions.limits import CustomerLimiter
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.poison import PoisonRegistry
-from quetzaldeck.decisions.queueing.queue_sweep import QueueSweep
-from quetzaldeck.decisions.queueing.waiting import WaitingRequests
 from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
 from quetzaldeck.decisions.retries import NO_CHARGE, RetryPolicy
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
+from quetzaldeck.decisions.scheduling.failed_attempts import FailedAttemptHandler
+from quetzaldeck.decisions.scheduling.queue_sweep import QueueSweep
+from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
 from quetzaldeck.decisions.silence.policy import SilencePolicy
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.decisions.tuning import tune
--- a/src/quetzaldeck/decisions/attempts/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -16,9 +16,9 @@
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.poison import PoisonRegistry
-    from quetzaldeck.decisions.queueing.waiting import WaitingRequests
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import RetryPolicy
+    from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
 
 
 class FailedAttemptHandler:
--- a/src/quetzaldeck/decisions/queueing/queue_sweep.py
+++ b/src/quetzaldeck/decisions/scheduling/queue_sweep.py
@@ -14,8 +14,8 @@
     from quetzaldeck.decisions.attempts.tracked import TrackedRequests
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.poison import PoisonRegistry
-    from quetzaldeck.decisions.queueing.waiting import WaitingRequests
     from quetzaldeck.decisions.request import Request
+    from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
     from quetzaldeck.decisions.upstream_table import UpstreamTable
     from quetzaldeck.outcomes import Failure
 
--- a/tests/decisions/test_waiting.py
+++ b/tests/decisions/test_waiting.py
@@ -9,7 +9,7 @@
 
 from quetzaldeck.decisions.admission import PredictedWait
 from quetzaldeck.decisions.queueing import FairQueue
-from quetzaldeck.decisions.queueing.waiting import PLACEMENT_RETRY_MS, WaitingRequests
+from quetzaldeck.decisions.scheduling.waiting import PLACEMENT_RETRY_MS, WaitingRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -47,12 +47,21 @@
 
 def list_imports(path: Path) -> set[str]:
     """:returns: modules that a module imports, also for annotations only"""
-    tree = ast.parse(path.read_text(encoding="utf-8"))
-    return {
-        node.module
-        for node in ast.walk(tree)
-        if isinstance(node, ast.ImportFrom) and node.module is not None
-    }
+    modules: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            modules.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module is not None:
+            for alias in node.names:
+                member = f"{node.module}.{alias.name}"
+                modules.add(member if is_module(member) else node.module)
+    return modules
+
+
+def is_module(name: str) -> bool:
+    """:returns: whether a name is that of a module of quetzaldeck"""
+    path = Path(quetzaldeck.__file__).parents[1].joinpath(*name.split("."))
+    return path.with_suffix(".py").is_file() or (path / "__init__.py").is_file()
 
 
 def test_exchange_between_vms_does_not_depend_on_the_state_of_its_vm() -> None:
@@ -73,20 +82,21 @@
     TopologicalSorter(imports).prepare()
 
 
-def test_no_part_of_the_decisions_that_paths_and_retries_use_depends_on_them() -> None:
-    """Placement, paths and retries that name each other read as one module."""
+def test_parts_of_the_decisions_have_no_cycle() -> None:
+    """Parts that name each other, if only in annotations, read as one module.
+
+    A module that imports from the package itself depends on all of its parts.
+    """
     package = Path(quetzaldeck.__file__).parent / "decisions"
     imports: dict[str, set[str]] = {}
     for path in package.rglob("*.py"):
         part = path.relative_to(package).parts[0].removesuffix(".py")
         names = [name.split(".") for name in list_imports(path)]
         imports.setdefault(part, set()).update(
-            name[2]
+            name[2] if len(name) > 2 else "__init__"
             for name in names
-            if name[:2] == ["quetzaldeck", "decisions"] and len(name) > 2
+            if name[:2] == ["quetzaldeck", "decisions"]
         )
-    for part in ("paths", "retries", "decision", "group_plan"):
-        used = imports[part] - {part}
-        while more := set().union(*(imports.get(name, ()) for name in used)) - used:
-            used |= more
-        assert part not in used, (part, sorted(used))
+    for part, used in imports.items():
+        used.discard(part)
+    TopologicalSorter(imports).prepare()
