--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -40,12 +40,12 @@
     Claim = Callable[[], Awaitable[None]]
 
 MAX_PEERS_ASKED = 8
-"""VMs that are asked for one request: many may be partitioned as well, or shut down,
-which they say at once."""
+"""Most VMs that are asked to run one request. Many may refuse it at once, as they are
+partitioned as well or shutting down."""
 
 MAX_PEERS_TRIED = 3
-"""VMs that may spend the time of one request: of those that are partitioned, not all
-know it yet. So many are asked at most while no VM is known to reach the upstreams."""
+"""Most VMs that may take time to refuse one request: a VM that is partitioned may not
+have detected it yet. While no VM is known to reach the upstreams, no more are asked."""
 
 _UNABLE_REASONS = frozenset((Reason.NO_PATH, Reason.NO_BUNDLE, Reason.SHUTTING_DOWN))
 """Reasons for which a VM takes none of the requests for a service."""
@@ -54,7 +54,7 @@
 class _RefusedError(Exception):
     """A VM has not run a request, so that another one may.
 
-    :param has_tried: whether it took time to find that out
+    :param has_tried: whether the VM took time before it refused
     """
 
     def __init__(self, failure: Failure, *, has_tried: bool) -> None:
@@ -115,7 +115,7 @@
         claim: Claim,
         check: Callable[[int], Failure | None],
         *,
-        is_inquiry: bool,
+        is_known_reachable: bool,
     ) -> web.StreamResponse:
         """Have another VM run a call.
 
@@ -124,7 +124,7 @@
         :param claim: awaited before the response is forwarded
         :param check: called before a VM is asked, with the attempts that may have run;
             returns why none may run the call
-        :param is_inquiry: whether it is not known that any VM reaches the upstreams
+        :param is_known_reachable: whether some VM is known to reach the upstreams
         :returns: the response of an upstream
         :raises RequestError: if no VM has run it, or if it failed there
         """
@@ -135,7 +135,7 @@
             detail=f"{call.admitted.service}: no VM is known that reaches an upstream",
         )
         n_tried = 0
-        max_asked = MAX_PEERS_TRIED if is_inquiry else MAX_PEERS_ASKED
+        max_asked = MAX_PEERS_ASKED if is_known_reachable else MAX_PEERS_TRIED
         while len(asked) < max_asked and n_tried < MAX_PEERS_TRIED:
             peer = self._choose(call.admitted.service, asked)
             if peer is None or not self.may_send(call, n_attempts, Ran.NO):
--- a/src/quetzaldeck/entry/handover/offer.py
+++ b/src/quetzaldeck/entry/handover/offer.py
@@ -75,7 +75,7 @@
             n_attempts,
             claim,
             self._check,
-            is_inquiry=verdict in (PathVerdict.UNREACHED, PathVerdict.DOWN),
+            is_known_reachable=verdict not in (PathVerdict.UNREACHED, PathVerdict.DOWN),
         )
 
     def _check(self, n_attempts: int) -> Failure | None:
