--- a/src/quetzaldeck/bench/bench_vm.py
+++ b/src/quetzaldeck/bench/bench_vm.py
@@ -114,7 +114,7 @@
         submission = self._find_submission(attempt)
         if submission is not None and submission.attempt is attempt:
             submission.attempt = None
-            submission.left.append(attempt)
+            submission.replaced.append(attempt)
             self.poll()
 
     def poll(self) -> None:
@@ -225,16 +225,16 @@
 
     def _claim(self, submission: Submission, winner: BenchAttempt) -> None:
         """Let an attempt write to the caller, and give up all others."""
-        if not submission.left:
+        if not submission.replaced:
             return
         for attempt in submission.living:
             if attempt is not winner:
                 self._launcher.cancel(attempt)
-        is_left = winner in submission.left
-        submission.left.clear()
+        is_replaced = winner in submission.replaced
+        submission.replaced.clear()
         submission.attempt = winner
         submission.failure = None
-        if is_left:
+        if is_replaced:
             request_id = submission.request.request_id
             self.scheduler.resume_attempt(request_id, winner.attempt_id)
 
@@ -261,8 +261,8 @@
         if submission is None:
             return
         self._launcher.cancel(attempt)
-        if attempt in submission.left:
-            submission.left.remove(attempt)
+        if attempt in submission.replaced:
+            submission.replaced.remove(attempt)
             if submission.failure is not None:
                 self._fail(submission, submission.failure)
             return
@@ -285,7 +285,7 @@
         A caller that has received nothing waits for no longer than sound upstreams are
         silent.
         """
-        if not submission.left:
+        if not submission.replaced:
             self._close(submission, failure)
             return
         is_new = submission.failure is None
--- a/src/quetzaldeck/bench/submission.py
+++ b/src/quetzaldeck/bench/submission.py
@@ -47,7 +47,7 @@
         self.state = state
         self.request = request
         self.attempt: BenchAttempt | None = None
-        self.left: list[BenchAttempt] = []
+        self.replaced: list[BenchAttempt] = []
         """Silent attempts that go on until the one that replaces them writes."""
         self.failure: Failure | None = None
         """Why nothing replaces the attempts that go on; ``None``: something may."""
@@ -56,7 +56,7 @@
     @property
     def living(self) -> list[BenchAttempt]:
         """:returns: the attempts that may yet write"""
-        return [*self.left, *([self.attempt] if self.attempt is not None else [])]
+        return [*self.replaced, *([self.attempt] if self.attempt is not None else [])]
 
     @property
     def has_dispatched(self) -> bool:
--- a/src/quetzaldeck/decisions/attempts/tracked.py
+++ b/src/quetzaldeck/decisions/attempts/tracked.py
@@ -15,8 +15,8 @@
     from quetzaldeck.decisions.limits import CustomerLimiter
 
 
-class LeftAttempt(NamedTuple):
-    """An attempt that was silent and is being replaced; it may still go on.
+class ReplacedAttempt(NamedTuple):
+    """A silent attempt that is replaced; it keeps running until another one writes.
 
     :param in_flight: its entry in the ledger of each upstream
     """
@@ -40,7 +40,7 @@
         latest if it waits for its turn at an upstream that limits its rate
     :param backlog_ms: prefill backlog of the busiest engine of the attempt at dispatch
     :param first_token_ms: when its first token arrived; ``None``: not yet
-    :param left: attempts that go on until one that replaces them writes
+    :param replaced: attempts that keep running until the one that replaces them writes
     :param charge: what the budgets were charged for the running or the next attempt
     """
 
@@ -52,7 +52,7 @@
     dispatched_ms: float = 0.0
     backlog_ms: float = 0.0
     first_token_ms: float | None = None
-    left: tuple[LeftAttempt, ...] = ()
+    replaced: tuple[ReplacedAttempt, ...] = ()
     charge: RetryCharge = NO_CHARGE
 
 
@@ -129,4 +129,4 @@
         return tracked
 
 
-__all__ = ("LeftAttempt", "TrackedRequest", "TrackedRequests")
+__all__ = ("ReplacedAttempt", "TrackedRequest", "TrackedRequests")
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -10,7 +10,7 @@
 from quetzaldeck.decisions.attempts.attempt_starter import AttemptStarter
 from quetzaldeck.decisions.attempts.monitor import AttemptMonitor
 from quetzaldeck.decisions.attempts.tracked import (
-    LeftAttempt,
+    ReplacedAttempt,
     TrackedRequest,
     TrackedRequests,
 )
@@ -326,10 +326,10 @@
         retry = self._failed.decide(tracked, end, now_ms)
         if isinstance(retry, Failure):
             return _VERDICTS.get(retry.reason, SilenceVerdict.NO_RETRY)
-        left = self._build_left(tracked)
+        replaced = self._build_replaced(tracked)
         self._monitor.note_end(tracked.request, end, tracked.upstreams, now_ms)
         self._release(tracked)
-        self._failed.queue(tracked, end, retry, now_ms, left=(left,))
+        self._failed.queue(tracked, end, retry, now_ms, replaced=(replaced,))
         return verdict
 
     def resume_attempt(self, request_id: str, attempt_id: str) -> bool:
@@ -342,8 +342,10 @@
         tracked = self._tracked.get(request_id)
         if tracked is None:
             return False
-        left = next((a for a in tracked.left if a.attempt_id == attempt_id), None)
-        if left is None:
+        replaced = next(
+            (a for a in tracked.replaced if a.attempt_id == attempt_id), None
+        )
+        if replaced is None:
             return False
         now_ms = self._clock.now_ms()
         self._waiting.discard(request_id, now_ms)
@@ -357,18 +359,18 @@
             self._retries.give_back(tracked.request, tracked.charge, now_ms)
         self._tracked.update(
             tracked._replace(
-                history=history.resume(left.upstreams),
+                history=history.resume(replaced.upstreams),
                 attempt_id=attempt_id,
-                upstreams=left.upstreams,
-                dispatched_ms=left.dispatched_ms,
-                backlog_ms=left.backlog_ms,
-                first_token_ms=left.first_token_ms,
-                left=tuple(a for a in tracked.left if a is not left),
+                upstreams=replaced.upstreams,
+                dispatched_ms=replaced.dispatched_ms,
+                backlog_ms=replaced.backlog_ms,
+                first_token_ms=replaced.first_token_ms,
+                replaced=tuple(a for a in tracked.replaced if a is not replaced),
                 charge=NO_CHARGE,
             )
         )
-        self._placer.restore(tracked.request, attempt_id, left.in_flight)
-        self._monitor.note_resumed(left.upstreams, now_ms)
+        self._placer.restore(tracked.request, attempt_id, replaced.in_flight)
+        self._monitor.note_resumed(replaced.upstreams, now_ms)
         return True
 
     def drop_attempt(self, attempt_id: str) -> None:
@@ -393,14 +395,14 @@
             history = tracked.history._replace(is_handed_over=True)
             self._tracked.update(tracked._replace(history=history))
 
-    def _build_left(self, tracked: TrackedRequest) -> LeftAttempt:
+    def _build_replaced(self, tracked: TrackedRequest) -> ReplacedAttempt:
         in_flight = []
         for name in tracked.upstreams:
             state = self._upstreams.get(name)
             attempt = None if state is None else state.ledger.get(tracked.attempt_id)
             if state is not None and attempt is not None:
                 in_flight.append((state, attempt))
-        return LeftAttempt(
+        return ReplacedAttempt(
             tracked.attempt_id,
             tracked.upstreams,
             tracked.dispatched_ms,
--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.admission import AdmissionPolicy
-    from quetzaldeck.decisions.attempts.tracked import LeftAttempt, TrackedRequests
+    from quetzaldeck.decisions.attempts.tracked import ReplacedAttempt, TrackedRequests
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.poison import PoisonRegistry
@@ -98,11 +98,11 @@
         retry: Retry,
         now_ms: float,
         *,
-        left: tuple[LeftAttempt, ...] = (),
+        replaced: tuple[ReplacedAttempt, ...] = (),
     ) -> None:
         """Queue the next attempt of a request.
 
-        :param left: attempts that go on meanwhile, besides those that did before
+        :param replaced: attempts that keep running meanwhile, besides earlier ones
         """
         request = _renew_idle_timeout(tracked.request, end, now_ms)
         history = tracked.history.after(end, tracked.upstreams)
@@ -112,7 +112,7 @@
                 request,
                 tracked.n_uncorrected_tokens,
                 history,
-                left=(*tracked.left, *left),
+                replaced=(*tracked.replaced, *replaced),
                 charge=tracked.charge.after(end).add(retry.charge),
             )
         )
--- a/src/quetzaldeck/gateway/attempt_tasks.py
+++ b/src/quetzaldeck/gateway/attempt_tasks.py
@@ -22,12 +22,12 @@
 class AttemptTask(Generic[Result]):
     """One attempt, as a task that owns its connection.
 
-    ``is_left``: another attempt is to replace it, and it goes on meanwhile.
+    ``is_replaced``: another attempt is to replace it, and it keeps running.
     """
 
     def __init__(self, dispatch: Dispatch) -> None:
         self.dispatch = dispatch
-        self.is_left = False
+        self.is_replaced = False
         self.task: asyncio.Task[Result] | None = None
 
     @property
@@ -153,7 +153,7 @@
 
     def replace(self, attempt: AttemptTask[Result]) -> None:
         """Wait for the attempt that replaces a silent one, which goes on meanwhile."""
-        attempt.is_left = True
+        attempt.is_replaced = True
         self._metrics.attempt_faults.labels(AttemptFault.SILENT.value).inc()
         self.request_dispatch()
 
--- a/src/quetzaldeck/gateway/relay.py
+++ b/src/quetzaldeck/gateway/relay.py
@@ -258,8 +258,8 @@
         self._writer = run
         self.answer.continue_with(run.attempt_id)
         self._attempts.keep_only(run)
-        if run.is_left:
-            run.is_left = False
+        if run.is_replaced:
+            run.is_replaced = False
             self._may_retry = await self._ticket.resume_attempt(run.attempt_id)
 
     def _build_watch(self, run: _AttemptRun, engine: EngineUpstream) -> SilenceWatch:
@@ -342,7 +342,7 @@
             upstream=error.upstream or ",".join(dispatch.upstreams),
             error=error,
         )
-        if run.is_left:
+        if run.is_replaced:
             return
         if not self._may_retry:
             failure = Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)
--- a/src/quetzaldeck/gateway/service_run.py
+++ b/src/quetzaldeck/gateway/service_run.py
@@ -87,7 +87,7 @@
         except UpstreamError as error:
             await self._note_fault(attempt, error)
             return None
-        if attempt.is_left:
+        if attempt.is_replaced:
             await self._ticket.resume_attempt(attempt.attempt_id)
         await self._ticket.end_attempt(AttemptEnd(attempt.attempt_id))
         return answer
@@ -98,7 +98,7 @@
         """Have the next attempt made, unless one is to replace this one already."""
         self._state.metrics.attempt_faults.labels(error.fault.value).inc()
         self._may_have_run = self._may_have_run or error.may_have_run
-        if attempt.is_left:
+        if attempt.is_replaced:
             return
         end = AttemptEnd(
             attempt.attempt_id,
