Move the replacement of silent attempts out of the scheduler

Scheduler was the longest module of the decisions. Replacing and resuming attempts is one responsibility with state of its own to build, and what it shares with the ends of attempts is in AttemptReleaser.

--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -9,12 +9,8 @@
 from quetzaldeck.decisions.attempts.answer_learner import AnswerLearner
 from quetzaldeck.decisions.attempts.attempt_starter import AttemptStarter
 from quetzaldeck.decisions.attempts.monitor import AttemptMonitor
-from quetzaldeck.decisions.attempts.tracked import (
-    ReplacedAttempt,
-    TrackedRequest,
-    TrackedRequests,
-)
-from quetzaldeck.decisions.decision import AttemptEnd, AttemptFault
+from quetzaldeck.decisions.attempts.tracked import TrackedRequest, TrackedRequests
+from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.estimation import TokenEstimator
 from quetzaldeck.decisions.fleet_observer import FleetObserver
 from quetzaldeck.decisions.groups import GroupPlanner
@@ -25,11 +21,12 @@
 from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
 from quetzaldeck.decisions.retries import NO_CHARGE, RetryPolicy
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
+from quetzaldeck.decisions.scheduling.attempt_releaser import AttemptReleaser
+from quetzaldeck.decisions.scheduling.attempt_replacer import AttemptReplacer
 from quetzaldeck.decisions.scheduling.failed_attempts import FailedAttemptHandler
 from quetzaldeck.decisions.scheduling.queue_sweep import QueueSweep
 from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
 from quetzaldeck.decisions.silence.policy import SilencePolicy
-from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_table import UpstreamTable
 from quetzaldeck.outcomes import Failure, Reason
@@ -38,7 +35,7 @@
     from quetzaldeck.bundle.document import Bundle
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.admission import AdmissionPolicy
-    from quetzaldeck.decisions.decision import Decision
+    from quetzaldeck.decisions.decision import AttemptEnd, Decision
     from quetzaldeck.decisions.groups import GroupBounds
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.paths import PathVerdict
@@ -47,13 +44,7 @@
     from quetzaldeck.decisions.queueing import QueuePolicy
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import ResendBudget
-
-
-_VERDICTS = {
-    Reason.UPSTREAM_RATE_LIMITED: SilenceVerdict.RATE_LIMITED,
-    Reason.POISON_SUSPECTED: SilenceVerdict.SUSPECTED,
-}
-"""Reasons why nothing replaces a silent attempt that its log line tells apart."""
+    from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 
 
 class Scheduler:
@@ -125,6 +116,24 @@
             admission=self._admission,
             poison=registry,
         )
+        self._releaser = AttemptReleaser(
+            tracked=self._tracked,
+            waiting=self._waiting,
+            placer=self._placer,
+            monitor=self._monitor,
+            poison=registry,
+        )
+        self._replacer = AttemptReplacer(
+            tracked=self._tracked,
+            waiting=self._waiting,
+            table=table,
+            placer=self._placer,
+            monitor=self._monitor,
+            silence=self._silence,
+            failed=self._failed,
+            retries=self._retries,
+            releaser=self._releaser,
+        )
         self._sweep = QueueSweep(
             tracked=self._tracked,
             waiting=self._waiting,
@@ -233,10 +242,10 @@
         tracked = self._tracked.forget(request_id, now_ms)
         if tracked is not None:
             self._waiting.discard(request_id, now_ms)
-            self._note_left(tracked, now_ms)
+            self._releaser.note_abandoned(tracked, now_ms)
             if self._silence.is_first_token_overdue(tracked, now_ms):
                 self._monitor.note_unanswered(tracked.upstreams, now_ms)
-            self._release(tracked)
+            self._releaser.release(tracked)
             if not tracked.attempt_id:
                 self._retries.give_back(tracked.request, tracked.charge, now_ms)
 
@@ -303,75 +312,18 @@
     def judge_silence(self, attempt_id: str, silent_ms: float) -> SilenceVerdict:
         """Decide whether another attempt replaces one that sends nothing.
 
-        If so, the other one is queued in the same step: nothing can refuse it that
-        allowed this one to be given up. The silent attempt may go on until the other
-        one writes; see :meth:`resume_attempt`.
+        See :meth:`AttemptReplacer.judge`.
 
         :param silent_ms: time since its last event, or since it started
-        :returns: whether it is replaced, or why not
         """
-        tracked = self._tracked.find(attempt_id)
-        if tracked is None:
-            return SilenceVerdict.NO_RETRY
-        now_ms = self._clock.now_ms()
-        verdict = self._silence.judge(tracked, silent_ms, now_ms)
-        if verdict is not SilenceVerdict.REPLACE:
-            return verdict
-        end = AttemptEnd(
-            attempt_id,
-            AttemptFault.SILENT,
-            n_output_tokens=int(tracked.first_token_ms is not None),
-            upstream=tracked.upstreams[-1],
-        )
-        retry = self._failed.decide(tracked, end, now_ms)
-        if isinstance(retry, Failure):
-            return _VERDICTS.get(retry.reason, SilenceVerdict.NO_RETRY)
-        replaced = self._build_replaced(tracked)
-        self._monitor.note_end(tracked.request, end, tracked.upstreams, now_ms)
-        self._release(tracked)
-        self._failed.queue(tracked, end, retry, now_ms, replaced=(replaced,))
-        return verdict
+        return self._replacer.judge(attempt_id, silent_ms, self._clock.now_ms())
 
     def resume_attempt(self, request_id: str, attempt_id: str) -> bool:
-        """Take back an attempt that was to be replaced, and goes on first.
-
-        What was to replace it is given up, whether it waits or runs.
+        """Take back a replaced attempt that continues before the other one writes.
 
         :returns: whether the attempt is tracked again; if not, its request is not
         """
-        tracked = self._tracked.get(request_id)
-        if tracked is None:
-            return False
-        replaced = next(
-            (a for a in tracked.replaced if a.attempt_id == attempt_id), None
-        )
-        if replaced is None:
-            return False
-        now_ms = self._clock.now_ms()
-        self._waiting.discard(request_id, now_ms)
-        history = tracked.history
-        if tracked.attempt_id:
-            end = AttemptEnd(tracked.attempt_id, AttemptFault.SILENT)
-            history = history.after(end, tracked.upstreams)
-            self._note_left(tracked, now_ms)
-            self._release(tracked)
-        else:
-            self._retries.give_back(tracked.request, tracked.charge, now_ms)
-        self._tracked.update(
-            tracked._replace(
-                history=history.resume(replaced.upstreams),
-                attempt_id=attempt_id,
-                upstreams=replaced.upstreams,
-                dispatched_ms=replaced.dispatched_ms,
-                backlog_ms=replaced.backlog_ms,
-                first_token_ms=replaced.first_token_ms,
-                replaced=tuple(a for a in tracked.replaced if a is not replaced),
-                charge=NO_CHARGE,
-            )
-        )
-        self._placer.restore(tracked.request, attempt_id, replaced.in_flight)
-        self._monitor.note_resumed(replaced.upstreams, now_ms)
-        return True
+        return self._replacer.resume(request_id, attempt_id, self._clock.now_ms())
 
     def drop_attempt(self, attempt_id: str) -> None:
         """Forget an attempt that is not sent after all, which shows nothing."""
@@ -379,10 +331,8 @@
         if tracked is None:
             return
         now_ms = self._clock.now_ms()
-        for name in tracked.upstreams:
-            for fingerprint in tracked.request.crash_fingerprints:
-                self._poison.note_stopped(fingerprint, name, now_ms)
-        self._release(tracked)
+        self._releaser.note_unsent(tracked, now_ms)
+        self._releaser.release(tracked)
         self._retries.give_back(tracked.request, tracked.charge, now_ms)
         self._tracked.update(
             tracked._replace(attempt_id="", upstreams=(), charge=NO_CHARGE)
@@ -395,22 +345,6 @@
             history = tracked.history._replace(is_handed_over=True)
             self._tracked.update(tracked._replace(history=history))
 
-    def _build_replaced(self, tracked: TrackedRequest) -> ReplacedAttempt:
-        in_flight = []
-        for name in tracked.upstreams:
-            state = self._upstreams.get(name)
-            attempt = None if state is None else state.ledger.get(tracked.attempt_id)
-            if state is not None and attempt is not None:
-                in_flight.append((state, attempt))
-        return ReplacedAttempt(
-            tracked.attempt_id,
-            tracked.upstreams,
-            tracked.dispatched_ms,
-            tracked.backlog_ms,
-            tracked.first_token_ms,
-            tuple(in_flight),
-        )
-
     def end_attempt(self, end: AttemptEnd) -> Failure | None:
         """Handle the end of an attempt; a failed one is retried if allowed.
 
@@ -423,7 +357,7 @@
         self._monitor.note_end(tracked.request, end, tracked.upstreams, now_ms)
         if end.fault is AttemptFault.RATE_LIMITED:
             self._fleet.note_permit_refused(end.upstream, end.retry_after_ms or 0.0)
-        self._release(tracked)
+        self._releaser.release(tracked)
         if end.fault is None:
             begun_ms = tracked.first_token_ms or tracked.dispatched_ms
             self._poison.note_lived(tracked.request.part_fingerprints, begun_ms, now_ms)
@@ -460,24 +394,5 @@
             return request.deadline_ms
         return latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
 
-    def _note_left(self, tracked: TrackedRequest, now_ms: float) -> None:
-        """Record a running attempt whose answer nobody awaits any more."""
-        if not tracked.attempt_id:
-            return
-        if tracked.dispatched_ms > now_ms:
-            for name in tracked.upstreams:
-                for fingerprint in tracked.request.crash_fingerprints:
-                    self._poison.note_stopped(fingerprint, name, now_ms)
-            return
-        self._monitor.note_left(
-            tracked.request, tracked.attempt_id, tracked.upstreams, now_ms
-        )
-
-    def _release(self, tracked: TrackedRequest) -> None:
-        """Release the resources of the running attempt of a request, if any."""
-        if self._tracked.end_attempt(tracked.attempt_id):
-            self._placer.release(tracked.request, tracked.attempt_id, tracked.upstreams)
-            self._waiting.note_capacity_freed()
-
 
 __all__ = ("Scheduler",)
