--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -12,15 +12,13 @@
 
 from quetzaldeck.decisions.groups import GroupPlanner
 from quetzaldeck.decisions.memory import InFlightAttempt
-from quetzaldeck.decisions.paths import PathVerdict
-from quetzaldeck.decisions.placement.candidates import CandidateFilter, find_soonest
+from quetzaldeck.decisions.placement.candidates import CandidateFilter
 from quetzaldeck.decisions.placement.group_plans import GroupPlans
 from quetzaldeck.decisions.placement.helper_accounting import HelperAccounting
 from quetzaldeck.decisions.placement.helper_selector import HelperSelector
 from quetzaldeck.decisions.placement.placement import Placement
 from quetzaldeck.decisions.placement.suspect_placer import SuspectPlacer
 from quetzaldeck.decisions.pools import exclude_failing, exclude_slow, list_usable
-from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -28,14 +26,12 @@
     from quetzaldeck.decisions.groups import GroupPlan
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.placement.api import PlacementPolicy
+    from quetzaldeck.decisions.placement.path_verdicts import PathVerdicts
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
     from quetzaldeck.decisions.upstream_table import UpstreamTable
 
-NO_UPSTREAM_RETRY_MS = 1_000.0
-"""Suggested retry delay for callers while no upstream serves the target."""
-
 PROBE_PAUSE_MS = 20.0
 """Interval at which a retry looks whether the probe of a path in doubt is answered. A
 retry that does not wait for it may use up its attempts on a path that is lost."""
@@ -52,6 +48,7 @@
     :param poison: registry of requests suspected of crashing engines
     :param head_of_line: keeps long prompts away from short requests
     :param max_requests: concurrent requests per upstream, unless its entry sets a limit
+    :param paths: which services this VM reaches
     :param planner: plans group reservations; by default one with the default bounds
     """
 
@@ -63,9 +60,11 @@
         poison: PoisonRegistry,
         head_of_line: HeadOfLinePolicy,
         max_requests: int,
+        paths: PathVerdicts,
         planner: GroupPlanner | None = None,
     ) -> None:
         self._table = table
+        self._paths = paths
         self._policy = policy
         self._poison = poison
         self._head_of_line = head_of_line
@@ -85,8 +84,6 @@
             random_state=policy.random_state,
         )
         self._n_double_releases = 0
-        self._lost_paths: dict[str, PathVerdict] = {}
-        self._doubted_paths: set[str] = set()
 
     @property
     def policy(self) -> PlacementPolicy:
@@ -98,26 +95,12 @@
         """:returns: number of releases of memory that was not held; above 0 is a bug"""
         return self._n_double_releases
 
-    @property
-    def has_lost_path(self) -> bool:
-        """:returns: whether this VM reaches no upstream of some service"""
-        return bool(self._lost_paths)
-
-    def observe_path(self, service: str, verdict: PathVerdict) -> None:
-        """Apply whether this VM reaches the upstreams of a service."""
-        self._lost_paths.pop(service, None)
-        self._doubted_paths.discard(service)
-        if verdict is PathVerdict.DOUBTED:
-            self._doubted_paths.add(service)
-        elif not verdict.allows_attempts:
-            self._lost_paths[service] = verdict
-
     def pause_ms(self, request: Request, now_ms: float) -> float:
         """:returns: how long a request stays out of the queue, so that others can pass
 
         0 if it can be queued.
         """
-        if request.target in self._doubted_paths:
+        if self._paths.is_doubted(request.target):
             return PROBE_PAUSE_MS
         return self.suspect_pause_ms(request, now_ms)
 
@@ -134,80 +117,6 @@
         )
         return 0.0 if can_run else SUSPECT_PAUSE_MS
 
-    def check_path(self, request: Request) -> Failure | None:
-        """:returns: the refusal of a request whose upstreams this VM does not reach"""
-        verdict = self._lost_paths.get(request.target)
-        if verdict in (None, PathVerdict.UNREACHED):
-            return None
-        detail = f"{request.target}: no upstream answers this VM"
-        if verdict is PathVerdict.PARTITIONED:
-            detail += ", while they answer other VMs"
-            return Failure(Reason.NO_PATH, retry_after_ms=0.0, detail=detail)
-        return Failure(
-            Reason.NO_PATH, retry_after_ms=NO_UPSTREAM_RETRY_MS, detail=detail
-        )
-
-    def check(self, request: Request, now_ms: float) -> Failure | None:
-        """:returns: the refusal of a request that cannot be placed now or later"""
-        pool = self._table.list_serving(request)
-        available = [state for state in pool if not state.is_leaving]
-        if not available:
-            detail = f"{request.target}: all {len(pool)} upstreams are leaving"
-            return Failure(
-                Reason.NO_UPSTREAM,
-                retry_after_ms=NO_UPSTREAM_RETRY_MS,
-                detail=detail,
-            )
-        if not request.service and not self._plans.planner.can_hold(request, available):
-            return Failure(Reason.PROMPT_TOO_LARGE)
-        return self.check_poison(request, now_ms) or self.check_path(request)
-
-    def check_rate_limits(
-        self, request: Request, now_ms: float, latest_turn_ms: float
-    ) -> Failure | None:
-        """Refuse a request that no upstream takes in time, as all limit their rate.
-
-        The callers of such requests are told different times to come back, so that they
-        do not all compete for the next turn.
-
-        :param latest_turn_ms: latest time at which the request may get its turn
-        """
-        if not self._table.has_rate_limits:
-            return None
-        pool = self._table.list_serving(request)
-        soonest = find_soonest(pool, now_ms)
-        if soonest is None:
-            return None
-        wait_ms = soonest.pacing.wait_ms(now_ms)
-        if now_ms + wait_ms <= latest_turn_ms:
-            return None
-        jitter_ms = self._policy.random_state.uniform(0.0, soonest.pacing.interval_ms)
-        detail = (
-            f"{request.target}: all upstreams limit their rate, and the next one takes "
-            f"a request in {wait_ms:.0f} ms; the caller can wait "
-            f"{max(0.0, latest_turn_ms - now_ms):.0f} ms"
-        )
-        return Failure(
-            Reason.UPSTREAM_RATE_LIMITED,
-            retry_after_ms=wait_ms + jitter_ms,
-            detail=detail,
-        )
-
-    def check_poison(self, request: Request, now_ms: float) -> Failure | None:
-        """:returns: the refusal of a request that is suspected of too many crashes"""
-        blocked = self._poison.find_blocked_by(request.crash_fingerprints, now_ms)
-        if blocked is None:
-            return None
-        detail = (
-            f"{request.target}: {', '.join(blocked.crashed)} crashed while running "
-            f"request {blocked.name}, the first {now_ms - blocked.since_ms:.0f} ms ago"
-        )
-        return Failure(
-            Reason.POISON_SUSPECTED,
-            retry_after_ms=max(0.0, blocked.until_ms - now_ms),
-            detail=detail,
-        )
-
     def can_start(
         self, request: Request, now_ms: float, latest_turn_ms: float = math.inf
     ) -> bool:
@@ -272,7 +181,7 @@
             as long as there are others
         :returns: the upstreams for the request; ``None`` if it has to wait
         """
-        if request.target in self._lost_paths:
+        if self._paths.is_lost(request.target):
             # An attempt would fail and count, while the next verdict is due soon.
             return None
         pool = self._table.list_serving(request)
--- /dev/null
+++ b/src/quetzaldeck/decisions/placement/refusal_check.py
@@ -0,0 +1,108 @@
+"""Refuses requests that no upstream can serve, or none in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzaldeck.decisions.placement.candidates import find_soonest
+from quetzaldeck.decisions.placement.path_verdicts import NO_UPSTREAM_RETRY_MS
+from quetzaldeck.outcomes import Failure, Reason
+
+if TYPE_CHECKING:
+    import random
+
+    from quetzaldeck.decisions.groups import GroupPlanner
+    from quetzaldeck.decisions.placement.path_verdicts import PathVerdicts
+    from quetzaldeck.decisions.poison import PoisonRegistry
+    from quetzaldeck.decisions.request import Request
+    from quetzaldeck.decisions.upstream_table import UpstreamTable
+
+
+class RefusalCheck:
+    """Checks whether a request can be placed now or later.
+
+    :param table: all upstreams
+    :param planner: knows which prompts the engines can hold
+    :param poison: registry of requests suspected of crashing engines
+    :param paths: which services this VM reaches
+    :param random_state: spreads the times at which refused callers return
+    """
+
+    def __init__(
+        self,
+        *,
+        table: UpstreamTable,
+        planner: GroupPlanner,
+        poison: PoisonRegistry,
+        paths: PathVerdicts,
+        random_state: random.Random,
+    ) -> None:
+        self._table = table
+        self._planner = planner
+        self._poison = poison
+        self._paths = paths
+        self._random_state = random_state
+
+    def check(self, request: Request, now_ms: float) -> Failure | None:
+        """:returns: the refusal of a request that cannot be placed now or later"""
+        pool = self._table.list_serving(request)
+        available = [state for state in pool if not state.is_leaving]
+        if not available:
+            detail = f"{request.target}: all {len(pool)} upstreams are leaving"
+            return Failure(
+                Reason.NO_UPSTREAM,
+                retry_after_ms=NO_UPSTREAM_RETRY_MS,
+                detail=detail,
+            )
+        if not request.service and not self._planner.can_hold(request, available):
+            return Failure(Reason.PROMPT_TOO_LARGE)
+        return self.check_poison(request, now_ms) or self._paths.check(request)
+
+    def check_rate_limits(
+        self, request: Request, now_ms: float, latest_turn_ms: float
+    ) -> Failure | None:
+        """Refuse a request that no upstream takes in time, as all limit their rate.
+
+        The callers of such requests are told different times to come back, so that they
+        do not all compete for the next turn.
+
+        :param latest_turn_ms: latest time at which the request may get its turn
+        """
+        if not self._table.has_rate_limits:
+            return None
+        pool = self._table.list_serving(request)
+        soonest = find_soonest(pool, now_ms)
+        if soonest is None:
+            return None
+        wait_ms = soonest.pacing.wait_ms(now_ms)
+        if now_ms + wait_ms <= latest_turn_ms:
+            return None
+        jitter_ms = self._random_state.uniform(0.0, soonest.pacing.interval_ms)
+        detail = (
+            f"{request.target}: all upstreams limit their rate, and the next one takes "
+            f"a request in {wait_ms:.0f} ms; the caller can wait "
+            f"{max(0.0, latest_turn_ms - now_ms):.0f} ms"
+        )
+        return Failure(
+            Reason.UPSTREAM_RATE_LIMITED,
+            retry_after_ms=wait_ms + jitter_ms,
+            detail=detail,
+        )
+
+    def check_poison(self, request: Request, now_ms: float) -> Failure | None:
+        """:returns: the refusal of a request that is suspected of too many crashes"""
+        blocked = self._poison.find_blocked_by(request.crash_fingerprints, now_ms)
+        if blocked is None:
+            return None
+        detail = (
+            f"{request.target}: {', '.join(blocked.crashed)} crashed while running "
+            f"request {blocked.name}, the first {now_ms - blocked.since_ms:.0f} ms ago"
+        )
+        return Failure(
+            Reason.POISON_SUSPECTED,
+            retry_after_ms=max(0.0, blocked.until_ms - now_ms),
+            detail=detail,
+        )
+
+
+__all__ = ("RefusalCheck",)
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -16,7 +16,9 @@
 from quetzaldeck.decisions.groups import GroupPlanner
 from quetzaldeck.decisions.head_of_line import Unprotected
 from quetzaldeck.decisions.limits import CustomerLimiter
+from quetzaldeck.decisions.placement.path_verdicts import PathVerdicts
 from quetzaldeck.decisions.placement.placer import Placer
+from quetzaldeck.decisions.placement.refusal_check import RefusalCheck
 from quetzaldeck.decisions.poison import PoisonRegistry
 from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
 from quetzaldeck.decisions.retries import NO_CHARGE, RetryPolicy
@@ -86,19 +88,31 @@
         self._upstreams = table = UpstreamTable()
         self._poison = registry = PoisonRegistry(poison, count_upstreams=table.__len__)
         self._placement = placement
+        planner = GroupPlanner(groups)
+        self._paths = PathVerdicts()
         self._placer = Placer(
             table=table,
             policy=placement,
             poison=registry,
             head_of_line=self._head_of_line,
             max_requests=(bounds or SchedulerBounds()).max_requests_per_upstream,
-            planner=GroupPlanner(groups),
+            paths=self._paths,
+            planner=planner,
+        )
+        self._refusals = RefusalCheck(
+            table=table,
+            planner=planner,
+            poison=registry,
+            paths=self._paths,
+            random_state=random_state,
         )
         self._monitor = AttemptMonitor(table=table, policy=placement, poison=registry)
         self._retries = RetryPolicy(
             random_state=random_state, resend_budget=resend_budget
         )
-        self._silence = SilencePolicy(placer=self._placer, retries=self._retries)
+        self._silence = SilencePolicy(
+            placer=self._placer, paths=self._paths, retries=self._retries
+        )
         self._limits = CustomerLimiter(random_state=random_state)
         self._tracked = TrackedRequests(self._limits)
         self._starter = AttemptStarter(
@@ -111,7 +125,7 @@
         self._failed = FailedAttemptHandler(
             tracked=self._tracked,
             waiting=self._waiting,
-            placer=self._placer,
+            refusals=self._refusals,
             retries=self._retries,
             admission=self._admission,
             poison=registry,
@@ -138,7 +152,8 @@
             tracked=self._tracked,
             waiting=self._waiting,
             admission=self._admission,
-            placer=self._placer,
+            refusals=self._refusals,
+            paths=self._paths,
             poison=registry,
             table=table,
             withdraw=self.withdraw,
@@ -211,7 +226,7 @@
 
     def observe_path(self, service: str, verdict: PathVerdict) -> None:
         """Apply whether this VM reaches the upstreams of a service."""
-        self._placer.observe_path(service, verdict)
+        self._paths.observe(service, verdict)
         self._waiting.note_capacity_freed()
 
     def submit(self, request: Request) -> Failure | None:
@@ -369,9 +384,11 @@
     def _check_admission(self, request: Request, now_ms: float) -> Failure | None:
         if request.deadline_ms <= now_ms:
             return Failure(Reason.DEADLINE_EXCEEDED)
-        refusal = self._placer.check(request, now_ms)
+        refusal = self._refusals.check(request, now_ms)
         latest_ms = self._latest_turn_ms(request, now_ms)
-        refusal = refusal or self._placer.check_rate_limits(request, now_ms, latest_ms)
+        refusal = refusal or self._refusals.check_rate_limits(
+            request, now_ms, latest_ms
+        )
         refusal = refusal or self._limits.check(request, now_ms)
         if refusal is not None:
             return refusal
--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -14,7 +14,7 @@
     from quetzaldeck.decisions.admission import AdmissionPolicy
     from quetzaldeck.decisions.attempts.tracked import ReplacedAttempt, TrackedRequests
     from quetzaldeck.decisions.decision import AttemptEnd
-    from quetzaldeck.decisions.placement.placer import Placer
+    from quetzaldeck.decisions.placement.refusal_check import RefusalCheck
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import RetryPolicy
@@ -26,7 +26,7 @@
 
     :param tracked: stores admitted requests
     :param waiting: holds requests that will be retried
-    :param placer: checks whether any upstream can serve a request
+    :param refusals: checks whether any upstream can serve a request
     :param retries: decides whether and when to retry
     :param admission: sets the retry delay of a final failure
     :param poison: delays requests suspected of crashing engines
@@ -37,14 +37,14 @@
         *,
         tracked: TrackedRequests,
         waiting: WaitingRequests,
-        placer: Placer,
+        refusals: RefusalCheck,
         retries: RetryPolicy,
         admission: AdmissionPolicy,
         poison: PoisonRegistry,
     ) -> None:
         self._tracked = tracked
         self._waiting = waiting
-        self._placer = placer
+        self._refusals = refusals
         self._retries = retries
         self._admission = admission
         self._poison = poison
@@ -76,10 +76,10 @@
         """
         history = tracked.history.after(end, tracked.upstreams)
         request = _renew_idle_timeout(tracked.request, end, now_ms)
-        failure = self._placer.check(request, now_ms)
+        failure = self._refusals.check(request, now_ms)
         if failure is None:
             latest_start_ms = self._admission.latest_start_ms(request)
-            failure = self._placer.check_rate_limits(
+            failure = self._refusals.check_rate_limits(
                 request, now_ms, latest_turn_ms(latest_start_ms, now_ms)
             )
         if failure is not None:
--- a/src/quetzaldeck/decisions/scheduling/queue_sweep.py
+++ b/src/quetzaldeck/decisions/scheduling/queue_sweep.py
@@ -12,7 +12,8 @@
 
     from quetzaldeck.decisions.admission import AdmissionPolicy
     from quetzaldeck.decisions.attempts.tracked import TrackedRequests
-    from quetzaldeck.decisions.placement.placer import Placer
+    from quetzaldeck.decisions.placement.path_verdicts import PathVerdicts
+    from quetzaldeck.decisions.placement.refusal_check import RefusalCheck
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
@@ -26,7 +27,8 @@
     :param tracked: stores admitted requests
     :param waiting: holds the requests that wait
     :param admission: sets the latest start of a request
-    :param placer: checks whether any upstream can serve a request
+    :param refusals: checks whether any upstream can serve a request
+    :param paths: which services this VM reaches
     :param poison: knows which requests have crashed too many engines
     :param table: knows whether any upstream limits its rate
     :param withdraw: removes a request by its id
@@ -38,7 +40,8 @@
         tracked: TrackedRequests,
         waiting: WaitingRequests,
         admission: AdmissionPolicy,
-        placer: Placer,
+        refusals: RefusalCheck,
+        paths: PathVerdicts,
         poison: PoisonRegistry,
         table: UpstreamTable,
         withdraw: Callable[[str], None],
@@ -46,7 +49,8 @@
         self._tracked = tracked
         self._waiting = waiting
         self._admission = admission
-        self._placer = placer
+        self._refusals = refusals
+        self._paths = paths
         self._poison = poison
         self._table = table
         self._withdraw = withdraw
@@ -67,15 +71,15 @@
         """Reject requests that have crashed too many engines of the fleet."""
         waiting = tuple(self._waiting) if self._poison.pop_newly_refused(now_ms) else ()
         for request in waiting:
-            failure = self._placer.check_poison(request, now_ms)
+            failure = self._refusals.check_poison(request, now_ms)
             if failure is not None:
                 yield self._reject(request, failure)
 
     def _reject_unreached(self) -> Iterable[Rejection]:
         """Reject requests whose upstreams this VM does not reach."""
-        waiting = tuple(self._waiting) if self._placer.has_lost_path else ()
+        waiting = tuple(self._waiting) if self._paths.has_lost else ()
         for request in waiting:
-            failure = self._placer.check_path(request)
+            failure = self._paths.check(request)
             if failure is not None:
                 yield self._reject(request, failure)
 
@@ -84,7 +88,7 @@
         waiting = tuple(self._waiting) if self._table.has_rate_limits else ()
         for request in waiting:
             latest_ms = latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
-            failure = self._placer.check_rate_limits(request, now_ms, latest_ms)
+            failure = self._refusals.check_rate_limits(request, now_ms, latest_ms)
             if failure is not None:
                 yield self._reject(request, failure)
 
--- a/src/quetzaldeck/decisions/silence/policy.py
+++ b/src/quetzaldeck/decisions/silence/policy.py
@@ -38,6 +38,7 @@
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.attempts.tracked import TrackedRequest
+    from quetzaldeck.decisions.placement.path_verdicts import PathVerdicts
     from quetzaldeck.decisions.placement.placer import Placer
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries.policy import RetryPolicy
@@ -55,11 +56,15 @@
     """Distinguishes hanging upstreams from busy ones.
 
     :param placer: finds whether there is another upstream
+    :param paths: which services this VM reaches
     :param retries: decides whether the request may be retried
     """
 
-    def __init__(self, *, placer: Placer, retries: RetryPolicy) -> None:
+    def __init__(
+        self, *, placer: Placer, paths: PathVerdicts, retries: RetryPolicy
+    ) -> None:
         self._placer = placer
+        self._paths = paths
         self._retries = retries
 
     @staticmethod
@@ -81,7 +86,7 @@
         :param silent_ms: time since the last byte from the attempt, or since it began
         """
         request = tracked.request
-        if self._placer.check_path(request) is not None:
+        if self._paths.check(request) is not None:
             may_leave = request.is_repeatable
             return SilenceVerdict.NO_PATH if may_leave else SilenceVerdict.NO_RETRY
         explained_ms = BACKLOG_FACTOR * tracked.backlog_ms
