--- a/src/quetzaldeck/bench/bench_attempt.py
+++ b/src/quetzaldeck/bench/bench_attempt.py
@@ -34,7 +34,7 @@
         """Receive a load report from an upstream."""
 
     def leave_attempt(self, attempt: BenchAttempt) -> None:
-        """Let a silent attempt go on until the one that replaces it writes."""
+        """Let a silent attempt run until the one that replaces it writes."""
 
     def fail_attempt(
         self,
--- a/src/quetzaldeck/bench/bench_upstream.py
+++ b/src/quetzaldeck/bench/bench_upstream.py
@@ -79,7 +79,7 @@
         self._is_paused = True
 
     def resume(self) -> None:
-        """Send what was held back, and go on."""
+        """Send what was delayed, and continue."""
         self._is_paused = False
         held, self._held = self._held, []
         for attempt, is_last in held:
--- a/src/quetzaldeck/bench/bench_vm.py
+++ b/src/quetzaldeck/bench/bench_vm.py
@@ -110,7 +110,7 @@
         return self._find_submission(attempt) is not None
 
     def leave_attempt(self, attempt: BenchAttempt) -> None:
-        """Let a silent attempt go on until the one that replaces it writes."""
+        """Let a silent attempt run until the one that replaces it writes."""
         submission = self._find_submission(attempt)
         if submission is not None and submission.attempt is attempt:
             submission.attempt = None
--- a/src/quetzaldeck/bench/submission.py
+++ b/src/quetzaldeck/bench/submission.py
@@ -48,9 +48,9 @@
         self.request = request
         self.attempt: BenchAttempt | None = None
         self.replaced: list[BenchAttempt] = []
-        """Silent attempts that go on until the one that replaces them writes."""
+        """Silent attempts that run until the one that replaces them writes."""
         self.failure: Failure | None = None
-        """Why nothing replaces the attempts that go on; ``None``: something may."""
+        """Why nothing replaces the silent attempts; ``None``: something may."""
         self.n_delivered = 0
 
     @property
--- a/src/quetzaldeck/bench/workload.py
+++ b/src/quetzaldeck/bench/workload.py
@@ -5,7 +5,7 @@
 ten are short. Above 100 K the density falls with the square of the length, which makes
 a million tokens rare but possible; these prompts still cause half of all prefill work.
 The deadline of a band is how long its callers would wait. Model calls set no priority,
-so that the scheduler must tell long prompts from short ones by itself.
+so that the scheduler must distinguish long prompts from short ones by itself.
 """
 
 from __future__ import annotations
--- a/src/quetzaldeck/decisions/attempts/expiry.py
+++ b/src/quetzaldeck/decisions/attempts/expiry.py
@@ -14,7 +14,7 @@
     """Append the deadline to a request id.
 
     Ids of attempts, reservations and exports start with the request id, and an engine
-    lists them unchanged. A reader of that list can tell the deadline of each without
+    lists them unchanged. A reader of that list knows the deadline of each without
     asking the owner, and the protocol needs no extra field.
 
     :returns: ``request_id`` and the deadline in hexadecimal seconds, rounded up
--- a/src/quetzaldeck/decisions/attempts/monitor.py
+++ b/src/quetzaldeck/decisions/attempts/monitor.py
@@ -149,7 +149,7 @@
     def note_left(
         self, request: Request, attempt_id: str, upstreams: Iterable[str], now_ms: float
     ) -> None:
-        """Record that nobody waits for an attempt any more, which may go on running."""
+        """Record that an attempt, which may still run, is not awaited any more."""
         for name in upstreams:
             state = self._table.get(name)
             attempt = None if state is None else state.ledger.get(attempt_id)
@@ -166,7 +166,7 @@
                 )
 
     def note_resumed(self, upstreams: Sequence[str], now_ms: float) -> None:
-        """Take back the silence of an attempt that goes on: its upstream is sound."""
+        """Revoke the silence of an attempt that continues: its upstream is healthy."""
         state = self._table.get(upstreams[-1])
         if state is not None:
             state.health.note_resumed()
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -114,7 +114,7 @@
         self._poison.observe(sightings, self._clock.now_ms())
 
     def observe_runs(self, sightings: Iterable[RunSighting]) -> None:
-        """Apply what other VMs reported about runs whose end nobody has seen."""
+        """Apply what other VMs reported about runs whose end was not observed."""
         self._poison.ends.observe_runs(sightings, self._clock.now_ms())
 
     def observe_check(
--- a/src/quetzaldeck/decisions/limits/bounds.py
+++ b/src/quetzaldeck/decisions/limits/bounds.py
@@ -10,7 +10,7 @@
 
     :param slow_start_ms: time after a customer's first request at a VM during which it
         gets only the VM's own share; longer than an update takes to reach all VMs
-    :param idle_reset_ms: time without a request after which the slow start begins anew
+    :param idle_reset_ms: time without a request after which the slow start begins again
     :param expiry_ms: age after which the usage at another VM no longer counts, as that
         VM is gone
     :param min_update_interval_ms: minimum time between two updates on a customer
--- a/src/quetzaldeck/decisions/limits/customer_state.py
+++ b/src/quetzaldeck/decisions/limits/customer_state.py
@@ -43,7 +43,7 @@
     def note_request(self, now_ms: float, idle_reset_ms: float) -> None:
         """Record that the customer sent a request to this VM.
 
-        After more than ``idle_reset_ms`` without one, the slow start begins anew.
+        After more than ``idle_reset_ms`` without one, the slow start begins again.
         """
         if now_ms - self.last_request_ms > idle_reset_ms:
             self.active_since_ms = now_ms
--- a/src/quetzaldeck/decisions/loads/__init__.py
+++ b/src/quetzaldeck/decisions/loads/__init__.py
@@ -1,1 +1,1 @@
-"""Loads and paces of upstreams, and what VMs tell each other of them."""
+"""Loads and paces of upstreams, and the updates that VMs exchange about them."""
--- a/src/quetzaldeck/decisions/paths/monitor.py
+++ b/src/quetzaldeck/decisions/paths/monitor.py
@@ -82,7 +82,7 @@
         self._sent[attempt_id] = upstream, now_ms
 
     def note_ended(self, attempt_id: str) -> None:
-        """Record that nobody waits for an attempt any more."""
+        """Record that an attempt is not awaited any more."""
         self._sent.pop(attempt_id, None)
 
     def note_heard(self, upstream: str, now_ms: float) -> None:
--- a/src/quetzaldeck/decisions/paths/peer_chooser.py
+++ b/src/quetzaldeck/decisions/paths/peer_chooser.py
@@ -21,7 +21,7 @@
 """VMs drawn at random, of which the less loaded one is chosen."""
 
 UNABLE_MS = 2 * PathBounds().probe_interval_ms
-"""Time for which a VM that could not take a request is not asked again."""
+"""Time for which a VM that could not take a request gets no other."""
 
 
 class PeerChooser:
--- a/src/quetzaldeck/decisions/paths/service_path.py
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -296,7 +296,7 @@
     def _rank(self, answered_ms: Mapping[str, float]) -> list[str]:
         """:returns: upstreams, first those that best show whether the path works
 
-        Each zone has its turn, so that the loss of one is not taken for that of all.
+        The zones take turns, so that the loss of one is not mistaken for that of all.
         """
 
         def rank(name: str) -> tuple[bool, float, float]:
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -242,7 +242,7 @@
         attempt_id: str,
         in_flight: Sequence[tuple[UpstreamState, InFlightAttempt]],
     ) -> None:
-        """Account again for an attempt that was released and goes on.
+        """Account again for a released attempt that continues.
 
         :param in_flight: its entry in the ledger of each upstream
         """
--- a/src/quetzaldeck/decisions/placement/refusal_check.py
+++ b/src/quetzaldeck/decisions/placement/refusal_check.py
@@ -63,8 +63,8 @@
     ) -> Failure | None:
         """Refuse a request that no upstream takes in time, as all limit their rate.
 
-        The callers of such requests are told different times to come back, so that they
-        do not all compete for the next turn.
+        The callers of such requests get different retry times, so that they do not all
+        compete for the next turn.
 
         :param latest_turn_ms: latest time at which the request may get its turn
         """
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -31,8 +31,8 @@
     Of the prompts that contain a suspected part, one runs at a time.
 
     If two suspects ran on an engine that crashes, the crash could be attributed to
-    neither of them. VMs tell each other of the suspects that they send; two that send
-    one in the same moment do not know it of each other, so they go in turn, see
+    neither of them. VMs send each other the suspects that they run. Two VMs that start
+    one at the same time do not know that yet, so the suspects take turns, see
     :class:`SuspectOrder`.
 
     :param poison: registry of suspected requests
--- a/src/quetzaldeck/decisions/pools/usable.py
+++ b/src/quetzaldeck/decisions/pools/usable.py
@@ -50,8 +50,8 @@
     """:returns: idle upstreams with the oldest evidence, up to half of the pool
 
     Only idle ones are returned, so that each gets one request at a time. With the whole
-    pool ejected, a wrong judgement cannot be told from a dead pool. Refused connections
-    cost next to nothing, so trying is cheaper than refusing the request.
+    pool ejected, a wrong judgement cannot be distinguished from a dead pool. Refused
+    connections cost next to nothing, so trying is cheaper than refusing the request.
     """
     idle = [state for state in pool if state.n_in_flight == 0]
     idle.sort(key=_hold_until)
--- a/src/quetzaldeck/decisions/rate_limits/issuer_bounds.py
+++ b/src/quetzaldeck/decisions/rate_limits/issuer_bounds.py
@@ -11,7 +11,7 @@
     :param n_small_fleet: number of VMs up to which a message can list all of them
     :param settling_ms: time in which the VMs of such a fleet learn of a new one
     :param large_settling_ms: the same in a larger fleet
-    :param removal_ms: time after which VMs remove one that they do not hear of
+    :param removal_ms: time after which VMs remove one without updates
     """
 
     n_small_fleet: int
--- a/src/quetzaldeck/decisions/retries/history.py
+++ b/src/quetzaldeck/decisions/retries/history.py
@@ -43,7 +43,7 @@
         return Ran.UNKNOWN if self.may_have_run else Ran.NO
 
     def resume(self, upstreams: tuple[str, ...]) -> AttemptHistory:
-        """:returns: the history without the silence of an attempt that goes on
+        """:returns: the history without the silence of an attempt that continues
 
         :param upstreams: its upstreams
         """
--- a/src/quetzaldeck/decisions/scheduling/attempt_releaser.py
+++ b/src/quetzaldeck/decisions/scheduling/attempt_releaser.py
@@ -1,4 +1,4 @@
-"""Releases what attempts hold when they end or nobody awaits them any more."""
+"""Releases what attempts hold when they end or are abandoned."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     :param tracked: stores admitted requests
     :param waiting: holds requests that may start with the released capacity
     :param placer: accounts for the capacity of upstreams
-    :param monitor: is notified of attempts that run although nobody awaits them
+    :param monitor: is notified of attempts that run on after they were abandoned
     :param poison: is notified of attempts that were not sent
     """
 
@@ -44,7 +44,7 @@
             self._waiting.note_capacity_freed()
 
     def note_abandoned(self, tracked: TrackedRequest, now_ms: float) -> None:
-        """Record that nobody awaits the running attempt of a request, if any."""
+        """Record that the running attempt of a request, if any, is abandoned."""
         if not tracked.attempt_id:
             return
         if tracked.dispatched_ms > now_ms:
--- a/src/quetzaldeck/decisions/scheduling/attempt_replacer.py
+++ b/src/quetzaldeck/decisions/scheduling/attempt_replacer.py
@@ -26,7 +26,7 @@
     Reason.UPSTREAM_RATE_LIMITED: SilenceVerdict.RATE_LIMITED,
     Reason.POISON_SUSPECTED: SilenceVerdict.SUSPECTED,
 }
-"""Reasons why nothing replaces a silent attempt that its log line tells apart."""
+"""Verdicts for the refusals of a replacement that the log distinguishes."""
 
 
 class AttemptReplacer:
@@ -100,7 +100,7 @@
     def resume(self, request_id: str, attempt_id: str, now_ms: float) -> bool:
         """Take back a replaced attempt that continues before the other one writes.
 
-        The other one is given up, whether it waits or runs.
+        The other one is abandoned, whether it waits or runs.
 
         :returns: whether the attempt is tracked again; if not, its request is not
         """
--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -120,7 +120,7 @@
 
 
 def _renew_idle_timeout(request: Request, end: AttemptEnd, now_ms: float) -> Request:
-    """:returns: the request, whose caller waits anew if it has received tokens"""
+    """:returns: the request, with a renewed idle timeout if its caller got tokens"""
     return request._replace(last_token_ms=now_ms) if end.n_output_tokens else request
 
 
--- a/src/quetzaldeck/decisions/silence/policy.py
+++ b/src/quetzaldeck/decisions/silence/policy.py
@@ -17,13 +17,13 @@
 timeout: a retry after that would come too late. It does not matter whether the other
 upstream has capacity right now, since the request goes to the first one that has.
 
-Sound upstreams are silent for a second now and then. So an attempt that is replaced
-goes on as well, and whichever writes first ends the other.
+Healthy upstreams are occasionally silent for a second. So an attempt that is replaced
+keeps running, and the first of the two that writes ends the other.
 
 A request that is suspected of crashing upstreams runs once at a time. Its retry has to
 wait until it is known whether the upstream has survived the attempt that is abandoned,
-so the attempt goes on for as long as that would take. If it is answered in that time,
-the request is cleared.
+so the attempt keeps running for as long as that would take. If it is answered in that
+time, the request is cleared.
 """
 
 from __future__ import annotations
--- a/src/quetzaldeck/decisions/silence/verdict.py
+++ b/src/quetzaldeck/decisions/silence/verdict.py
@@ -8,7 +8,7 @@
 class SilenceVerdict(StrEnum):
     """Decision on a silent attempt: whether another one replaces it, or why not.
 
-    ``REPLACE``: another attempt is queued. The silent one goes on until that one
+    ``REPLACE``: another attempt is queued. The silent one runs until that one
     writes. ``NO_PATH``: this VM does not reach the upstreams; another VM may.
     ``BACKLOG``: the prefill backlog explains the silence. ``NO_RETRY``: the request may
     not be retried. ``NO_OTHER``: there is no other upstream for it. ``HELD``: its retry
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -71,7 +71,7 @@
         self._rebuild_index()
 
     def keep(self, state: UpstreamState) -> UpstreamState:
-        """Keep the state of an upstream of which an attempt goes on after all.
+        """Keep the state of an upstream of which an attempt continues.
 
         :param state: its state when the attempt was left
         :returns: its state now, which is another one if the upstream was dropped and
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -49,7 +49,7 @@
 
     :param ticket: the scheduler's handle for the admitted request
     :param check: called right before the call is sent; raises if it must not be
-    :param on_verdict: is told what the scheduler says while the upstream is silent
+    :param on_verdict: called with verdicts of the scheduler on a silent upstream
     """
 
     def __init__(
--- a/src/quetzaldeck/entry/attempt_log.py
+++ b/src/quetzaldeck/entry/attempt_log.py
@@ -70,7 +70,7 @@
         )
 
     def record_left(self, attempt: AttemptRun, sent_ms: float) -> None:
-        """Record an attempt that nobody waits for any more.
+        """Record an attempt that is not awaited any more.
 
         :param sent_ms: when it was sent
         """
--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -35,7 +35,7 @@
     :param check: called before memory is reserved and before the call is sent; raises
         if it must not be
     :param claim: awaited before the attempt writes to the caller
-    :param on_verdict: is told what the scheduler says of a silent attempt
+    :param on_verdict: called with verdicts of the scheduler on a silent attempt
     """
 
     def __init__(
@@ -59,7 +59,7 @@
         self._heard_ms = state.clock.now_ms()
         self.dispatch = dispatch
         self.is_left = False
-        """Whether another attempt is to replace this one, which goes on until then."""
+        """Whether another attempt is to replace this one, which keeps running."""
         self.failed_response: web.Response | None = None
         """A server error of the upstream, which the caller gets if nothing else."""
         self.runner = AttemptRunner(
--- a/src/quetzaldeck/entry/belief_task.py
+++ b/src/quetzaldeck/entry/belief_task.py
@@ -48,7 +48,7 @@
         """Remove replicas whose entry does not reappear in time, until cancelled.
 
         The checks run beside the queries: the source holds a query for over a second,
-        during which a replica that has left would go on receiving work.
+        during which a replica that has left would still receive work.
         """
         while True:
             await self._has_lapsed_replicas.wait()
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -178,7 +178,7 @@
         arrived_ms: float,
         handover: HandoverHead | None,
     ) -> Admitted:
-        """Admit a request, under the version that admitted it before if it goes on.
+        """Admit a request; a continued one under the version that admitted it first.
 
         :raises RequestError: if it is refused
         """
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -68,7 +68,7 @@
 
     :param client: connections to the other VMs
     :param port: port on which every VM takes such requests; 0: none does
-    :param note_served: is told of each service of which another VM has served a request
+    :param note_served: called with each service of which another VM served a request
     """
 
     def __init__(
--- a/src/quetzaldeck/entry/past_routes.py
+++ b/src/quetzaldeck/entry/past_routes.py
@@ -1,4 +1,4 @@
-"""Routes of earlier versions of the configuration, for requests that go on."""
+"""Routes of earlier versions of the configuration, for requests admitted by them."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
         self._versions = dict(kept[-MAX_VERSIONS:])
 
     def find(self, version: int, arrived_ms: float) -> RouteTable | None:
-        """Find the routes under which a request of another VM may go on.
+        """Find the routes under which a request of another VM may continue.
 
         :param version: the version that admitted it there
         :param arrived_ms: when it arrived there
--- a/src/quetzaldeck/entry/path_watch.py
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -48,7 +48,7 @@
     :param read_replicas: returns the replicas that are known, by id
     :param probe: asks a replica on a new connection; returns whether it answers in a
         time during which this VM has run
-    :param dispatch: is told of verdicts, and knows what other VMs report
+    :param dispatch: receives verdicts, and knows what other VMs report
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         self._monitor.note_sent(attempt_id, upstream, self._clock.now_ms())
 
     def note_ended(self, attempt_id: str) -> None:
-        """Record that nobody waits for an attempt any more."""
+        """Record that an attempt is not awaited any more."""
         self._monitor.note_ended(attempt_id)
 
     def note_heard(self, upstream: str) -> None:
@@ -145,11 +145,12 @@
     async def confirm(self, service: str, max_wait_ms: float) -> bool:
         """Check that upstreams of a service are reached, with a probe if need be.
 
-        A VM that nobody calls, or that has just started, does not know whether it is
+        A VM without callers, or one that has just started, does not know whether it is
         partitioned itself.
 
         :param max_wait_ms: time that the request has left
-        :returns: ``False`` if nothing was heard lately and no probe is answered in time
+        :returns: ``False`` if nothing was received recently and no probe is answered in
+            time
         """
         path = self._monitor.find_path(service)
         if path is None:
--- a/src/quetzaldeck/entry/peers/context.py
+++ b/src/quetzaldeck/entry/peers/context.py
@@ -16,7 +16,7 @@
 
 
 class PeerContext(Protocol):
-    """The parts of a VM that tell other VMs something, or that are told.
+    """The parts of a VM that send updates to other VMs, or receive them.
 
     :param settings: may be replaced while the VM runs
     """
--- a/src/quetzaldeck/entry/peers/crash_exchange.py
+++ b/src/quetzaldeck/entry/peers/crash_exchange.py
@@ -27,7 +27,7 @@
 """Runs in one greeting."""
 
 MAX_CRASHES_TO_NEW_VM = 120
-"""Crashes that each VM tells a new one at once; the others come with greetings."""
+"""Crashes that each VM sends to a new one at once; greetings contain the others."""
 
 
 class CrashKnowledge(Protocol):
@@ -96,7 +96,7 @@
         return tuple(build_crash_update(sighting) for sighting in sightings)
 
     def build_messages_for_new_vm(self) -> Iterator[PeerMessage]:
-        """:returns: messages that tell a VM which has just started what others know"""
+        """:returns: messages with what others know, for a VM that has just started"""
         updates = self.list_updates(MAX_CRASHES_TO_NEW_VM)
         for first in range(0, len(updates), MAX_ENTRIES_PER_DATAGRAM):
             part = updates[first : first + MAX_ENTRIES_PER_DATAGRAM]
--- a/src/quetzaldeck/entry/peers/permit_client.py
+++ b/src/quetzaldeck/entry/peers/permit_client.py
@@ -26,7 +26,7 @@
 VM with half a processor does not run."""
 
 UNAVAILABLE_MS = 1_000.0
-"""How long a VM that did not answer, or that issues no permits, is not asked again."""
+"""Time for which a VM that did not answer, or issues no permits, gets no request."""
 
 
 class PermitClient:
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -53,7 +53,7 @@
 
     Updates are soft state: without them, decisions rest on this VM's own view.
 
-    :param context: what tells other VMs something, or is told
+    :param context: sources and receivers of updates
     :param own: this VM's address
     :param vm: id of this incarnation of this VM
     :param port: UDP port on which every VM listens
@@ -223,7 +223,7 @@
         )
 
     def _send_state_to_new_peer(self, address: str, now_ms: float) -> None:
-        """Tell a VM that has just started what the others have been told.
+        """Send a VM that has just started what the others have received.
 
         It must not let requests crash replicas that have done so before. Nor does it
         know what the others have sent to the engines: it would place its first requests
--- a/src/quetzaldeck/entry/rate_limits.py
+++ b/src/quetzaldeck/entry/rate_limits.py
@@ -39,7 +39,7 @@
     def connect(self, announce: Callable[[RateLimitStatement], None]) -> None:
         """Use the connection to the other VMs.
 
-        :param announce: tells them of a change that a response has shown
+        :param announce: sends them a change that a response has shown
         """
         self._announce = announce
 
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -59,8 +59,8 @@
     def note_shed(self) -> None:
         """Record that a new connection was closed unread.
 
-        Nothing else tells of its request. The first one is logged at once, later ones
-        together.
+        Its request is recorded nowhere else. The first one is logged at once, later
+        ones together.
         """
         self._session.metrics.connections_shed.inc()
         self._n_shed += 1
--- a/src/quetzaldeck/gateway/attempt_tasks.py
+++ b/src/quetzaldeck/gateway/attempt_tasks.py
@@ -74,7 +74,7 @@
 
     @property
     def living(self) -> tuple[AttemptTask[Result], ...]:
-        """:returns: attempts that have not ended and are not given up"""
+        """:returns: attempts that have neither ended nor been cancelled"""
         return tuple(self._living)
 
     async def __aenter__(self) -> Self:
@@ -152,7 +152,7 @@
         return True
 
     def replace(self, attempt: AttemptTask[Result]) -> None:
-        """Wait for the attempt that replaces a silent one, which goes on meanwhile."""
+        """Wait for the attempt that replaces a silent one, which keeps running."""
         attempt.is_replaced = True
         self._metrics.attempt_faults.labels(AttemptFault.SILENT.value).inc()
         self.request_dispatch()
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -125,7 +125,7 @@
         self.send_deferrable(ObserveCrashes(sightings))
 
     def pop_run_sightings(self) -> list[RunSighting]:
-        """:returns: runs of which the other VMs have to be told"""
+        """:returns: runs that have to be reported to the other VMs"""
         return self._scheduler.poison.ends.pop_changed_runs()
 
     def list_run_state(self, max_runs: int) -> list[RunSighting]:
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -57,7 +57,7 @@
 
 
 class ResumeAttempt(NamedTuple):
-    """An attempt that was to be replaced goes on first."""
+    """A replaced attempt continues before the one that replaces it."""
 
     request_id: str
     attempt_id: str
@@ -155,7 +155,7 @@
 
 
 class ObserveRuns(NamedTuple):
-    """What another VM knows of runs whose end nobody has seen."""
+    """What another VM knows about runs whose end was not observed."""
 
     sightings: tuple[RunSighting, ...]
 
--- a/src/quetzaldeck/gateway/relay.py
+++ b/src/quetzaldeck/gateway/relay.py
@@ -45,7 +45,7 @@
     """One attempt.
 
     ``early``: chunks that came before the ones that precede them, while it was not
-    known which attempt goes on.
+    known which attempt continues.
     """
 
     def __init__(self, dispatch: Dispatch) -> None:
@@ -57,8 +57,8 @@
 class Relay:
     """Runs attempts and yields the text of the answer, each character once.
 
-    An attempt whose engine is silent goes on until the one that replaces it adds to the
-    answer. The first that does so ends the others.
+    An attempt whose engine is silent keeps running until the one that replaces it adds
+    to the answer. The first attempt that does so ends the others.
 
     :param ticket: the admitted request
     :param call: the caller's call
--- a/src/quetzaldeck/gateway/service_run.py
+++ b/src/quetzaldeck/gateway/service_run.py
@@ -22,7 +22,7 @@
 
 
 class ServiceRun:
-    """Runs one call; an attempt that is silent goes on until another one answers.
+    """Runs one call; a silent attempt keeps running until another one answers.
 
     Plain services send no heartbeats, so a slow answer looks like a service that hangs.
     An attempt is replaced only if the scheduler queues the next one in the same step,
--- a/src/quetzaldeck/gateway/silence_watch.py
+++ b/src/quetzaldeck/gateway/silence_watch.py
@@ -23,14 +23,14 @@
 class SilenceWatch:
     """Asks the scheduler what to do about one attempt while its upstream is silent.
 
-    The attempt goes on whatever the verdict: a sound upstream may be silent for a
-    second. Who ends it is decided by who writes first.
+    The attempt keeps running whatever the verdict, as a healthy upstream may be silent
+    for a second. Of several attempts, the first that writes ends the others.
 
     :param ticket: the scheduler's handle for the request
     :param attempt_id: the attempt
     :param call_id: the caller's id of the request, for the logs
     :param bound_ms: silence after which the scheduler is consulted; ``None``: never
-    :param on_verdict: is told of each verdict
+    :param on_verdict: called with each verdict
     """
 
     def __init__(
--- a/src/quetzaldeck/gateway/ticket.py
+++ b/src/quetzaldeck/gateway/ticket.py
@@ -106,9 +106,9 @@
         return await reply
 
     async def resume_attempt(self, attempt_id: str) -> bool:
-        """Take back an attempt that was to be replaced, and goes on first.
+        """Take back a replaced attempt that continues before the other one writes.
 
-        Decisions on what was to replace it are dropped.
+        Pending dispatches of the other one are discarded.
 
         :returns: whether the scheduler tracks it again
         """
--- a/src/quetzaldeck/http/socket_wait.py
+++ b/src/quetzaldeck/http/socket_wait.py
@@ -15,7 +15,7 @@
 since the kernel last received data."""
 
 MAX_WAIT_MS = 60_000.0
-"""Longer times are taken for a fault of the counter."""
+"""Longer times are considered faults of the counter."""
 
 
 def read_wait_ms(transport: asyncio.BaseTransport | None) -> float:
--- a/src/quetzaldeck/membership/membership.py
+++ b/src/quetzaldeck/membership/membership.py
@@ -8,7 +8,7 @@
   and no longer counts as live;
 * a suspected VM is confirmed dead after ``confirm_ms`` if the list does not name
   it, and after ``confirm_listed_ms`` if it does;
-* many members suspected at the same time are taken for a partition: none of them is
+* many members suspected at the same time are considered a partition: none of them is
   confirmed by silence alone, and none at all if they are half of the members or
   more;
 * a VM that has announced that it is leaving and stops answering is dead at once;
--- a/src/quetzaldeck/platform/health_checks.py
+++ b/src/quetzaldeck/platform/health_checks.py
@@ -66,7 +66,7 @@
 
 
 def _judge(replica_id: str, status: int, headers: Mapping[str, str]) -> Liveness:
-    """:returns: whether the replica that responds is the one that was asked for
+    """:returns: whether the replica that responds is the expected one
 
     A replica without a free slot responds without its id. No other one can have its
     address so soon.
