--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -81,6 +81,22 @@
         """:returns: when its upstream last sent anything, or when the attempt began"""
         return self._heard_ms
 
+    def build_end(self, error: UpstreamError) -> AttemptEnd:
+        """:returns: what the scheduler is told of the fault of this attempt"""
+        is_addressed = error.upstream in ("", self.upstream)
+        incarnation = self.runner.incarnation or self.upstream
+        return AttemptEnd(
+            self.dispatch.attempt_id,
+            error.fault,
+            n_output_tokens=self._relay.n_events,
+            may_have_run=error.may_have_run,
+            was_sent=error.was_sent,
+            upstream=error.upstream,
+            incarnation=incarnation if is_addressed else "",
+            retry_after_ms=error.retry_after_ms,
+            is_gone=error.is_gone,
+        )
+
     async def _run(self) -> web.StreamResponse:
         """:returns: the complete response
 
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import round_timer_s
-from quetzaldeck.decisions import AttemptEnd, AttemptFault
+from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.entry.attempt_log import AttemptLog
 from quetzaldeck.entry.attempt_run import AttemptRun
@@ -426,27 +426,12 @@
             self._fail(RequestError(Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)))
             return
         try:
-            await self._ticket.end_attempt(self._build_end(attempt, error))
+            await self._ticket.end_attempt(attempt.build_end(error))
         except RequestError as failure:
             self._fail(failure)
         else:
             self._request_dispatch()
 
-    def _build_end(self, attempt: AttemptRun, error: UpstreamError) -> AttemptEnd:
-        name = attempt.upstream
-        is_addressed = error.upstream in ("", name)
-        return AttemptEnd(
-            attempt.dispatch.attempt_id,
-            error.fault,
-            n_output_tokens=self._relay.n_events,
-            may_have_run=error.may_have_run,
-            was_sent=error.was_sent,
-            upstream=error.upstream,
-            incarnation=(attempt.runner.incarnation or name) if is_addressed else "",
-            retry_after_ms=error.retry_after_ms,
-            is_gone=error.is_gone,
-        )
-
     def _check_replica(self, attempt: AttemptRun, error: UpstreamError) -> None:
         """Find out whether the replica of a failed attempt lives."""
         replica = attempt.runner.replica
