Do not retry a call whose silent attempt goes on meanwhile

What callers saw: a stream whose silent attempt went on in the moment in which its replacement failed, and broke off later, was held without a word to its deadline and then cut off.

Cause: CallRun reports the fault of the replacement to the scheduler and waits for its decision. The silent attempt may claim the caller meanwhile; the scheduler then drops the retry. CallRun waited for it nevertheless. When the attempt broke later, a second wait for a dispatch began, and the first one took the dispatch, which nobody looked at. A refusal that came too late could also have the call handed over beside its attempt.

Why this works: after the scheduler has decided, the retry or the refusal is used only if no attempt was taken back. At most one attempt is not left at a time, and the one whose fault is reported does not live any more, so one that lives and is not left has gone on.

Evidence: the test lets the attempt go on during the decision and break 50 ms later.

--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -420,7 +420,10 @@
             self._check_replica(attempt, error)
 
     async def _retry(self, attempt: AttemptRun, error: UpstreamError) -> None:
-        """Ask the scheduler for the next attempt."""
+        """Ask the scheduler for the next attempt.
+
+        An attempt that goes on while the scheduler decides drops what it decided.
+        """
         self._n_maybe_run += error.may_have_run
         if not self._may_retry:
             self._fail(RequestError(Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)))
@@ -428,9 +431,14 @@
         try:
             await self._ticket.end_attempt(attempt.build_end(error))
         except RequestError as failure:
-            self._fail(failure)
+            if not self._has_resumed():
+                self._fail(failure)
         else:
-            self._request_dispatch()
+            if not self._has_resumed():
+                self._request_dispatch()
+
+    def _has_resumed(self) -> bool:
+        return any(not attempt.is_left for attempt in self._living)
 
     def _check_replica(self, attempt: AttemptRun, error: UpstreamError) -> None:
         """Find out whether the replica of a failed attempt lives."""
--- a/tests/entry/test_living_attempts.py
+++ b/tests/entry/test_living_attempts.py
@@ -24,6 +24,8 @@
 )
 from tests.support.platform.store import CONFIGURATION_KEY
 
+from quetzaldeck.gateway.ticket import Ticket
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -32,6 +34,8 @@
     from tests.support.platform.replica import Arrival, Connection
     from tests.support.platform.site import Site
 
+    from quetzaldeck.decisions import AttemptEnd
+
     Handler = Callable[[Arrival, Connection], Awaitable[None]]
 
 CUT = "127.0.1.1"
@@ -129,6 +133,54 @@
     run_site(test, engines=(behave, behave))
 
 
+def test_stream_that_goes_on_as_its_replacement_fails_is_retried_once_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A retry that nothing waits for any more takes the next one's dispatch."""
+    has_failed = asyncio.Event()
+    has_gone_on = asyncio.Event()
+    may_break = asyncio.Event()
+    end_attempt = Ticket.end_attempt
+    n_calls = 0
+
+    async def end_while_another_goes_on(ticket: Ticket, end: AttemptEnd) -> None:
+        await end_attempt(ticket, end)
+        if not has_failed.is_set():
+            has_failed.set()
+            await has_gone_on.wait()
+
+    async def behave(arrival: Arrival, connection: Connection) -> None:
+        nonlocal n_calls
+        n_calls += 1
+        if n_calls == 1:
+            await connection.begin_stream(arrival)
+            await connection.send_chunk(event(1))
+            await has_failed.wait()
+            await connection.send_chunk(event(2))
+            await may_break.wait()
+        elif n_calls > 2:
+            await stream(arrival, connection)
+            return
+        connection.reset()
+
+    async def test(site: Site) -> None:
+        routes = build_configuration()["routes"]
+        routes[0]["maxAttempts"] = 3
+        site.store.put(CONFIGURATION_KEY, build_configuration(2, routes=routes))
+        await site.wait(lambda: _version(site) == 2)
+        call = asyncio.create_task(site.call(PLAN_PATH, deadline_ms=4_500))
+        await has_failed.wait()
+        await asyncio.sleep(0.05)
+        has_gone_on.set()
+        await asyncio.sleep(0.05)
+        may_break.set()
+        answer = await call
+        assert (answer.body, answer.is_whole, n_calls) == (WHOLE, True, 3)
+
+    monkeypatch.setattr(Ticket, "end_attempt", end_while_another_goes_on)
+    run_site(test, engines=(behave,) * 3)
+
+
 @pytest.mark.parametrize("path", [LOOK_PATH, PLAN_PATH])
 def test_refused_replacement_does_not_promise_that_the_call_has_not_run(
     path: str,
