Keep the connections to a plain service whose calls are slow

What operators saw: each call of a plain service that took longer than the idle timeout replaced the pool of connections to its replica, a booking too, also if bytes came all the time. Later calls had to open new connections, and the metric that tells of a firewall that lost its state grew.

Cause: a timer was started with the call and stopped only at its end; nobody told it what came meanwhile. And it gave up the pool at a moment in which no other call needed one.

Why this works: the adapter tells the pool whenever something comes, so only a silence of the idle timeout counts. As a plain service sends no heartbeats, a silent call may still be a slow one. So its pool is replaced only if another call needs a connection while the silence lasts, which then waits on no connection that may be lost, or if the call ends without having received anything more. A slow call that is answered leaves its pool.

Evidence (idle timeout of 200 ms, virtual time): ten calls of 300 ms without a byte, one after the other, replaced ten pools and opened ten connections, ten calls of 400 ms with a byte each 100 ms as well; now none is replaced, and one connection is opened. The two tests of lost connections pass before and after. Calls that overlap are served half: 30 silent calls of 300 ms, one each 30 ms, replace four pools instead of five.

--- a/src/quetzaldeck/upstreams/api.py
+++ b/src/quetzaldeck/upstreams/api.py
@@ -8,7 +8,7 @@
 from quetzaldeck.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable
 
     import aiohttp
 
@@ -28,6 +28,10 @@
     from quetzaldeck.upstreams.watch import Watch
 
 
+def _ignore() -> None:
+    """Nobody watches the connection."""
+
+
 class UpstreamTimeouts(NamedTuple):
     """Timeouts of requests to an upstream.
 
@@ -125,7 +129,20 @@
 
 
 class ServiceUpstream(Upstream):
-    """Adapter of a replica of a plain service."""
+    """Adapter of a replica of a plain service.
+
+    :param note_heard: called whenever a call has received something
+    """
+
+    def __init__(
+        self,
+        spec: UpstreamSpec,
+        session: aiohttp.ClientSession,
+        timeouts: UpstreamTimeouts,
+        note_heard: Callable[[], None] = _ignore,
+    ) -> None:
+        super().__init__(spec, session, timeouts)
+        self._note_heard = note_heard
 
     @abstractmethod
     async def call(
--- a/src/quetzaldeck/upstreams/connections.py
+++ b/src/quetzaldeck/upstreams/connections.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.upstreams.api import (
     EngineUpstream,
@@ -16,7 +14,7 @@
     service_protocols,
 )
 from quetzaldeck.upstreams.errors import UpstreamError
-from quetzaldeck.upstreams.pools import ConnectionPools
+from quetzaldeck.upstreams.pools import CallSilence, ConnectionPools
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
@@ -73,18 +71,19 @@
     async def use_service(self, name: str) -> AsyncIterator[ServiceUpstream]:
         """Use the adapter of a replica of a plain service for one call.
 
-        A silent call may go on, but other calls get new connections.
+        While it is silent, other calls get new connections.
         """
         spec = self._specs[name]
         adapter = service_protocols.get(spec.protocol)
-        loop = asyncio.get_running_loop()
         async with self._use(name) as pool:
-            idle_s = self._timeouts.idle_ms / MS_PER_SECOND
-            timer = loop.call_later(idle_s, self._replace, name, pool)
-            try:
-                yield adapter(spec, pool.session, self._timeouts)
-            finally:
-                timer.cancel()
+            with CallSilence(pool, self._timeouts.idle_ms) as silence:
+                try:
+                    yield adapter(
+                        spec, pool.session, self._timeouts, silence.note_heard
+                    )
+                finally:
+                    if silence.is_silent:
+                        self._replace(name, pool)
 
     def note_silent(self, upstream: Upstream) -> None:
         """Replace the pool of an adapter, on which a call receives nothing.
@@ -101,6 +100,9 @@
 
     @asynccontextmanager
     async def _use(self, name: str) -> AsyncIterator[ConnectionPool]:
+        pool = self._pools.get(name)
+        if pool.n_silent:
+            self._replace(name, pool)
         async with self._pools.use(name) as pool:
             try:
                 yield pool
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -56,8 +56,10 @@
             translate_faults(self._spec.name),
             await watch.wait(send) as response,
         ):
+            self._note_heard()
             parts = []
             while data := await watch.wait(response.content.readany):
+                self._note_heard()
                 parts.append(data)
             headers = tuple(
                 (name, value)
--- a/src/quetzaldeck/upstreams/pools.py
+++ b/src/quetzaldeck/upstreams/pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -50,6 +51,8 @@
         self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
         self.generation = generation
         self.n_users = 0
+        self.n_silent = 0
+        """Calls that have received nothing for long."""
         self.is_replaced = False
 
     async def close_if_unused(self) -> None:
@@ -58,6 +61,59 @@
             await self.session.close()
 
 
+class CallSilence:
+    """Tells a pool while one of its calls receives nothing; a context manager.
+
+    If the event loop is late, bytes that have arrived may be read only after the timer
+    has fired. That ends the silence at once.
+
+    :param idle_ms: time without a byte after which the call counts as silent
+    """
+
+    def __init__(self, pool: ConnectionPool, idle_ms: float) -> None:
+        self._pool = pool
+        self._idle_s = idle_ms / MS_PER_SECOND
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_silent = False
+
+    @property
+    def is_silent(self) -> bool:
+        """:returns: whether the call has received nothing for long"""
+        return self._is_silent
+
+    def __enter__(self) -> CallSilence:
+        self._start_timer()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._end()
+
+    def note_heard(self) -> None:
+        """Record that the call has received something."""
+        self._end()
+        self._start_timer()
+
+    def _start_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._idle_s, self._begin)
+
+    def _begin(self) -> None:
+        self._is_silent = True
+        self._pool.n_silent += 1
+
+    def _end(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._is_silent:
+            self._is_silent = False
+            self._pool.n_silent -= 1
+
+
 class ConnectionPools:
     """Connection pools by upstream.
 
@@ -66,6 +122,10 @@
     idle connection of the pool looks usable: each request that takes one waits for its
     idle timeout. So one read that times out replaces the whole pool: new requests get
     new connections, and those that still run on old ones end by their own timeouts.
+
+    Plain services send no heartbeats, so a call that receives nothing may just be slow.
+    Its pool is replaced once another call needs a connection meanwhile, or once it ends
+    without having received anything more.
     """
 
     def __init__(self) -> None:
@@ -118,4 +178,4 @@
         return True
 
 
-__all__ = ("ConnectionPool", "ConnectionPools")
+__all__ = ("CallSilence", "ConnectionPool", "ConnectionPools")
