Close a response that came during a verdict on its silence

What operators saw: if a caller left while the scheduler judged the silence of its upstream, in the moment in which the head of the response had come, the connection to the upstream stayed open, and the upstream at work, until the response was collected.

Cause: the watch awaits the verdict before it returns the response, as the verdict may have queued another attempt. A cancellation during that wait drops the response, and the code that closes it has not begun.

Why this works: whoever sends enters the response into its own exit stack before the watch sees it, at the entry, for plain services and for engines of the own interface. So it is closed whatever happens to the wait. The prefill of a prompt part has no verdict, and keeps its way.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -171,22 +171,22 @@
                 helpers = (*reservation.list_helpers(), *helpers)
             await stack.enter_async_context(translate_faults(name))
             watch = self.watch_first_byte(dispatch)
-            response = await watch.wait(
-                lambda: self._send(dispatch, helpers, last_event_id)
+
+            async def send() -> aiohttp.ClientResponse:
+                response = await self._send(dispatch, helpers, last_event_id)
+                stack.callback(response.close)
+                return response
+
+            response = await watch.wait(send)
+            self._has_response = True
+            self._state.paths.note_heard(name)
+            head = read_response_head(response.status, response.headers)
+            self._report_load(name, head)
+            self._state.rate_limits.note_response(
+                name, self._incarnation, head, call_id=self._call.head.call_id
             )
-            try:
-                self._has_response = True
-                self._state.paths.note_heard(name)
-                head = read_response_head(response.status, response.headers)
-                self._report_load(name, head)
-                self._state.rate_limits.note_response(
-                    name, self._incarnation, head, call_id=self._call.head.call_id
-                )
-                self._check_head(name, head)
-                yield OpenResponse(head, response)
-            except BaseException:
-                response.close()
-                raise
+            self._check_head(name, head)
+            yield OpenResponse(head, response)
             response.release()
 
     async def _send(
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.loads.load_report import LoadReport
@@ -42,7 +43,7 @@
         """Forward a call once; see :meth:`ServiceUpstream.call`."""
 
         async def send() -> aiohttp.ClientResponse:
-            return await self._session.request(
+            request = self._session.request(
                 call.method,
                 self._spec.address + call.path,
                 headers=list(call.headers),
@@ -51,11 +52,10 @@
                 middlewares=(send_once,),
                 timeout=build_timeout(self._timeouts, timeout_ms),
             )
+            return await stack.enter_async_context(request)
 
-        async with (
-            translate_faults(self._spec.name),
-            await watch.wait(send) as response,
-        ):
+        async with translate_faults(self._spec.name), AsyncExitStack() as stack:
+            response = await watch.wait(send)
             self._note_heard()
             parts = []
             while data := await watch.wait(response.content.readany):
--- a/src/quetzaldeck/upstreams/openai_engine.py
+++ b/src/quetzaldeck/upstreams/openai_engine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -68,17 +68,16 @@
         incarnation = ""
 
         async def send() -> aiohttp.ClientResponse:
-            return await self._session.post(
+            request = self._session.post(
                 self._spec.address + path,
                 data=msgspec.json.encode(build_completion(attempt)),
                 headers={"Content-Type": "application/json"},
                 timeout=build_timeout(self._timeouts, attempt.timeout_ms),
             )
+            return await stack.enter_async_context(request)
 
-        async with (
-            translate_faults(name) as origin,
-            await watch.wait(send) as response,
-        ):
+        async with translate_faults(name) as origin, AsyncExitStack() as stack:
+            response = await watch.wait(send)
             origin.read_header(response)
             incarnation = origin.incarnation
             check_status(name, response)
--- a/tests/entry/test_living_attempts.py
+++ b/tests/entry/test_living_attempts.py
@@ -24,6 +24,7 @@
 )
 from tests.support.platform.store import CONFIGURATION_KEY
 
+from quetzaldeck.entry.upstream_client import UpstreamClient
 from quetzaldeck.gateway.ticket import Ticket
 
 if TYPE_CHECKING:
@@ -232,6 +233,42 @@
     run_site(test, engines=(behave, behave), desks=(behave, behave))
 
 
+@pytest.mark.parametrize("path", [LOOK_PATH, PLAN_PATH])
+def test_response_is_closed_if_its_caller_leaves_before_the_verdict(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A head that comes during a verdict on its silence keeps its connection."""
+    has_asked = asyncio.Event()
+    heads: list[aiohttp.ClientResponse] = []
+    send = UpstreamClient.send
+
+    async def judge(ticket: Ticket, attempt_id: str, silent_ms: float) -> None:
+        has_asked.set()
+        await asyncio.sleep(3_600.0)
+
+    async def send_and_keep(*arguments: Any) -> aiohttp.ClientResponse:
+        heads.append(await send(*arguments))
+        return heads[-1]
+
+    async def behave(arrival: Arrival, connection: Connection) -> None:
+        await has_asked.wait()
+        await connection.begin_stream(arrival)
+        await hang(arrival, connection)
+
+    async def test(site: Site) -> None:
+        call = asyncio.create_task(site.call(path, deadline_ms=4_500))
+        await site.wait(lambda: bool(heads))
+        call.cancel()
+        await asyncio.wait((call,))
+        state = site.entry.session.state
+        await site.wait(lambda: state.dispatch.n_running == 0)
+        assert heads[0].closed
+
+    monkeypatch.setattr(Ticket, "judge_silence", judge)
+    monkeypatch.setattr(UpstreamClient, "send", send_and_keep)
+    run_site(test, engines=(behave,), desks=(behave,))
+
+
 class Memory:
     """Reservations on engines that refuse what they have no room for."""
 
