Treat a prompt that waits for memory as not sent

What callers saw: retries of prompts in parts used up the budgets of retries though they were never sent, if the silent attempt went on, or the caller left, while they still reserved memory. They used up one of the attempts of their route as well. And an engine counted as failing because it had not answered, for longer than a first token may take, a prompt that it had never been sent.

Cause: the scheduler took each attempt that it had dispatched for sent, unless its handler said otherwise, which it did not for prompts that reserve memory. But the scheduler knows of each reservation that is pending, as it bounds their number.

Why this works: a handler says that the memory is reserved before it sends the prompt, so an attempt whose reservation is pending has not been sent. When its request is withdrawn, or another attempt goes on, it is forgotten as if the handler had dropped it. This holds for the entry and the own interface.

Evidence: two tests of the charge fail before, as the budgets stay charged, and pass now; those of prompts that have their memory stay charged before and after. A test of the attempts and one of the engine's failures (1 before, 0 now) fail before as well.

--- a/src/quetzaldeck/decisions/placement/group_plans.py
+++ b/src/quetzaldeck/decisions/placement/group_plans.py
@@ -54,6 +54,10 @@
         """Record that an attempt got its reservation or ended without it."""
         self._pending.discard(attempt_id)
 
+    def is_pending(self, attempt_id: str) -> bool:
+        """:returns: whether an attempt waits for its reservation"""
+        return attempt_id in self._pending
+
     def plan(
         self,
         request: Request,
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -263,6 +263,10 @@
         """Record that an attempt got its reservation."""
         self._plans.note_settled(attempt_id)
 
+    def waits_for_memory(self, attempt_id: str) -> bool:
+        """:returns: whether an attempt has not been sent, as it needs a reservation"""
+        return self._plans.is_pending(attempt_id)
+
     def release(
         self, request: Request, attempt_id: str, upstreams: Iterable[str]
     ) -> None:
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -253,6 +253,7 @@
 
     def withdraw(self, request_id: str) -> None:
         """Remove a request whose caller disconnected or received the whole answer."""
+        self._drop_if_unsent(request_id)
         now_ms = self._clock.now_ms()
         tracked = self._tracked.forget(request_id, now_ms)
         if tracked is not None:
@@ -338,6 +339,7 @@
 
         :returns: whether the attempt is tracked again; if not, its request is not
         """
+        self._drop_if_unsent(request_id)
         return self._replacer.resume(request_id, attempt_id, self._clock.now_ms())
 
     def drop_attempt(self, attempt_id: str) -> None:
@@ -353,6 +355,12 @@
             tracked._replace(attempt_id="", upstreams=(), charge=NO_CHARGE)
         )
 
+    def _drop_if_unsent(self, request_id: str) -> None:
+        """Forget the attempt of a request that still waits for memory."""
+        tracked = self._tracked.get(request_id)
+        if tracked is not None and self._placer.waits_for_memory(tracked.attempt_id):
+            self.drop_attempt(tracked.attempt_id)
+
     def note_handed_over(self, request_id: str) -> None:
         """Record that another VM makes the attempts that are left to a request."""
         tracked = self._tracked.get(request_id)
--- a/tests/decisions/retries/test_given_back_charges.py
+++ b/tests/decisions/retries/test_given_back_charges.py
@@ -5,17 +5,28 @@
 from typing import NamedTuple
 
 import pytest
-from tests.support.builders import make_entry_scheduler, make_request, poll_dispatch
+from tests.support.builders import (
+    FEW_SLOTS,
+    make_entry_scheduler,
+    make_request,
+    poll_dispatch,
+)
 
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch, Scheduler
 from quetzaldeck.decisions.retries import ResendBudget
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 
-NAMES = ("a", "b", "c")
+NAMES = ("a", "b", "c", "d", "e", "f")
 REQUEST = "r"
+MAX_ATTEMPTS = 4
+OVERDUE_MS = 10_000.0
+"""Longer than a first token may take."""
+
 BACKOFF_MS = 50.0
 WINDOW_MS = 10_000.0
+LONG_PROMPT = 2 * FEW_SLOTS.kv_tokens
+"""Tokens of a prompt that no engine holds alone."""
 
 
 class Budgets(NamedTuple):
@@ -37,10 +48,15 @@
         """:returns: the service that is charged"""
         return make_request().target
 
-    def dispatch(self) -> Dispatch:
+    def dispatch(self, n_prompt_tokens: int = 1_000) -> Dispatch:
         """:returns: the first attempt of the request"""
-        request = make_request(REQUEST, now_ms=self.clock.now_ms(), timeout_ms=20_000)
-        request = request._replace(is_repeatable=True, max_attempts=4)
+        request = make_request(
+            REQUEST,
+            n_prompt_tokens=n_prompt_tokens,
+            now_ms=self.clock.now_ms(),
+            timeout_ms=20_000,
+        )
+        request = request._replace(is_repeatable=True, max_attempts=MAX_ATTEMPTS)
         assert self.scheduler.submit(request) is None
         return poll_dispatch(self.scheduler)
 
@@ -141,6 +157,50 @@
     assert not budgets.are_unused
 
 
+@pytest.mark.parametrize("goes_on", [True, False])
+@pytest.mark.parametrize("is_reserved", [True, False])
+def test_prompt_that_reserves_memory_is_given_back(
+    budgets: Budgets, *, is_reserved: bool, goes_on: bool
+) -> None:
+    """A replacement that waits for memory is charged though it is never sent."""
+    first = budgets.dispatch(LONG_PROMPT)
+    budgets.scheduler.note_reserved(first.attempt_id)
+    budgets.replace(first)
+    second = budgets.dispatch_next()
+    assert second.plan is not None
+    if is_reserved:
+        budgets.scheduler.note_reserved(second.attempt_id)
+    if goes_on:
+        assert budgets.scheduler.resume_attempt(REQUEST, first.attempt_id)
+    else:
+        budgets.scheduler.withdraw(REQUEST)
+    assert budgets.are_unused is not is_reserved
+
+
+def test_prompt_that_reserves_memory_is_not_counted_as_an_attempt(
+    budgets: Budgets,
+) -> None:
+    """A prompt that was never sent uses up one of the attempts of its route."""
+    first = budgets.dispatch(LONG_PROMPT)
+    budgets.scheduler.note_reserved(first.attempt_id)
+    for _ in range(MAX_ATTEMPTS):
+        budgets.replace(first)
+        budgets.dispatch_next()
+        assert budgets.scheduler.resume_attempt(REQUEST, first.attempt_id)
+
+
+def test_engine_whose_memory_a_prompt_waits_for_has_not_failed(
+    budgets: Budgets,
+) -> None:
+    """An engine counts as failing as it did not answer what it was never sent."""
+    first = budgets.dispatch(LONG_PROMPT)
+    budgets.clock.advance(OVERDUE_MS)
+    budgets.scheduler.withdraw(REQUEST)
+    state = budgets.scheduler.upstreams.get(first.upstreams[-1])
+    assert state is not None
+    assert state.outcomes.at(budgets.clock.now_ms()).n_failed == 0
+
+
 def test_old_charge_is_given_back_as_far_as_it_still_counts(clock: ManualClock) -> None:
     """A charge that has decayed is given back whole, and the budget grows."""
     scheduler = make_entry_scheduler(clock, NAMES)
