Go on with a call that no other VM took once the path is back

What callers saw: a VM lost its path to a service for a moment and offered a call to the other VMs, which refused it, as they had lost theirs as well. 1.5 s after its arrival the call was refused although the path was back and its replica at work, or another replica would have answered.

Cause: the silence of the replica was counted while the path was lost, when it shows nothing. And the scheduler took the call for one that another VM has, so it retried nothing.

Why this works: if no other VM has run the call, which the hand-over knows, the scheduler is told that the hand-over is over, so it may be replaced again within the bound on attempts. The silence after which the caller is told counts from the first verdict that finds the path back. That happens once for a call, and the refusal is kept until an attempt writes, so each attempt has 1.5 s, and calls of replicas that hang end.

Evidence (three VMs, path lost 0.3 to 1.2 s after the arrival, deadline 4.5 s): a look-up of 2 s got 502 after 1.5 s, now 200 after 2 s. One whose first replica hangs and whose second answers got 502 after 1.5 s, now 200 after 1.3 s.

--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -361,11 +361,14 @@
         if tracked is not None and self._placer.waits_for_memory(tracked.attempt_id):
             self.drop_attempt(tracked.attempt_id)
 
-    def note_handed_over(self, request_id: str) -> None:
-        """Record that another VM makes the attempts that are left to a request."""
+    def note_handed_over(self, request_id: str, *, is_over: bool = False) -> None:
+        """Record that another VM makes the attempts that are left to a request.
+
+        :param is_over: whether none does any more, and none has run the request
+        """
         tracked = self._tracked.get(request_id)
         if tracked is not None:
-            history = tracked.history._replace(is_handed_over=True)
+            history = tracked.history._replace(is_handed_over=not is_over)
             self._tracked.update(tracked._replace(history=history))
 
     def end_attempt(self, end: AttemptEnd) -> Failure | None:
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -12,6 +12,7 @@
 from quetzaldeck.entry.attempt_log import AttemptLog
 from quetzaldeck.entry.attempt_run import AttemptRun
 from quetzaldeck.entry.call import check_call
+from quetzaldeck.entry.handover.client import NotTakenError
 from quetzaldeck.entry.stream_relay import StreamRelay
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Ran, Reason
@@ -74,6 +75,8 @@
         self._may_have_run = False
         self._n_maybe_run = 0
         self._has_offered = False
+        # When the path was first found to be back after the call had been offered.
+        self._returned_ms: float | None = None
         self._may_retry = True
         self.n_attempts = 0
         self.upstream = ""
@@ -153,7 +156,8 @@
 
         Nothing can replace a silent attempt once the call has failed otherwise. A
         caller that has received nothing is told so as soon as its upstream has been
-        silent for longer than sound ones may be.
+        silent for longer than sound ones may be. A silence shows nothing while the path
+        is lost, so it counts from when the path is back, once.
         """
         if self._dispatching is not None or self._handing_over is not None:
             return math.inf
@@ -162,6 +166,7 @@
         if self._failure is None or self._relay.response is not None:
             return math.inf
         heard_ms = max(attempt.heard_ms for attempt in self._living)
+        heard_ms = max(heard_ms, self._returned_ms or heard_ms)
         bound_ms = self._state.paths.monitor.bounds.sound_silence_ms
         return max(0.0, heard_ms + bound_ms - self._state.clock.now_ms())
 
@@ -178,7 +183,8 @@
             dispatching, self._dispatching = self._dispatching, None
             try:
                 self._start(dispatching.result())
-                self._failure = None
+                if not self._has_offered:
+                    self._failure = None
             except RequestError as error:
                 self._fail(error)
         elif task is self._handing_over:
@@ -187,6 +193,9 @@
                 return handing_over.result()
             except RequestError as error:
                 self._failure = error
+                if isinstance(error, NotTakenError):
+                    self._offer.may_have_run = False
+                    self._ticket.note_handed_over(is_over=True)
         else:
             for attempt in self._living:
                 if attempt.task is task:
@@ -294,13 +303,14 @@
         await asyncio.gather(*self._cancelled, return_exceptions=True)
 
     def _handle_verdict(self, attempt: AttemptRun, verdict: SilenceVerdict) -> None:
+        if self._has_offered and verdict is not SilenceVerdict.NO_PATH:
+            self._returned_ms = self._returned_ms or self._state.clock.now_ms()
         if verdict is SilenceVerdict.REPLACE:
             self._replace(attempt)
-        elif self._has_offered:
-            return
         elif verdict is SilenceVerdict.NO_PATH:
-            self._offer_to_other_vm()
-        else:
+            if not self._has_offered:
+                self._offer_to_other_vm()
+        elif not self._has_offered:
             # The path may have been lost for a moment.
             self._failure = None
 
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -63,6 +63,10 @@
         self.has_tried = has_tried
 
 
+class NotTakenError(RequestError):
+    """No other VM has run the request."""
+
+
 class Handover:
     """Hands requests over, each to one VM that sends it to an upstream itself.
 
@@ -126,8 +130,10 @@
             returns why none may run the call
         :param is_known_reachable: whether some VM is known to reach the upstreams
         :returns: the response of an upstream
-        :raises RequestError: if no VM has run it, or if it failed there
+        :raises NotTakenError: if no VM has run it
+        :raises RequestError: if it failed there
         """
+        n_before = n_attempts
         asked: list[str] = []
         failure = Failure(
             Reason.NO_PATH,
@@ -165,7 +171,10 @@
                 self._note_served(call.admitted.service)
                 self._log(call, peer, f"status {response.status}")
                 return response
-        raise RequestError(failure if not n_attempts else _may_have_run(failure))
+        failure = failure if not n_attempts else _may_have_run(failure)
+        if n_attempts == n_before:
+            raise NotTakenError(failure)
+        raise RequestError(failure)
 
     def _choose(self, service: str, asked: list[str]) -> str | None:
         if self._table is None:
@@ -306,4 +315,4 @@
     return failure._replace(ran=Ran.UNKNOWN) if failure.ran is Ran.NO else failure
 
 
-__all__ = ("Handover",)
+__all__ = ("Handover", "NotTakenError")
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -304,7 +304,9 @@
             case DropAttempt():
                 self._scheduler.drop_attempt(message.attempt_id)
             case NoteHandedOver():
-                self._scheduler.note_handed_over(message.request_id)
+                self._scheduler.note_handed_over(
+                    message.request_id, is_over=message.is_over
+                )
             case ResumeAttempt():
                 is_tracked = self._scheduler.resume_attempt(
                     message.request_id, message.attempt_id
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -71,9 +71,13 @@
 
 
 class NoteHandedOver(NamedTuple):
-    """Another VM makes the attempts that are left to a request."""
+    """Another VM makes the attempts that are left to a request.
+
+    :param is_over: whether none does any more, and none has run the request
+    """
 
     request_id: str
+    is_over: bool = False
 
 
 class EndAttempt(NamedTuple):
--- a/src/quetzaldeck/gateway/ticket.py
+++ b/src/quetzaldeck/gateway/ticket.py
@@ -123,9 +123,12 @@
         """Notify the scheduler that an attempt is not sent after all."""
         self._send(DropAttempt(attempt_id))
 
-    def note_handed_over(self) -> None:
-        """Notify the scheduler that another VM makes the attempts that are left."""
-        self._send(NoteHandedOver(self._request.request_id))
+    def note_handed_over(self, *, is_over: bool = False) -> None:
+        """Notify the scheduler that another VM makes the attempts that are left.
+
+        :param is_over: whether none does any more, and none has run the request
+        """
+        self._send(NoteHandedOver(self._request.request_id, is_over))
 
     async def end_attempt(self, end: AttemptEnd) -> None:
         """Notify the scheduler of the end of an attempt.
