Keep a run that was left apart from a copy of another VM

Cause: a VM kept one open run of a request and upstream. An upstream fell silent under a bad part, and the VM that had sent it noted the run as left. 1.7 s later another VM sent a prompt with that part to the same upstream and told of it, which replaced the run that was left: it became an awaited run of this VM, which is never counted when the upstream is presumed to have ended, and the news that the copy had ended discarded it. So the crash held the sound parts that were sent there afterwards, and not the bad one.

Open runs are now stored by whether they are awaited. The end of a run closes only the awaited one, and an attempt of this VM no longer closes a run that another VM awaits.

The new test fails in both cases before the change. The model tests of 1 to 410 VMs and the tests of crash checks and presumed crashes pass.

--- a/src/quetzaldeck/decisions/poison/open_runs.py
+++ b/src/quetzaldeck/decisions/poison/open_runs.py
@@ -23,6 +23,9 @@
     from quetzaldeck.decisions.poison.bounds import PoisonBounds
 
 
+_Key = tuple[int, bool]
+
+
 class OpenRun(NamedTuple):
     """A request that was sent to an upstream, and what became of it is not known.
 
@@ -33,7 +36,6 @@
     :param is_own: whether this VM has sent it
     :param is_awaited: whether the VM that has sent it still waits for the answer, and
         would tell how it ends
-    :param left: an earlier run there for which nobody waits any more
     """
 
     fingerprint: int
@@ -44,18 +46,26 @@
     was_answered: bool = False
     is_own: bool = True
     is_awaited: bool = False
-    left: OpenRun | None = None
+
+    @property
+    def key(self) -> _Key:
+        """:returns: what tells it from the other runs on its upstream"""
+        return self.fingerprint, self.is_awaited
 
 
 class OpenRuns:
-    """Stores open runs, one of a request and upstream; the oldest are dropped first.
+    """Stores open runs; the oldest are dropped first.
+
+    Of a request and upstream there are two at most, one that is awaited and one that
+    was left: a copy through another VM says nothing about the outcome of an earlier
+    one.
 
     :param bounds: limits of number and age
     """
 
     def __init__(self, bounds: PoisonBounds) -> None:
         self._bounds = bounds
-        self._by_upstream: dict[str, OrderedDict[int, OpenRun]] = {}
+        self._by_upstream: dict[str, OrderedDict[_Key, OpenRun]] = {}
         self._upstreams: dict[int, set[str]] = {}
 
     def __len__(self) -> int:
@@ -64,7 +74,13 @@
     def find(self, fingerprint: int) -> Iterator[OpenRun]:
         """:returns: the open runs of a request"""
         for upstream in self._upstreams.get(fingerprint, ()):
-            yield self._by_upstream[upstream][fingerprint]
+            runs = self._by_upstream[upstream]
+            keys = ((fingerprint, True), (fingerprint, False))
+            yield from (runs[key] for key in keys if key in runs)
+
+    def find_on(self, fingerprint: int, upstream: str) -> list[OpenRun]:
+        """:returns: the open runs of a request on an upstream"""
+        return [run for run in self.find(fingerprint) if run.upstream == upstream]
 
     def list_of(self, upstream: str) -> tuple[OpenRun, ...]:
         """:returns: the open runs on an upstream"""
@@ -77,45 +93,52 @@
         its way. So what others tell does not change one that was left and may go on:
         not that it is awaited, which it was before, nor until when it may go on.
         """
+        left = self._find(run, is_awaited=False)
+        if left is not None and run.sent_ms <= left.until_ms and not run.is_own:
+            return
+        awaited = self._find(run, is_awaited=True)
+        if run.is_awaited:
+            known = awaited
+        else:
+            known = left
+            if awaited is not None and awaited.is_own == run.is_own:
+                # It is the same run unless another VM awaits a copy.
+                self.discard(awaited)
+                run = _merge(awaited, run)
+        if known is not None:
+            run = _merge(known, run)
         runs = self._by_upstream.setdefault(run.upstream, OrderedDict())
-        known = runs.get(run.fingerprint)
-        if known is not None and _may_be_same(known.incarnation, run.incarnation):
-            was_left = not known.is_awaited and run.sent_ms <= known.until_ms
-            if was_left and not run.is_own:
-                return
-            left = known.left if known.is_awaited else known
-            run = run._replace(
-                sent_ms=min(known.sent_ms, run.sent_ms),
-                is_own=known.is_own or run.is_own,
-                left=left if run.is_awaited else None,
-            )
-        runs[run.fingerprint] = run
-        runs.move_to_end(run.fingerprint)
+        runs[run.key] = run
+        runs.move_to_end(run.key)
         self._upstreams.setdefault(run.fingerprint, set()).add(run.upstream)
         while len(runs) > self._bounds.max_open_runs:
-            self.discard(next(iter(runs)), run.upstream)
+            self.discard(next(iter(runs.values())))
 
-    def discard(self, fingerprint: int, upstream: str) -> OpenRun | None:
-        """Remove a run.
-
-        :returns: the run; ``None`` if it was not known
-        """
-        runs = self._by_upstream.get(upstream, OrderedDict())
-        run = runs.pop(fingerprint, None)
-        if run is None:
+    def _find(self, run: OpenRun, *, is_awaited: bool) -> OpenRun | None:
+        """:returns: what is known of a request on the incarnation that runs it"""
+        runs = self._by_upstream.get(run.upstream, OrderedDict())
+        known = runs.get((run.fingerprint, is_awaited))
+        if known is None or not _may_be_same(known.incarnation, run.incarnation):
             return None
+        return known
+
+    def discard(self, run: OpenRun) -> None:
+        """Remove a run."""
+        runs = self._by_upstream.get(run.upstream, OrderedDict())
+        if runs.pop(run.key, None) is None:
+            return
+        if (run.fingerprint, not run.is_awaited) not in runs:
+            upstreams = self._upstreams[run.fingerprint]
+            upstreams.discard(run.upstream)
+            if not upstreams:
+                del self._upstreams[run.fingerprint]
         if not runs:
-            del self._by_upstream[upstream]
-        upstreams = self._upstreams[fingerprint]
-        upstreams.discard(upstream)
-        if not upstreams:
-            del self._upstreams[fingerprint]
-        return run
+            del self._by_upstream[run.upstream]
 
     def forget(self, fingerprint: int) -> None:
         """Remove all runs of a request."""
         for run in tuple(self.find(fingerprint)):
-            self.discard(fingerprint, run.upstream)
+            self.discard(run)
 
     def pop(self, upstream: str, incarnation: str) -> list[OpenRun]:
         """:returns: the runs on an incarnation that has ended, removed
@@ -131,7 +154,7 @@
             and _may_be_same(run.incarnation, incarnation)
         ]
         for run in runs:
-            self.discard(run.fingerprint, upstream)
+            self.discard(run)
         return runs
 
     def list_held(self, now_ms: float) -> list[OpenRun]:
@@ -157,7 +180,7 @@
         """:returns: the runs on an upstream that have ended by themselves, removed"""
         runs = self.list_ended(upstream, now_ms)
         for run in runs:
-            self.discard(run.fingerprint, upstream)
+            self.discard(run)
         return runs
 
     def pop_sent(self, upstream: str, checked_ms: float) -> list[OpenRun]:
@@ -172,7 +195,7 @@
             or (run.sent_ms <= checked_ms and not run.is_awaited)
         ]
         for run in runs:
-            self.discard(run.fingerprint, upstream)
+            self.discard(run)
         return runs
 
     def expire(self, now_ms: float) -> None:
@@ -180,7 +203,14 @@
         for upstream in tuple(self._by_upstream):
             for run in self.list_of(upstream):
                 if now_ms - run.until_ms > self._bounds.unproven_ms:
-                    self.discard(run.fingerprint, upstream)
+                    self.discard(run)
+
+
+def _merge(known: OpenRun, run: OpenRun) -> OpenRun:
+    """:returns: a run with what is known of it, or of an earlier one of its kind"""
+    return run._replace(
+        sent_ms=min(known.sent_ms, run.sent_ms), is_own=known.is_own or run.is_own
+    )
 
 
 def _may_be_same(incarnation: str, other: str) -> bool:
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -274,14 +274,10 @@
 
     def note_stopped(self, fingerprint: int, upstream: str, now_ms: float) -> None:
         """Record that an upstream does not run a request of this VM any longer."""
-        runs = self._runs.find(fingerprint)
-        run = next((run for run in runs if run.upstream == upstream), None)
-        if run is None or not run.is_awaited:
-            return  # A run that was left before has not ended with another copy.
-        self._runs.discard(fingerprint, upstream)
-        self._ends.announce_run(run, RunState.CLOSED, now_ms)
-        if run.left is not None:
-            self._open_run(run.left, now_ms)
+        for run in self._runs.find_on(fingerprint, upstream):
+            if run.is_own and run.is_awaited:
+                self._runs.discard(run)
+                self._ends.announce_run(run, RunState.CLOSED, now_ms)
 
     def is_held(self, fingerprint: int, now_ms: float) -> bool:
         """:returns: whether a suspect has to wait for the outcome of another run
--- a/src/quetzaldeck/decisions/poison/upstream_ends.py
+++ b/src/quetzaldeck/decisions/poison/upstream_ends.py
@@ -141,7 +141,7 @@
         """Count a run that is left on an upstream which is presumed to have crashed."""
         for crash in self._table.list_of(run.upstream):
             if crash.is_presumed and run.sent_ms <= crash.at_ms:
-                self._runs.discard(run.fingerprint, run.upstream)
+                self._runs.discard(run)
                 self._add(run, min(run.until_ms, now_ms))
                 self._announce(crash, RunState.MISSING, now_ms)
 
@@ -286,11 +286,17 @@
                 self._announce(crash, RunState.MISSING, now_ms)
 
     def _observe_closed(self, sighting: RunSighting) -> None:
-        self._unconfirmed.pop((sighting.fingerprint, sighting.upstream), None)
-        self._runs.discard(sighting.fingerprint, sighting.upstream)
+        key = sighting.fingerprint, sighting.upstream
+        self._unconfirmed.pop(key, None)
+        for run in self._runs.find_on(*key):
+            if run.is_awaited:
+                self._runs.discard(run)
 
     def _observe_survived(self, sighting: RunSighting) -> None:
-        self._observe_closed(sighting)
+        key = sighting.fingerprint, sighting.upstream
+        self._unconfirmed.pop(key, None)
+        for run in self._runs.find_on(*key):
+            self._runs.discard(run)
         for crash in self._table.list_of(sighting.upstream):
             if crash.is_presumed and crash.incarnation == sighting.incarnation:
                 self._table.drop(crash)
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from quetzaldeck.decisions.poison import (
     PoisonBounds,
     PoisonRegistry,
@@ -413,3 +415,21 @@
     registry.note_stopped(CULPRIT, "e0", 910.0)
     registry.ends.note_missing("e0", 1_300.0)
     assert registry.n_crashes(CULPRIT, 1_300.0) == 1
+
+
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_copy_of_another_vm_does_not_hide_one_that_was_left(*, has_ended: bool) -> None:
+    """Guards against sound requests that take the blame for a silent upstream.
+
+    The culprit that ended it ran there again through another VM, which told of that.
+    """
+    registry, other = PoisonRegistry(BOUNDS), PoisonRegistry(BOUNDS)
+    lose(other, "e0", 0.0)
+    registry.note_left(CULPRIT, "e1", "", 0.0, 30.0)
+    other.note_started(CULPRIT, "e1", "", 2_500.0, 900.0)
+    registry.ends.observe_runs(other.ends.pop_changed_runs(), 910.0)
+    if has_ended:
+        other.note_stopped(CULPRIT, "e1", 950.0)
+        registry.ends.observe_runs(other.ends.pop_changed_runs(), 960.0)
+    registry.ends.note_missing("e1", 1_000.0)
+    assert registry.ends.is_counted(CULPRIT, "e1")
