Count the silence of a retry from when it is sent

What callers saw: a call whose path had been lost for a moment was refused (502 after 2.8 s) as the upstream of its retry was silent, although the retry still waited for its turn and nothing had been sent.

Cause: the silence after which such a call is refused counted from when the attempt was created, and waiting for a permit or for memory is part of it. Reachable since a call that no other VM took goes on once its path is back.

--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -78,8 +78,15 @@
 
     @property
     def heard_ms(self) -> float:
-        """:returns: when its upstream last sent anything, or when the attempt began"""
-        return self._heard_ms
+        """:returns: when its upstream last sent anything, or when the request was sent
+
+        It is the current time while the request waits for its turn, or for memory: the
+        upstream has nothing to answer yet.
+        """
+        sent_ms = self.runner.sent_ms
+        if sent_ms is None:
+            return self._state.clock.now_ms()
+        return max(self._heard_ms, sent_ms)
 
     def build_end(self, error: UpstreamError) -> AttemptEnd:
         """:returns: what the scheduler is told of the fault of this attempt"""
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -143,13 +143,15 @@
 
         :returns: what has ended; ``None`` if nothing has, but waiting may be in vain
         """
-        wait_ms = self._remaining_wait_ms()
-        timeout_s = None if wait_ms == math.inf else round_timer_s(wait_ms)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._ended.get()
-        except TimeoutError:
-            return None
+        while True:
+            wait_ms = self._remaining_wait_ms()
+            timeout_s = None if wait_ms == math.inf else round_timer_s(wait_ms)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await self._ended.get()
+            except TimeoutError:
+                if self._remaining_wait_ms() <= 0.0:
+                    return None
 
     def _remaining_wait_ms(self) -> float:
         """:returns: for how long the call may still be answered
--- a/tests/entry/test_returned_paths.py
+++ b/tests/entry/test_returned_paths.py
@@ -12,6 +12,7 @@
 from tests.support.platform.site import DESK, LOOK_PATH
 
 from quetzaldeck.decisions.paths import PathBounds, PathVerdict
+from quetzaldeck.entry.attempt import AttemptRunner
 from quetzaldeck.gateway.messages import ObservePath
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
     from tests.support.platform.partitions import Call
     from tests.support.platform.replica import Arrival, Connection
 
+    from quetzaldeck.decisions import Dispatch
+
     Handler = Callable[[Arrival, Connection], Awaitable[None]]
 
 HOST = "127.0.1.1"
@@ -135,3 +138,24 @@
         assert call.elapsed_ms < allowed_s * 1_000 + MAX_LATE_MS
 
     run_fleet(test)
+
+
+def test_silence_of_a_retry_counts_from_when_it_is_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A call is refused as its next replica is silent, which has been sent nothing."""
+    turns_s = iter((0.0, SOUND_SILENCE_S + 0.3))
+    acquire = AttemptRunner.acquire_permits
+
+    async def acquire_late(runner: AttemptRunner, dispatch: Dispatch) -> None:
+        await asyncio.sleep(next(turns_s))
+        await acquire(runner, dispatch)
+
+    monkeypatch.setattr(AttemptRunner, "acquire_permits", acquire_late)
+
+    async def test(fleet: EntryFleet) -> None:
+        blip = Blip(fleet, hang, answer)
+        call = await blip.run()
+        assert (call.status, blip.n_runs) == (200, 2)
+
+    run_fleet(test)
