--- a/tests/entry/test_returned_paths.py
+++ b/tests/entry/test_returned_paths.py
@@ -13,7 +13,9 @@
 
 from quetzaldeck.decisions.paths import PathBounds, PathVerdict
 from quetzaldeck.entry.attempt import AttemptRunner
+from quetzaldeck.entry.handover.client import Handover, NotTakenError
 from quetzaldeck.gateway.messages import ObservePath
+from quetzaldeck.outcomes import Failure, Ran, Reason
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -36,6 +38,9 @@
 DEADLINE_MS = 4_500
 MAX_LATE_MS = 300.0
 
+QUEUED_S = 0.6
+"""When a retry of a silent call waits in the queue."""
+
 
 async def work(arrival: Arrival, connection: Connection) -> None:
     """Answer after the call would have been refused, had it no path."""
@@ -54,6 +59,12 @@
         await asyncio.sleep(0.01)
 
 
+async def break_after_return(arrival: Arrival, connection: Connection) -> None:
+    """End the connection of a call once the path is back."""
+    await asyncio.sleep(BACK_S + 0.2)
+    connection.reset()
+
+
 async def break_off(arrival: Arrival, connection: Connection) -> None:
     """End the connection of a call that may have run."""
     connection.reset()
@@ -63,10 +74,14 @@
     """One VM that loses its path for a moment, while no other VM has one.
 
     :param handlers: of the first attempt, and of those after it
+    :param lost_s: when it loses the path, counted from the arrival of a call
     """
 
-    def __init__(self, fleet: EntryFleet, *handlers: Handler) -> None:
+    def __init__(
+        self, fleet: EntryFleet, *handlers: Handler, lost_s: float = LOST_S
+    ) -> None:
         self._fleet = fleet
+        self._lost_s = lost_s
         self._handlers = list(handlers)
         self.n_runs = 0
 
@@ -80,10 +95,10 @@
             calling = asyncio.create_task(
                 partition.send(client, HOST, LOOK_PATH, deadline_ms=DEADLINE_MS)
             )
-            await asyncio.sleep(LOST_S)
+            await asyncio.sleep(self._lost_s)
             for host in self._fleet.vms:
                 self._set_path(host, PathVerdict.PARTITIONED)
-            await asyncio.sleep(BACK_S - LOST_S)
+            await asyncio.sleep(BACK_S - self._lost_s)
             for host in self._fleet.vms:
                 self._set_path(host, PathVerdict.REACHED)
             return await calling
@@ -159,3 +174,34 @@
         assert (call.status, blip.n_runs) == (200, 2)
 
     run_fleet(test)
+
+
+def test_call_at_work_is_answered_though_the_path_is_lost_before_its_retry() -> None:
+    """A retry is decided on and refused as the path is lost, its replica at work."""
+
+    async def test(fleet: EntryFleet) -> None:
+        call = await Blip(fleet, work, hang, lost_s=QUEUED_S).run()
+        assert call.status == 200
+
+    run_fleet(test)
+
+
+@pytest.mark.parametrize(
+    ("handler", "refused_s"), [(hang, 2.6), (break_after_return, 1.3)]
+)
+def test_call_is_retried_though_other_vms_refuse_it_late(
+    monkeypatch: pytest.MonkeyPatch, handler: Handler, refused_s: float
+) -> None:
+    """A call that nobody has taken is refused, though its path is back for long."""
+
+    async def refuse_late(*_: object, **__: object) -> None:
+        await asyncio.sleep(refused_s)
+        raise NotTakenError(Failure(Reason.NO_PATH, Ran.UNKNOWN))
+
+    monkeypatch.setattr(Handover, "run", refuse_late)
+
+    async def test(fleet: EntryFleet) -> None:
+        call = await Blip(fleet, handler, answer).run()
+        assert call.status == 200
+
+    run_fleet(test)
