Let replicas of the soak send bytes without end

Some replicas of each service, a quarter of them or half, send interim responses, comments, an event that never ends, a body without a length, header fields or noise, at most 64 KiB each 5 ms a connection, until the other end closes. The check holds VMs to this: 0.98 of the calls that no such replica took are served, their 95th percentile rises by 0.3 s at most, calls that may be retried are answered by others within 2 s, and no VM grows to more than 1.3 times its memory (resident memory of the real processes).

--- a/tests/soak/entry/callers.py
+++ b/tests/soak/entry/callers.py
@@ -105,6 +105,8 @@
         if world.n_wanting_long_calls and random_state.random() < LONG_CALL_PROBABILITY:
             call_id = f"{vm.name}/{LONG_CALL_PREFIX}{self._n_calls}"
             deadline_ms = LONG_CALL_DEADLINE_MS
+        if world.n_endless:
+            deadline_ms = LONG_CALL_DEADLINE_MS
         n_prompt_tokens = (
             500_000 if random_state.random() < LONG_PROMPT_PROBABILITY else 3_000
         )
--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from tests.soak.entry.culprits import REFUSED
+from tests.soak.entry.endless import check_flood
 from tests.soak.entry.history import RequestKind
 from tests.soak.entry.replicas import build_complete_stream
 from tests.soak.entry.world import LEAVING_MS, REVOCATION_MS
@@ -259,6 +260,22 @@
             yield f"{sum(counted)} of {len(counted)} calls were served"
 
 
+@register
+def endless_bytes_harm_no_one(history: History) -> Iterator[str]:
+    """Bytes without end cost neither other callers nor the memory of VMs.
+
+    Not checked while another fault acts.
+    """
+    for flood in history.floods:
+        names = {
+            fault.name
+            for fault in history.injections
+            if fault.begin_ms < flood.end_ms and fault.end_ms > flood.begin_ms
+        }
+        if names == {"send_endless_bytes"}:
+            yield from check_flood(flood, history)
+
+
 @register
 def only_culprits_are_refused(history: History) -> Iterator[str]:
     """No other request is taken for one that crashes replicas."""
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from tests.soak.entry.culprits import BadParts, Culprits
+from tests.soak.entry.endless import Endless, Flood, read_memory_kb, sample_memory
 from tests.soak.entry.history import (
     FaultInterval,
     Partition,
@@ -42,6 +43,7 @@
 SKEWED_RATE_PER_S = 40.0
 SILENCE_S = (0.85, 1.55)
 MAX_SILENCES = 4
+ENDLESS_S = (3.0, 4.0)
 VERSION_INTERVAL_S = (0.5, 1.5)
 N_ADDED_ROUTES = 20
 MAX_CHANGES = 4
@@ -374,6 +376,31 @@
     world.n_wanting_long_calls -= 1
 
 
+@register
+async def send_endless_bytes(world: SoakWorld, random_state: random.Random) -> None:
+    """Some replicas of each service send bytes without end in place of answers."""
+    kind = random_state.choice(list(Endless))
+    share = random_state.choice([0.25, 0.5])
+    chosen = []
+    for service in sorted(set(world.services.values())):
+        names = [r for r in world.serving if world.services[r] == service]
+        chosen += random_state.sample(names, max(1, round(share * len(names))))
+    before_kb = {vm.name: read_memory_kb(vm) for vm in world.vms}
+    peak_kb = dict(before_kb)
+    sampling = asyncio.create_task(sample_memory(world.vms, peak_kb))
+    begin_ms = now_ms()
+    world.n_endless += 1
+    for name in chosen:
+        world.replicas[name].endless = kind
+    await asyncio.sleep(random_state.uniform(*ENDLESS_S))
+    for name in chosen:
+        world.replicas[name].endless = None
+    world.n_endless -= 1
+    sampling.cancel()
+    flood = Flood(kind, frozenset(chosen), begin_ms, now_ms(), before_kb, peak_kb)
+    world.history.floods.append(flood)
+
+
 def plan_faults(
     random_state: random.Random, duration_s: float, names: Sequence[str]
 ) -> tuple[PlannedFault, ...]:
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -6,11 +6,14 @@
 import time
 from collections import defaultdict
 from enum import StrEnum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from tests.support.platform.crash_check import N_PART_CRASHES, CrashRecord
 from tests.support.platform.rate_limit_check import ReplicaRecord
 
+if TYPE_CHECKING:
+    from tests.soak.entry.endless import Flood
+
 LOOP_CHECK_INTERVAL_MS = 50.0
 
 VM_FAULTS = ("kill_vm", "kill_all", "stop_vm", "freeze_vm")
@@ -136,6 +139,7 @@
         self.crashes = CrashRecord()
         self.part_crashes = CrashRecord(N_PART_CRASHES)
         self.skews: list[Skew] = []
+        self.floods: list[Flood] = []
         self.rate_limits: defaultdict[str, ReplicaRecord] = defaultdict(ReplicaRecord)
 
     def max_loop_stall_ms(self, begin_ms: float, end_ms: float) -> float:
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -6,6 +6,7 @@
 import json
 from typing import TYPE_CHECKING
 
+from tests.soak.entry.endless import Endless, pour
 from tests.soak.entry.history import Culprit, Execution, now_ms
 from tests.support.platform.crash_check import Sending
 from tests.support.platform.rate_limit_check import Naming, Received
@@ -30,7 +31,8 @@
 
     Faults set three probabilities: ``p_response_lost``, that a request runs but its
     response is lost; ``p_response_repeated``, that a response is sent twice;
-    ``p_refused``, that a request is refused without running.
+    ``p_refused``, that a request is refused without running. ``endless`` is what it
+    sends without end in place of answers.
     """
 
     def __init__(self, replica_id: str, world: SoakWorld) -> None:
@@ -41,6 +43,7 @@
         self.p_response_lost = 0.0
         self.p_response_repeated = 0.0
         self.p_refused = 0.0
+        self.endless: Endless | None = None
         self._pace = 1.0
         self._has_crashed = False
         self.reserved_until_ms: dict[str, float] = {}
@@ -91,6 +94,9 @@
             return
         execution = Execution(arrival.call_id, self.replica_id, now_ms(), owner, after)
         self._history.executions.append(execution)
+        if self.endless is not None:
+            await pour(self.endless, arrival, connection)
+            return
         if self._draw(self.p_response_lost):
             await asyncio.sleep(RUN_MS / 1_000)
             connection.reset()
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -37,6 +37,7 @@
         "skew_connections",
         "silence_replicas",
         "change_routes",
+        "send_endless_bytes",
     }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
@@ -50,6 +51,9 @@
 }
 """Seeds of which replicas fall silent, and of what changes in the configuration."""
 
+ENDLESS_SEEDS = {"interim_responses": 2, "comments": 1, "event_from_half": 13}
+"""Seeds by what replicas send without end, a quarter of them or half."""
+
 PLANS = {
     "two_faults_restart_one_vm": (
         PlannedFault(0.5, "stop_vm", 1),
@@ -218,3 +222,12 @@
     result = uvloop.run(run_soak(1, duration_s=1.0, rate_per_s=60.0, plan=plan))
     assert result.findings == ()
     assert result.n_calls > 100
+
+
+@pytest.mark.parametrize("kind", ENDLESS_SEEDS)
+def test_callers_are_served_while_replicas_send_bytes_without_end(kind: str) -> None:
+    """Guards against VMs that spend their time and memory on bytes without end."""
+    plan = (PlannedFault(2.5, "send_endless_bytes", ENDLESS_SEEDS[kind]),)
+    result = uvloop.run(run_soak(1, duration_s=4.0, rate_per_s=20.0, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 100
