Split the choice of probes and their record from the path of a service

ServicePath kept three matters in 18 attributes: which upstreams to probe, which probes were not answered, and what both show.

--- a/src/quetzaldeck/decisions/paths/service_path.py
+++ b/src/quetzaldeck/decisions/paths/service_path.py
@@ -5,10 +5,12 @@
 import math
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.paths.probe_targets import ProbeTargets
+from quetzaldeck.decisions.paths.unanswered_probes import UnansweredProbes
 from quetzaldeck.decisions.paths.verdict import PathVerdict
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping, Sequence
+    from collections.abc import Mapping, Sequence, Set
 
     from quetzaldeck.decisions.paths.bounds import PathBounds
 
@@ -25,7 +27,8 @@
 
     def __init__(self, bounds: PathBounds) -> None:
         self._bounds = bounds
-        self._zones: Mapping[str, str] = {}
+        self._targets = ProbeTargets()
+        self._unanswered = UnansweredProbes()
         self._heard_ms = -math.inf
         self._failed: set[str] = set()
         self._n_failed_since = 0
@@ -33,10 +36,6 @@
         self._suspected_ms: float | None = None
         self._lost_ms: float | None = None
         self._returned_ms: float | None = None
-        self._probed_ms: dict[str, float] = {}
-        self._unanswered_ms: dict[str, float] = {}
-        self._unreached: set[str] = set()
-        self._first_ms: float | None = None
         self._shown_ms = -math.inf
         self._round_ms = -math.inf
         self._is_probing = False
@@ -54,7 +53,7 @@
     @property
     def unanswered_ms(self) -> float | None:
         """:returns: when the first unanswered probe began since one was answered"""
-        return self._first_ms
+        return self._unanswered.first_ms
 
     @property
     def heard_ms(self) -> float:
@@ -72,9 +71,9 @@
         return self._suspected_ms is not None or self._lost_ms is not None
 
     @property
-    def upstreams(self) -> Collection[str]:
+    def upstreams(self) -> Set[str]:
         """:returns: upstreams that get new work"""
-        return self._zones.keys()
+        return self._targets.zones.keys()
 
     @property
     def failed(self) -> frozenset[str]:
@@ -98,21 +97,17 @@
 
         :param zones: availability zone of each upstream
         """
-        self._zones = zones
+        self._targets.set_upstreams(zones)
+        self._unanswered.keep(zones.keys())
         self._failed &= zones.keys()
         self._unusable &= zones.keys()
-        self._unreached &= zones.keys()
-        for times in (self._probed_ms, self._unanswered_ms):
-            for name in times.keys() - zones.keys():
-                del times[name]
 
     def note_heard(self, upstream: str, now_ms: float) -> None:
         """Record that an upstream has sent something, on any connection."""
         self._heard_ms = now_ms
         self._n_failed_since = 0
         self._failed.discard(upstream)
-        self._unreached.discard(upstream)
-        self._unanswered_ms.pop(upstream, None)
+        self._unanswered.discard(upstream)
 
     def note_failed(
         self, upstream: str, begun_ms: float, *, is_new_connection: bool
@@ -128,7 +123,7 @@
         if is_new_connection:
             self._unusable.add(upstream)
         self._has_failure = True
-        n_needed = min(self._bounds.n_failed_connections, len(self._zones))
+        n_needed = min(self._bounds.n_failed_connections, len(self.upstreams))
         if begun_ms >= self._heard_ms or len(self._unusable) >= n_needed:
             self._suspect(begun_ms)
 
@@ -165,10 +160,8 @@
             return ()
         self._round_ms = now_ms
         self._is_probing = True
-        chosen = self._rank(answered_ms)[: self._n_in_round(now_ms)]
-        for name in chosen:
-            self._probed_ms[name] = now_ms
-        return tuple(chosen)
+        n_probes = self._n_in_round(now_ms)
+        return self._targets.choose(n_probes, self._failed, answered_ms, now_ms)
 
     def note_probes(
         self, answered: Sequence[str], unanswered: Sequence[str], now_ms: float
@@ -182,11 +175,12 @@
             self._note_reached(now_ms)
             return
         self._returned_ms = None
-        self._note_unanswered(unanswered, now_ms)
+        begun_ms = {name: self._targets.probed_ms(name, now_ms) for name in unanswered}
+        self._unanswered.add(begun_ms, self.upstreams)
         self._n_unanswered += len(unanswered)
         if self._lost_ms is None and self._n_unanswered >= self._bounds.n_probed:
             self._lost_ms = now_ms if self._suspected_ms is None else self._suspected_ms
-            self._shown_ms = max(self._unanswered_ms.values(), default=now_ms)
+            self._shown_ms = self._unanswered.last_ms(default=now_ms)
 
     def judge(self, answered_ms: Mapping[str, float], now_ms: float) -> PathVerdict:
         """:returns: what the evidence shows
@@ -198,13 +192,12 @@
             return PathVerdict.DOUBTED if is_doubted else PathVerdict.REACHED
         if self._is_heard_on_open_connections:
             return PathVerdict.OPEN_ONLY
-        for name, begun_ms in self._unanswered_ms.items():
-            last_ms = answered_ms.get(name, -math.inf)
-            if last_ms >= begun_ms + self._bounds.peer_lag_ms:
-                self.note_served_elsewhere(last_ms)
+        lag_ms = self._bounds.peer_lag_ms
+        for last_ms in self._unanswered.find_later(answered_ms, lag_ms):
+            self.note_served_elsewhere(last_ms)
         if self._is_served_elsewhere(now_ms):
             return PathVerdict.PARTITIONED
-        if self._may_be_down(now_ms) and self._failed >= self._zones.keys():
+        if self._may_be_down(now_ms) and self._failed >= self.upstreams:
             return PathVerdict.DOWN
         return PathVerdict.UNREACHED
 
@@ -242,23 +235,6 @@
         if self._suspected_ms is None:
             self._suspected_ms = since_ms
 
-    def _note_unanswered(self, names: Sequence[str], now_ms: float) -> None:
-        """Record from when on answers to other VMs show that the path is at fault.
-
-        An upstream that answered another VM before it was probed may have ended since.
-        So each counts from its own first probe; those that are not probed yet count
-        from the first probe of any, unless they are new.
-        """
-        if not names:
-            return
-        if self._first_ms is None:
-            self._first_ms = min(self._probed_ms.get(name, now_ms) for name in names)
-            self._unanswered_ms = dict.fromkeys(self._zones, self._first_ms)
-        for name in names:
-            if name in self._zones and name not in self._unreached:
-                self._unreached.add(name)
-                self._unanswered_ms[name] = self._probed_ms.get(name, now_ms)
-
     def _n_in_round(self, now_ms: float) -> int:
         """:returns: number of upstreams to probe at once
 
@@ -289,29 +265,7 @@
         self._n_unanswered = 0
         self._has_failure = False
         self._unusable.clear()
-        self._unanswered_ms.clear()
-        self._unreached.clear()
-        self._first_ms = None
-
-    def _rank(self, answered_ms: Mapping[str, float]) -> list[str]:
-        """:returns: upstreams, first those that best show whether the path works
-
-        The zones take turns, so that the loss of one is not mistaken for that of all.
-        """
-
-        def rank(name: str) -> tuple[bool, float, float]:
-            probed_ms = self._probed_ms.get(name, -math.inf)
-            return name in self._failed, probed_ms, -answered_ms.get(name, -1.0)
-
-        by_zone: dict[str, list[str]] = {}
-        for name in sorted(self._zones, key=rank):
-            by_zone.setdefault(self._zones[name], []).append(name)
-        turns = [
-            (turn, rank(name), name)
-            for names in by_zone.values()
-            for turn, name in enumerate(names)
-        ]
-        return [name for _, _, name in sorted(turns)]
+        self._unanswered.clear()
 
 
 __all__ = ("ServicePath",)
