--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -1,9 +1,4 @@
-"""Places requests: filters the upstreams, then lets the policy choose.
-
-Load pattern: requests of all lengths for a pool in which some upstreams are leaving,
-faulty, full, or run a request suspected of crashing engines. These filters apply before
-every placement policy, so that a policy compares only permitted upstreams.
-"""
+"""Places requests, and accounts for the capacity of upstreams that they hold."""
 
 from __future__ import annotations
 
@@ -16,9 +11,9 @@
 from quetzaldeck.decisions.placement.group_plans import GroupPlans
 from quetzaldeck.decisions.placement.helper_accounting import HelperAccounting
 from quetzaldeck.decisions.placement.helper_selector import HelperSelector
-from quetzaldeck.decisions.placement.placement import Placement
+from quetzaldeck.decisions.placement.search import PlacementSearch
 from quetzaldeck.decisions.placement.suspect_placer import SuspectPlacer
-from quetzaldeck.decisions.pools import exclude_failing, exclude_slow, list_usable
+from quetzaldeck.decisions.pools import list_usable
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -27,6 +22,7 @@
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.placement.api import PlacementPolicy
     from quetzaldeck.decisions.placement.path_verdicts import PathVerdicts
+    from quetzaldeck.decisions.placement.placement import Placement
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.upstream_state import UpstreamState
@@ -67,22 +63,30 @@
         self._paths = paths
         self._policy = policy
         self._poison = poison
-        self._head_of_line = head_of_line
         self._plans = GroupPlans(planner or GroupPlanner())
-        self._candidates = CandidateFilter(
-            random_state=policy.random_state, max_requests=max_requests
-        )
         self._unreserved: dict[str, Placement] = {}
         self._helper_accounting = HelperAccounting(table)
-        self._helper_selector = HelperSelector(policy, head_of_line)
+        candidates = CandidateFilter(
+            random_state=policy.random_state, max_requests=max_requests
+        )
+        helper_selector = HelperSelector(policy, head_of_line)
         self._suspects = SuspectPlacer(
             poison=poison,
-            candidates=self._candidates,
+            candidates=candidates,
             plans=self._plans,
             head_of_line=head_of_line,
-            helper_selector=self._helper_selector,
+            helper_selector=helper_selector,
             random_state=policy.random_state,
         )
+        self._search = PlacementSearch(
+            table=table,
+            policy=policy,
+            head_of_line=head_of_line,
+            candidates=candidates,
+            plans=self._plans,
+            helper_selector=helper_selector,
+            suspects=self._suspects,
+        )
         self._n_double_releases = 0
 
     @property
@@ -122,23 +126,9 @@
     ) -> bool:
         """Check whether a request could be dispatched if no other were queued.
 
-        The policy is not consulted: each call would advance round robin by one turn.
-
         :param latest_turn_ms: latest time at which the request may get its turn
         """
-        pool = self._table.list_serving(request)
-        if not self._may_start(request, pool, now_ms):
-            return False
-        if self._suspects.is_suspect(request, now_ms):
-            return self._suspects.find(request, pool, (), now_ms) is not None
-        if (
-            self._plans.is_needed(request, pool)
-            and self._plans.plan(request, pool, now_ms) is not None
-        ):
-            return True
-        if self._list_allowed(request, pool, (), now_ms):
-            return True
-        return self._find_next_turn(request, now_ms, latest_turn_ms) is not None
+        return self._search.can_start(request, now_ms, latest_turn_ms)
 
     def has_alternative(self, request: Request, avoided: Sequence[str]) -> bool:
         """:returns: whether another upstream could run a request, now or later
@@ -184,12 +174,13 @@
         if self._paths.is_lost(request.target):
             # An attempt would fail and count, while the next verdict is due soon.
             return None
-        pool = self._table.list_serving(request)
-        if prefers_unlimited:
-            pool = [state for state in pool if not state.pacing.is_limited] or pool
-        placement = self._find_placement(request, pool, avoided, now_ms)
-        if placement is None:
-            placement = self._find_next_turn(request, now_ms, latest_turn_ms)
+        placement = self._search.find(
+            request,
+            avoided,
+            now_ms,
+            latest_turn_ms,
+            prefers_unlimited=prefers_unlimited,
+        )
         if placement is None:
             return None
         self._unreserved[request.request_id] = placement
@@ -282,109 +273,5 @@
             if not state.discard(attempt_id):
                 self._n_double_releases += 1
 
-    def _may_start(
-        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
-    ) -> bool:
-        """:returns: whether no long prompt that is under way has to end first"""
-        if request.service:
-            return True
-        return self._head_of_line.may_start(request, pool, now_ms)
-
-    def _find_placement(
-        self,
-        request: Request,
-        pool: Sequence[UpstreamState],
-        avoided: Sequence[str],
-        now_ms: float,
-    ) -> Placement | None:
-        if not self._may_start(request, pool, now_ms):
-            return None
-        if self._suspects.is_suspect(request, now_ms):
-            return self._suspects.find(request, pool, avoided, now_ms)
-        if request.service:
-            return self._place_single(request, pool, avoided, now_ms)
-        if self._plans.is_needed(request, pool):
-            prefill_engines = self._helper_selector.list_prefill_engines(
-                request, pool, now_ms
-            )
-            plan = self._plans.plan(request, prefill_engines, now_ms, avoided)
-            plan = plan or self._plans.plan(request, pool, now_ms, avoided)
-            if plan is not None:
-                return self._place_group(request, pool, plan, avoided, now_ms)
-            if not any(request.n_kv_tokens <= s.spec.kv_tokens for s in pool):
-                return None
-        return self._place_single(request, pool, avoided, now_ms)
-
-    def _find_next_turn(
-        self, request: Request, now_ms: float, latest_turn_ms: float
-    ) -> Placement | None:
-        """:returns: the upstream whose rate limit allows the request soonest, if any
-
-        A prompt that no single engine can hold waits until enough engines take one: it
-        would need turns at all of them at the same time.
-        """
-        if not self._table.has_rate_limits:
-            return None
-        pool = self._table.list_serving(request)
-        if self._suspects.is_suspect(request, now_ms):
-            return None
-        state = self._candidates.find_next_turn(request, pool, now_ms, latest_turn_ms)
-        return None if state is None else Placement((state.spec.name,))
-
-    def _place_group(
-        self,
-        request: Request,
-        pool: Sequence[UpstreamState],
-        plan: GroupPlan,
-        avoided: Sequence[str],
-        now_ms: float,
-    ) -> Placement:
-        """:returns: the placement on a group, with helpers besides its members"""
-        chosen = plan.upstreams[-1]
-        helpers = self._helper_selector.choose(request, chosen, pool, avoided, now_ms)
-        n_named = min(len(helpers) + 1, self._policy.max_helpers)
-        n_others = max(0, n_named - len(plan.upstreams))
-        others = [name for name in helpers if name not in plan.upstreams]
-        return Placement(plan.upstreams, plan, helpers=tuple(others[:n_others]))
-
-    def _place_single(
-        self,
-        request: Request,
-        pool: Sequence[UpstreamState],
-        avoided: Sequence[str],
-        now_ms: float,
-    ) -> Placement | None:
-        probe = self._candidates.find_probe(request, pool, avoided, now_ms)
-        if probe is not None:
-            return Placement((probe.spec.name,), is_probe=True)
-        allowed = self._list_allowed(request, pool, avoided, now_ms)
-        if allowed is None:
-            plan = self._plans.plan_aged(request, pool, now_ms)
-            return None if plan is None else Placement(plan.upstreams, plan)
-        if not allowed:
-            return None
-        name = self._policy.choose(request, allowed, now_ms)
-        if name is None:
-            return None
-        helpers = self._helper_selector.choose(request, name, pool, avoided, now_ms)
-        return Placement((name,), helpers=helpers)
-
-    def _list_allowed(
-        self,
-        request: Request,
-        pool: Sequence[UpstreamState],
-        avoided: Sequence[str],
-        now_ms: float,
-    ) -> Sequence[UpstreamState] | None:
-        """:returns: permitted upstreams; ``None`` if no upstream has capacity"""
-        preferred = self._policy.list_preferred(request)
-        candidates = self._candidates.list_candidates(request, pool, now_ms, preferred)
-        if not candidates:
-            return None
-        candidates = exclude_failing(candidates, pool, now_ms)
-        candidates = exclude_slow(candidates, pool, now_ms)
-        untried = [state for state in candidates if state.spec.name not in avoided]
-        return self._head_of_line.restrict(request, untried or candidates, now_ms)
-
 
 __all__ = ("Placer",)
