Keep a request whose replacement is withdrawn from the queue

A caller got 502 after 1.5 s though its first replica was at work and the path to it was back. Its VM had lost the path for a moment while a replacement of the silent attempt waited in the queue.

The handler is told why. It asks itself, between the ends of attempts, so an answer cannot cross with a hand-over or with an attempt that continues.

--- a/src/quetzaldeck/decisions/attempts/tracked.py
+++ b/src/quetzaldeck/decisions/attempts/tracked.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from quetzaldeck.decisions.decision import AttemptEnd
 from quetzaldeck.decisions.memory import InFlightAttempt
 from quetzaldeck.decisions.request import Request
 from quetzaldeck.decisions.retries import NO_CHARGE, AttemptHistory, RetryCharge
@@ -42,6 +43,8 @@
     :param first_token_ms: when its first token arrived; ``None``: not yet
     :param replaced: attempts that keep running until the one that replaces them writes
     :param charge: what the budgets were charged for the running or the next attempt
+    :param last_end: end of the attempt that the running or next one follows
+    :param is_kept: whether no attempt is tracked or waits, but replaced ones may run
     """
 
     request: Request
@@ -54,6 +57,8 @@
     first_token_ms: float | None = None
     replaced: tuple[ReplacedAttempt, ...] = ()
     charge: RetryCharge = NO_CHARGE
+    last_end: AttemptEnd | None = None
+    is_kept: bool = False
 
 
 class TrackedRequests:
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -156,6 +156,7 @@
             paths=self._paths,
             poison=registry,
             table=table,
+            failed=self._failed,
             withdraw=self.withdraw,
         )
         self._fleet = FleetObserver(
@@ -352,9 +353,21 @@
         self._releaser.release(tracked)
         self._retries.give_back(tracked.request, tracked.charge, now_ms)
         self._tracked.update(
-            tracked._replace(attempt_id="", upstreams=(), charge=NO_CHARGE)
+            tracked._replace(
+                attempt_id="", upstreams=(), charge=NO_CHARGE, is_kept=True
+            )
         )
 
+    def retry_kept(self, request_id: str) -> Failure | None:
+        """Queue another attempt of a request that was kept, if one is allowed now.
+
+        A request is kept if no further attempt of it could be made while a silent one
+        runs, or if its last one was not sent.
+
+        :returns: why there is none, ``None`` if another attempt is queued
+        """
+        return self._failed.retry_kept(request_id, self._clock.now_ms())
+
     def _drop_if_unsent(self, request_id: str) -> None:
         """Forget the attempt of a request that still waits for memory."""
         tracked = self._tracked.get(request_id)
--- a/src/quetzaldeck/decisions/scheduling/attempt_replacer.py
+++ b/src/quetzaldeck/decisions/scheduling/attempt_replacer.py
@@ -131,6 +131,7 @@
                 first_token_ms=replaced.first_token_ms,
                 replaced=tuple(a for a in tracked.replaced if a is not replaced),
                 charge=NO_CHARGE,
+                is_kept=False,
             )
         )
         self._placer.restore(tracked.request, attempt_id, replaced.in_flight)
--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -1,4 +1,8 @@
-"""Retries or fails requests after a failed attempt."""
+"""Retries or fails requests after a failed attempt.
+
+A request that gets no further attempt is kept while an attempt of it runs that was
+replaced: that attempt may continue, break, or be replaced again.
+"""
 
 from __future__ import annotations
 
@@ -7,8 +11,8 @@
 from quetzaldeck.decisions.attempts.tracked import TrackedRequest
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.rate_limits import latest_turn_ms
-from quetzaldeck.decisions.retries import Retry, grow_estimate
-from quetzaldeck.outcomes import Failure, Ran
+from quetzaldeck.decisions.retries import NO_CHARGE, Retry, grow_estimate
+from quetzaldeck.outcomes import Failure, Ran, Reason
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.admission import AdmissionPolicy
@@ -16,7 +20,6 @@
     from quetzaldeck.decisions.decision import AttemptEnd
     from quetzaldeck.decisions.placement.refusal_check import RefusalCheck
     from quetzaldeck.decisions.poison import PoisonRegistry
-    from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import RetryPolicy
     from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
 
@@ -62,7 +65,10 @@
         if isinstance(retry, Failure):
             charge = tracked.charge.after(end)
             self._retries.give_back(tracked.request, charge, now_ms)
-            self._tracked.forget(tracked.request.request_id, now_ms)
+            if tracked.replaced:
+                self._keep(_after(tracked, end, now_ms))
+            else:
+                self._tracked.forget(tracked.request.request_id, now_ms)
             return retry
         self.queue(tracked, end, retry, now_ms)
         return None
@@ -74,8 +80,46 @@
 
         A retry is charged to the budgets; nothing else changes.
         """
-        history = tracked.history.after(end, tracked.upstreams)
-        request = _renew_idle_timeout(tracked.request, end, now_ms)
+        return self._decide(_after(tracked, end, now_ms), end, now_ms)
+
+    def withdraw_next(self, tracked: TrackedRequest, now_ms: float) -> None:
+        """Take the next attempt of a request out of the queue, and keep the request."""
+        self._waiting.discard(tracked.request.request_id, now_ms)
+        self._retries.give_back(tracked.request, tracked.charge, now_ms)
+        self._keep(tracked)
+
+    def retry_kept(self, request_id: str, now_ms: float) -> Failure | None:
+        """Queue another attempt of a request that was kept, if one is allowed now.
+
+        :returns: why there is none
+        """
+        tracked = self._tracked.get(request_id)
+        if tracked is None or not tracked.is_kept or tracked.last_end is None:
+            return Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)
+        if self._admission.latest_start_ms(tracked.request) <= now_ms:
+            failure = self._admission.expiry_failure(tracked.request, now_ms)
+            return failure._replace(ran=tracked.history.ran)
+        retry = self._decide(tracked, tracked.last_end, now_ms)
+        if isinstance(retry, Failure):
+            return retry
+        self._delay(tracked._replace(charge=retry.charge), retry, now_ms)
+        return None
+
+    def _keep(self, tracked: TrackedRequest) -> None:
+        self._tracked.update(
+            tracked._replace(
+                attempt_id="", upstreams=(), charge=NO_CHARGE, is_kept=True
+            )
+        )
+
+    def _decide(
+        self, tracked: TrackedRequest, end: AttemptEnd, now_ms: float
+    ) -> Retry | Failure:
+        """Decide whether a request gets another attempt.
+
+        :param tracked: its state after the end of the last one
+        """
+        request, history = tracked.request, tracked.history
         failure = self._refusals.check(request, now_ms)
         if failure is None:
             latest_start_ms = self._admission.latest_start_ms(request)
@@ -104,24 +148,35 @@
 
         :param replaced: attempts that keep running meanwhile, besides earlier ones
         """
-        request = _renew_idle_timeout(tracked.request, end, now_ms)
-        history = tracked.history.after(end, tracked.upstreams)
-        pause_ms = self._poison.max_pause_ms(request.crash_fingerprints, now_ms)
-        self._tracked.update(
-            TrackedRequest(
-                request,
-                tracked.n_uncorrected_tokens,
-                history,
-                replaced=(*tracked.replaced, *replaced),
-                charge=tracked.charge.after(end).add(retry.charge),
-            )
+        after = _after(tracked, end, now_ms)
+        after = after._replace(
+            replaced=(*tracked.replaced, *replaced),
+            charge=tracked.charge.after(end).add(retry.charge),
         )
+        self._delay(after, retry, now_ms)
+
+    def _delay(self, tracked: TrackedRequest, retry: Retry, now_ms: float) -> None:
+        request = tracked.request
+        pause_ms = self._poison.max_pause_ms(request.crash_fingerprints, now_ms)
+        self._tracked.update(tracked._replace(is_kept=False))
         self._waiting.delay(request, retry.due_ms + pause_ms, now_ms)
 
 
-def _renew_idle_timeout(request: Request, end: AttemptEnd, now_ms: float) -> Request:
-    """:returns: the request, with a renewed idle timeout if its caller got tokens"""
-    return request._replace(last_token_ms=now_ms) if end.n_output_tokens else request
+def _after(tracked: TrackedRequest, end: AttemptEnd, now_ms: float) -> TrackedRequest:
+    """:returns: a request after its attempt has ended; nothing is charged to it
+
+    Its idle timeout is renewed if its caller got tokens.
+    """
+    request = tracked.request
+    if end.n_output_tokens:
+        request = request._replace(last_token_ms=now_ms)
+    return TrackedRequest(
+        request,
+        tracked.n_uncorrected_tokens,
+        tracked.history.after(end, tracked.upstreams),
+        replaced=tracked.replaced,
+        last_end=end,
+    )
 
 
 __all__ = ("FailedAttemptHandler",)
--- a/src/quetzaldeck/decisions/scheduling/queue_sweep.py
+++ b/src/quetzaldeck/decisions/scheduling/queue_sweep.py
@@ -1,4 +1,8 @@
-"""Rejects waiting requests that can no longer be served."""
+"""Rejects waiting requests that can no longer be served.
+
+A request that waits for another attempt while a silent one runs is not forgotten: only
+the attempt that waits is withdrawn.
+"""
 
 from __future__ import annotations
 
@@ -16,6 +20,7 @@
     from quetzaldeck.decisions.placement.refusal_check import RefusalCheck
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
+    from quetzaldeck.decisions.scheduling.failed_attempts import FailedAttemptHandler
     from quetzaldeck.decisions.scheduling.waiting import WaitingRequests
     from quetzaldeck.decisions.upstream_table import UpstreamTable
     from quetzaldeck.outcomes import Failure
@@ -31,6 +36,7 @@
     :param paths: which services this VM reaches
     :param poison: knows which requests have crashed too many engines
     :param table: knows whether any upstream limits its rate
+    :param failed: withdraws the next attempt of a request that is kept
     :param withdraw: removes a request by its id
     """
 
@@ -44,6 +50,7 @@
         paths: PathVerdicts,
         poison: PoisonRegistry,
         table: UpstreamTable,
+        failed: FailedAttemptHandler,
         withdraw: Callable[[str], None],
     ) -> None:
         self._tracked = tracked
@@ -53,19 +60,21 @@
         self._paths = paths
         self._poison = poison
         self._table = table
+        self._failed = failed
         self._withdraw = withdraw
 
     def run(self, now_ms: float) -> Iterable[Rejection]:
         """:returns: a rejection for each request that cannot be served any more"""
         yield from self._reject_expired(now_ms)
         yield from self._reject_poison(now_ms)
-        yield from self._reject_unreached()
+        yield from self._reject_unreached(now_ms)
         yield from self._reject_rate_limited(now_ms)
 
     def _reject_expired(self, now_ms: float) -> Iterable[Rejection]:
         for request_id in self._waiting.pop_expired(now_ms):
             request = self._tracked[request_id].request
-            yield self._reject(request, self._admission.expiry_failure(request, now_ms))
+            failure = self._admission.expiry_failure(request, now_ms)
+            yield self._reject(request, failure, now_ms)
 
     def _reject_poison(self, now_ms: float) -> Iterable[Rejection]:
         """Reject requests that have crashed too many engines of the fleet."""
@@ -73,15 +82,15 @@
         for request in waiting:
             failure = self._refusals.check_poison(request, now_ms)
             if failure is not None:
-                yield self._reject(request, failure)
+                yield self._reject(request, failure, now_ms)
 
-    def _reject_unreached(self) -> Iterable[Rejection]:
+    def _reject_unreached(self, now_ms: float) -> Iterable[Rejection]:
         """Reject requests whose upstreams this VM does not reach."""
         waiting = tuple(self._waiting) if self._paths.has_lost else ()
         for request in waiting:
             failure = self._paths.check(request)
             if failure is not None:
-                yield self._reject(request, failure)
+                yield self._reject(request, failure, now_ms)
 
     def _reject_rate_limited(self, now_ms: float) -> Iterable[Rejection]:
         """Reject requests that no upstream takes in time, as all limit their rate."""
@@ -90,12 +99,15 @@
             latest_ms = latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
             failure = self._refusals.check_rate_limits(request, now_ms, latest_ms)
             if failure is not None:
-                yield self._reject(request, failure)
-
-    def _reject(self, request: Request, failure: Failure) -> Rejection:
-        ran = self._tracked[request.request_id].history.ran
-        self._withdraw(request.request_id)
-        return Rejection(request, failure._replace(ran=ran))
+                yield self._reject(request, failure, now_ms)
+
+    def _reject(self, request: Request, failure: Failure, now_ms: float) -> Rejection:
+        tracked = self._tracked[request.request_id]
+        if tracked.replaced:
+            self._failed.withdraw_next(tracked, now_ms)
+        else:
+            self._withdraw(request.request_id)
+        return Rejection(request, failure._replace(ran=tracked.history.ran))
 
 
 __all__ = ("QueueSweep",)
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -9,6 +9,7 @@
 from quetzaldeck.clock.clock import round_timer_s
 from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
+from quetzaldeck.decisions.silence_thresholds import SILENCE_RECHECK_MS
 from quetzaldeck.entry.attempt_log import AttemptLog
 from quetzaldeck.entry.attempt_run import AttemptRun
 from quetzaldeck.entry.call import check_call
@@ -145,6 +146,8 @@
         """
         while True:
             wait_ms = self._remaining_wait_ms()
+            if self._is_kept():
+                wait_ms = min(wait_ms, SILENCE_RECHECK_MS)
             timeout_s = None if wait_ms == math.inf else round_timer_s(wait_ms)
             try:
                 async with asyncio.timeout(timeout_s):
@@ -152,6 +155,8 @@
             except TimeoutError:
                 if self._remaining_wait_ms() <= 0.0:
                     return None
+                if self._is_kept():
+                    await self._ask_again()
 
     def _remaining_wait_ms(self) -> float:
         """:returns: for how long the call may still be answered
@@ -312,7 +317,7 @@
 
     def _handle_verdict(self, attempt: AttemptRun, verdict: SilenceVerdict) -> None:
         if self._has_offered and verdict is not SilenceVerdict.NO_PATH:
-            self._returned_ms = self._returned_ms or self._state.clock.now_ms()
+            self._note_returned()
         if verdict is SilenceVerdict.REPLACE:
             self._replace(attempt)
         elif verdict is SilenceVerdict.NO_PATH:
@@ -434,6 +439,8 @@
         try:
             if not attempt.is_left:
                 await self._retry(attempt, error)
+            elif self._is_kept():
+                await self._ask_again()
         finally:
             self._check_replica(attempt, error)
 
@@ -455,6 +462,42 @@
             if not self._has_resumed():
                 self._request_dispatch()
 
+    def _is_kept(self) -> bool:
+        """:returns: whether nothing is to replace the attempts that live, or to follow
+
+        What prevents it may pass: a lost path, a limit, a suspicion.
+        """
+        return (
+            self._dispatching is None
+            and self._handing_over is None
+            and self._may_retry
+            and not self._has_resumed()
+        )
+
+    async def _ask_again(self) -> None:
+        """Ask whether another attempt may be made by now."""
+        try:
+            self._recheck()
+            await self._ticket.retry_kept()
+        except _RefusedError:
+            return
+        except RequestError as error:
+            if self._has_resumed():
+                return
+            if not self._has_offered:
+                self._fail(error)
+            elif error.failure.reason is not Reason.NO_PATH:
+                self._note_returned()
+        else:
+            if self._has_resumed():
+                return
+            if self._has_offered:
+                self._note_returned()
+            self._request_dispatch()
+
+    def _note_returned(self) -> None:
+        self._returned_ms = self._returned_ms or self._state.clock.now_ms()
+
     def _has_resumed(self) -> bool:
         return any(not attempt.is_left for attempt in self._living)
 
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING, TypeVar
 
-from quetzaldeck.decisions import AttemptFault, Rejection
+from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.health import HealthState
 from quetzaldeck.decisions.poison import Verdict
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
@@ -35,6 +35,7 @@
     ObserveRuns,
     ObserveUsage,
     ResumeAttempt,
+    RetryKept,
     Submit,
     Withdraw,
 )
@@ -245,6 +246,8 @@
                 | DropAttempt()
             ):
                 self._note_progress(message)
+            case RetryKept():
+                _reply(message.reply, self._scheduler.retry_kept(message.request_id))
             case Withdraw():
                 self._scheduler.withdraw(message.request_id)
                 self._outboxes.pop(message.request_id, None)
@@ -253,8 +256,6 @@
                 self._scheduler.apply_bundle(message.bundle)
             case Observe():
                 self._observe(message)
-            case ObserveIncarnations():
-                self._scheduler.fleet.observe_incarnations(message.incarnations)
             case (
                 ObserveLoad() | ObservePeerLoad() | ObservePaces() | ObserveRateLimit()
             ):
@@ -263,6 +264,7 @@
                 ObserveCache()
                 | ObserveCheck()
                 | ObserveCrashes()
+                | ObserveIncarnations()
                 | ObservePath()
                 | ObserveRuns()
                 | ObserveUsage()
@@ -337,6 +339,7 @@
             ObserveCache
             | ObserveCheck
             | ObserveCrashes
+            | ObserveIncarnations
             | ObservePath
             | ObserveRuns
             | ObserveUsage
@@ -353,6 +356,8 @@
                 )
                 # What it proves about crashes is announced with the loads.
                 self._load_changed.set()
+            case ObserveIncarnations():
+                self._scheduler.fleet.observe_incarnations(message.incarnations)
             case ObservePath():
                 self._scheduler.observe_path(message.service, message.verdict)
             case ObserveCache():
@@ -420,8 +425,6 @@
         outbox = self._outboxes.get(request_id)
         if outbox is not None:
             outbox.put_nowait(decision)
-        if isinstance(decision, Rejection):
-            self._outboxes.pop(request_id, None)
 
 
 def _reply(future: asyncio.Future[Reply], reply: Reply) -> None:
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -70,6 +70,13 @@
     attempt_id: str
 
 
+class RetryKept(NamedTuple):
+    """Ask for another attempt of a request that was kept, as a silent one runs."""
+
+    request_id: str
+    reply: asyncio.Future[Failure | None]
+
+
 class NoteHandedOver(NamedTuple):
     """Another VM makes the attempts that are left to a request.
 
@@ -193,6 +200,7 @@
     | NoteSent
     | JudgeSilence
     | ResumeAttempt
+    | RetryKept
     | NoteHandedOver
     | DropAttempt
     | EndAttempt
@@ -236,6 +244,7 @@
     "ObserveRuns",
     "ObserveUsage",
     "ResumeAttempt",
+    "RetryKept",
     "Submit",
     "Withdraw",
 )
--- a/src/quetzaldeck/gateway/ticket.py
+++ b/src/quetzaldeck/gateway/ticket.py
@@ -17,6 +17,7 @@
     NoteReserved,
     NoteSent,
     ResumeAttempt,
+    RetryKept,
     Submit,
     Withdraw,
 )
@@ -75,7 +76,8 @@
     async def next_dispatch(self) -> Dispatch:
         """:returns: the next dispatch of the request, as soon as it has been placed
 
-        :raises RequestError: if the request was rejected while it was queued
+        :raises RequestError: if it was rejected while it was queued; a request whose
+            silent attempt runs is kept, see :meth:`retry_kept`
         """
         decision = await self._decisions.get()
         if isinstance(decision, Rejection):
@@ -119,6 +121,17 @@
             self._decisions.get_nowait()
         return is_tracked
 
+    async def retry_kept(self) -> None:
+        """Have another attempt queued, after the next one was rejected or not sent.
+
+        :raises RequestError: if there is none
+        """
+        reply = self._new_reply()
+        self._send(RetryKept(self._request.request_id, reply))
+        failure = await reply
+        if failure is not None:
+            raise RequestError(failure)
+
     def drop_attempt(self, attempt_id: str) -> None:
         """Notify the scheduler that an attempt is not sent after all."""
         self._send(DropAttempt(attempt_id))
