Retry a call whose attempt broke while no other VM took it

A caller got 502 though its path was back and another replica would have answered. Its attempt had broken while other VMs were being asked, and none of them took the call. The scheduler ends a request that another VM has when its attempt ends, and forgot it; when no other VM had run it, there was nothing left to retry.

The scheduler now keeps such a request. Once no other VM has taken the call, the handler asks for another attempt, which the usual rules decide on: one that may not be repeated, or has no attempts left, is refused as before.

--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -1,7 +1,8 @@
 """Retries or fails requests after a failed attempt.
 
 A request that gets no further attempt is kept while an attempt of it runs that was
-replaced: that attempt may continue, break, or be replaced again.
+replaced: that attempt may continue, break, or be replaced again. So is one that was
+handed over, which may be retried here if no other VM runs it.
 """
 
 from __future__ import annotations
@@ -65,7 +66,7 @@
         if isinstance(retry, Failure):
             charge = tracked.charge.after(end)
             self._retries.give_back(tracked.request, charge, now_ms)
-            if tracked.replaced:
+            if tracked.replaced or tracked.history.is_handed_over:
                 self._keep(_after(tracked, end, now_ms))
             else:
                 self._tracked.forget(tracked.request.request_id, now_ms)
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -201,7 +201,7 @@
             except RequestError as error:
                 self._failure = error
                 if isinstance(error, NotTakenError):
-                    self._note_not_taken()
+                    await self._note_not_taken()
         else:
             for attempt in self._living:
                 if attempt.task is task:
@@ -308,12 +308,14 @@
             self._cancel(self._handing_over)
         await asyncio.gather(*self._cancelled, return_exceptions=True)
 
-    def _note_not_taken(self) -> None:
+    async def _note_not_taken(self) -> None:
         """Go on with a call that no other VM has run."""
         self._offer.may_have_run = False
         self._ticket.note_handed_over(is_over=True)
         if self._returned_ms is not None:
             self._returned_ms = self._state.clock.now_ms()
+        if self._is_kept():
+            await self._ask_again()
 
     def _handle_verdict(self, attempt: AttemptRun, verdict: SilenceVerdict) -> None:
         if self._has_offered and verdict is not SilenceVerdict.NO_PATH:
