Log every end of a caller's connection

What operators saw: the record of lost calls has no line of the VM that took them, though the replica ran them.

- a request that was read, whose connection closed before the handler took its first step (request_unhandled): it waited behind another one, or its task was cancelled at once;
- an answer that could not be written, whose last line was request_answered (response_unsent);
- requests that nobody waits for as the process ends (request_unfinished);
- connections closed unread after the first of a second: they were counted only if another one followed (connections_shed).

A burst does drop lines on requests: of 1,500 `dispatched` and then 400 `request_failed` lines at once most of the latter are dropped. They are now counted by event. No decision changes.

--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -44,6 +44,21 @@
     from quetzaldeck.entry.view import RoutingView
 
 
+class CallProgress:
+    """How far a request has come, for the line on its end.
+
+    :param call_id: the caller's id
+    :param arrived_ms: when its bytes arrived
+    """
+
+    def __init__(self, call_id: str, arrived_ms: float) -> None:
+        self.call_id = call_id
+        self.arrived_ms = arrived_ms
+        self.route = ""
+        self.is_read = False
+        self.run: CallRun | None = None
+
+
 class CallHandler:
     """Handles the HTTP requests of a VM's callers."""
 
@@ -70,15 +85,16 @@
         arrived_ms = self._state.clock.now_ms() - wait_ms
         request_id = uuid.uuid4().hex
         call_id = http_request.headers.get(CALL_ID, "")
+        progress = CallProgress(call_id, arrived_ms)
         kind = "call" if handover is None else "handed_over"
         self._state.metrics.requests.labels(kind).inc()
         try:
-            with self._state.in_flight.track(request_id):
+            with self._state.in_flight.track(request_id, call_id=call_id):
                 response = await self._serve(
-                    http_request, request_id, arrived_ms, handover
+                    http_request, request_id, progress, handover
                 )
         except RequestError as error:
-            self._record_failure(error.failure, call_id, arrived_ms, error.route)
+            self._record_failure(error.failure, progress)
             if error.response is not None:
                 return error.response
             response = error_response(error.failure, call_id, CALL_ID)
@@ -86,13 +102,13 @@
                 response.headers[FAILURE] = format_failure(error.failure)
         except asyncio.CancelledError:
             failure = Failure(Reason.CALLER_GONE, Ran.UNKNOWN)
-            self._record_failure(failure, call_id, arrived_ms)
+            self._record_failure(failure, progress)
             raise
         except Exception as error:
             failure = Failure(
                 Reason.INTERNAL_ERROR, Ran.UNKNOWN, detail=locate_error(error)
             )
-            self._record_failure(failure, call_id, arrived_ms)
+            self._record_failure(failure, progress)
             response = error_response(failure, call_id, CALL_ID)
             if handover is not None:
                 response.headers[FAILURE] = format_failure(failure)
@@ -100,15 +116,49 @@
             # The load balancer redirects new connections only: the next request on a
             # connection that stays open would be refused by this VM again.
             response.force_close()
+        await self._write(http_request, response, progress)
         return response
 
+    async def _write(
+        self,
+        http_request: web.Request,
+        response: web.StreamResponse,
+        progress: CallProgress,
+    ) -> None:
+        """Write a response that is not a stream, and record it if that fails."""
+        try:
+            await response.prepare(http_request)
+            await response.write_eof()
+        except ConnectionError as error:
+            # The HTTP server meets the same error and closes the connection.
+            self._record_unsent(response, progress, error)
+        except asyncio.CancelledError as error:
+            self._record_unsent(response, progress, error)
+            raise
+
+    def _record_unsent(
+        self,
+        response: web.StreamResponse,
+        progress: CallProgress,
+        error: BaseException,
+    ) -> None:
+        log_event(
+            "response_unsent",
+            level="WARNING",
+            request=progress.call_id,
+            status=response.status,
+            elapsed_ms=self._state.clock.now_ms() - progress.arrived_ms,
+            error=type(error).__name__,
+        )
+
     async def _serve(
         self,
         http_request: web.Request,
         request_id: str,
-        arrived_ms: float,
+        progress: CallProgress,
         handover: HandoverHead | None,
     ) -> web.StreamResponse:
+        arrived_ms = progress.arrived_ms
         if self._state.drain.refuses:
             failure = Failure(Reason.SHUTTING_DOWN, retry_after_ms=RETRY_ELSEWHERE_MS)
             raise RequestError(failure)
@@ -121,27 +171,25 @@
             )
             raise RequestError(Failure(Reason.NO_BUNDLE, detail=detail))
         admitted = self._admit(view, http_request, head, arrived_ms, handover)
-        try:
-            body = await read_body(http_request, _caller_bounds(view))
-            call = Call(
-                request_id,
-                http_request,
-                head,
-                admitted,
-                body if http_request.body_exists else None,
-                arrived_ms,
-                _fingerprint(http_request, admitted.customer, body),
-                remove_handover_fields(http_request.headers)
-                if handover is not None
-                else CIMultiDict(http_request.headers),
-                handover,
-            )
-            if handover is not None:
-                await self._confirm_path(admitted)
-            return await self._run(call, view)
-        except RequestError as error:
-            error.route = admitted.route.name
-            raise
+        progress.route = admitted.route.name
+        body = await read_body(http_request, _caller_bounds(view))
+        progress.is_read = True
+        call = Call(
+            request_id,
+            http_request,
+            head,
+            admitted,
+            body if http_request.body_exists else None,
+            arrived_ms,
+            _fingerprint(http_request, admitted.customer, body),
+            remove_handover_fields(http_request.headers)
+            if handover is not None
+            else CIMultiDict(http_request.headers),
+            handover,
+        )
+        if handover is not None:
+            await self._confirm_path(admitted)
+        return await self._run(call, view, progress)
 
     async def _confirm_path(self, admitted: Admitted) -> None:
         """Check that this VM reaches the service of a request.
@@ -204,9 +252,12 @@
             raise RequestError(admitted)
         return admitted
 
-    async def _run(self, call: Call, view: RoutingView) -> web.StreamResponse:
+    async def _run(
+        self, call: Call, view: RoutingView, progress: CallProgress
+    ) -> web.StreamResponse:
         ticket = self._state.dispatch.open_ticket(build_request(call, view))
         run = CallRun(self._state, call, ticket, HandoverOffer(self._state, call))
+        progress.run = run
         remaining_ms = call.admitted.deadline_ms - self._state.clock.now_ms()
         try:
             with self._state.in_flight.translate_abort(call.request_id):
@@ -286,23 +337,25 @@
             elapsed_ms=elapsed_ms,
         )
 
-    def _record_failure(
-        self, failure: Failure, call_id: str, arrived_ms: float, route: str = ""
-    ) -> None:
+    def _record_failure(self, failure: Failure, progress: CallProgress) -> None:
         labels = (failure.reason.value, failure.ran.value)
         self._state.metrics.failures.labels(*labels).inc()
         state = self._state
+        run = progress.run
         log_event(
             "request_failed",
-            request=call_id,
-            route=route,
+            request=progress.call_id,
+            route=progress.route,
             reason=failure.reason.value,
             ran=failure.ran.value,
             status=http_status(failure),
             retry_after_ms=failure.effective_retry_after_ms,
-            elapsed_ms=state.clock.now_ms() - arrived_ms,
+            elapsed_ms=state.clock.now_ms() - progress.arrived_ms,
             version=0 if state.view is None else state.view.version,
             belief_age_ms=state.belief.age_ms(state.clock.uptime_ms()),
+            is_read=progress.is_read,
+            n_attempts=0 if run is None else run.n_attempts,
+            n_events=0 if run is None else run.relay.n_events,
             detail=failure.detail,
         )
 
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
 from quetzaldeck.clock import Clock
+from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.entry.handler import CallHandler
 from quetzaldeck.entry.session import EntrySession
 from quetzaldeck.http import (
@@ -17,9 +19,12 @@
     metrics_response,
     parse_listen_address,
 )
+from quetzaldeck.platform import CALL_ID
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
+    from multidict import CIMultiDictProxy
+
     from quetzaldeck.entry.settings import EntrySettings
 
 
@@ -41,6 +46,7 @@
         self._clock = clock
         self._n_shed = 0
         self._shed_logged_ms = -math.inf
+        self._shed_timer: asyncio.TimerHandle | None = None
         self.shedder = ConnectionShedder(clock)
 
     @property
@@ -66,8 +72,24 @@
         self._n_shed += 1
         now_ms = self._clock.now_ms()
         if now_ms - self._shed_logged_ms >= SHED_LOG_INTERVAL_MS:
+            self._log_shed()
+        elif self._shed_timer is None:
+            self._shed_timer = asyncio.get_running_loop().call_later(
+                SHED_LOG_INTERVAL_MS / MS_PER_SECOND, self._log_shed
+            )
+
+    def note_unhandled(self, headers: CIMultiDictProxy[str]) -> None:
+        """Record that a request was read and never handled, as its caller had left."""
+        log_event("request_unhandled", request=headers.get(CALL_ID, ""))
+
+    def _log_shed(self) -> None:
+        """Log the connections that were closed since the last line."""
+        if self._shed_timer is not None:
+            self._shed_timer.cancel()
+            self._shed_timer = None
+        if self._n_shed:
             log_event("connections_shed", level="WARNING", n_connections=self._n_shed)
-            self._shed_logged_ms = now_ms
+            self._shed_logged_ms = self._clock.now_ms()
             self._n_shed = 0
 
     def apply_settings(self, settings: EntrySettings) -> None:
@@ -84,6 +106,7 @@
 
     async def close(self) -> None:
         """End the session."""
+        self._log_shed()
         await self._session.__aexit__(None, None, None)
 
 
--- a/src/quetzaldeck/gateway/drain.py
+++ b/src/quetzaldeck/gateway/drain.py
@@ -83,6 +83,7 @@
         if not finished.done():
             self._abort_remaining()
             await asyncio.wait({finished}, timeout=self._settings.farewell_ms / 1_000)
+            self._record_unfinished()
         finished.cancel()
         aborted.cancel()
         self._enter(Phase.STOPPED)
@@ -93,11 +94,24 @@
         self._must_abort.set()
 
     def _abort_remaining(self) -> None:
+        call_ids = dict(self._in_flight.list_calls())
         request_ids = self._in_flight.abort_all()
         self._n_aborted = len(request_ids)
         self._metrics.requests_aborted.inc(len(request_ids))
         for request_id in request_ids:
-            log_event("request_cut_off", level="ERROR", request=request_id)
+            log_event(
+                "request_cut_off",
+                level="ERROR",
+                request=request_id,
+                call=call_ids[request_id],
+            )
+
+    def _record_unfinished(self) -> None:
+        """Record the aborted requests that the process does not wait for any more."""
+        for request_id, call_id in self._in_flight.list_calls():
+            log_event(
+                "request_unfinished", level="ERROR", request=request_id, call=call_id
+            )
 
     async def _wait_unless_aborted(self, duration_ms: float) -> None:
         waiting = asyncio.ensure_future(self._must_abort.wait())
--- a/src/quetzaldeck/gateway/errors.py
+++ b/src/quetzaldeck/gateway/errors.py
@@ -23,8 +23,6 @@
         super().__init__(f"{failure.reason.value} (ran: {failure.ran.value})")
         self._failure = failure
         self._response = response
-        self.route = ""
-        """Name of the route, for the logs; ``""`` if none was found."""
 
     @property
     def failure(self) -> Failure:
--- a/src/quetzaldeck/gateway/in_flight.py
+++ b/src/quetzaldeck/gateway/in_flight.py
@@ -17,10 +17,12 @@
     """One request in progress.
 
     :param task: the task that handles the request
+    :param call_id: the caller's id of the request; ``""`` if it has none
     """
 
-    def __init__(self, task: asyncio.Task[object]) -> None:
+    def __init__(self, task: asyncio.Task[object], call_id: str) -> None:
         self.task = task
+        self.call_id = call_id
         self.is_aborted = False
 
 
@@ -37,16 +39,21 @@
 
     @contextmanager
     def track(
-        self, request_id: str, *, task: asyncio.Task[object] | None = None
+        self,
+        request_id: str,
+        *,
+        call_id: str = "",
+        task: asyncio.Task[object] | None = None,
     ) -> Iterator[None]:
         """Track a request while the context is open.
 
+        :param call_id: the caller's id of the request, for the logs
         :param task: the task that handles the request; the current task if not given
         :raises RequestError: if the request was aborted meanwhile
         """
         task = task or asyncio.current_task()
         assert task is not None
-        self._requests[request_id] = _TrackedRequest(task)
+        self._requests[request_id] = _TrackedRequest(task, call_id)
         self._is_empty.clear()
         try:
             with self.translate_abort(request_id):
@@ -81,6 +88,13 @@
         tracked = self._requests.get(request_id)
         return tracked is not None and tracked.is_aborted
 
+    def list_calls(self) -> tuple[tuple[str, str], ...]:
+        """:returns: ids of the requests in progress, ours and those of the callers"""
+        return tuple(
+            (request_id, tracked.call_id)
+            for request_id, tracked in self._requests.items()
+        )
+
     async def wait_empty(self) -> None:
         """Wait until no request is in progress."""
         await self._is_empty.wait()
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -15,6 +15,7 @@
     from types import TracebackType
 
     from aiohttp.web_protocol import RequestHandler
+    from multidict import CIMultiDictProxy
 
     from quetzaldeck.http.address import ListenAddress
     from quetzaldeck.http.shedding import ConnectionShedder
@@ -113,6 +114,11 @@
     def note_shed(self) -> None:  # noqa: B027 - most services close no connections
         """Record that a new connection was closed unread."""
 
+    def note_unhandled(  # noqa: B027 - most services do not record requests
+        self, headers: CIMultiDictProxy[str]
+    ) -> None:
+        """Record that a request was read and never handled, as its caller had left."""
+
     async def start(self) -> None:
         """Open the application and listen."""
         application = await self.open()
@@ -138,6 +144,7 @@
                 self._runner,
                 self.shedder,
                 self.note_shed,
+                self.note_unhandled,
                 self._listen.host,
                 self._port or self._listen.port,
                 backlog=MAX_QUEUED_CONNECTIONS,
--- a/src/quetzaldeck/http/shedding.py
+++ b/src/quetzaldeck/http/shedding.py
@@ -13,16 +13,20 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from aiohttp import web
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.web_protocol import RequestHandler
 
 from quetzaldeck.http.socket_wait import read_wait_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
     from socket import socket
 
+    from multidict import CIMultiDictProxy
+
     from quetzaldeck.clock import Clock
 
 MAX_WAIT_MS = 500.0
@@ -65,6 +69,8 @@
     """Listens as ``web.TCPSite`` does, and closes surplus connections unread.
 
     :param on_shed: called for each connection that is closed
+    :param on_unhandled: called with the head of each request that was read and never
+        handled
     :param sock: socket that listens already, in place of ``host`` and ``port``
     """
 
@@ -73,6 +79,7 @@
         runner: web.AppRunner,
         shedder: ConnectionShedder,
         on_shed: Callable[[], None],
+        on_unhandled: Callable[[CIMultiDictProxy[str]], None],
         host: str,
         port: int,
         *,
@@ -82,6 +89,7 @@
         super().__init__(runner, backlog=backlog)
         self._shedder = shedder
         self._on_shed = on_shed
+        self._on_unhandled = on_unhandled
         self._host = host
         self._port = port
         self._sock = sock
@@ -109,8 +117,60 @@
         )
 
     def _accept(self) -> asyncio.Protocol:
-        assert self._runner.server is not None
-        return _NewConnection(self._runner.server, self._shedder, self._on_shed)
+        server = self._runner.server
+        assert server is not None
+
+        def build_handler() -> RequestHandler:
+            # What ``web.Server`` passes to the handlers that it builds.
+            return ReportingRequestHandler(
+                server, self._on_unhandled, loop=server._loop, **server._kwargs
+            )
+
+        return _NewConnection(build_handler, self._shedder, self._on_shed)
+
+
+class ReportingRequestHandler(RequestHandler):
+    """Reports requests that were read and never handled, as their caller had left.
+
+    :param server: the HTTP server
+    :param on_unhandled: called with the head of each such request
+    """
+
+    __slots__ = ("_on_unhandled", "_unhandled")
+
+    def __init__(
+        self,
+        server: web.Server,
+        on_unhandled: Callable[[CIMultiDictProxy[str]], None],
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(server, **kwargs)
+        self._on_unhandled = on_unhandled
+        self._unhandled: web.BaseRequest | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Report what waits; see :meth:`asyncio.Protocol.connection_lost`."""
+        if self._unhandled is not None:
+            self._on_unhandled(self._unhandled.headers)
+            self._unhandled = None
+        for message, _ in self._messages:
+            if isinstance(message, RawRequestMessage):
+                self._on_unhandled(message.headers)
+        self._messages.clear()
+        super().connection_lost(exc)
+
+    def _handle_request(
+        self, request: web.BaseRequest, *args: Any
+    ) -> Coroutine[Any, Any, tuple[web.StreamResponse, bool]]:
+        # The task of a request may be cancelled before its first step.
+        self._unhandled = request
+        return self._begin_request(request, *args)
+
+    async def _begin_request(
+        self, request: web.BaseRequest, *args: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        self._unhandled = None
+        return await super()._handle_request(request, *args)
 
 
 class _NewConnection(asyncio.Protocol):
@@ -118,11 +178,11 @@
 
     def __init__(
         self,
-        server: web.Server,
+        build_handler: Callable[[], RequestHandler],
         shedder: ConnectionShedder,
         on_shed: Callable[[], None],
     ) -> None:
-        self._server = server
+        self._build_handler = build_handler
         self._shedder = shedder
         self._on_shed = on_shed
 
@@ -132,7 +192,7 @@
             self._on_shed()
             accepted.abort()
             return
-        handler = self._server()
+        handler = self._build_handler()
         accepted.set_protocol(handler)
         handler.connection_made(transport)
 
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -5,8 +5,10 @@
 import io
 import threading
 import time
+from datetime import datetime
 
 from quetzaldeck.telemetry import LogWriter
+from quetzaldeck.telemetry.log_lines import read_events
 from quetzaldeck.telemetry.log_writer import (
     BURST_LINES,
     MAX_LINES_PER_S,
@@ -67,3 +69,23 @@
     dropped = [line for line in lines if "log_lines_dropped" in line]
     assert dropped
     assert lines[-1] == "last"
+
+
+def test_lines_on_requests_that_a_burst_drops_are_counted_by_event() -> None:
+    """Guards against calls without a line that nothing tells from unknown ones."""
+    stream = io.StringIO()
+    with LogWriter(stream) as writer:
+        for number in range(int(BURST_LINES)):
+            writer.write(f"time=t level=INFO event=dispatched request=r{number}\n")
+        for number in range(400):
+            writer.write(f"time=t level=INFO event=request_failed request=r{number}\n")
+        assert writer.n_dropped
+    lines = stream.getvalue().splitlines()
+    n_written = len(list(read_events(lines, "request_failed")))
+    n_dropped = 0
+    for fields in read_events(lines, "log_lines_dropped"):
+        n_dropped += int(fields["n"])
+        assert fields["events"] == f"request_failed:{fields['n']}"
+        assert fields["level"] == "WARNING"
+        assert datetime.fromisoformat(fields["time"]).tzinfo is not None
+    assert n_written + n_dropped == 400
