Check in the soak that logs say how each call ended

In the record of lost calls the VMs that took them have no line that names them. The soak now checks, from the logs of its VMs: a call that a replica received has a `dispatched` line for that replica, and a line on its end at each VM that sent it; a call that ended without a status has a line that names it at its VM, or fits into the number of connections that the VM closed unread. VMs whose process was ended meanwhile are left out.

--- a/tests/soak/entry/run.py
+++ b/tests/soak/entry/run.py
@@ -13,6 +13,7 @@
 from tests.soak.entry.checks import check_history
 from tests.soak.entry.faults import FAULTS, PlannedFault, inject, plan_faults
 from tests.soak.entry.history import record_loop_stalls
+from tests.soak.entry.log_checks import check_logs
 from tests.soak.entry.world import FREE_MS, SoakWorld
 
 if TYPE_CHECKING:
@@ -20,6 +21,8 @@
 
 RATE_PER_S = 40.0
 RELEASE_TOLERANCE_S = 1.0
+LOG_DELAY_S = 0.3
+"""Time for a VM to write the lines on its last calls."""
 
 
 class SoakResult(NamedTuple):
@@ -54,27 +57,30 @@
         plan = plan_faults(random.Random(seed), duration_s, tuple(FAULTS))
     with tempfile.TemporaryDirectory() as directory:
         world = SoakWorld(Path(directory), seed=seed, n_vms=n_vms)
-        async with world, Callers(world) as callers:
-            polling = asyncio.gather(
-                callers.poll_readiness(), record_loop_stalls(world.history)
-            )
-            await world.wait_ready()
-            sending = asyncio.create_task(
-                callers.send_calls(duration_s + 3.0, rate_per_s)
-            )
-            faults = await inject(world, plan)
-            await sending
-            await asyncio.sleep(FREE_MS / 1_000 + RELEASE_TOLERANCE_S)
-            n_reserved = sum(
-                replica.n_reserved() for replica in world.replicas.values()
-            )
-            polling.cancel()
-            with suppress(asyncio.CancelledError):
-                await polling
+        async with world:
+            async with Callers(world) as callers:
+                polling = asyncio.gather(
+                    callers.poll_readiness(), record_loop_stalls(world.history)
+                )
+                await world.wait_ready()
+                sending = asyncio.create_task(
+                    callers.send_calls(duration_s + 3.0, rate_per_s)
+                )
+                faults = await inject(world, plan)
+                await sending
+                await asyncio.sleep(FREE_MS / 1_000 + RELEASE_TOLERANCE_S)
+                n_reserved = sum(
+                    replica.n_reserved() for replica in world.replicas.values()
+                )
+                polling.cancel()
+                with suppress(asyncio.CancelledError):
+                    await polling
+            await asyncio.sleep(LOG_DELAY_S)
         findings = check_history(world.history)
         if n_reserved:
             findings.append(f"memory: {n_reserved} reservations were not released")
         logs = {vm.name: vm.process.log for vm in world.vms}
+        findings += check_logs(world.history, logs)
     calls = world.history.calls
     n_answered = sum(call.status == 200 and call.is_complete for call in calls)
     return SoakResult(
