Check that streams are cut only late as their VM leaves

Left over in rolling restarts were streams cut by `shutting_down` 2.7 s after they were sent. The soak now records when replicas end their work, and checks it for each call that a leaving VM cut off; calls cut by a second SIGTERM, which is to end what is in progress, are left out. Calls that pass are printed with their times.

--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -6,15 +6,126 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.support.platform.replica import event
 from tests.support.platform.site import PLAN_PATH, run_site
 
 from quetzaldeck.entry.settings import EntryBounds
 from quetzaldeck.entry.state import build_shutdown
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from tests.support.platform.replica import Arrival, Connection
     from tests.support.platform.site import Site
 
+    Handler = Callable[[Arrival, Connection], Awaitable[None]]
+
+GRACE_S = 3.0
+LATE_S = GRACE_S * 5 / 6
+"""From then on a VM may cut off what a replica is still at work on."""
+
+N_EVENTS = 20
+EVENT_S = 0.1
+SILENCE_S = 1.2
+
+
+class Streams:
+    """Replicas of a stream that lasts two seconds.
+
+    :param silent_after: event after which the first replica is silent for a while
+    :param second: what further replicas do; ``None``: they go on with the stream
+    """
+
+    def __init__(self, silent_after: int, second: Handler | None) -> None:
+        self._silent_after = silent_after
+        self._second = second
+        self.n_runs = 0
+        self.ended_s = 0.0
+
+    async def handle(self, arrival: Arrival, connection: Connection) -> None:
+        """Send nothing for a second within the stream, and go on."""
+        self.n_runs += 1
+        if self.n_runs == 1:
+            await self._stream(arrival, connection, self._silent_after)
+        elif self._second is None:
+            await self._stream(arrival, connection, silent_after=0)
+        else:
+            await self._second(arrival, connection)
+
+    async def _stream(
+        self, arrival: Arrival, connection: Connection, silent_after: int
+    ) -> None:
+        try:
+            await connection.begin_stream(arrival)
+            first = int(arrival.headers.get("last-event-id", "0")) + 1
+            for number in range(first, N_EVENTS + 1):
+                await connection.send_chunk(event(number))
+                wait_s = SILENCE_S if number == silent_after else EVENT_S
+                await self._sleep(connection, wait_s)
+            await connection.end_stream()
+        finally:
+            self.ended_s = asyncio.get_running_loop().time()
+
+    async def _sleep(self, connection: Connection, wait_s: float) -> None:
+        """Work for a while, unless the connection is closed."""
+        end_s = asyncio.get_running_loop().time() + wait_s
+        while asyncio.get_running_loop().time() < end_s:
+            await asyncio.sleep(0.01)
+            if connection.is_left:
+                raise ConnectionResetError
+
+
+async def hang(arrival: Arrival, connection: Connection) -> None:
+    while not connection.is_left:
+        await asyncio.sleep(0.01)
+
+
+async def refuse(arrival: Arrival, connection: Connection) -> None:
+    await connection.answer_not_executed(arrival)
+
+
+async def reset(arrival: Arrival, connection: Connection) -> None:
+    connection.reset()
+
+
+SECOND: dict[str, Handler | None] = {
+    "goes_on": None,
+    "hangs": hang,
+    "refuses": refuse,
+    "breaks": reset,
+}
+
+
+@pytest.mark.parametrize("second", SECOND)
+@pytest.mark.parametrize("silent_after", [1, 8, 15, 19])
+@pytest.mark.parametrize("stopped_s", [0.0, 0.25, 0.75, 1.25, 1.75])
+def test_stream_that_is_silent_as_its_vm_stops_is_ended_only_late(
+    second: str, silent_after: int, stopped_s: float
+) -> None:
+    """Guards against ending a stream on which no replica is at work any more, or early.
+
+    A sound replica is silent for a second, and its VM is stopped before or meanwhile.
+    """
+    streams = Streams(silent_after, SECOND[second])
+
+    async def test(site: Site) -> None:
+        loop = asyncio.get_running_loop()
+        call = asyncio.create_task(site.call(PLAN_PATH, deadline_ms=20_000))
+        await site.wait(lambda: any(engine.calls for engine in site.engines))
+        await asyncio.sleep(stopped_s)
+        signal_s = loop.time()
+        n_aborted = await site.entry.drain()
+        answer = await call
+        if answer.is_whole:
+            assert answer.body == b"".join(event(n + 1) for n in range(N_EVENTS))
+            assert n_aborted == 0
+            return
+        await asyncio.sleep(0.1)
+        assert streams.ended_s - signal_s >= LATE_S
+
+    engines = (streams.handle, streams.handle)
+    run_site(test, engines=engines, bounds=EntryBounds(grace_s=GRACE_S))
+
 
 @pytest.mark.parametrize("grace_s", [3.0, 8.0, 30.0])
 def test_nothing_is_aborted_before_the_last_sixth_of_the_grace_period(
--- a/tests/soak/entry/__main__.py
+++ b/tests/soak/entry/__main__.py
@@ -53,6 +53,8 @@
         )
         for finding in result.findings[:10]:
             click.echo(f"  {finding}")
+        for cut_off in result.cut_off:
+            click.echo(f"  at work in the last sixth of the grace: {cut_off}")
         if result.findings:
             n_failed += 1
             click.echo(f"  faults: {' '.join(result.faults)}")
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -334,12 +334,17 @@
     for _ in range(random_state.randint(2, MAX_SILENCES)):
         serving = world.serving
         n_silent = max(1, round(share * len(serving)))
-        links = [world.links[r] for r in random_state.sample(serving, n_silent)]
+        silent = random_state.sample(serving, n_silent)
+        links = [world.links[r] for r in silent]
+        begin_ms = now_ms()
         for link in links:
             link.hold_answers()
         await asyncio.sleep(random_state.uniform(*SILENCE_S))
         for link in links:
             link.release_answers()
+        world.history.silences += [
+            FaultInterval("silence_replicas", r, begin_ms, now_ms()) for r in silent
+        ]
         await asyncio.sleep(random_state.uniform(*SILENCE_S))
     world.n_wanting_long_calls -= 1
 
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -119,7 +119,8 @@
 
     ``revoked_ms`` has the time of revocation by API key, ``leaving_ms`` the time at
     which a replica was marked as leaving, by replica, ``injections`` when each fault
-    acted, excused or not, ``rate_limits`` what each replica
+    acted, excused or not, ``work_ends`` when replicas ended their work on each call,
+    ``silences`` when replicas sent nothing, ``rate_limits`` what each replica
     received and named, ``crashes`` what replicas got of requests that crash them, and
     ``part_crashes`` what they got of prompts with parts that do.
     """
@@ -129,6 +130,8 @@
         self.calls: list[CallRecord] = []
         self.fault_intervals: list[FaultInterval] = []
         self.injections: list[FaultInterval] = []
+        self.silences: list[FaultInterval] = []
+        self.work_ends: defaultdict[str, list[tuple[str, float]]] = defaultdict(list)
         self.partitions: list[Partition] = []
         self.route_gaps: list[RouteGap] = []
         self.stop_failures: list[str] = []
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -94,6 +94,13 @@
             return
         execution = Execution(arrival.call_id, self.replica_id, now_ms(), owner, after)
         self._history.executions.append(execution)
+        try:
+            await self._run(arrival, connection, after)
+        finally:
+            ended = (self.replica_id, now_ms())
+            self._history.work_ends[arrival.call_id].append(ended)
+
+    async def _run(self, arrival: Arrival, connection: Connection, after: str) -> None:
         if self.endless is not None:
             await pour(self.endless, arrival, connection)
             return
--- a/tests/soak/entry/run.py
+++ b/tests/soak/entry/run.py
@@ -13,6 +13,7 @@
 from tests.soak.entry.checks import check_history
 from tests.soak.entry.faults import FAULTS, PlannedFault, inject, plan_faults
 from tests.soak.entry.history import record_loop_stalls
+from tests.soak.entry.leaving_checks import check_leaving, list_cut_calls
 from tests.soak.entry.log_checks import check_logs
 from tests.soak.entry.world import FREE_MS, SoakWorld
 
@@ -31,6 +32,7 @@
     :param faults: names of the injected faults, in order
     :param findings: violated invariants
     :param logs: log output of the processes, by VM
+    :param cut_off: calls that VMs cut off as they left, which they may
     """
 
     seed: int
@@ -39,6 +41,7 @@
     n_answered: int
     findings: tuple[str, ...]
     logs: dict[str, str]
+    cut_off: tuple[str, ...] = ()
 
 
 async def run_soak(
@@ -81,6 +84,7 @@
             findings.append(f"memory: {n_reserved} reservations were not released")
         logs = {vm.name: vm.process.log for vm in world.vms}
         findings += check_logs(world.history, logs)
+        findings += check_leaving(world.history)
     calls = world.history.calls
     n_answered = sum(call.status == 200 and call.is_complete for call in calls)
     return SoakResult(
@@ -90,6 +94,9 @@
         n_answered,
         tuple(findings),
         logs,
+        tuple(
+            call.render() for call in list_cut_calls(world.history) if call.is_excused
+        ),
     )
 
 
