Do not count a replacement that was not started as an attempt

A stream was cut off although its route allows two attempts and one had been made. Its silent replica went on in the moment in which the replacement was dispatched: the handler dropped the dispatch, but the scheduler took the attempt for sent, counted it, and allowed no retry when the stream broke later.

The handler now tells the scheduler of a dispatch that it drops (Ticket.drop_dispatch) before it has the silent attempt taken back, so that the attempt is forgotten as one that was never sent.

test_replacement_that_was_not_started_does_not_count_as_an_attempt fails before.

--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -281,8 +281,7 @@
         for attempt in others:
             self._give_up(attempt)
         if self._dispatching is not None:
-            self._cancel(self._dispatching)
-            self._dispatching = None
+            self._drop_dispatch(self._dispatching)
         if self._handing_over is not None and winner is not None:
             self._cancel(self._handing_over)
             self._handing_over = None
@@ -297,6 +296,11 @@
             self._n_maybe_run += attempt.runner.may_have_run
             self._record_left(attempt)
 
+    def _drop_dispatch(self, dispatching: asyncio.Task[Dispatch]) -> None:
+        self._dispatching = None
+        self._ticket.drop_dispatch(dispatching)
+        self._cancelled.append(dispatching)
+
     def _cancel(self, task: asyncio.Task[object]) -> None:
         task.cancel()
         self._cancelled.append(task)
@@ -406,8 +410,7 @@
         try:
             self._recheck()
         except _RefusedError as error:
-            self._cancel(self._dispatching)
-            self._dispatching = None
+            self._drop_dispatch(self._dispatching)
             self._refuse(error)
             self._ended.put_nowait(None)
 
--- a/src/quetzaldeck/gateway/attempt_tasks.py
+++ b/src/quetzaldeck/gateway/attempt_tasks.py
@@ -183,7 +183,8 @@
 
     def _give_up_dispatch(self) -> None:
         if self._dispatching is not None:
-            self._cancel(self._dispatching)
+            self._ticket.drop_dispatch(self._dispatching)
+            self._cancelled.append(self._dispatching)
             self._dispatching = None
 
     def _cancel(self, task: asyncio.Task[object]) -> None:
--- a/src/quetzaldeck/gateway/ticket.py
+++ b/src/quetzaldeck/gateway/ticket.py
@@ -114,13 +114,26 @@
 
         :returns: whether the scheduler tracks it again
         """
+        self._drop_decisions()
         reply: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._send(ResumeAttempt(self._request.request_id, attempt_id, reply))
         is_tracked = await reply
-        while not self._decisions.empty():
-            self._decisions.get_nowait()
+        self._drop_decisions()
         return is_tracked
 
+    def drop_dispatch(self, dispatching: asyncio.Task[Dispatch]) -> None:
+        """Stop waiting for a dispatch; the attempt of one that has come is not sent."""
+        if not dispatching.done():
+            dispatching.cancel()
+        elif not dispatching.cancelled() and dispatching.exception() is None:
+            self.drop_attempt(dispatching.result().attempt_id)
+
+    def _drop_decisions(self) -> None:
+        while not self._decisions.empty():
+            decision = self._decisions.get_nowait()
+            if not isinstance(decision, Rejection):
+                self.drop_attempt(decision.attempt_id)
+
     async def retry_kept(self) -> None:
         """Have another attempt queued, after the next one was rejected or not sent.
 
--- a/tests/entry/test_living_attempts.py
+++ b/tests/entry/test_living_attempts.py
@@ -24,6 +24,7 @@
 )
 from tests.support.platform.store import CONFIGURATION_KEY
 
+from quetzaldeck.entry.call_run import CallRun
 from quetzaldeck.entry.upstream_client import UpstreamClient
 from quetzaldeck.gateway.ticket import Ticket
 
@@ -182,6 +183,44 @@
     run_site(test, engines=(behave,) * 3)
 
 
+def test_replacement_that_was_not_started_does_not_count_as_an_attempt(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A stream goes on as its replacement is dispatched, breaks, and is cut off."""
+    is_dispatched = asyncio.Event()
+    has_gone_on = asyncio.Event()
+    handle_ended = CallRun._handle_ended
+    n_calls = 0
+
+    async def handle_late(run: CallRun, task: asyncio.Task[object] | None) -> object:
+        if n_calls == 1 and task is not None and task is run._dispatching:
+            is_dispatched.set()
+            await has_gone_on.wait()
+        return await handle_ended(run, task)
+
+    async def behave(arrival: Arrival, connection: Connection) -> None:
+        nonlocal n_calls
+        n_calls += 1
+        if n_calls > 1:
+            await stream(arrival, connection)
+            return
+        await connection.begin_stream(arrival)
+        await connection.send_chunk(event(1))
+        await is_dispatched.wait()
+        await connection.send_chunk(event(2))
+        await asyncio.sleep(0.05)
+        has_gone_on.set()
+        await asyncio.sleep(0.05)
+        connection.reset()
+
+    async def test(site: Site) -> None:
+        answer = await site.call(PLAN_PATH, deadline_ms=4_500)
+        assert (answer.body, answer.is_whole, n_calls) == (WHOLE, True, 2)
+
+    monkeypatch.setattr(CallRun, "_handle_ended", handle_late)
+    run_site(test, engines=(behave, behave))
+
+
 @pytest.mark.parametrize("path", [LOOK_PATH, PLAN_PATH])
 def test_refused_replacement_does_not_promise_that_the_call_has_not_run(
     path: str,
