Bound the bytes of a head, and those beside a body

Callers of sound replicas were refused while two of seven replicas sent interim responses without end: nothing counted bytes before a final head, and each VM's event loop was full of parsing them. A connection now counts the bytes of a head before it parses them: interim responses, blank lines and fields together may have 64 KiB, and the rest is not parsed. Beside a body it allows eight bytes of framing for each of the body, and as much as a head, so extensions of chunks and trailers end as well. Bytes after a complete response close the connection. The fault is a bad answer of the upstream, and the line answer_over_bound names the bound and what was seen.

A head that is no HTTP was counted as a broken connection, as if the replica had crashed; it is a bad answer too.

--- a/src/quetzaldeck/entry/upstream_client.py
+++ b/src/quetzaldeck/entry/upstream_client.py
@@ -22,9 +22,13 @@
 each one counts towards the connections that an upstream accepts from all VMs
 together."""
 
-MAX_HEAD_BYTES = 32_768
+MAX_FIELD_BYTES = 32_768
 """Limit on the status line and on each response header, four times what servers usually
 allow."""
+
+READ_BUFFER_BYTES = 65_536
+"""Bytes of a body that may wait for a slow caller until reading stops."""
+
 _SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -63,8 +67,9 @@
             middlewares=(send_once,),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
             skip_auto_headers=_SUPPRESSED_HEADERS,
         )
         return self
--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -8,15 +8,16 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 
+from quetzaldeck.http.answer_bounds import BoundedResponseHandler
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
     import asyncio
 
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ClientResponse
     from aiohttp.connector import AddrInfoType, Connection
     from aiohttp.tracing import Trace
@@ -51,7 +52,7 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
-class UpstreamProtocol(ResponseHandler):
+class UpstreamProtocol(BoundedResponseHandler):
     """One connection to an upstream, guarded against three faults.
 
     - A body without a length ends with its connection. If the connection is reset,
@@ -108,6 +109,7 @@
                 request=self._expected_id,
                 answered=answered,
             )
+            self.await_other_response()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that was incomplete when the connection was reset."""
--- a/src/quetzaldeck/upstreams/http.py
+++ b/src/quetzaldeck/upstreams/http.py
@@ -12,6 +12,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from quetzaldeck.decisions.decision import AttemptFault
+from quetzaldeck.http.answer_bounds import OverBoundError, log_over_bound
 from quetzaldeck.upstreams.errors import UpstreamError
 
 if TYPE_CHECKING:
@@ -80,9 +81,14 @@
         raise UpstreamError(
             AttemptFault.SILENT, f"{name}: timed out waiting for data", upstream=name
         ) from error
-    except HttpProcessingError as error:
+    except OverBoundError as error:
+        log_over_bound(name, error)
+        raise UpstreamError(
+            AttemptFault.BAD_ANSWER, f"{name}: {error}", upstream=name
+        ) from error
+    except (HttpProcessingError, aiohttp.ClientResponseError) as error:
         # aiohttp stops reading an overlong event with an error that is not a
-        # subclass of ClientError.
+        # subclass of ClientError, and raises the other one for an invalid head.
         raise UpstreamError(
             AttemptFault.BAD_ANSWER, f"{name}: {error!r}", upstream=name
         ) from error
