Bound the body of a response that is not a stream

A look-up whose body did not end lasted to its deadline, and all of it was held: a watch on silence sees bytes come, and nothing counted them. A response may now have max_answer_bytes, 1 MiB unless set otherwise. A longer one closes the connection as it arrives, is a bad answer of the upstream, and is retried where the route may be; the bytes beside a body may be as many as those of the body, as chunks of one byte cost a VM more time to parse than their bytes to receive.

--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -10,6 +10,7 @@
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault
 from quetzaldeck.entry.attempt import AttemptRunner
+from quetzaldeck.http.answer_bounds import read_body
 from quetzaldeck.platform import build_response_headers
 from quetzaldeck.routing import RequestKind
 from quetzaldeck.upstreams import UpstreamError
@@ -163,12 +164,17 @@
         return response
 
     async def _read_body(self, opened: OpenResponse) -> bytes:
+        """:raises OverBoundError: if the body is longer than the settings allow"""
         watch = self.runner.watch_first_byte(self.dispatch)
-        parts = []
-        while data := await watch.wait(opened.response.content.readany):
-            self._note_data()
-            parts.append(data)
-        return b"".join(parts)
+
+        async def read() -> bytes:
+            data = await watch.wait(opened.response.content.readany)
+            if data:
+                self._note_data()
+            return data
+
+        max_bytes = self._state.settings.bounds.max_answer_bytes
+        return await read_body(opened.response, max_bytes, read=read)
 
     def _note_data(self) -> None:
         self._note_heard()
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -16,6 +16,10 @@
 EXPIRY_MARGIN_MS = 1_400.0
 """Time for the store to remove an entry and for a VM to learn of it."""
 
+MAX_ANSWER_BYTES = 1 << 20
+"""A response is held until it is complete, so that half of it is never forwarded: a
+few endless ones at a time have to fit into the memory of a VM."""
+
 N_CAPACITY_DIGITS = 2
 MIN_CAPACITY = 0.01
 """Least capacity assumed for a VM's processor, in cores."""
@@ -70,6 +74,10 @@
         float,
         Option("Interval at which replicas write their entries.", unit="ms", minimum=1),
     ] = 1_200.0
+    max_answer_bytes: Annotated[
+        int,
+        Option("Longest response of an upstream, if it is not a stream.", unit="bytes"),
+    ] = MAX_ANSWER_BYTES
 
     @property
     def entry_expiry_ms(self) -> float:
--- a/src/quetzaldeck/http/answer_bounds.py
+++ b/src/quetzaldeck/http/answer_bounds.py
@@ -23,8 +23,9 @@
 """Limit on all that precedes a body: interim responses, blank lines, the status line
 and all headers. It is eight times what servers usually allow."""
 
-MAX_FRAMING_FACTOR = 8
-"""Bytes of framing for each byte of a body, at most: a chunk of one byte takes five."""
+MAX_FRAMING_FACTOR = 1
+"""Bytes beside a body for each of its bytes, in addition to those of a head. Chunks of
+five bytes or more stay below it; parsing shorter ones costs more than it brings."""
 
 MIN_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
@@ -157,6 +158,9 @@
             # Nothing is requested, so the connection cannot be used any more.
             self._drop()
             return
+        self._check_framing()
+        if self._is_over:
+            return
         self._n_body_bytes += len(data)
         super().data_received(data)
         self._check_framing()
@@ -192,7 +196,8 @@
     def _check_framing(self) -> None:
         """Check how much was sent beside the body.
 
-        While reading is paused, some bytes of the body are not parsed yet.
+        While reading is paused, some bytes of the body are not parsed yet; they are
+        once the next ones arrive.
         """
         answer = self._answer
         if answer is None or self._reading_paused or answer.is_eof():
