Close callers' connections whose requests do not go on

Callers saw nothing of it, but a VM did: one that sends blank lines, extensions of chunks, the digits of a chunk's size, trailers or tiny chunks without end had its bytes parsed for as long as it liked, and so had one whose body had been refused (ten seconds more). A head that comes a byte a second was never given up by an entry VM, as the platform's headerTimeoutMs was read and not used; where there was a limit, it held for the first request of a connection only.

The server now counts bytes as they arrive. Progress is a complete head or a byte of a body: 256 KiB without any, or twice the limit on bodies and 256 KiB within one request, close the connection, and so does a head that is not complete within headerTimeoutMs (own interface: request_head_ms) of its first byte, counted in steps, as the rest may have come while the process was paused. One log line has the bound and what was seen, and connections_broken counts it. All HTTP services have it; limits are those of the configuration in force.

Sound requests in small chunks, with slow heads and bodies, or with an empty line after a body are not cut.

--- a/src/quetzaldeck/agent/service.py
+++ b/src/quetzaldeck/agent/service.py
@@ -38,6 +38,8 @@
     :param middlewares: of the HTTP server, e.g. to simulate partitions in tests
     """
 
+    max_body_bytes = MAX_BODY_BYTES
+
     def __init__(
         self,
         settings: AgentSettings,
--- a/src/quetzaldeck/capacity/token_source.py
+++ b/src/quetzaldeck/capacity/token_source.py
@@ -23,6 +23,8 @@
     :param token_interval_ms: delay between tokens; 0 sends them back to back
     """
 
+    max_body_bytes = MAX_BODY_BYTES
+
     def __init__(
         self, *, delay_ms: float = 0.0, token_interval_ms: float = 0.0
     ) -> None:
--- a/src/quetzaldeck/entry/handover_service.py
+++ b/src/quetzaldeck/entry/handover_service.py
@@ -7,10 +7,12 @@
 from aiohttp import web
 
 from quetzaldeck.entry.handler import CallHandler
+from quetzaldeck.entry.view import read_caller_limits
 from quetzaldeck.http import (
     SHORT_SHUTDOWN_TIMEOUT_S,
     HttpServiceBase,
     ListenAddress,
+    RequestLimits,
 )
 
 if TYPE_CHECKING:
@@ -43,6 +45,10 @@
         application.router.add_route("*", "/{path:.*}", handler.handle_handed_over)
         return application
 
+    def read_request_limits(self) -> RequestLimits:
+        """:returns: the limits of the configuration in force; see the base class"""
+        return read_caller_limits(self._read_state().view)
+
     async def close(self) -> None:
         """Do nothing: the socket, the only resource, is closed already."""
 
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -12,10 +12,13 @@
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.entry.handler import CallHandler
 from quetzaldeck.entry.session import EntrySession
+from quetzaldeck.entry.view import read_caller_limits
 from quetzaldeck.http import (
     SHORT_SHUTDOWN_TIMEOUT_S,
+    Bound,
     ConnectionShedder,
     HttpServiceBase,
+    RequestLimits,
     metrics_response,
     parse_listen_address,
 )
@@ -96,6 +99,14 @@
         """Apply settings that changed while the program runs."""
         self._session.apply_settings(settings)
 
+    def read_request_limits(self) -> RequestLimits:
+        """:returns: the limits of the configuration in force; see the base class"""
+        return read_caller_limits(self._session.state.view)
+
+    def note_over_bound(self, bound: Bound) -> None:
+        """Count the connection that was closed; see the base class."""
+        self._session.metrics.connections_broken.labels(bound.value).inc()
+
     async def drain(self) -> int:
         """Drain requests; see :class:`quetzaldeck.gateway.drain.Drain`."""
         return await self._session.state.drain.run()
--- a/src/quetzaldeck/gateway/service.py
+++ b/src/quetzaldeck/gateway/service.py
@@ -18,8 +18,10 @@
 from quetzaldeck.gateway.session import GatewaySession
 from quetzaldeck.gateway.status import build_status
 from quetzaldeck.http import (
+    Bound,
     ConnectionGuard,
     HttpServiceBase,
+    RequestLimits,
     Stall,
     json_response,
     metrics_response,
@@ -89,6 +91,16 @@
         )
         return application
 
+    def read_request_limits(self) -> RequestLimits:
+        """:returns: the limits in the settings; see the base class"""
+        bounds = self._settings.callers
+        return RequestLimits(bounds.max_body_bytes, bounds.request_head_ms)
+
+    def note_over_bound(self, bound: Bound) -> None:
+        """Count the connection that was closed; see the base class."""
+        why = Stall.NO_REQUEST if bound is Bound.HEAD_TIME else bound
+        self._session.metrics.connections_broken.labels(why.value).inc()
+
     async def drain(self) -> int:
         """Shut down gracefully; see :class:`quetzaldeck.gateway.drain.Drain`."""
         n_aborted = await self._session.state.drain.run()
--- a/src/quetzaldeck/http/__init__.py
+++ b/src/quetzaldeck/http/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from quetzaldeck.http.address import ListenAddress, parse_listen_address
+from quetzaldeck.http.bounded_server import Bound, RequestLimits
 from quetzaldeck.http.connection_guard import ConnectionGuard, Stall
 from quetzaldeck.http.json import JSON_TYPE, BodyError, decode_body, json_response
 from quetzaldeck.http.metrics import metrics_response
@@ -13,10 +14,12 @@
     "JSON_TYPE",
     "SHORT_SHUTDOWN_TIMEOUT_S",
     "BodyError",
+    "Bound",
     "ConnectionGuard",
     "ConnectionShedder",
     "HttpServiceBase",
     "ListenAddress",
+    "RequestLimits",
     "Stall",
     "decode_body",
     "json_response",
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -8,6 +8,12 @@
 from aiohttp import web
 
 from quetzaldeck.early_listener import MAX_QUEUED_CONNECTIONS
+from quetzaldeck.http.bounded_server import (
+    MAX_BODY_BYTES,
+    Bound,
+    BoundedRunner,
+    RequestLimits,
+)
 from quetzaldeck.http.shedding import SheddingSite
 
 if TYPE_CHECKING:
@@ -49,6 +55,9 @@
     shedder: ConnectionShedder | None = None
     """Decides which new connections to close unread; ``None``: none are."""
 
+    max_body_bytes = MAX_BODY_BYTES
+    """Limit on the body of a request."""
+
     _runner: web.AppRunner | None = None
     _site: web.BaseSite | None = None
     _port = 0
@@ -101,6 +110,10 @@
     async def close(self) -> None:
         """End the tasks; called after the socket has been closed."""
 
+    def read_request_limits(self) -> RequestLimits:
+        """:returns: limits on requests; more closes their connection"""
+        return RequestLimits(self.max_body_bytes)
+
     async def drain(self) -> int:
         """Wait for requests in progress before a stop.
 
@@ -119,11 +132,16 @@
     ) -> None:
         """Record that a request was read and never handled, as its caller had left."""
 
+    def note_over_bound(self, bound: Bound) -> None:  # noqa: B027 - it is logged already
+        """Record that a connection was closed whose request exceeds a bound."""
+
     async def start(self) -> None:
         """Open the application and listen."""
         application = await self.open()
-        self._runner = web.AppRunner(
+        self._runner = BoundedRunner(
             application,
+            self.read_request_limits,
+            self.note_over_bound,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
--- a/src/quetzaldeck/http/shedding.py
+++ b/src/quetzaldeck/http/shedding.py
@@ -17,14 +17,15 @@
 
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
-from aiohttp.web_protocol import RequestHandler
 
+from quetzaldeck.http.bounded_server import BoundedConnection
 from quetzaldeck.http.socket_wait import read_wait_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
     from socket import socket
 
+    from aiohttp.web_protocol import RequestHandler
     from multidict import CIMultiDictProxy
 
     from quetzaldeck.clock import Clock
@@ -129,7 +130,7 @@
         return _NewConnection(build_handler, self._shedder, self._on_shed)
 
 
-class ReportingRequestHandler(RequestHandler):
+class ReportingRequestHandler(BoundedConnection):
     """Reports requests that were read and never handled, as their caller had left.
 
     :param server: the HTTP server
--- a/src/quetzaldeck/standin/base.py
+++ b/src/quetzaldeck/standin/base.py
@@ -30,6 +30,8 @@
 class StandinBase(HttpServiceBase):
     """An HTTP service that can crash, pause and break or silence its connections."""
 
+    max_body_bytes = MAX_BODY_BYTES
+
     def __init__(self, listen: ListenAddress, **kwargs: Any) -> None:
         super().__init__(listen, **kwargs)
         self._connection_faults = ConnectionFaults()
