Let a test send an answer longer than the usual bound

The test of an answer that cannot be written has one of 20 MB, to fill the sockets; with the bound of 1 MiB on answers it never began. The bound is set to that length in this test; what it checks is as it was.

--- a/tests/entry/test_connection_ends.py
+++ b/tests/entry/test_connection_ends.py
@@ -204,7 +204,11 @@
         assert (line["request"], line["status"]) == ("raw", "200")
 
     with read_log() as log:
-        run_site(lambda site: test(site, log), desks=(answer_much,))
+        run_site(
+            lambda site: test(site, log),
+            desks=(answer_much,),
+            bounds=EntryBounds(max_answer_bytes=MANY_BYTES),
+        )
 
 
 def test_stream_cut_off_by_a_shutdown_names_the_call() -> None:
