Count only events as progress of a stream, and bound what comes beside them

While one replica of four sent comments without end, its VM forwarded each as an event to the caller, and its event loop was full: neighbours of another service had a 95th percentile of 3.4 s. A comment each 100 ms, or one event again and again, ended each silence, so the call lasted to its deadline and failed with 504.

Comments and blank lines are told from events, and are split off in one piece. They are forwarded as they come once the stream has begun, and with the first event before that; 64 KiB of them may come between two events. Events that the caller has may come again as often as a resumed stream needs. Neither ends a silence: the attempt is replaced as if nothing had come, keeps running, and the first that has an event wins. All events of one read are forwarded in one write. An overlong event is logged like other bounds.

A response to another request does not count as the awaited head any more.

--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -79,7 +79,7 @@
 
     @property
     def heard_ms(self) -> float:
-        """:returns: when its upstream last sent anything, or when the request was sent
+        """:returns: when the answer last went on, or when the request was sent
 
         It is the current time while the request waits for its turn, or for memory: the
         upstream has nothing to answer yet.
@@ -140,7 +140,9 @@
             claim=lambda: self._claim(self),
             on_first_event=lambda: self._ticket.note_first_token(attempt_id),
             on_lived=lambda: self._ticket.note_lived(attempt_id),
-            on_data=self._note_data,
+            on_data=self._note_path,
+            on_progress=self._note_heard,
+            may_write=lambda: not self.is_left,
         )
 
     async def _read_whole(self, opened: OpenResponse) -> web.Response:
@@ -178,6 +180,9 @@
 
     def _note_data(self) -> None:
         self._note_heard()
+        self._note_path()
+
+    def _note_path(self) -> None:
         self._state.paths.note_heard(self.upstream)
 
     def _note_heard(self) -> None:
--- a/src/quetzaldeck/entry/event_reader.py
+++ b/src/quetzaldeck/entry/event_reader.py
@@ -5,26 +5,32 @@
 import re
 from typing import NamedTuple
 
+from quetzaldeck.http.answer_bounds import OverBoundError
+
 MAX_EVENT_BYTES = 1 << 20
 """Limit on the size of an event, so that a faulty upstream cannot exhaust memory."""
 
+_COMMENTS = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)+")
+"""Lines that are comments or blank, where an event may begin."""
+
 _EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
+_MAX_END_BYTES = 3
+"""Bytes of the end of an event that may be buffered before its last one arrives."""
+
 
 class StreamEvent(NamedTuple):
-    """One complete event.
+    """One complete event, or the comments and blank lines between two events.
 
     :param data: its bytes, including the blank line that ends it
     :param event_id: ``""`` if it has none
+    :param is_comment: whether it has only comments and blank lines
     """
 
     data: bytes
     event_id: str
-
-
-class EventTooLargeError(ValueError):
-    """An event is longer than :data:`MAX_EVENT_BYTES`."""
+    is_comment: bool = False
 
 
 class EventReader:
@@ -36,7 +42,7 @@
     """
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -46,19 +52,28 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """:returns: the events that ``data`` completes
 
-        :raises EventTooLargeError: if an incomplete event exceeds the size limit
+        :raises OverBoundError: if an incomplete event exceeds the size limit
         """
-        buffered = self._partial + data
+        partial = self._partial
+        # The end of the buffered event may span what is buffered and what is new.
+        searched = max(0, len(partial) - _MAX_END_BYTES)
+        partial += data
         events = []
         start = 0
-        for end in _EVENT_END.finditer(buffered):
-            event = buffered[start : end.end()]
+        while True:
+            comments = _COMMENTS.match(partial, start)
+            if comments is not None:
+                start = comments.end()
+                events.append(StreamEvent(comments.group(), "", is_comment=True))
+            end = _EVENT_END.search(partial, max(start, searched))
+            if end is None:
+                break
+            event = bytes(partial[start : end.end()])
             start = end.end()
             events.append(StreamEvent(event, _read_id(event)))
-        self._partial = buffered[start:]
-        if len(self._partial) > MAX_EVENT_BYTES:
-            msg = f"an event exceeds {MAX_EVENT_BYTES} bytes"
-            raise EventTooLargeError(msg)
+        del partial[:start]
+        if len(partial) > MAX_EVENT_BYTES:
+            raise OverBoundError("event", MAX_EVENT_BYTES, len(partial))
         return events
 
 
@@ -67,4 +82,4 @@
     return "" if match is None else match.group(1).decode("utf-8", "replace").strip()
 
 
-__all__ = ("MAX_EVENT_BYTES", "EventReader", "EventTooLargeError", "StreamEvent")
+__all__ = ("MAX_EVENT_BYTES", "EventReader", "StreamEvent")
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -268,6 +268,8 @@
                 on_first_event=lambda: None,
                 on_lived=lambda: None,
                 on_data=lambda: None,
+                on_progress=lambda: None,
+                may_write=lambda: True,
             )
             await claim()
             return await relay.finish()
--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -20,6 +20,7 @@
     from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ClientResponse
     from aiohttp.connector import AddrInfoType, Connection
+    from aiohttp.http import RawResponseMessage
     from aiohttp.tracing import Trace
 
     from quetzaldeck.clock import Clock
@@ -99,17 +100,20 @@
         while True:
             item = await super().read()
             message = item[0]
-            answered = message.headers.get(self._echo_header)
-            if answered is None or self._expected_id in (None, answered):
+            if self.is_expected(message):
                 self._record_keep_alive(message.headers)
                 return item
             log_event(
                 "foreign_answer_dropped",
                 level="WARNING",
                 request=self._expected_id,
-                answered=answered,
+                answered=message.headers.get(self._echo_header),
             )
-            self.await_other_response()
+
+    def is_expected(self, message: RawResponseMessage) -> bool:
+        """:returns: whether a head does not belong to another request"""
+        answered = message.headers.get(self._echo_header)
+        return answered is None or self._expected_id in (None, answered)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that was incomplete when the connection was reset."""
--- a/src/quetzaldeck/gateway/silence_watch.py
+++ b/src/quetzaldeck/gateway/silence_watch.py
@@ -48,9 +48,16 @@
         self._call_id = call_id
         self._bound_ms = bound_ms
         self._on_verdict = on_verdict
+        # Of the waits since the last progress.
+        self._waited_ms = 0.0
+        self._next_check_ms = bound_ms or 0.0
+        self._logged: SilenceVerdict | None = None
 
     async def wait(
-        self, start: Callable[[], Coroutine[object, object, Result]]
+        self,
+        start: Callable[[], Coroutine[object, object, Result]],
+        *,
+        goes_on: bool = False,
     ) -> Result:
         """Await a coroutine, and consult the scheduler until the attempt is replaced.
 
@@ -58,19 +65,29 @@
         have queued another attempt.
 
         :param start: creates the coroutine
+        :param goes_on: whether the last wait brought bytes, but no progress: the
+            silence goes on, and the attempt is not replaced twice
         """
         if self._bound_ms is None:
             return await start()
+        if not goes_on:
+            self._waited_ms = 0.0
+            self._next_check_ms = self._bound_ms
+            self._logged = None
+        elif self._logged is SilenceVerdict.REPLACE:
+            return await start()
         judging: asyncio.Task[None] | None = None
         has_ended = asyncio.Event()
-        started_ms = self._clock.now_ms()
+        begun_ms = self._clock.now_ms()
+        started_ms = begun_ms - self._waited_ms
 
         def judge() -> None:
             nonlocal judging
             judging = asyncio.create_task(self._judge(started_ms, has_ended))
 
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(self._bound_ms / MS_PER_SECOND, judge)
+        delay_ms = max(0.0, self._next_check_ms - self._waited_ms)
+        timer = loop.call_later(delay_ms / MS_PER_SECOND, judge)
         try:
             return await start()
         except asyncio.CancelledError:
@@ -80,18 +97,19 @@
         finally:
             timer.cancel()
             has_ended.set()
+            self._waited_ms += self._clock.now_ms() - begun_ms
             if judging is not None:
                 await judging
 
     async def _judge(self, started_ms: float, has_ended: asyncio.Event) -> None:
         """Consult the scheduler until the wait ends, or the attempt is replaced."""
-        logged: SilenceVerdict | None = None
         while not has_ended.is_set():
             silent_ms = self._clock.now_ms() - started_ms
             verdict = await self._ticket.judge_silence(self._attempt_id, silent_ms)
             is_replaced = verdict is SilenceVerdict.REPLACE
-            if logged is None or (is_replaced and logged is not verdict):
-                logged = verdict
+            self._next_check_ms = silent_ms + SILENCE_RECHECK_MS
+            if self._logged is None or (is_replaced and self._logged is not verdict):
+                self._logged = verdict
                 self._log_verdict(silent_ms, verdict)
             self._on_verdict(verdict)
             if is_replaced:
--- a/src/quetzaldeck/upstreams/watch.py
+++ b/src/quetzaldeck/upstreams/watch.py
@@ -21,11 +21,29 @@
         """:returns: the result of the coroutine that ``start`` creates"""
 
 
+class ProgressWatch(Watch, Protocol):
+    """A watch for which bytes that bring no progress do not end a silence."""
+
+    async def wait(
+        self,
+        start: Callable[[], Coroutine[object, object, Result]],
+        *,
+        goes_on: bool = False,
+    ) -> Result:
+        """:returns: the result of the coroutine that ``start`` creates
+
+        :param goes_on: whether the last wait brought bytes, but no progress
+        """
+
+
 class NoWatch:
     """Waits without a bound, where somebody else watches for silence."""
 
     async def wait(
-        self, start: Callable[[], Coroutine[object, object, Result]]
+        self,
+        start: Callable[[], Coroutine[object, object, Result]],
+        *,
+        goes_on: bool = False,
     ) -> Result:
         """:returns: the result of the coroutine that ``start`` creates"""
         return await start()
@@ -51,4 +69,4 @@
             return await start()
 
 
-__all__ = ("IdleTimeout", "NoWatch", "Watch")
+__all__ = ("IdleTimeout", "NoWatch", "ProgressWatch", "Watch")
--- a/tests/support/platform/pouring.py
+++ b/tests/support/platform/pouring.py
@@ -37,6 +37,7 @@
 HEAD_FLOODS: dict[str, Callable[[Arrival], Flood]] = {}
 BODY_FLOODS: dict[str, Callable[[Arrival], Flood]] = {}
 STREAM_FLOODS: dict[str, Callable[[Arrival], Flood]] = {}
+AFTER_FLOODS: dict[str, Callable[[Arrival], Flood]] = {}
 
 
 def _register(
@@ -203,6 +204,29 @@
     return Flood(_begin_stream(arrival), _repeat(event(1)), frame_chunk)
 
 
+def _answer(arrival: Arrival) -> bytes:
+    return build_head(arrival, 200, "Content-Length: 5", SEAL) + b"sound"
+
+
+@_register(AFTER_FLOODS)
+def interim_responses_after_answer(arrival: Arrival) -> Flood:
+    """Answer, and then send interim responses."""
+    return Flood(_answer(arrival), _repeat(b"HTTP/1.1 100 Continue\r\n\r\n"))
+
+
+@_register(AFTER_FLOODS)
+def noise_after_answer(arrival: Arrival) -> Flood:
+    """Answer, and then send bytes that are no HTTP."""
+    return Flood(_answer(arrival), _repeat(b"\x16\x03\x01\x02"))
+
+
+@_register(AFTER_FLOODS)
+def answers_after_answer(arrival: Arrival) -> Flood:
+    """Send the answer again and again."""
+    answer = _answer(arrival)
+    return Flood(answer, _repeat(answer))
+
+
 class Pourer:
     """Handles requests with a flood; use :meth:`pour` as the handler of a replica.
 
@@ -248,6 +272,7 @@
 
 
 __all__ = (
+    "AFTER_FLOODS",
     "BODY_FLOODS",
     "HEAD_FLOODS",
     "STREAM_FLOODS",
