Ask again for replacements of the own interface

It is the same cause as for callers of the entry: the replacement was judged apart from the attempt that lives.

--- a/src/quetzaldeck/gateway/attempt_tasks.py
+++ b/src/quetzaldeck/gateway/attempt_tasks.py
@@ -5,7 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING, Generic, Self, TypeVar
 
+from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions import AttemptFault
+from quetzaldeck.decisions.silence_thresholds import SILENCE_RECHECK_MS
 from quetzaldeck.gateway.errors import RequestError
 
 if TYPE_CHECKING:
@@ -44,6 +46,9 @@
 class AttemptTasks(Generic[Result]):
     """Waits for dispatches and runs the attempts, until it is closed.
 
+    A replacement that is refused while a silent attempt runs may be possible later, so
+    it is asked for again until then.
+
     On entry it begins to wait for the first dispatch. On exit it cancels what still
     runs, and waits until that has released its connections.
 
@@ -69,6 +74,7 @@
         self._on_end = on_end
         self._living: list[AttemptTask[Result]] = []
         self._dispatching: asyncio.Task[Dispatch] | None = None
+        self._asking: asyncio.Task[None] | None = None
         self._cancelled: list[asyncio.Task[object]] = []
         self.failure: RequestError | None = None
 
@@ -120,7 +126,11 @@
             try:
                 self._start(dispatching.result())
             except RequestError as error:
-                self.failure = error
+                self._note_refused(error)
+            return None
+        if task is self._asking:
+            self._asking = None
+            self.request_dispatch()
             return None
         attempt = next((a for a in self._living if a.task is task), None)
         if attempt is None:
@@ -129,7 +139,7 @@
         fault = task.exception()
         if isinstance(fault, RequestError):
             self._ticket.drop_attempt(attempt.attempt_id)
-            self.failure = fault
+            self._note_refused(fault)
             return None
         return attempt
 
@@ -147,10 +157,23 @@
         try:
             await self._ticket.end_attempt(end)
         except RequestError as error:
-            self.failure = error
+            self._note_refused(error)
             return False
         return True
 
+    async def retry_if_last(self) -> None:
+        """Ask for another attempt once a replaced one has failed and none is left."""
+        if self._living or self._dispatching is not None:
+            return
+        self._stop_asking()
+        try:
+            self._check()
+            await self._ticket.retry_kept()
+        except RequestError as error:
+            self.failure = error
+        else:
+            self.request_dispatch()
+
     def replace(self, attempt: AttemptTask[Result]) -> None:
         """Wait for the attempt that replaces a silent one, which keeps running."""
         attempt.is_replaced = True
@@ -181,7 +204,31 @@
             self.failure = error
             self._give_up_dispatch()
 
+    def _note_refused(self, error: RequestError) -> None:
+        self.failure = error
+        if self._living and self._asking is None:
+            self._asking = asyncio.create_task(self._ask_again())
+            self._asking.add_done_callback(self._on_end)
+
+    async def _ask_again(self) -> None:
+        """Wait until the scheduler has queued another attempt."""
+        while True:
+            await asyncio.sleep(SILENCE_RECHECK_MS / MS_PER_SECOND)
+            try:
+                self._check()
+                await self._ticket.retry_kept()
+            except RequestError as error:
+                self.failure = error
+            else:
+                return
+
+    def _stop_asking(self) -> None:
+        if self._asking is not None:
+            self._cancel(self._asking)
+            self._asking = None
+
     def _give_up_dispatch(self) -> None:
+        self._stop_asking()
         if self._dispatching is not None:
             self._ticket.drop_dispatch(self._dispatching)
             self._cancelled.append(self._dispatching)
--- a/src/quetzaldeck/gateway/relay.py
+++ b/src/quetzaldeck/gateway/relay.py
@@ -343,6 +343,7 @@
             error=error,
         )
         if run.is_replaced:
+            await self._attempts.retry_if_last()
             return
         if not self._may_retry:
             failure = Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)
--- a/src/quetzaldeck/gateway/service_run.py
+++ b/src/quetzaldeck/gateway/service_run.py
@@ -99,6 +99,7 @@
         self._state.metrics.attempt_faults.labels(error.fault.value).inc()
         self._may_have_run = self._may_have_run or error.may_have_run
         if attempt.is_replaced:
+            await self._attempts.retry_if_last()
             return
         end = AttemptEnd(
             attempt.attempt_id,
