Bound what upstreams of the own interface send

A stand-in engine or service can now send bytes without end in place of answers: interim responses, header fields, comments, an event that never ends, or a body.

The gateway read them for as long as they came. By reading, interim responses and comments would fill its event loop, and bodies of plain services and of load reports were held whole until the deadline. Now the connections of a pool are those with a bound on heads and on bytes beside a body (BoundedConnector), an answer of a plain service is bounded by the setting upstreams.max_answer_bytes, control answers by 1 MiB, and lines between two events by 64 KiB.

--- a/src/quetzaldeck/gateway/session.py
+++ b/src/quetzaldeck/gateway/session.py
@@ -76,7 +76,9 @@
 
     def _build_connections(self) -> Connections:
         bounds = self._settings.upstreams
-        timeouts = UpstreamTimeouts(bounds.connect_ms, bounds.idle_ms)
+        timeouts = UpstreamTimeouts(
+            bounds.connect_ms, bounds.idle_ms, bounds.max_answer_bytes
+        )
         return Connections(timeouts, self._note_replaced_pool)
 
     def _note_replaced_pool(self, upstream: str) -> None:
--- a/src/quetzaldeck/gateway/settings.py
+++ b/src/quetzaldeck/gateway/settings.py
@@ -7,6 +7,7 @@
 from quetzaldeck.config.option import Option
 from quetzaldeck.decisions.policies import Policies
 from quetzaldeck.http.address import ListenAddress
+from quetzaldeck.upstreams.api import MAX_ANSWER_BYTES
 
 
 class CallerBounds(NamedTuple):
@@ -43,7 +44,7 @@
 
 
 class UpstreamBounds(NamedTuple):
-    """Timeouts for upstreams."""
+    """Limits for upstreams."""
 
     connect_ms: Annotated[
         int, Option("Timeout for opening a connection.", unit="ms", minimum=10)
@@ -55,6 +56,14 @@
             unit="ms",
         ),
     ] = 3_000
+    max_answer_bytes: Annotated[
+        int,
+        Option(
+            "Longest answer of an upstream, if it is not a stream.",
+            unit="bytes",
+            minimum=1_000,
+        ),
+    ] = MAX_ANSWER_BYTES
 
 
 class ShutdownSettings(NamedTuple):
--- a/src/quetzaldeck/standin/engine.py
+++ b/src/quetzaldeck/standin/engine.py
@@ -18,6 +18,7 @@
 from quetzaldeck.standin.cache_event_reader import CacheEventReader
 from quetzaldeck.standin.chunk import build_chunk
 from quetzaldeck.standin.chunk_faults import ChunkFaults
+from quetzaldeck.standin.endless import pour
 from quetzaldeck.standin.engine_commands import EngineCommands
 from quetzaldeck.standin.engine_request import build_sequence, split_delivered
 from quetzaldeck.standin.engine_task import EngineTask, HeldSequence
@@ -182,6 +183,9 @@
         prompt = imported + prompt
         self._crash_if_marked(prompt)
         response = web.StreamResponse(headers=self._stream_headers())
+        if self._faults.endless:
+            await pour(self._faults.endless, request)
+            return response
         await response.prepare(request)
         held_sequence = engine.submit(sequence, owner)
         try:
@@ -265,6 +269,8 @@
         )
 
     async def _load(self, request: web.Request) -> web.Response:
+        if self._faults.endless:
+            await pour(self._faults.endless, request)
         lag_ms = self._settings.load_lag_ms + self._faults.extra_load_lag_ms
         load = self._engine.read_load(lag_ms)
         return json_response(
--- a/src/quetzaldeck/standin/faults.py
+++ b/src/quetzaldeck/standin/faults.py
@@ -5,6 +5,7 @@
 from typing import Annotated, NamedTuple
 
 from quetzaldeck.config.option import Option
+from quetzaldeck.standin.endless import ENDLESS_KINDS
 
 
 class EngineFaults(NamedTuple):
@@ -39,6 +40,13 @@
     ignores_fencing: Annotated[
         bool, Option("Accepts commands with an old fencing token.")
     ] = False
+    endless: Annotated[
+        str,
+        Option(
+            "What it sends without end in place of answers; empty: nothing.",
+            choices=ENDLESS_KINDS,
+        ),
+    ] = ""
 
 
 class ServiceFaults(NamedTuple):
@@ -53,6 +61,13 @@
     n_crashes_after: Annotated[
         int, Option("Number of next calls that are aborted after they ran.", minimum=0)
     ] = 0
+    endless: Annotated[
+        str,
+        Option(
+            "What it sends without end in place of answers; empty: nothing.",
+            choices=ENDLESS_KINDS,
+        ),
+    ] = ""
 
 
 class ConfigurationFaults(NamedTuple):
--- a/src/quetzaldeck/standin/plain_service.py
+++ b/src/quetzaldeck/standin/plain_service.py
@@ -12,6 +12,7 @@
 from quetzaldeck.config import load_data
 from quetzaldeck.http import json_response
 from quetzaldeck.standin.base import StandinBase
+from quetzaldeck.standin.endless import pour
 from quetzaldeck.standin.faults import ServiceFaults
 
 if TYPE_CHECKING:
@@ -70,6 +71,9 @@
         if self._on_execution is not None:
             request_id = request.headers.get("X-Request-Id", "")
             self._on_execution(key, digest, request_id)
+        if faults.endless:
+            await pour(faults.endless, request)
+            return await self._abort(request)
         duration_ms = self._settings.duration_ms + faults.extra_duration_ms
         await asyncio.sleep(duration_ms / 1_000)
         if faults.n_crashes_after:
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.loads.load_report import LoadReport
+from quetzaldeck.http.answer_bounds import read_body
 from quetzaldeck.upstreams.api import ServiceUpstream, service_protocols
 from quetzaldeck.upstreams.call import ServiceAnswer
 from quetzaldeck.upstreams.http import build_timeout, translate_faults
@@ -57,16 +58,20 @@
         async with translate_faults(self._spec.name), AsyncExitStack() as stack:
             response = await watch.wait(send)
             self._note_heard()
-            parts = []
-            while data := await watch.wait(response.content.readany):
+
+            async def read() -> bytes:
+                data = await watch.wait(response.content.readany)
                 self._note_heard()
-                parts.append(data)
+                return data
+
+            max_bytes = self._timeouts.max_answer_bytes
+            body = await read_body(response, max_bytes, read=read)
             headers = tuple(
                 (name, value)
                 for name, value in response.headers.items()
                 if name.lower() not in HOP_BY_HOP
             )
-            return ServiceAnswer(response.status, headers, b"".join(parts))
+            return ServiceAnswer(response.status, headers, body)
 
     async def read_load(self) -> LoadReport:
         """:returns: an empty report, since plain services do not report their load"""
--- a/src/quetzaldeck/upstreams/openai_engine.py
+++ b/src/quetzaldeck/upstreams/openai_engine.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.decisions.placement.cache_events import CacheEvent, CacheEvents
+from quetzaldeck.http.answer_bounds import ByteBound, read_body
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams.api import EngineUpstream, engine_protocols
 from quetzaldeck.upstreams.attempt import Chunk, Export, Owner, RunningSequence
@@ -50,6 +51,13 @@
 _EXPORT_DECODER = msgspec.json.Decoder(ExportBody)
 _SEQUENCES_DECODER = msgspec.json.Decoder(list[SequenceBody])
 CONTROL_TIMEOUT_MS = 2_000.0
+MAX_CONTROL_BYTES = 1 << 20
+"""Limit on an answer that is no completion; a list of sequences has some 200 bytes for
+each."""
+
+MAX_UNUSED_BYTES = 65_536
+"""Limit on comments and blank lines between two events: keep-alives of half an hour."""
+
 _CACHED_KIND = "cached"
 _END_OF_STREAM_TIMEOUT_MS = 20.0
 
@@ -233,7 +241,7 @@
             self._session.get(self._spec.address + path, timeout=timeout) as response,
         ):
             check_status(self._spec.name, response)
-            return await response.read()
+            return await read_body(response, MAX_CONTROL_BYTES)
 
     async def _post(self, path: str, body: Any) -> bytes:
         timeout = build_timeout(self._timeouts, None)
@@ -247,16 +255,19 @@
             ) as response,
         ):
             check_status(self._spec.name, response)
-            return await response.read()
+            return await read_body(response, MAX_CONTROL_BYTES)
 
 
 async def _read_events(
     response: aiohttp.ClientResponse, watch: Watch
 ) -> AsyncIterator[bytes]:
+    unused = ByteBound("lines without an event", MAX_UNUSED_BYTES)
     while line := await watch.wait(response.content.readline):
         data = decode_line(line)
         if data is None:
+            unused.add(len(line))
             continue
+        unused.reset()
         if data == DONE:
             return
         yield data
--- a/src/quetzaldeck/upstreams/pools.py
+++ b/src/quetzaldeck/upstreams/pools.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.http.answer_bounds import BoundedConnector
 from quetzaldeck.running_timeout import RunningTimeout
 
 if TYPE_CHECKING:
@@ -23,7 +24,7 @@
 """Idle time after which a connection is closed; it is unlikely to be used again."""
 
 
-class PoolConnector(aiohttp.TCPConnector):
+class PoolConnector(BoundedConnector):
     """Opens connections; stalls of this process do not count as connect time."""
 
     async def _create_connection(
