Bound what the store, other VMs and replicas answer to orders

A VM held whatever the store sent for one read or watch, or another VM for a long poll, until its time had passed: 13 MB within the second of one read at 64 KiB each 5 ms (a watch may take 31 s; not measured), parsed if it was interim responses. Answers to orders on memory were read whole, though only a status counts.

A page may now have 4 MiB (the store's pages have about 1 MB, or one value of 1 MiB in base64), all pages of one read, the events of a watch and a fleet state from another VM 32 MiB, a tenth of the memory of a VM, and an answer to an order 64 KiB. Heads and bytes beside bodies are bounded by the connector that upstreams have. More closes the connection; the source fails as if it could not be read.

Health checks were sound: nothing beyond a head is read.

--- a/src/quetzaldeck/entry/peers/belief_source.py
+++ b/src/quetzaldeck/entry/peers/belief_source.py
@@ -15,8 +15,12 @@
     WAIT_FIELD,
     decode_belief_update,
 )
+from quetzaldeck.http.answer_bounds import OverBoundError, log_over_bound, read_body
 from quetzaldeck.running_timeout import RunningTimeout
 
+MAX_UPDATE_BYTES = 32 << 20
+"""A whole fleet state: tens of thousands of replicas, a tenth of the memory of a VM."""
+
 BEFORE_ANY_REVISION = -1
 """Lower than any revision: the answer contains everything."""
 
@@ -62,8 +66,11 @@
                 RunningTimeout(wait_ms + self._answer_ms),
                 self._client.get(self._url, params=params) as response,
             ):
-                body = await response.read()
+                body = await read_body(response, MAX_UPDATE_BYTES)
                 status = response.status
+        except OverBoundError as error:
+            log_over_bound(self._url, error)
+            raise SourceError(f"{self._url}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise SourceError(f"{self._url}: {error!r}") from error
         if status != HTTPStatus.OK:
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -25,6 +25,7 @@
 from quetzaldeck.gateway.dispatch_task import DispatchTask
 from quetzaldeck.gateway.session_base import SessionBase
 from quetzaldeck.http import parse_listen_address
+from quetzaldeck.http.answer_bounds import BoundedConnector
 from quetzaldeck.platform import (
     CALL_ID,
     HealthChecks,
@@ -70,7 +71,7 @@
 
     async def open(self) -> None:
         """Build the state and start the tasks; see the base class."""
-        store_client = await self._stack.enter_async_context(aiohttp.ClientSession())
+        store_client = await self._stack.enter_async_context(open_client())
         source_host = self._settings.upstream_source
         upstreams = await self._stack.enter_async_context(
             UpstreamClient(self._clock, echo_header=CALL_ID, source_host=source_host)
@@ -107,7 +108,7 @@
             run = peer_task.run(self._own_host)
             await self._stack.enter_async_context(run_tasks(run))
         store = PlatformStore(store_client, self._settings.store_address)
-        peer_client = await self._stack.enter_async_context(aiohttp.ClientSession())
+        peer_client = await self._stack.enter_async_context(open_client())
         self._sources = BeliefSources(
             self._state,
             store,
@@ -170,8 +171,13 @@
         )
 
 
+def open_client() -> aiohttp.ClientSession:
+    """:returns: a client for the store or other VMs, which bounds what is no body"""
+    return aiohttp.ClientSession(connector=BoundedConnector())
+
+
 def _seed_hosts(settings: EntrySettings) -> tuple[str, ...]:
     return tuple(parse_listen_address(seed).host for seed in settings.seeds)
 
 
-__all__ = ("EntrySession",)
+__all__ = ("EntrySession", "open_client")
--- a/src/quetzaldeck/platform/orders.py
+++ b/src/quetzaldeck/platform/orders.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from quetzaldeck.decisions import AttemptFault
+from quetzaldeck.http.answer_bounds import read_body
 from quetzaldeck.platform.headers import EXPECTED_REPLICA, WRONG_REPLICA_STATUS
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams import UpstreamError
@@ -20,6 +21,9 @@
 ORDER_TIMEOUT_MS = 500.0
 """The answer normally takes a few milliseconds; a dispatch waits for it."""
 
+MAX_ANSWER_BYTES = 65_536
+"""Hundreds of times the size of an answer, of which only the status is used."""
+
 OK_STATUS = 200
 CONFLICT_STATUS = 409
 
@@ -83,7 +87,7 @@
                 replica.address, "POST", "/order", headers, body
             )
             async with response:
-                await response.read()
+                await read_body(response, MAX_ANSWER_BYTES)
                 return response.status
 
 
--- a/src/quetzaldeck/platform/store.py
+++ b/src/quetzaldeck/platform/store.py
@@ -18,6 +18,12 @@
     SourceError,
     UndecodableEntry,
 )
+from quetzaldeck.http.answer_bounds import (
+    ByteBound,
+    OverBoundError,
+    log_over_bound,
+    read_body,
+)
 from quetzaldeck.platform.wire_configuration import decode_configuration
 from quetzaldeck.platform.wire_replica import decode_replica
 from quetzaldeck.running_timeout import RunningTimeout
@@ -35,6 +41,13 @@
 state."""
 GONE_STATUS = 410
 
+MAX_PAGE_BYTES = 4 << 20
+"""A page has about 1 MB, or one value of the greatest size (1 MiB) in base64."""
+
+MAX_FLEET_BYTES = 32 << 20
+"""All pages, or the events of one watch: tens of thousands of replicas, a tenth of the
+memory of a VM."""
+
 
 class _Item(msgspec.Struct, frozen=True):
     """An item of the store, or the event of its deletion."""
@@ -79,11 +92,18 @@
         pages are read is then reported again by :meth:`wait_for_changes`.
         """
         items: list[_Item] = []
+        bound = ByteBound("pages", MAX_FLEET_BYTES)
         revision: int | None = None
         after = ""
         while True:
             params = {"prefix": "", "after": after} if after else {"prefix": ""}
-            page = await self._get("/kv-range", params, READ_TIMEOUT_MS, _PAGE_DECODER)
+            body = await self._get("/kv-range", params, READ_TIMEOUT_MS, MAX_PAGE_BYTES)
+            try:
+                bound.add(len(body))
+            except OverBoundError as error:
+                log_over_bound(self._base, error)
+                raise SourceError(f"/kv-range: {error}") from error
+            page = _decode("/kv-range", body, _PAGE_DECODER)
             revision = page.at if revision is None else revision
             items.extend(page.items)
             if not page.has_more or not page.items:
@@ -94,7 +114,8 @@
         """Wait for events; see the base class."""
         params = {"prefix": "", "after": str(revision), "waitMs": str(wait_ms)}
         timeout_ms = wait_ms + READ_TIMEOUT_MS
-        answer = await self._get("/kv-watch", params, timeout_ms, _EVENTS_DECODER)
+        body = await self._get("/kv-watch", params, timeout_ms, MAX_FLEET_BYTES)
+        answer = _decode("/kv-watch", body, _EVENTS_DECODER)
         waited_ms = 0.0 if answer.events else float(wait_ms)
         return SourceAnswer(answer.at, _translate(answer.events), waited_ms=waited_ms)
 
@@ -103,15 +124,18 @@
         path: str,
         params: dict[str, str],
         timeout_ms: float,
-        decoder: msgspec.json.Decoder[T],
-    ) -> T:
+        max_bytes: int,
+    ) -> bytes:
         try:
             async with (
                 RunningTimeout(timeout_ms),
                 self._client.get(self._base + path, params=params) as response,
             ):
-                body = await response.read()
+                body = await read_body(response, max_bytes)
                 status = response.status
+        except OverBoundError as error:
+            log_over_bound(self._base, error)
+            raise SourceError(f"{path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise SourceError(f"{path}: {error!r}") from error
         if status == GONE_STATUS:
@@ -120,10 +144,14 @@
             )
         if status != 200:
             raise SourceError(f"{path}: status {status}")
-        try:
-            return decoder.decode(body)
-        except msgspec.DecodeError as error:
-            raise SourceError(f"{path}: {error}") from error
+        return body
+
+
+def _decode(path: str, body: bytes, decoder: msgspec.json.Decoder[T]) -> T:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise SourceError(f"{path}: {error}") from error
 
 
 def _translate(items: Iterable[_Item]) -> tuple[Change, ...]:
