Bound a response that another VM returns for a handed-over request

A caller whose request was handed over got 504 after its whole deadline, as the VM held what another VM sent without end: a response that is not a stream was read whole, with no limit. It now has the limit of responses of upstreams (max_answer_bytes), so that the next VM is asked or the call fails in time. Streams have the limits of the relay already.

--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.request import DISCONNECT_MARGIN_MS
 from quetzaldeck.entry.handover_head import HandoverHead, read_failure
 from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.http.answer_bounds import read_body
 from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.platform import (
     build_handover_headers,
@@ -72,6 +73,7 @@
 
     :param client: connections to the other VMs
     :param port: port on which every VM takes such requests; 0: none does
+    :param read_max_bytes: returns the limit on a response that is not a stream
     :param note_served: called with each service of which another VM served a request
     """
 
@@ -85,6 +87,7 @@
         port: int,
         availability_zone: str,
         random_state: random.Random,
+        read_max_bytes: Callable[[], int],
     ) -> None:
         self._clock = clock
         self._client = client
@@ -92,6 +95,7 @@
         self._note_served = note_served
         self._port = port
         self._chooser = PeerChooser(availability_zone, random_state=random_state)
+        self._read_max_bytes = read_max_bytes
         self._table: PeerTable | None = None
 
     def connect(self, table: PeerTable) -> None:
@@ -273,7 +277,7 @@
             )
             await claim()
             return await relay.finish()
-        body = await response.read()
+        body = await read_body(response, self._read_max_bytes())
         if relay.response is not None:
             detail = (
                 f"{peer}: status {response.status} in place of the rest of a stream"
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -107,6 +107,7 @@
             port=settings.handover_port,
             availability_zone=settings.availability_zone,
             random_state=self.random_state,
+            read_max_bytes=lambda: self.settings.bounds.max_answer_bytes,
         )
         self.crash_checks = CrashChecks(
             clock,
