Tell other VMs that the run of a suspect was answered

Callers of sound requests saw 503 (deadline_unreachable) seconds after the last crash, while all upstreams were idle.

Cause: an answer made its VM forget the run of the suspect without telling the others that it is closed. These kept it as awaited until its deadline, and repeated it to each other. Once a later crash made the request a suspect again, each copy waited for that run.

An answered run is now announced as closed, as one that failed is. What other VMs repeat later is older than that and is passed over.

Failed before: tests/decisions/poison/test_open_runs.py:: test_answer_to_a_suspect_ends_the_wait_of_other_vms

--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -323,6 +323,10 @@
         :returns: whether it was a suspect
         """
         self._answered.note(fingerprint, now_ms)
+        for run in tuple(self._runs.find(fingerprint)):
+            if run.is_own and run.is_awaited:
+                # Other VMs would wait for it until its deadline.
+                self._ends.announce_run(run, RunState.CLOSED, now_ms)
         self._runs.forget(fingerprint)
         if fingerprint not in self._table:
             return False
--- a/tests/decisions/poison/test_open_runs.py
+++ b/tests/decisions/poison/test_open_runs.py
@@ -187,3 +187,22 @@
     sender.ends.observe_runs(other.ends.list_runs(3, 1_200.0), 1_210.0)
     sender.ends.note_missing("e1", 1_000.0 + PoisonBounds().linger_ms + 50.0)
     assert sender.ends.is_presumed("e1")
+
+
+def test_answer_to_a_suspect_ends_the_wait_of_other_vms() -> None:
+    """Guards against sound requests that wait until the deadline of an answered run."""
+    sender, other, late = PoisonRegistry(), PoisonRegistry(), PoisonRegistry()
+    for registry in (sender, other, late):
+        registry.note_crash(1, "e0", "0", 0.0, run_ms=60.0)
+    sender.note_started(1, "e1", "0", 2_500.0, 1_000.0)
+    started = sender.ends.pop_changed_runs()
+    for registry in (other, late):
+        registry.ends.observe_runs(started, 1_010.0)
+    assert other.is_held(1, 1_010.0)
+    sender.note_answered(1, 1_040.0)
+    other.ends.observe_runs(sender.ends.pop_changed_runs(), 1_050.0)
+    assert not other.is_held(1, 1_050.0)
+    for registry in (sender, other):
+        registry.ends.observe_runs(late.ends.list_runs(3, 1_060.0), 1_070.0)
+        registry.note_crash(1, "e2", "0", 1_100.0, run_ms=60.0)
+        assert not registry.is_held(1, 1_100.0)
