Do not hold sound requests for runs beside a refused one

Callers of sound requests got 503 or 504, three seconds and more after the third crash of a request that ends silent upstreams, while sound upstreams were idle.

Cause: a suspect waits until the outcome of all its runs is known. For a silent upstream that takes 2 to 5 s, and of a request that is sent all the time many runs were under way. But once a refused request was in all of its crashes, the outcome of what was sent before tells nothing: if that upstream has ended as well, the refused one may have been on board.

Evidence: in virtual time, cell silent-is_sent_elsewhere, the first upstream of the third start is up at 5,180 ms and idle. The neighbour is not run until 7,630 ms, held by runs that were sent before 4,050 ms, when it became a suspect.

Such a suspect is now held only by runs that began since the refused request explains its crashes, and by awaited runs of other VMs. It still runs alone, one copy over all VMs. One with a crash that no refused request explains is held by all its runs, as before.

Failed before: tests/decisions/poison/test_presumed_crashes.py:: test_neighbour_of_a_refused_request_is_held_by_later_runs_only

--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -195,7 +195,7 @@
         """
         placement = self._unreserved.pop(request.request_id)
         suspects = self._poison.list_suspects(request.crash_fingerprints, now_ms)
-        self._suspects.note_start(request, attempt_id, placement.upstreams)
+        self._suspects.note_start(request, attempt_id, placement.upstreams, now_ms)
         if placement.plan is not None:
             self._plans.note_pending(attempt_id)
         self._helper_accounting.reserve(request, attempt_id, placement, now_ms)
@@ -238,7 +238,8 @@
         :param in_flight: its entry in the ledger of each upstream
         """
         upstreams = tuple(state.spec.name for state, _ in in_flight)
-        self._suspects.note_start(request, attempt_id, upstreams)
+        sent_ms = min((item.started_ms for _, item in in_flight), default=0.0)
+        self._suspects.note_start(request, attempt_id, upstreams, sent_ms)
         for state, attempt in in_flight:
             self._table.keep(state).add(attempt)
 
--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions.placement.placement import Placement
 from quetzaldeck.decisions.placement.suspect_order import SuspectOrder
@@ -25,6 +25,11 @@
 """Parts for which a turn is remembered."""
 
 
+class _RunningCopy(NamedTuple):
+    upstreams: tuple[str, ...]
+    sent_ms: float
+
+
 class SuspectPlacer:
     """Runs at most one suspect per engine, and one copy of each suspected request.
 
@@ -59,7 +64,7 @@
         self._head_of_line = head_of_line
         self._helper_selector = helper_selector
         self._order = SuspectOrder(poison)
-        self._running: dict[int, dict[str, tuple[str, ...]]] = {}
+        self._running: dict[int, dict[str, _RunningCopy]] = {}
         self._random_state = random_state
         self._turns_ms: dict[int, float] = {}
 
@@ -71,10 +76,15 @@
         return verdict is not Verdict.CLEAR
 
     def note_start(
-        self, request: Request, attempt_id: str, upstreams: tuple[str, ...]
+        self,
+        request: Request,
+        attempt_id: str,
+        upstreams: tuple[str, ...],
+        sent_ms: float,
     ) -> None:
         """Record a running copy of a request."""
-        self._running.setdefault(request.fingerprint, {})[attempt_id] = upstreams
+        copies = self._running.setdefault(request.fingerprint, {})
+        copies[attempt_id] = _RunningCopy(upstreams, sent_ms)
         for part in request.part_fingerprints:
             self._turns_ms.pop(part, None)
 
@@ -131,7 +141,7 @@
         is_last = self._order.is_last_to_expire(
             request.fingerprint, request.deadline_ms, now_ms
         )
-        if not is_last or self._runs_copy(request.fingerprint):
+        if not is_last or self._runs_copy(request.fingerprint, now_ms):
             return None
         suspects = self._poison.list_suspects(request.crash_fingerprints, now_ms)
         if any(self._poison.is_held(suspect, now_ms) for suspect in suspects):
@@ -155,16 +165,19 @@
         least_loaded = min(untried or candidates, key=_n_requests)
         return Placement((least_loaded.spec.name,))
 
-    def _runs_copy(self, fingerprint: int) -> bool:
+    def _runs_copy(self, fingerprint: int, now_ms: float) -> bool:
         """:returns: whether this VM runs a copy of which more may become known
 
-        Also one that was sent before the request was suspected.
+        Also one that was sent before the request was suspected, unless a refused one
+        explains its crashes.
         """
         running = self._running.get(fingerprint, {}).values()
+        since_ms = self._poison.find_explained_ms(fingerprint, now_ms)
         return any(
             not self._poison.ends.is_counted(fingerprint, name)
-            for upstreams in running
-            for name in upstreams
+            for copy in running
+            if copy.sent_ms >= since_ms
+            for name in copy.upstreams
         )
 
     def _find_group(
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -41,6 +41,7 @@
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
 from quetzaldeck.decisions.poison.crash import Involvement
 from quetzaldeck.decisions.poison.crash_table import CrashTable
+from quetzaldeck.decisions.poison.explained import ExplainedSuspects
 from quetzaldeck.decisions.poison.fingerprint import is_part
 from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
@@ -78,6 +79,7 @@
         self._bounds = bounds or PoisonBounds()
         self._table = CrashTable(self._bounds)
         self._verdicts = CrashVerdicts(self._bounds, self._table, count_upstreams)
+        self._explained = ExplainedSuspects(self._bounds, self._verdicts)
         self._runs = OpenRuns(self._bounds)
         self._answered: RecentTimes[int] = RecentTimes(self._bounds.max_answered)
         self._unannounced: set[int] = set()
@@ -140,13 +142,7 @@
 
     def list_rivals(self, fingerprint: int) -> set[int]:
         """:returns: other requests that ran in crashes of a request, if not cleared"""
-        return {
-            other
-            for crash in self._table.find(fingerprint)
-            if crash.counts
-            for other in crash.fingerprints - {fingerprint}
-            if not is_part(other)
-        }
+        return self._verdicts.find_others(fingerprint)
 
     def select_recorded(self, fingerprints: Sequence[int]) -> tuple[int, ...]:
         """Choose what to record of a run whose prompt has very many parts.
@@ -282,14 +278,21 @@
     def is_held(self, fingerprint: int, now_ms: float) -> bool:
         """:returns: whether a suspect has to wait for the outcome of another run
 
-        Not for that of a run on an upstream in whose presumed crash it is counted.
+        Not for that of a run on an upstream in whose presumed crash it is counted, nor
+        of one that may have run beside a refused request which explains its crashes.
         """
+        since_ms = self.find_explained_ms(fingerprint, now_ms)
         return any(
             self._runs.find_outcome_ms(run) > now_ms
+            and (run.is_awaited or run.sent_ms >= since_ms)
             and not self._ends.is_counted(run.fingerprint, run.upstream)
             for run in self._runs.find(fingerprint)
         )
 
+    def find_explained_ms(self, fingerprint: int, now_ms: float) -> float:
+        """Find since when a suspect is held by its runs; see `ExplainedSuspects`."""
+        return self._explained.find_since_ms(fingerprint, now_ms)
+
     def runs_suspect(self, upstream: str, now_ms: float) -> bool:
         """:returns: whether an upstream runs a suspect, of this VM or another one"""
         return any(
@@ -328,6 +331,7 @@
                 # Other VMs would wait for it until its deadline.
                 self._ends.announce_run(run, RunState.CLOSED, now_ms)
         self._runs.forget(fingerprint)
+        self._explained.forget(fingerprint)
         if fingerprint not in self._table:
             return False
         self._unannounced.add(fingerprint)
@@ -430,6 +434,7 @@
                 self._note_doubted(sighting)
             else:
                 self._doubted_elsewhere.discard(sighting.fingerprint)
+                self._explained.forget(sighting.fingerprint)
                 self._table.clear(sighting.fingerprint, seen_ms)
 
     def _note_doubted(self, sighting: CrashSighting) -> None:
--- a/src/quetzaldeck/decisions/poison/verdicts.py
+++ b/src/quetzaldeck/decisions/poison/verdicts.py
@@ -73,6 +73,30 @@
         is_suspect = n_crashes or self._is_in_doubt(fingerprint, now_ms)
         return Verdict.SUSPECT if is_suspect else Verdict.CLEAR
 
+    def is_explained(self, fingerprint: int, now_ms: float) -> bool:
+        """:returns: whether a refused request was in all crashes of another one"""
+        if is_part(fingerprint) or self.find(fingerprint, now_ms) is Verdict.REFUSED:
+            return False
+        refused = {
+            other: self.find(other, now_ms) is Verdict.REFUSED
+            for other in self.find_others(fingerprint)
+        }
+        return any(refused.values()) and all(
+            any(refused.get(other, False) for other in crash.fingerprints)
+            for crash in self._table.find(fingerprint)
+            if crash.counts
+        )
+
+    def find_others(self, fingerprint: int) -> set[int]:
+        """:returns: other requests that ran in crashes of a request"""
+        return {
+            other
+            for crash in self._table.find(fingerprint)
+            if crash.counts
+            for other in crash.fingerprints - {fingerprint}
+            if not is_part(other)
+        }
+
     def is_doubted(self, part: int) -> bool:
         """:returns: whether a part ran in a crash, and in no answer since or before"""
         return self._parts.is_doubted(part)
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -384,6 +384,30 @@
     assert registry.verdict(NEIGHBOUR, 600.0) is Verdict.REFUSED
 
 
+def test_neighbour_of_a_refused_request_is_held_by_later_runs_only() -> None:
+    """Guards against neighbours that wait for upstreams that the culprit has ended."""
+    registry = PoisonRegistry(BOUNDS)
+    lose_with(registry, (CULPRIT, NEIGHBOUR), range(2))
+    registry.note_left(NEIGHBOUR, "e8", "", 500.0, 600.0)
+    assert registry.is_held(NEIGHBOUR, 700.0)
+    lose_with(registry, (CULPRIT,), range(2, 3))
+    assert registry.verdict(CULPRIT, 700.0) is Verdict.REFUSED
+    assert registry.verdict(NEIGHBOUR, 700.0) is Verdict.SUSPECT
+    assert not registry.is_held(NEIGHBOUR, 700.0)
+    registry.note_left(NEIGHBOUR, "e9", "", 710.0, 800.0)
+    assert registry.is_held(NEIGHBOUR, 900.0)
+
+
+def test_neighbour_with_a_crash_of_its_own_is_held_by_all_runs() -> None:
+    """Guards against a second culprit that runs again before its last run is judged."""
+    registry = PoisonRegistry(BOUNDS)
+    lose_with(registry, (CULPRIT, NEIGHBOUR), range(2))
+    lose_with(registry, (CULPRIT,), range(2, 3))
+    lose_with(registry, (NEIGHBOUR,), range(3, 4))
+    registry.note_left(NEIGHBOUR, "e8", "", 500.0, 600.0)
+    assert registry.is_held(NEIGHBOUR, 700.0)
+
+
 def test_suspect_is_not_held_by_a_run_that_is_counted() -> None:
     """Guards against neighbours that wait for runs on upstreams that have ended."""
     registry = PoisonRegistry(BOUNDS)
