Run suspects where nothing else may have ended the upstream

Callers of sound requests got 503 or 504 after the culprit beside them had been refused.

Cause: the one run that was to show that the request is sound went to an upstream that had ended already, as a run of the culprit there was not checked yet, or was in flight through another VM. All copies then waited until that upstream was presumed to have ended, 1.3 s or more, beside idle ones.

Evidence: in virtual time, cell silent-is_sent_elsewhere, the run at 5,421 ms goes to desk3-2, where the outcome of two runs is open, and holds the others until 6,351 ms; desk2-3 and desk1-3 have been idle since 5,110 and 5,310 ms.

A suspect now runs on an upstream where nothing that was left is open and, as far as all VMs have told, nothing is in flight; if there is none, anywhere as before.

Failed before: tests/decisions/placement/test_suspect_order.py:: test_suspect_runs_where_nothing_else_may_have_ended_the_upstream

--- a/src/quetzaldeck/decisions/placement/suspect_placer.py
+++ b/src/quetzaldeck/decisions/placement/suspect_placer.py
@@ -152,6 +152,7 @@
         if self._plans.is_needed(request, pool):
             return self._find_group(request, pool, free, avoided, now_ms)
         fingerprint = request.fingerprint
+        free = self._prefer_idle(free, now_ms)
         free = [s for s in free if self._order.may_start(fingerprint, s, now_ms)]
         candidates = [
             state
@@ -216,6 +217,17 @@
             return False
         return True
 
+    def _prefer_idle(
+        self, free: Sequence[UpstreamState], now_ms: float
+    ) -> list[UpstreamState]:
+        """:returns: upstreams where a run is likely to show what the suspect does
+
+        What else runs or ran on an upstream may end it, or have ended it already.
+        """
+        known = [s for s in free if not self._poison.has_open_run(s.spec.name, now_ms)]
+        idle = [state for state in known if not state.n_requests(now_ms)]
+        return idle or known or list(free)
+
 
 def _n_requests(state: UpstreamState) -> int:
     return state.n_requests()
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -301,6 +301,13 @@
             for run in self._runs.list_of(upstream)
         )
 
+    def has_open_run(self, upstream: str, now_ms: float) -> bool:
+        """Check whether it is open if an upstream has survived what was left there."""
+        return any(
+            not run.is_awaited and self._runs.find_outcome_ms(run) > now_ms
+            for run in self._runs.list_of(upstream)
+        )
+
     def _open_run(self, run: OpenRun, now_ms: float) -> None:
         self._runs.expire(now_ms)
         self._runs.note(run)
--- a/tests/decisions/placement/test_suspect_order.py
+++ b/tests/decisions/placement/test_suspect_order.py
@@ -8,6 +8,7 @@
 from quetzaldeck.bundle.document import Bundle
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import Dispatch
+from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.poison import CrashSighting, PoisonBounds
 
 CRASHED_MS = 1_000.0
@@ -79,3 +80,24 @@
         decisions = scheduler.poll()
         started += [d.request.request_id for d in decisions if isinstance(d, Dispatch)]
     assert started == ["last"]
+
+
+@pytest.mark.parametrize("how", ["left", "in flight elsewhere"])
+def test_suspect_runs_where_nothing_else_may_have_ended_the_upstream(how: str) -> None:
+    """Guards against a run on a silent upstream, whose outcome all copies wait for."""
+    clock = ManualClock(CRASHED_MS)
+    scheduler = make_scheduler(clock, ("e0", "e1"))
+    scheduler.fleet.observe_crashes([CrashSighting(1, "gone", "1", 0.0, 9.0)])
+    clock.advance(PoisonBounds().propagation_ms)
+    now_ms = clock.now_ms()
+    if how == "left":
+        scheduler.poison.note_left(2, "e0", "", now_ms - 20.0, now_ms)
+    else:
+        scheduler.fleet.observe_peer("other", [("e0", VmLoad(1, 0, 10))])
+    request = make_request(now_ms=now_ms, fingerprint=1, timeout_ms=5_000)
+    scheduler.submit(request)
+    started: list[Dispatch] = []
+    while not started:
+        started += [d for d in scheduler.poll() if isinstance(d, Dispatch)]
+        clock.advance(1.0)
+    assert started[0].upstreams == ("e1",)
