Bound a comment of a stream that never ends as other comments

A replica that sends one comment line without end filled the event loop of its VM: the line was scanned from its start for each piece of it, up to the bound of an event. 1 MiB in pieces of 1 KiB took 8.6 s of processor time (a scratch test of the review).

--- a/src/quetzaldeck/entry/event_reader.py
+++ b/src/quetzaldeck/entry/event_reader.py
@@ -10,6 +10,9 @@
 MAX_EVENT_BYTES = 1 << 20
 """Limit on the size of an event, so that a faulty upstream cannot exhaust memory."""
 
+MAX_COMMENT_BYTES = 65_536
+"""Bytes of comments between two events: thousands of keep-alives."""
+
 _COMMENTS = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)+")
 """Lines that are comments or blank, where an event may begin."""
 
@@ -55,6 +58,11 @@
         :raises OverBoundError: if an incomplete event exceeds the size limit
         """
         partial = self._partial
+        if partial.startswith(b":") and b"\n" not in data:
+            # A search would scan the whole comment again for each piece of it.
+            partial += data
+            self._check_partial()
+            return []
         # The end of the buffered event may span what is buffered and what is new.
         searched = max(0, len(partial) - _MAX_END_BYTES)
         partial += data
@@ -72,14 +80,20 @@
             start = end.end()
             events.append(StreamEvent(event, _read_id(event)))
         del partial[:start]
-        if len(partial) > MAX_EVENT_BYTES:
-            raise OverBoundError("event", MAX_EVENT_BYTES, len(partial))
+        self._check_partial()
         return events
 
+    def _check_partial(self) -> None:
+        is_comment = self._partial.startswith(b":")
+        part = "comments" if is_comment else "event"
+        max_bytes = MAX_COMMENT_BYTES if is_comment else MAX_EVENT_BYTES
+        if len(self._partial) > max_bytes:
+            raise OverBoundError(part, max_bytes, len(self._partial))
+
 
 def _read_id(data: bytes) -> str:
     match = _EVENT_ID.search(data)
     return "" if match is None else match.group(1).decode("utf-8", "replace").strip()
 
 
-__all__ = ("MAX_EVENT_BYTES", "EventReader", "StreamEvent")
+__all__ = ("MAX_COMMENT_BYTES", "MAX_EVENT_BYTES", "EventReader", "StreamEvent")
--- a/src/quetzaldeck/entry/stream_relay.py
+++ b/src/quetzaldeck/entry/stream_relay.py
@@ -10,7 +10,7 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions import AttemptFault
-from quetzaldeck.entry.event_reader import EventReader
+from quetzaldeck.entry.event_reader import MAX_COMMENT_BYTES, EventReader
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.http.answer_bounds import ByteBound
 from quetzaldeck.outcomes import Failure, Ran, Reason
@@ -28,9 +28,6 @@
     from quetzaldeck.upstreams.watch import ProgressWatch
 
 
-MAX_COMMENT_BYTES = 65_536
-"""Bytes of comments between two events: thousands of keep-alives."""
-
 MAX_EVENTS_PER_MS = 10.0
 """Rate at which the events of one stream are read: ten times that of an engine whose
 steps take 1 ms, and few enough that other requests get their share of the event loop.
--- a/tests/entry/test_event_reader.py
+++ b/tests/entry/test_event_reader.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from quetzaldeck.entry.event_reader import (
+    MAX_COMMENT_BYTES,
     MAX_EVENT_BYTES,
     EventReader,
 )
@@ -59,3 +60,13 @@
     assert b"".join(part.data for part in parts) == whole
     events = [part.data for part in parts if not part.is_comment]
     assert events == [EVENTS[0], EVENTS[2]]
+
+
+def test_comment_that_never_ends_is_bounded_as_comments_are() -> None:
+    """Guards against one comment line that is scanned again for each of its pieces."""
+    reader = EventReader()
+    reader.feed(b":")
+    for _ in range(MAX_COMMENT_BYTES // 256 - 1):
+        assert reader.feed(b"x" * 256) == []
+    with pytest.raises(OverBoundError, match="comments"):
+        reader.feed(b"x" * 256)
