Do not cut sound streams that are written in small chunks

The bytes beside a body are now allowed 128 KiB a second as well, which parsing a flood of one-byte chunks takes a fortieth of a core.

--- a/src/quetzaldeck/http/answer_bounds.py
+++ b/src/quetzaldeck/http/answer_bounds.py
@@ -33,6 +33,10 @@
 """Bytes beside a body for each of its bytes, in addition to those of a head. Chunks of
 five bytes or more stay below it; parsing shorter ones costs more than it brings."""
 
+MAX_FRAMING_BYTES_PER_S = 131_072
+"""Bytes beside a body that are allowed as time passes, so that a stream in small chunks
+goes on for as long as it likes: parsing them takes a fortieth of a core."""
+
 MIN_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 
@@ -132,6 +136,7 @@
         self._n_head_bytes = 0
         self._n_body_bytes = 0
         self._has_final_head = False
+        self._head_s = 0.0
         self._is_over = False
         self._answer: aiohttp.StreamReader | None = None
 
@@ -172,6 +177,7 @@
             self._max_head_bytes = MAX_HEAD_BYTES + MAX_OTHER_BYTES
         elif message.code >= MIN_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
             self._has_final_head = True
+            self._head_s = self._loop.time()
             self._answer = payload
         super().feed_data(data, size)
 
@@ -217,7 +223,9 @@
         if answer is None or self._reading_paused or answer.is_eof():
             return
         n_seen = self._n_body_bytes - answer.total_raw_bytes
+        elapsed_s = self._loop.time() - self._head_s
         max_bytes = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * answer.total_raw_bytes
+        max_bytes += round(MAX_FRAMING_BYTES_PER_S * elapsed_s)
         if n_seen > max_bytes:
             self._fail(OverBoundError("framing", max_bytes, n_seen))
 
--- a/tests/entry/test_long_answers.py
+++ b/tests/entry/test_long_answers.py
@@ -25,6 +25,7 @@
     from tests.support.platform.site import Site
 
 N_EVENTS = 20_000
+N_TINY_EVENTS = 4_000
 LONG_BODY = bytes(range(256)) * (MAX_ANSWER_BYTES // 256)
 CHUNK_BYTES = 5
 COMMENT = b": still here\n\n"
@@ -69,6 +70,27 @@
     run_one_attempt(PLAN_PATH, behave, b"".join(events))
 
 
+def test_stream_written_byte_by_byte_is_not_cut() -> None:
+    """Guards against a sound stream in small chunks that looks like framing alone."""
+    events = [event(number, "") for number in range(1, N_TINY_EVENTS + 1)]
+
+    async def behave(arrival: Arrival, connection: Connection) -> None:
+        await connection.begin_stream(arrival)
+        for data in events:
+            parts = [data[index : index + 1] for index in range(len(data))]
+            await connection.send(b"".join(map(frame_chunk, parts)))
+            await asyncio.sleep(0.001)
+        await connection.end_stream()
+
+    async def test(site: Site) -> None:
+        received = await site.call(PLAN_PATH, deadline_ms=5_000)
+        assert received.is_whole
+        assert received.body == b"".join(events)
+        assert count_sent(site) == 1
+
+    run_site(test, engines=(behave, behave))
+
+
 def test_comments_between_events_are_forwarded_as_they_come() -> None:
     """Guards against keep-alives that callers miss, or that end their stream."""
     parts: list[bytes] = []
