Do not cut a response under way for what its caller sends next

The limit waits now until no request is being handled, and an empty line after any request is let pass.

--- a/src/quetzaldeck/http/bounded_server.py
+++ b/src/quetzaldeck/http/bounded_server.py
@@ -89,13 +89,14 @@
         """Parse and count what has arrived."""
         awaits_head = self._body is None or self._body.is_eof()
         super().data_received(data)
-        if self._has_new_head():
+        has_new_head = self._has_new_head()
+        if has_new_head:
             self._note_head()
         elif awaits_head and self._timer is None and self._begins_head(data):
             self._n_steps_left = N_STEPS
             self._wait_step()
         n_body_bytes = 0 if self._body is None else self._body.total_bytes
-        if n_body_bytes > self._n_body_bytes:
+        if has_new_head or n_body_bytes > self._n_body_bytes:
             self._n_body_bytes = n_body_bytes
             self._n_unused_bytes = 0
         else:
@@ -142,6 +143,11 @@
         self._timer = asyncio.get_running_loop().call_later(step_s, self._end_step)
 
     def _end_step(self) -> None:
+        if self._current_request is not None:
+            # Closing the connection would cut off the response under way.
+            self._n_steps_left = N_STEPS
+            self._wait_step()
+            return
         self._n_steps_left -= 1
         if self._n_steps_left:
             self._wait_step()
--- a/tests/entry/test_endless_requests.py
+++ b/tests/entry/test_endless_requests.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import pytest
-from tests.support.platform.site import HOST, KEY, LOOK_PATH, run_site
+from tests.support.platform.replica import event
+from tests.support.platform.site import HOST, KEY, LOOK_PATH, PLAN_PATH, run_site
 
 if TYPE_CHECKING:
+    from tests.support.platform.replica import Arrival, Connection
     from tests.support.platform.site import Site
 
 KIB = 1024
@@ -20,6 +22,9 @@
 an empty line before a head is allowed, and the next unit shows that the VM has closed
 the connection."""
 
+N_SLOW_EVENTS = 8
+"""Events of a stream that lasts longer than a head may take."""
+
 MAX_BODY_BYTES = 100_000
 """As in the configuration of the site."""
 
@@ -239,4 +244,32 @@
     run_site(test)
 
 
+@pytest.mark.parametrize("follows", [b"\r\n", b"POST /next"], ids=["line", "head"])
+def test_response_under_way_is_not_cut_by_what_follows_its_request(
+    follows: bytes,
+) -> None:
+    """Guards against a stream that is cut as its caller sends on."""
+
+    async def write_slowly(arrival: Arrival, connection: Connection) -> None:
+        await connection.begin_stream(arrival)
+        for number in range(1, N_SLOW_EVENTS + 1):
+            await connection.send_chunk(event(number))
+            await asyncio.sleep(0.5)
+        await connection.end_stream()
+
+    async def test(site: Site) -> None:
+        reader, writer = await asyncio.open_connection(*site.entry_address.split(":"))
+        reading = asyncio.create_task(_read(reader))
+        request = REQUEST.replace(LOOK_PATH.encode(), PLAN_PATH.encode())
+        request = request.replace(b"Deadline-Ms: 3000", b"Deadline-Ms: 60000")
+        writer.write(request + b"Content-Length: 0\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.write(follows)
+        await asyncio.sleep(N_SLOW_EVENTS * 0.5 + 1.0)
+        writer.close()
+        assert (await reading).count(b"data: ") == N_SLOW_EVENTS
+
+    run_site(test, engines=(write_slowly,))
+
+
 __all__: tuple[str, ...] = ()
