Follow a broken attempt by the replacement that is already queued

On the own interface a caller got the failure of its last attempt although the scheduler had queued the next one: the attempt broke after the question for another one was answered and before that was handled, and a second question was refused (a scratch test of the review: upstream_failed). The answer of the first question is taken now.

--- a/src/quetzaldeck/gateway/attempt_tasks.py
+++ b/src/quetzaldeck/gateway/attempt_tasks.py
@@ -75,6 +75,7 @@
         self._living: list[AttemptTask[Result]] = []
         self._dispatching: asyncio.Task[Dispatch] | None = None
         self._asking: asyncio.Task[None] | None = None
+        self._is_exchanging = False
         self._cancelled: list[asyncio.Task[object]] = []
         self.failure: RequestError | None = None
 
@@ -165,6 +166,12 @@
         """Ask for another attempt once a replaced one has failed and none is left."""
         if self._living or self._dispatching is not None:
             return
+        while self._is_exchanging:
+            await asyncio.sleep(0)
+        if self._asking is not None and self._asking.done():
+            self._asking = None
+            self.request_dispatch()
+            return
         self._stop_asking()
         try:
             self._check()
@@ -214,6 +221,7 @@
         """Wait until the scheduler has queued another attempt."""
         while True:
             await asyncio.sleep(SILENCE_RECHECK_MS / MS_PER_SECOND)
+            self._is_exchanging = True
             try:
                 self._check()
                 await self._ticket.retry_kept()
@@ -221,6 +229,8 @@
                 self.failure = error
             else:
                 return
+            finally:
+                self._is_exchanging = False
 
     def _stop_asking(self) -> None:
         if self._asking is not None:
--- a/tests/gateway/test_attempt_tasks.py
+++ b/tests/gateway/test_attempt_tasks.py
@@ -46,11 +46,21 @@
         dispatching.cancel()
 
 
+class OneRetryTicket(RefusingTicket):
+    """Allows one more replacement, as the request is not kept after that."""
+
+    async def retry_kept(self) -> None:
+        """Allow the first replacement that is asked for."""
+        self.n_asked += 1
+        if self.n_asked > 1:
+            raise RequestError(Failure(Reason.UPSTREAM_FAILED))
+
+
 class Run:
     """A request whose attempts are tasks that the test ends."""
 
-    def __init__(self) -> None:
-        self.ticket = RefusingTicket()
+    def __init__(self, ticket: RefusingTicket | None = None) -> None:
+        self.ticket = ticket or RefusingTicket()
         self.ended: asyncio.Queue[asyncio.Task[object]] = asyncio.Queue()
         self.tasks: AttemptTasks[None] = AttemptTasks(
             cast("Ticket", self.ticket),
@@ -120,3 +130,19 @@
                 run.tasks.raise_if_none_left()
 
     run_virtual(test())
+
+
+def test_attempt_that_breaks_as_its_replacement_is_queued_is_followed_by_it() -> None:
+    """A caller gets the failure of an attempt although its next one is queued."""
+
+    async def test() -> None:
+        run = Run(OneRetryTicket())
+        async with run.tasks:
+            first = await run.refuse_replacement()
+            while not run.ticket.n_asked:
+                await asyncio.sleep(0.01)
+            run.tasks.give_up(first)
+            await run.tasks.retry_if_last()
+            run.tasks.raise_if_none_left()
+
+    run_virtual(test())
