Charge the retry of a request that was kept after an unsent replacement

A replacement that ended unsent left its end as that of the last attempt. What follows is decided on the end of the silent attempt now.

--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -171,12 +171,15 @@
     request = tracked.request
     if end.n_output_tokens:
         request = request._replace(last_token_ms=now_ms)
+    # A replacement that was not sent follows nothing: what comes next replaces the
+    # silent attempt, and is charged as such.
+    last_end = end if end.was_sent or tracked.last_end is None else tracked.last_end
     return TrackedRequest(
         request,
         tracked.n_uncorrected_tokens,
         tracked.history.after(end, tracked.upstreams),
         replaced=tracked.replaced,
-        last_end=end,
+        last_end=last_end,
     )
 
 
--- a/tests/decisions/retries/test_given_back_charges.py
+++ b/tests/decisions/retries/test_given_back_charges.py
@@ -14,6 +14,7 @@
 
 from quetzaldeck.clock import ManualClock
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch, Scheduler
+from quetzaldeck.decisions.paths import PathVerdict
 from quetzaldeck.decisions.retries import ResendBudget
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 
@@ -212,3 +213,23 @@
     clock.advance(60_000)
     budget.give_back(1_000, charged_ms, clock.now_ms())
     assert budget.retried_tokens == pytest.approx(250.0)
+
+
+def test_retry_of_a_kept_request_is_charged(budgets: Budgets) -> None:
+    """Guards against retries beside a silent attempt that no budget counts."""
+    scheduler = budgets.scheduler
+    budgets.replace(budgets.dispatch())
+    second = budgets.dispatch_next()
+    unsent = AttemptEnd(
+        second.attempt_id,
+        AttemptFault.OVERLOADED,
+        may_have_run=False,
+        was_sent=False,
+        upstream=second.upstreams[-1],
+    )
+    scheduler.observe_path(budgets.target, PathVerdict.PARTITIONED)
+    assert scheduler.end_attempt(unsent) is not None
+    assert budgets.are_unused
+    scheduler.observe_path(budgets.target, PathVerdict.REACHED)
+    assert scheduler.retry_kept(REQUEST) is None
+    assert not budgets.are_unused
