Note when crashes are explained as they are learned, not when first asked

A suspect whose crashes a refused request explains is held only by later runs. Each VM notes it now as it learns of the crash. A full table is cleared for new entries only.

--- a/src/quetzaldeck/decisions/poison/explained.py
+++ b/src/quetzaldeck/decisions/poison/explained.py
@@ -37,9 +37,12 @@
         """
         if not self._verdicts.is_explained(fingerprint, now_ms):
             return -math.inf
-        if len(self._since_ms) >= self._bounds.max_fingerprints:
-            self._since_ms.clear()
-        return self._since_ms.setdefault(fingerprint, now_ms)
+        since_ms = self._since_ms.get(fingerprint)
+        if since_ms is None:
+            if len(self._since_ms) >= self._bounds.max_fingerprints:
+                self._since_ms.clear()
+            since_ms = self._since_ms[fingerprint] = now_ms
+        return since_ms
 
     def forget(self, fingerprint: int) -> None:
         """Forget a request that was cleared."""
--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -36,6 +36,7 @@
 
 import math
 from collections import Counter
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.poison.bounds import PoisonBounds
@@ -196,7 +197,14 @@
     def pop_newly_refused(self, now_ms: float) -> list[int]:
         """:returns: refused requests with new sightings since the last call"""
         changed = self._table.pop_changed()
-        return [f for f in changed if self.verdict(f, now_ms) is Verdict.REFUSED]
+        refused = [f for f in changed if self.verdict(f, now_ms) is Verdict.REFUSED]
+        for other in {
+            *changed,
+            *chain.from_iterable(map(self._verdicts.find_others, refused)),
+        }:
+            # All VMs note it as they learn of the crash, not when they first ask.
+            self._explained.find_since_ms(other, now_ms)
+        return refused
 
     def note_crash(
         self,
--- a/tests/decisions/poison/test_presumed_crashes.py
+++ b/tests/decisions/poison/test_presumed_crashes.py
@@ -398,6 +398,16 @@
     assert registry.is_held(NEIGHBOUR, 900.0)
 
 
+def test_neighbour_is_held_by_runs_of_other_vms_before_this_one_asks() -> None:
+    """Guards against a second culprit that runs once more at each VM that asks late."""
+    registry = PoisonRegistry(BOUNDS)
+    lose_with(registry, (CULPRIT, NEIGHBOUR), range(2))
+    lose_with(registry, (CULPRIT,), range(2, 3))
+    assert CULPRIT in registry.pop_newly_refused(700.0)
+    registry.note_left(NEIGHBOUR, "e9", "", 710.0, 800.0)
+    assert registry.is_held(NEIGHBOUR, 900.0)
+
+
 def test_neighbour_with_a_crash_of_its_own_is_held_by_all_runs() -> None:
     """Guards against a second culprit that runs again before its last run is judged."""
     registry = PoisonRegistry(BOUNDS)
