Decode cold starts of services, cold times in responses and the bounds for them

Cause: the configuration names coldStartS and coldPerS of a service, responses name Quetzaldeck-Cold-Ms, and the settings name evacuateMs, coldOvershoot and coldSlack; none of them was decoded.

--- a/src/quetzaldeck/entry/response_head.py
+++ b/src/quetzaldeck/entry/response_head.py
@@ -27,6 +27,7 @@
         addressed; ``""`` otherwise
     :param rate_limit: requests a second that the replica takes from all VMs together;
         ``None`` if it names no limit
+    :param cold_ms: time for which the replica stays cold; ``None`` if it does not say
     """
 
     status: int
@@ -39,6 +40,7 @@
     replica_id: str = ""
     faulty_address: str = ""
     rate_limit: float | None = None
+    cold_ms: float | None = None
 
 
 __all__ = ("ReplicaLoad", "ResponseHead")
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -74,6 +74,18 @@
         float,
         Option("Interval at which replicas write their entries.", unit="ms", minimum=1),
     ] = 1_200.0
+    evacuation_ms: Annotated[
+        float,
+        Option("Time until an evacuated zone gets no new work.", unit="ms", minimum=1),
+    ] = 5_000.0
+    cold_overshoot: Annotated[
+        float,
+        Option("Multiple of the rate of a cold replica that it tolerates.", minimum=1),
+    ] = 1.0
+    cold_slack: Annotated[
+        float,
+        Option("Requests in one second beyond that multiple.", minimum=0),
+    ] = 0.0
     max_answer_bytes: Annotated[
         int,
         Option("Longest response of an upstream, if it is not a stream.", unit="bytes"),
--- a/src/quetzaldeck/platform/headers.py
+++ b/src/quetzaldeck/platform/headers.py
@@ -34,6 +34,7 @@
 _LOAD = "Quetzaldeck-Instance-Load"
 _RATE_LIMIT = "Server-Limit"
 """Requests a second that the replica takes from all VMs together."""
+_COLD = "Quetzaldeck-Cold-Ms"
 _FAULTY_ADDRESS = "At-Server"
 WRONG_REPLICA_STATUS = 421
 
@@ -85,7 +86,8 @@
         _read_load(headers.get(_LOAD)),
         headers.get(_REPLICA, ""),
         headers.get(_FAULTY_ADDRESS, ""),
-        _read_rate(headers.get(_RATE_LIMIT)),
+        _read_decimal(headers.get(_RATE_LIMIT)),
+        _read_decimal(headers.get(_COLD)),
     )
 
 
@@ -201,13 +203,13 @@
     return ReplicaLoad(n_running, n_waiting, n_slots)
 
 
-def _read_rate(text: str | None) -> float | None:
-    """:returns: requests a second; ``None`` if absent or not a valid rate"""
+def _read_decimal(text: str | None) -> float | None:
+    """:returns: the number; ``None`` if absent, negative or out of bounds"""
     try:
-        rate = float(text or "nan")
+        number = float(text or "nan")
     except ValueError:
         return None
-    return rate if 0 <= rate <= MAX_NUMBER else None
+    return number if 0 <= number <= MAX_NUMBER else None
 
 
 __all__ = (
--- a/src/quetzaldeck/platform/wire_configuration.py
+++ b/src/quetzaldeck/platform/wire_configuration.py
@@ -11,6 +11,7 @@
 from quetzaldeck.bundle.engine_figures import EngineFigures
 from quetzaldeck.routing import (
     CallerLimits,
+    ColdStart,
     KeyOwner,
     RequestKind,
     Route,
@@ -112,11 +113,19 @@
     name: str
     health_path: str = "/"
     max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    """Requests a second that a cold replica tolerates; 0: no limit."""
     engine: _WireEngine | None = None
 
     def translate(self) -> Service:
         engine = None if self.engine is None else self.engine.translate()
-        return Service(self.name, self.health_path, self.max_connections, engine)
+        cold_start = None
+        if self.cold_per_s > 0:
+            cold_start = ColdStart(self.cold_start_s * MS_PER_S, self.cold_per_s)
+        return Service(
+            self.name, self.health_path, self.max_connections, engine, cold_start
+        )
 
 
 class _WireLimits(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/quetzaldeck/routing/__init__.py
+++ b/src/quetzaldeck/routing/__init__.py
@@ -9,10 +9,11 @@
 from quetzaldeck.routing.replica import Replica
 from quetzaldeck.routing.route import Route, WeightedService
 from quetzaldeck.routing.route_table import RouteTable
-from quetzaldeck.routing.service import Service
+from quetzaldeck.routing.service import ColdStart, Service
 
 __all__ = (
     "CallerLimits",
+    "ColdStart",
     "KeyOwner",
     "Replica",
     "RequestKind",
