Send nothing new to replicas of evacuated zones

Cause: an operator can take an availability zone out of service only by stopping its replicas. Change: the store's keys op/evacuate/ZONE are read, passed on between VMs and applied to placement, to requests that wait in the queue, for a permit or for memory, and right before a request is sent. Renewals of memory continue, also on leaving replicas, since the running request would lose it otherwise. Messages between VMs are unchanged until a zone is evacuated.

--- a/src/quetzaldeck/belief/__init__.py
+++ b/src/quetzaldeck/belief/__init__.py
@@ -18,6 +18,8 @@
     ReplicaRemoved,
     SourceAnswer,
     UndecodableEntry,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from quetzaldeck.belief.fleet_belief import FleetBelief
 from quetzaldeck.belief.sharing_bounds import SharingBounds
@@ -39,4 +41,6 @@
     "SourceError",
     "SourceSelector",
     "UndecodableEntry",
+    "ZoneEvacuated",
+    "ZoneRestored",
 )
--- a/src/quetzaldeck/belief/changes.py
+++ b/src/quetzaldeck/belief/changes.py
@@ -25,6 +25,18 @@
     replica_id: str
 
 
+class ZoneEvacuated(NamedTuple):
+    """The operator wants nothing more to be sent to the replicas of a zone."""
+
+    availability_zone: str
+
+
+class ZoneRestored(NamedTuple):
+    """The replicas of a zone are used again."""
+
+    availability_zone: str
+
+
 class UndecodableEntry(NamedTuple):
     """An entry cannot be decoded.
 
@@ -42,7 +54,14 @@
     replica_id: str | None = None
 
 
-Change = ConfigurationRead | ReplicaRead | ReplicaRemoved | UndecodableEntry
+Change = (
+    ConfigurationRead
+    | ReplicaRead
+    | ReplicaRemoved
+    | UndecodableEntry
+    | ZoneEvacuated
+    | ZoneRestored
+)
 
 
 class SourceAnswer(NamedTuple):
@@ -57,6 +76,8 @@
     :param age_ms: age of the state when the answer was sent; 0 for the source itself
     :param trouble_age_ms: time since the answering VM last had trouble with the source;
         ``None``: it knows of none
+    :param lists_zones: whether the answer lists all evacuated zones, so that the others
+        are restored; a complete answer does in any case
     """
 
     revision: int
@@ -65,6 +86,7 @@
     waited_ms: float = 0.0
     age_ms: float = 0.0
     trouble_age_ms: float | None = None
+    lists_zones: bool = False
 
 
 __all__ = (
@@ -74,4 +96,6 @@
     "ReplicaRemoved",
     "SourceAnswer",
     "UndecodableEntry",
+    "ZoneEvacuated",
+    "ZoneRestored",
 )
--- a/src/quetzaldeck/belief/fleet_belief.py
+++ b/src/quetzaldeck/belief/fleet_belief.py
@@ -14,6 +14,8 @@
   might reach another program. The replica that had the entry is removed at once,
   without the grace period for expired entries, since its entry did not expire. Other
   entries remain valid.
+- A zone is evacuated from the answer that names it until a newer one shows that its key
+  is gone. An answer of another VM that is behind this one changes no zone.
 - A replica may restart under the same id. Late writes of its earlier incarnation are
   ignored, as they may announce that the earlier one leaves.
 """
@@ -28,7 +30,10 @@
     ReplicaRead,
     ReplicaRemoved,
     UndecodableEntry,
+    ZoneEvacuated,
+    ZoneRestored,
 )
+from quetzaldeck.belief.evacuations import Evacuations
 from quetzaldeck.belief.lapses import Lapses
 
 if TYPE_CHECKING:
@@ -48,6 +53,7 @@
     def __init__(self, bounds: BeliefBounds) -> None:
         self._bounds = bounds
         self._lapses = Lapses(bounds)
+        self._evacuations = Evacuations()
         self._configuration: RoutingConfiguration | None = None
         self._replicas: dict[str, Replica] = {}
         self._revision = 0
@@ -73,6 +79,19 @@
         """:returns: number of replicas still used although their entries expired"""
         return len(self._lapses)
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """:returns: availability zones whose replicas get no new work"""
+        return self._evacuations.zones
+
+    def is_evacuated(self, replica: Replica) -> bool:
+        """:returns: whether a replica gets no new work, as its zone is evacuated"""
+        return replica.availability_zone in self._evacuations.zones
+
+    def accepts_work(self, replica: Replica) -> bool:
+        """:returns: whether a replica may get new work"""
+        return not (replica.is_leaving or self.is_evacuated(replica))
+
     def list_replicas(self) -> tuple[Replica, ...]:
         """:returns: replicas that have an entry at the source, as far as is known"""
         return tuple(
@@ -124,6 +143,7 @@
         if answer.trouble_age_ms is not None:
             self._lapses.note_trouble(now_ms - answer.trouble_age_ms)
         events = [self._apply_change(change, now_ms) for change in answer.changes]
+        events.extend(self._apply_zones(answer))
         if answer.is_complete:
             events.extend(self._remove_absent(answer, now_ms))
         self._revision = answer.revision
@@ -154,6 +174,21 @@
                 return self._remove(change.replica_id, now_ms)
             case UndecodableEntry():
                 return self._apply_undecodable(change)
+            case ZoneEvacuated() | ZoneRestored():
+                # All zones of an answer are applied together.
+                return None
+
+    def _apply_zones(self, answer: SourceAnswer) -> list[BeliefEvent]:
+        events: list[BeliefEvent] = []
+        for change in self._evacuations.apply(answer):
+            zone = change.availability_zone
+            replicas = self._replicas.values()
+            n_replicas = sum(r.availability_zone == zone for r in replicas)
+            fields = {"zone": zone, "n_replicas": n_replicas}
+            is_evacuated = isinstance(change, ZoneEvacuated)
+            event = "zone_evacuated" if is_evacuated else "zone_restored"
+            events.append(BeliefEvent(event, fields, is_warning=is_evacuated))
+        return events
 
     def _apply_configuration(
         self, configuration: RoutingConfiguration
--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -61,6 +61,7 @@
     engine that did not prefill its prompt part: it is unreachable, or already prefills
     parts for as many other engines as it has slots. ``RATE_LIMITED`` is a permit that
     was refused: the upstream takes no more requests now, and none was sent.
+    ``EVACUATED``: the zone of the upstream was evacuated before the request was sent.
     """
 
     CONNECT = "connect"
@@ -74,6 +75,7 @@
     BAD_ANSWER = "bad_answer"
     HELPER = "helper"
     RATE_LIMITED = "rate_limited"
+    EVACUATED = "evacuated"
 
 
 class AttemptEnd(NamedTuple):
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -59,6 +59,11 @@
         self._monitor.note_alive()
         self._waiting.note_capacity_freed()
 
+    def observe_evacuations(self, zones: Collection[str]) -> None:
+        """Apply the zones whose upstreams get no new work."""
+        self._table.set_evacuated_zones(zones)
+        self._waiting.note_capacity_freed()
+
     def observe_incarnations(self, incarnations: Iterable[tuple[str, str]]) -> None:
         """Apply the incarnation that each upstream reports."""
         now_ms = self._clock.now_ms()
--- a/src/quetzaldeck/decisions/placement/candidates.py
+++ b/src/quetzaldeck/decisions/placement/candidates.py
@@ -100,8 +100,8 @@
         ]
 
     def can_accept(self, state: UpstreamState, request: Request, now_ms: float) -> bool:
-        """Check whether an upstream is not leaving, has capacity and takes requests."""
-        if state.is_leaving or state.pacing.is_blocked(now_ms):
+        """Check whether an upstream gets new work, has capacity and takes requests."""
+        if not state.accepts_work or state.pacing.is_blocked(now_ms):
             return False
         return self._has_capacity(state, request, now_ms)
 
@@ -145,12 +145,12 @@
     :returns: ``None`` if one of the usable upstreams has no limit
     """
     is_unlimited_known = any(
-        not (state.pacing.is_limited or state.is_leaving or state.health.is_ejected)
+        state.accepts_work and not (state.pacing.is_limited or state.health.is_ejected)
         for state in pool
     )
     if is_unlimited_known:
         return None
-    usable = [state for state in list_usable(pool) if not state.is_leaving]
+    usable = [state for state in list_usable(pool) if state.accepts_work]
     if not all(state.pacing.is_limited for state in usable):
         return None
     return min(usable, key=lambda state: state.pacing.wait_ms(now_ms), default=None)
--- a/src/quetzaldeck/decisions/placement/first_token.py
+++ b/src/quetzaldeck/decisions/placement/first_token.py
@@ -90,7 +90,7 @@
             state
             for state in pool
             if state.spec.name != chosen
-            and not state.is_leaving
+            and state.accepts_work
             and not state.health.is_ejected
             and state.may_help(now_ms)
         ]
--- a/src/quetzaldeck/decisions/placement/group_plans.py
+++ b/src/quetzaldeck/decisions/placement/group_plans.py
@@ -94,7 +94,7 @@
     return [
         state
         for state in list_usable(pool)
-        if not state.is_leaving and not state.pacing.is_blocked(now_ms)
+        if state.accepts_work and not state.pacing.is_blocked(now_ms)
     ]
 
 
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -136,7 +136,7 @@
         :param avoided: upstreams that do not count
         """
         return any(
-            state.spec.name not in avoided and not state.is_leaving
+            state.spec.name not in avoided and state.accepts_work
             for state in list_usable(self._table.list_serving(request))
         )
 
--- a/src/quetzaldeck/decisions/placement/refusal_check.py
+++ b/src/quetzaldeck/decisions/placement/refusal_check.py
@@ -10,11 +10,13 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from quetzaldeck.decisions.groups import GroupPlanner
     from quetzaldeck.decisions.placement.path_verdicts import PathVerdicts
     from quetzaldeck.decisions.poison import PoisonRegistry
     from quetzaldeck.decisions.request import Request
+    from quetzaldeck.decisions.upstream_state import UpstreamState
     from quetzaldeck.decisions.upstream_table import UpstreamTable
 
 
@@ -45,18 +47,30 @@
 
     def check(self, request: Request, now_ms: float) -> Failure | None:
         """:returns: the refusal of a request that cannot be placed now or later"""
-        pool = self._table.list_serving(request)
-        available = [state for state in pool if not state.is_leaving]
+        return (
+            self.check_upstreams(request)
+            or self.check_poison(request, now_ms)
+            or self._paths.check(request)
+        )
+
+    def check_upstreams(self, request: Request) -> Failure | None:
+        """:returns: the refusal of a request that no upstream may get, or can hold"""
+        pool = self._table.list_all_serving(request)
+        available = [state for state in pool if state.accepts_work]
         if not available:
-            detail = f"{request.target}: all {len(pool)} upstreams are leaving"
-            return Failure(
-                Reason.NO_UPSTREAM,
-                retry_after_ms=NO_UPSTREAM_RETRY_MS,
-                detail=detail,
-            )
-        if not request.service and not self._planner.can_hold(request, available):
+            return _refuse_for_now(_describe_unavailable(request, pool))
+        if request.service or self._planner.can_hold(request, available):
+            return None
+        # An evacuation ends; a prompt that is too large for all engines remains so.
+        staying = [state for state in pool if not state.is_leaving]
+        if len(staying) == len(available) or not self._planner.can_hold(
+            request, staying
+        ):
             return Failure(Reason.PROMPT_TOO_LARGE)
-        return self.check_poison(request, now_ms) or self._paths.check(request)
+        return _refuse_for_now(
+            f"{request.target}: {len(staying) - len(available)} of {len(pool)} "
+            "upstreams are in evacuated zones, and the others cannot hold the prompt"
+        )
 
     def check_rate_limits(
         self, request: Request, now_ms: float, latest_turn_ms: float
@@ -105,4 +119,22 @@
         )
 
 
+def _refuse_for_now(detail: str) -> Failure:
+    return Failure(
+        Reason.NO_UPSTREAM, retry_after_ms=NO_UPSTREAM_RETRY_MS, detail=detail
+    )
+
+
+def _describe_unavailable(request: Request, pool: Sequence[UpstreamState]) -> str:
+    n_evacuated = sum(state.is_evacuated for state in pool)
+    if not n_evacuated:
+        return f"{request.target}: all {len(pool)} upstreams are leaving"
+    if n_evacuated == len(pool):
+        return f"{request.target}: all {len(pool)} upstreams are in evacuated zones"
+    return (
+        f"{request.target}: {n_evacuated} of {len(pool)} upstreams are in evacuated "
+        "zones, and the others are leaving"
+    )
+
+
 __all__ = ("RefusalCheck",)
--- a/src/quetzaldeck/decisions/retries/history.py
+++ b/src/quetzaldeck/decisions/retries/history.py
@@ -57,8 +57,11 @@
 
         An upstream that refused a reservation for lack of capacity is not avoided: it
         may have capacity next time. Nor is one that refused a prompt longer than
-        estimated, or that takes no more requests now.
+        estimated, or that takes no more requests now. An attempt that was diverted from
+        an evacuated zone does not count.
         """
+        if end.fault is AttemptFault.EVACUATED:
+            return self
         if end.fault is AttemptFault.NO_ROOM:
             return self._replace(n_no_room=self.n_no_room + 1)
         if end.fault is AttemptFault.RATE_LIMITED:
--- a/src/quetzaldeck/decisions/retries/policy.py
+++ b/src/quetzaldeck/decisions/retries/policy.py
@@ -44,6 +44,10 @@
 due by then."""
 
 
+_UNSENT_FAULTS = frozenset((AttemptFault.RATE_LIMITED, AttemptFault.EVACUATED))
+"""Faults of attempts that were not sent, so that another one need not be delayed."""
+
+
 class Retry(NamedTuple):
     """Decision to make another attempt.
 
@@ -180,12 +184,13 @@
     def _delay(self, end: AttemptEnd, history: AttemptHistory) -> float:
         """:returns: delay before the next attempt, in milliseconds
 
-        None after a refused permit: the request was not sent and goes elsewhere.
+        None after a refused permit, or if the zone of the upstream was evacuated: the
+        request was not sent and goes elsewhere.
 
         The backoff has full jitter: with a fixed part, requests that failed in the same
         crash would be retried nearly at the same time.
         """
-        if end.fault is AttemptFault.RATE_LIMITED:
+        if end.fault in _UNSENT_FAULTS:
             return 0.0
         n_failed = history.n_maybe_run + history.n_not_run + history.n_no_room
         bounds = self._bounds
@@ -214,7 +219,7 @@
 def _final_reason(fault: AttemptFault | None) -> Reason:
     if fault is AttemptFault.SILENT:
         return Reason.UPSTREAM_SILENT
-    if fault is AttemptFault.NO_ROOM:
+    if fault in (AttemptFault.NO_ROOM, AttemptFault.EVACUATED):
         return Reason.NO_UPSTREAM
     if fault is AttemptFault.RATE_LIMITED:
         return Reason.UPSTREAM_RATE_LIMITED
--- a/src/quetzaldeck/decisions/scheduling/queue_sweep.py
+++ b/src/quetzaldeck/decisions/scheduling/queue_sweep.py
@@ -27,7 +27,7 @@
 
 
 class QueueSweep:
-    """Finds waiting requests that expired, crash engines, or get no turn in time.
+    """Finds waiting requests that cannot be served, or not in time.
 
     :param tracked: stores admitted requests
     :param waiting: holds the requests that wait
@@ -35,7 +35,7 @@
     :param refusals: checks whether any upstream can serve a request
     :param paths: which services this VM reaches
     :param poison: knows which requests have crashed too many engines
-    :param table: knows whether any upstream limits its rate
+    :param table: knows whether any upstream limits its rate or is evacuated
     :param failed: withdraws the next attempt of a request that is kept
     :param withdraw: removes a request by its id
     """
@@ -67,6 +67,7 @@
         """:returns: a rejection for each request that cannot be served any more"""
         yield from self._reject_expired(now_ms)
         yield from self._reject_poison(now_ms)
+        yield from self._reject_evacuated(now_ms)
         yield from self._reject_unreached(now_ms)
         yield from self._reject_rate_limited(now_ms)
 
@@ -84,6 +85,15 @@
             if failure is not None:
                 yield self._reject(request, failure, now_ms)
 
+    def _reject_evacuated(self, now_ms: float) -> Iterable[Rejection]:
+        """Reject requests that no upstream outside evacuated zones can serve."""
+        has_changed = self._table.pop_evacuation_changed()
+        waiting = tuple(self._waiting) if has_changed else ()
+        for request in waiting:
+            failure = self._refusals.check_upstreams(request)
+            if failure is not None:
+                yield self._reject(request, failure, now_ms)
+
     def _reject_unreached(self, now_ms: float) -> Iterable[Rejection]:
         """Reject requests whose upstreams this VM does not reach."""
         waiting = tuple(self._waiting) if self._paths.has_lost else ()
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -43,6 +43,8 @@
         self.report: LoadReport | None = None
         self.reported_ms = 0.0
         self.is_leaving = False
+        self.is_evacuated = False
+        """Whether its zone is evacuated; its shutdown is not planned."""
         self.health = UpstreamHealth()
         self.ledger = MemoryLedger()
         self.peers = PeerLoad()
@@ -53,6 +55,11 @@
         self._incarnation = ""
         self._backlog = PrefillBacklog()
 
+    @property
+    def accepts_work(self) -> bool:
+        """:returns: whether new work may be placed here"""
+        return not (self.is_leaving or self.is_evacuated)
+
     @property
     def incarnation(self) -> str:
         """:returns: the noted incarnation, else the last report's; ``""``: none"""
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -28,6 +28,9 @@
         self._by_target: dict[str, list[UpstreamState]] = {}
         self._retired: dict[str, UpstreamState] = {}
         self._limited: set[str] = set()
+        self._evacuated_zones: frozenset[str] = frozenset()
+        self._open_by_target = self._by_target
+        self._is_evacuation_new = False
 
     def __iter__(self) -> Iterator[UpstreamState]:
         return iter(self._states.values())
@@ -40,6 +43,11 @@
         """:returns: whether any upstream limits its rate"""
         return bool(self._limited)
 
+    @property
+    def has_evacuated_zones(self) -> bool:
+        """:returns: whether any zone is evacuated"""
+        return bool(self._evacuated_zones)
+
     def get(self, name: str) -> UpstreamState | None:
         """:returns: state of an upstream, also if dropped while attempts still run"""
         return self._states.get(name) or self._retired.get(name)
@@ -92,6 +100,21 @@
         """Mark the named upstreams as leaving, and all others as not leaving."""
         for name, state in self._states.items():
             state.is_leaving = name in names
+        self._is_evacuation_new = self.has_evacuated_zones
+
+    def set_evacuated_zones(self, zones: Collection[str]) -> None:
+        """Set the zones whose upstreams get no new work, also those added later."""
+        if self._evacuated_zones != frozenset(zones):
+            self._evacuated_zones = frozenset(zones)
+            self._rebuild_index()
+
+    def pop_evacuation_changed(self) -> bool:
+        """:returns: whether upstreams changed since the last call, if any is evacuated
+
+        Requests that wait may have lost their last upstream then.
+        """
+        has_changed, self._is_evacuation_new = self._is_evacuation_new, False
+        return has_changed
 
     def set_rate_limit(
         self, name: str, requests_per_s: float | None, now_ms: float
@@ -152,15 +175,36 @@
         return predict_first_token_ms(state.spec.figures, n_generating, backlog_ms)
 
     def list_serving(self, request: Request) -> list[UpstreamState]:
-        """:returns: the upstreams that serve the request's model or service"""
-        target = _service_key(request.service) if request.service else request.model
-        return self._by_target.get(target, [])
+        """:returns: the upstreams that serve the request's model or service
+
+        Without those of evacuated zones, so that the choices that depend on the whole
+        pool, such as the engines kept for long prompts, are made among the others.
+        """
+        return self._open_by_target.get(_target_key(request), [])
+
+    def list_all_serving(self, request: Request) -> list[UpstreamState]:
+        """:returns: all upstreams that serve a request, also evacuated ones"""
+        return self._by_target.get(_target_key(request), [])
 
     def _rebuild_index(self) -> None:
         self._by_target = {}
         for state in self._states.values():
             for target in _targets_of(state.spec):
                 self._by_target.setdefault(target, []).append(state)
+        self._open_by_target = self._by_target
+        zones = self._evacuated_zones
+        self._is_evacuation_new = bool(zones)
+        for state in self._states.values():
+            state.is_evacuated = state.spec.availability_zone in zones
+        if zones:
+            self._open_by_target = {
+                target: [state for state in states if not state.is_evacuated]
+                for target, states in self._by_target.items()
+            }
+
+
+def _target_key(request: Request) -> str:
+    return _service_key(request.service) if request.service else request.model
 
 
 def _service_key(service: str) -> str:
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack, asynccontextmanager
+from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
@@ -37,6 +38,18 @@
 )
 
 
+class AttemptStage(StrEnum):
+    """What an attempt waits for before it is sent.
+
+    ``QUEUED``: for its turn at an upstream that limits its rate; ``RESERVED``: for
+    memory, or it holds some; ``READY``: for nothing.
+    """
+
+    QUEUED = "queued"
+    RESERVED = "reserved"
+    READY = "ready"
+
+
 class OpenResponse(NamedTuple):
     """A response whose head has been validated; its body is not read yet."""
 
@@ -72,6 +85,12 @@
         self._replica: Replica | None = None
         self._sent_ms: float | None = None
         self._has_response = False
+        self._stage = AttemptStage.QUEUED
+
+    @property
+    def stage(self) -> AttemptStage:
+        """:returns: what the attempt waits for until it is sent"""
+        return self._stage
 
     @property
     def sent_ms(self) -> float | None:
@@ -109,11 +128,13 @@
 
         :raises UpstreamError: if it does not come in time; nothing was sent
         """
+        self._state.evacuations.check(dispatch.upstreams)
         max_wait_ms = dispatch.max_permit_wait_ms
         for name in dispatch.upstreams:
             await self._state.permits.acquire(name, max_wait_ms)
         if max_wait_ms:
             self._ticket.note_sent(dispatch.attempt_id)
+        self._stage = AttemptStage.READY
 
     @asynccontextmanager
     async def open(
@@ -160,20 +181,21 @@
     ) -> AsyncIterator[OpenResponse]:
         name = dispatch.upstreams[-1]
         async with AsyncExitStack() as stack:
-            helpers = self._list_helpers(dispatch)
+            members: tuple[Helper, ...] = ()
             self._members = frozenset()
             if dispatch.plan is not None:
+                self._stage = AttemptStage.RESERVED
                 deadline_ms = self._call.admitted.deadline_ms
                 reservation = MemoryReservation(self._state, dispatch, deadline_ms)
                 await stack.enter_async_context(reservation)
                 self._members = frozenset(dispatch.plan.upstreams)
                 self._ticket.note_reserved(dispatch.attempt_id)
-                helpers = (*reservation.list_helpers(), *helpers)
+                members = reservation.list_helpers()
             await stack.enter_async_context(translate_faults(name))
             watch = self.watch_first_byte(dispatch)
 
             async def send() -> aiohttp.ClientResponse:
-                response = await self._send(dispatch, helpers, last_event_id)
+                response = await self._send(dispatch, members, last_event_id)
                 stack.callback(response.close)
                 return response
 
@@ -192,9 +214,13 @@
     async def _send(
         self,
         dispatch: Dispatch,
-        helpers: tuple[Helper, ...],
+        members: tuple[Helper, ...],
         last_event_id: str | None,
     ) -> aiohttp.ClientResponse:
+        """Send the call, if the current fleet state allows it.
+
+        :param members: engines that hold memory for the prompt
+        """
         http_request = self._call.http_request
         name = dispatch.upstreams[-1]
         parameters = ForwardingParameters(
@@ -202,10 +228,11 @@
             self._call.admitted.customer,
             self._call.admitted.deadline_ms - self._state.clock.now_ms(),
             dispatch.rank if dispatch.request.model else None,
-            helpers,
+            (*members, *self._list_helpers(dispatch)),
             last_event_id,
         )
         replica = self._find_replica(name)
+        self._state.evacuations.check(dispatch.upstreams)
         self._check()
         self._incarnation = replica.incarnation
         self._replica = replica
@@ -223,11 +250,13 @@
         )
 
     def _list_helpers(self, dispatch: Dispatch) -> tuple[Helper, ...]:
-        replicas = self._state.belief.replicas
+        """:returns: the helpers; the prompt is prefilled without those evacuated"""
+        belief = self._state.belief
+        replicas = (belief.replicas.get(name) for name in dispatch.helpers)
         return tuple(
-            Helper(replicas[name].address)
-            for name in dispatch.helpers
-            if name in replicas
+            Helper(replica.address)
+            for replica in replicas
+            if replica is not None and not belief.is_evacuated(replica)
         )
 
     def _find_replica(self, name: str) -> Replica:
@@ -328,4 +357,4 @@
         )
 
 
-__all__ = ("AttemptRunner", "OpenResponse")
+__all__ = ("AttemptRunner", "AttemptStage", "OpenResponse")
--- a/src/quetzaldeck/entry/belief_sources.py
+++ b/src/quetzaldeck/entry/belief_sources.py
@@ -72,7 +72,10 @@
         bounds = self._state.settings.bounds
         max_key_age_ms = build_belief_bounds(bounds).max_key_age_ms
         min_deadline_ms = min(
-            bounds.leaving_ms, bounds.configuration_ms, max_key_age_ms
+            bounds.leaving_ms,
+            bounds.configuration_ms,
+            bounds.evacuation_ms,
+            max_key_age_ms,
         )
         return SharingBounds(max(1.0, min_deadline_ms))
 
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -130,7 +130,10 @@
         """Make attempts until one yields a complete response."""
         try:
             self._request_dispatch()
-            with self._state.watch_view(self._handle_new_view):
+            with (
+                self._state.watch_view(self._handle_new_view),
+                self._state.evacuations.watch(self._handle_evacuation),
+            ):
                 while True:
                     response = await self._handle_ended(await self._next_ended())
                     response = response or self._find_last_response()
@@ -414,6 +417,11 @@
             self._refuse(error)
             self._ended.put_nowait(None)
 
+    def _handle_evacuation(self) -> None:
+        """Place attempts again that wait to be sent to an evacuated zone."""
+        for attempt in self._living:
+            attempt.divert()
+
     def _end_if_refused(self, attempt: AttemptRun) -> None:
         try:
             self._recheck()
@@ -441,6 +449,9 @@
     async def _report_fault(self, attempt: AttemptRun, error: UpstreamError) -> None:
         """Record the fault of an attempt; one that is not replaced yet is retried."""
         self._log.record_fault(attempt, error)
+        if error.fault is AttemptFault.EVACUATED:
+            kind = attempt.runner.stage.value
+            self._state.metrics.upstreams.diverted.labels(kind).inc()
         try:
             if not attempt.is_left:
                 await self._retry(attempt, error)
--- a/src/quetzaldeck/entry/memory_reservation.py
+++ b/src/quetzaldeck/entry/memory_reservation.py
@@ -16,6 +16,7 @@
 
     from quetzaldeck.decisions import Dispatch
     from quetzaldeck.entry.state import EntryState
+    from quetzaldeck.routing import Replica
 
 RENEWALS_PER_HOLD = 3
 """Renewals sent within one hold time, so that two may be lost."""
@@ -84,9 +85,16 @@
         )
 
     async def _reserve(self, name: str, n_tokens: int) -> bool:
+        """:raises UpstreamError: also if the zone of a member has been evacuated"""
         replica = self._state.belief.replicas.get(name)
         if replica is None or replica.is_leaving:
             return False
+        self._state.evacuations.check((name,))
+        return await self._order(replica, n_tokens)
+
+    async def _order(self, replica: Replica, n_tokens: int) -> bool:
+        """Order memory of a replica, or renew what it holds."""
+        name = replica.replica_id
         self._incarnations.setdefault(name, replica.incarnation)
         try:
             is_held = await self._state.orders.reserve(
@@ -124,12 +132,15 @@
         The request continues meanwhile, as two of three renewals within a hold time may
         be lost. A member that has restarted is skipped: it lost the reservation with
         the prompt, and an order would reserve memory that the request cannot use.
+
+        A member that leaves, or whose zone was evacuated, finishes what it runs, so its
+        memory is renewed: otherwise the running request would be cut off.
         """
         replica = self._state.belief.replicas.get(name)
-        if replica is not None and replica.incarnation != self._incarnations.get(name):
+        if replica is None or replica.incarnation != self._incarnations.get(name):
             return
         try:
-            await self._reserve(name, n_tokens)
+            await self._order(replica, n_tokens)
         except UpstreamError as error:
             log_event(
                 "memory_not_renewed",
--- a/src/quetzaldeck/entry/pace_task.py
+++ b/src/quetzaldeck/entry/pace_task.py
@@ -103,7 +103,7 @@
         return {
             replica.replica_id: replica
             for replica in self._state.belief.replicas.values()
-            if replica.service in services and not replica.is_leaving
+            if replica.service in services and self._state.belief.accepts_work(replica)
         }
 
     def _list_vms(self) -> dict[str, list[str]]:
--- a/src/quetzaldeck/entry/path_watch.py
+++ b/src/quetzaldeck/entry/path_watch.py
@@ -46,6 +46,7 @@
     """Owns the probes of upstreams that may be out of reach.
 
     :param read_replicas: returns the replicas that are known, by id
+    :param accepts_work: returns whether a replica may get new work
     :param probe: asks a replica on a new connection; returns whether it answers in a
         time during which this VM has run
     :param dispatch: receives verdicts, and knows what other VMs report
@@ -55,6 +56,7 @@
         self,
         clock: Clock,
         read_replicas: ReadReplicas,
+        accepts_work: Callable[[Replica], bool],
         probe: Probe,
         dispatch: DispatchTask,
         metrics: UpstreamMetrics,
@@ -63,6 +65,7 @@
     ) -> None:
         self._clock = clock
         self._read_replicas = read_replicas
+        self._accepts_work = accepts_work
         self._probe = probe
         self._dispatch = dispatch
         self._metrics = metrics
@@ -78,11 +81,15 @@
         return self._monitor
 
     def apply_replicas(self) -> None:
-        """Use the current replicas; those that leave show nothing by ending."""
+        """Use the current replicas that may get new work.
+
+        Those that leave show nothing by ending. Those of evacuated zones are not
+        probed, as no request has to reach them.
+        """
         self._monitor.set_upstreams(
             (replica.replica_id, replica.service, replica.availability_zone)
             for replica in self._read_replicas().values()
-            if not replica.is_leaving
+            if self._accepts_work(replica)
         )
 
     def note_sent(self, attempt_id: str, upstream: str) -> None:
--- a/src/quetzaldeck/entry/peers/belief_feed.py
+++ b/src/quetzaldeck/entry/peers/belief_feed.py
@@ -28,7 +28,7 @@
     def note(self, answer: SourceAnswer) -> None:
         """Note what this VM has just read, and answer the long polls if it changed."""
         self._log.note(answer)
-        if answer.changes:
+        if answer.changes or answer.lists_zones:
             self._changed.set()
             self._changed = asyncio.Event()
 
@@ -79,7 +79,17 @@
             replicas,
             removed,
             belief.trouble_age_ms(now_ms),
+            self._list_zones(revision, is_complete=is_complete),
         )
 
+    def _list_zones(
+        self, revision: int, *, is_complete: bool
+    ) -> tuple[str, ...] | None:
+        """:returns: the evacuated zones; ``None`` if they need not be sent"""
+        zones = tuple(sorted(self._belief.evacuated_zones))
+        if is_complete:
+            return zones or None
+        return zones if self._log.have_zones_changed(revision) else None
+
 
 __all__ = ("BeliefFeed",)
--- a/src/quetzaldeck/entry/peers/belief_update.py
+++ b/src/quetzaldeck/entry/peers/belief_update.py
@@ -10,6 +10,7 @@
     ReplicaRead,
     ReplicaRemoved,
     SourceAnswer,
+    ZoneEvacuated,
 )
 from quetzaldeck.routing import Replica, RoutingConfiguration
 
@@ -29,6 +30,8 @@
     :param configuration: only if it is newer than the polling VM's
     :param removed: ids of replicas that no longer have an entry
     :param trouble_age_ms: time since the peer last had trouble with the store
+    :param evacuated_zones: all evacuated zones; ``None``: unchanged since the polled
+        revision or, in a complete update, none
     """
 
     revision: int
@@ -39,6 +42,7 @@
     replicas: tuple[Replica, ...] = ()
     removed: tuple[str, ...] = ()
     trouble_age_ms: float | None = None
+    evacuated_zones: tuple[str, ...] | None = None
 
     def translate(self) -> SourceAnswer:
         """:returns: the update in the form that all sources of the fleet state use"""
@@ -47,6 +51,7 @@
             changes.append(ConfigurationRead(self.configuration))
         changes.extend(ReplicaRead(replica) for replica in self.replicas)
         changes.extend(ReplicaRemoved(replica_id) for replica_id in self.removed)
+        changes.extend(ZoneEvacuated(zone) for zone in self.evacuated_zones or ())
         return SourceAnswer(
             self.revision,
             tuple(changes),
@@ -54,6 +59,7 @@
             waited_ms=self.waited_ms,
             age_ms=self.age_ms,
             trouble_age_ms=self.trouble_age_ms,
+            lists_zones=self.evacuated_zones is not None,
         )
 
 
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.crash_checks import CrashChecks
+from quetzaldeck.entry.evacuations import Evacuations
 from quetzaldeck.entry.handover.client import Handover
 from quetzaldeck.entry.past_routes import PastRoutes
 from quetzaldeck.entry.path_watch import PathWatch
@@ -91,9 +92,11 @@
         self.permits = Permits(own_address, self.rate_limits, clock, metrics.upstreams)
         self.random_state = random.Random(settings.random_state or None)
         self._probes = probes
+        self.evacuations = Evacuations(belief, clock, dispatch, metrics.upstreams)
         self.paths = PathWatch(
             clock,
             lambda: belief.replicas,
+            belief.accepts_work,
             self._probe,
             dispatch,
             metrics.upstreams,
@@ -223,6 +226,7 @@
         self.dispatch.send(ApplyBundle(build_bundle(self.belief, self._view)))
         self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
         self.dispatch.send(Observe((), list_leaving(self.belief)))
+        self.evacuations.apply()
         self.rate_limits.apply_replicas(self.belief.replicas)
         self.permits.expire(self.belief.replicas)
         self.paths.apply_replicas()
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -26,6 +26,7 @@
     ObserveCache,
     ObserveCheck,
     ObserveCrashes,
+    ObserveEvacuations,
     ObserveIncarnations,
     ObserveLoad,
     ObservePaces,
@@ -264,6 +265,7 @@
                 ObserveCache()
                 | ObserveCheck()
                 | ObserveCrashes()
+                | ObserveEvacuations()
                 | ObserveIncarnations()
                 | ObservePath()
                 | ObserveRuns()
@@ -339,6 +341,7 @@
             ObserveCache
             | ObserveCheck
             | ObserveCrashes
+            | ObserveEvacuations
             | ObserveIncarnations
             | ObservePath
             | ObserveRuns
@@ -358,6 +361,8 @@
                 self._load_changed.set()
             case ObserveIncarnations():
                 self._scheduler.fleet.observe_incarnations(message.incarnations)
+            case ObserveEvacuations():
+                self._scheduler.fleet.observe_evacuations(message.zones)
             case ObservePath():
                 self._scheduler.observe_path(message.service, message.verdict)
             case ObserveCache():
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -114,6 +114,12 @@
     n_vms: int = 1
 
 
+class ObserveEvacuations(NamedTuple):
+    """The availability zones whose upstreams get no new work."""
+
+    zones: frozenset[str]
+
+
 class ObserveIncarnations(NamedTuple):
     """The incarnation that each upstream reports, by name."""
 
@@ -211,6 +217,7 @@
     | ObservePaces
     | ObservePath
     | ObserveRateLimit
+    | ObserveEvacuations
     | ObserveIncarnations
     | ObservePeerLoad
     | ObserveCache
@@ -235,6 +242,7 @@
     "ObserveCache",
     "ObserveCheck",
     "ObserveCrashes",
+    "ObserveEvacuations",
     "ObserveIncarnations",
     "ObserveLoad",
     "ObservePaces",
--- a/src/quetzaldeck/platform/store.py
+++ b/src/quetzaldeck/platform/store.py
@@ -17,6 +17,8 @@
     SourceAnswer,
     SourceError,
     UndecodableEntry,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from quetzaldeck.http.answer_bounds import (
     ByteBound,
@@ -35,6 +37,7 @@
 
 CONFIGURATION_KEY = "op/config"
 REPLICA_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 READ_TIMEOUT_MS = 1_000
 """The answer normally takes about 4 ms. The timeout allows for a store that is a
 hundred times slower, and an outage is noticed well within the age bounds of the fleet
@@ -160,6 +163,8 @@
 
 
 def _translate_item(item: _Item) -> Change | None:
+    if item.key.startswith(EVACUATION_PREFIX):
+        return _translate_evacuation(item)
     replica_id = item.key.removeprefix(REPLICA_PREFIX)
     is_replica = replica_id != item.key
     try:
@@ -176,4 +181,12 @@
     return None
 
 
+def _translate_evacuation(item: _Item) -> Change:
+    """:returns: the change of a zone; the presence of its key counts, not the value"""
+    zone = item.key.removeprefix(EVACUATION_PREFIX)
+    if not zone:
+        return UndecodableEntry(item.key, "the key names no availability zone")
+    return ZoneRestored(zone) if item.deleted else ZoneEvacuated(zone)
+
+
 __all__ = ("PlatformStore",)
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -40,6 +40,23 @@
             "Upstreams that get nothing new because they leave",
             registry=registry,
         )
+        self.evacuated_zones = Gauge(
+            "quetzaldeck_evacuated_zones",
+            "Availability zones whose upstreams get nothing new",
+            registry=registry,
+        )
+        self.zone_evacuated_since = Gauge(
+            "quetzaldeck_zone_evacuated_since_seconds",
+            "Unix time of the answer of the store that named the evacuated zone",
+            ["zone"],
+            registry=registry,
+        )
+        self.diverted = Counter(
+            "quetzaldeck_diverted_requests",
+            "Requests kept from upstreams of evacuated zones, by what they waited for",
+            ["kind"],
+            registry=registry,
+        )
         self.replaced_pools = Counter(
             "quetzaldeck_replaced_pools",
             "Connection pools replaced after a silent read",
--- a/tests/entry/test_path_watch.py
+++ b/tests/entry/test_path_watch.py
@@ -47,6 +47,7 @@
     watch = PathWatch(
         clock,
         lambda: REPLICAS,
+        lambda replica: not replica.is_leaving,
         probe,
         cast("DispatchTask", dispatch),
         UpstreamMetrics(CollectorRegistry()),
--- a/tests/support/platform/site.py
+++ b/tests/support/platform/site.py
@@ -186,10 +186,15 @@
         await self._stack.aclose()
 
     def register(
-        self, replica: StandInReplica, service: str, *, state: str = "ready"
+        self,
+        replica: StandInReplica,
+        service: str,
+        *,
+        state: str = "ready",
+        zone: str = "a",
     ) -> None:
         """Write a replica's entry to the store."""
-        entry = build_entry(service, replica.address, state=state)
+        entry = build_entry(service, replica.address, state=state, zone=zone)
         self.store.put(f"servers/{replica.replica_id}", entry)
 
     async def call(
