--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -78,8 +78,9 @@
 
 def read_diverted(site: Site, kind: str) -> float:
     """:returns: requests diverted from evacuated zones"""
-    metrics = site.entry.session.state.metrics.upstreams
-    return metrics.diverted.labels(kind)._value.get()
+    registry = site.entry.session.state.metrics.registry
+    name = "quetzaldeck_diverted_requests_total"
+    return registry.get_sample_value(name, {"kind": kind}) or 0.0
 
 
 def test_zone_gets_nothing_while_it_is_evacuated() -> None:
@@ -204,7 +205,8 @@
 
         state.permits.acquire = acquire_late  # type: ignore[method-assign]
         await site.call(PLAN_PATH, prompt=LONG, deadline_ms=LONG_MS)
-        call = [c for e in site.engines for c in e.calls if c.call_id == "call2"][0]
+        calls = [call for engine in site.engines for call in engine.calls]
+        call = next(call for call in calls if call.call_id == "call2")
         assert "quetzaldeck-helpers" not in call.headers
 
     run_site(test, engines=(answer,) * 6)
@@ -339,5 +341,3 @@
         assert 'zone="b"' not in generate_latest(registry).decode()
 
     run_site(test)
-
-
--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -9,7 +9,7 @@
 from tests.soak.entry.endless import check_flood
 from tests.soak.entry.history import RequestKind
 from tests.soak.entry.replicas import build_complete_stream
-from tests.soak.entry.world import LEAVING_MS, REVOCATION_MS
+from tests.soak.entry.world import EVACUATION_MS, LEAVING_MS, REVOCATION_MS
 from tests.soak.own.link import PathMode
 from tests.support.platform.partitions import (
     FREE_FAILURE_SHARE,
@@ -36,6 +36,7 @@
     {
         "change_routes",
         "configure_often",
+        "evacuate_zone",
         "hang_up",
         "partition_vms",
         "revoke_key",
@@ -207,6 +208,22 @@
             )
 
 
+@register
+def evacuated_zones(history: History) -> Iterator[str]:
+    """Replicas of an evacuated zone receive no request after the bound.
+
+    VMs that a fault affects are excused, since they may not learn of it in time.
+    """
+    for evacuation in history.evacuations:
+        begin_ms = evacuation.begin_ms
+        for replica in sorted(evacuation.replicas):
+            for at_ms, vm in history.rate_limits[replica].received:
+                late_ms = at_ms - begin_ms - EVACUATION_MS - LEAVING_TOLERANCE_MS
+                is_excused = history.is_affected(vm, begin_ms - 500.0, at_ms)
+                if late_ms > 0 and at_ms < evacuation.end_ms and not is_excused:
+                    yield f"{vm} sent {replica} a request {late_ms:.0f} ms too late"
+
+
 @register
 def rate_limits(history: History) -> Iterator[str]:
     """VMs together send a replica no more requests than it names.
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -11,6 +11,7 @@
 from tests.soak.entry.culprits import BadParts, Culprits
 from tests.soak.entry.endless import Endless, Flood, read_memory_kb, sample_memory
 from tests.soak.entry.history import (
+    Evacuation,
     FaultInterval,
     Partition,
     RequestKind,
@@ -44,6 +45,7 @@
 SILENCE_S = (0.85, 1.55)
 MAX_SILENCES = 4
 ENDLESS_S = (3.0, 4.0)
+EVACUATION_S = (2.5, 4.0)
 VERSION_INTERVAL_S = (0.5, 1.5)
 N_ADDED_ROUTES = 20
 MAX_CHANGES = 4
@@ -313,6 +315,32 @@
     world.store.delete(f"servers/{replica_id}")
 
 
+@register
+async def evacuate_zone(world: SoakWorld, random_state: random.Random) -> None:
+    """Some replicas of each service move to a zone, which is evacuated for a while."""
+    zone = f"z{random_state.getrandbits(32)}"
+    chosen: list[str] = []
+    for service in sorted(set(world.services.values())):
+        names = [r for r in world.serving if world.services[r] == service]
+        names = [r for r in names if r not in world.zones]
+        n_chosen = random_state.randint(1, max(1, len(names) - 1))
+        chosen += random_state.sample(names, min(n_chosen, len(names) - 1))
+    for name in chosen:
+        world.zones[name] = zone
+        world.register(name)
+    await sleep_randomly(random_state, 1.0)
+    world.store.put(f"op/evacuate/{zone}", {})
+    begin_ms = now_ms()
+    await asyncio.sleep(random_state.uniform(*EVACUATION_S))
+    evacuation = Evacuation(frozenset(chosen), begin_ms, now_ms())
+    world.history.evacuations.append(evacuation)
+    world.store.delete(f"op/evacuate/{zone}")
+    for name in chosen:
+        del world.zones[name]
+        if name in world.serving:
+            world.register(name)
+
+
 @register
 async def revoke_key(world: SoakWorld, random_state: random.Random) -> None:
     if len(world.keys) > 5:
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -93,6 +93,14 @@
     end_ms: float
 
 
+class Evacuation(NamedTuple):
+    """A zone with some of the replicas was evacuated for a while."""
+
+    replicas: frozenset[str]
+    begin_ms: float
+    end_ms: float
+
+
 class RouteGap(NamedTuple):
     """The configuration had no route for some kinds of request for a while."""
 
@@ -134,6 +142,7 @@
         self.work_ends: defaultdict[str, list[tuple[str, float]]] = defaultdict(list)
         self.partitions: list[Partition] = []
         self.route_gaps: list[RouteGap] = []
+        self.evacuations: list[Evacuation] = []
         self.stop_failures: list[str] = []
         self.false_refusals: list[str] = []
         self.loop_stalls: list[LoopStall] = []
@@ -191,6 +200,7 @@
 __all__ = (
     "CallRecord",
     "Culprit",
+    "Evacuation",
     "Execution",
     "FaultInterval",
     "History",
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -8,9 +8,11 @@
 
 import pytest
 import uvloop
+from tests.soak.entry.checks import evacuated_zones
 from tests.soak.entry.faults import FAULTS, PlannedFault, inject, plan_faults
-from tests.soak.entry.history import History
+from tests.soak.entry.history import Evacuation, History
 from tests.soak.entry.run import run_soak
+from tests.support.platform.rate_limit_check import Received
 
 if TYPE_CHECKING:
     from tests.soak.entry.world import SoakWorld
@@ -38,6 +40,7 @@
         "silence_replicas",
         "change_routes",
         "send_endless_bytes",
+        "evacuate_zone",
     }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
@@ -109,6 +112,30 @@
     assert result.n_calls > 200
 
 
+def test_evacuated_zones_get_nothing_while_vms_and_the_store_fail() -> None:
+    """Guards against VMs that miss an evacuation as they start, freeze or lose it."""
+    plan = (
+        PlannedFault(0.2, "evacuate_zone", 1),
+        PlannedFault(1.0, "store_forgets", 1),
+        PlannedFault(2.0, "kill_vm", 1),
+        PlannedFault(2.8, "evacuate_zone", 2),
+        PlannedFault(5.5, "cut_vm_off", 3),
+        PlannedFault(6.5, "evacuate_zone", 3),
+        PlannedFault(7.0, "crash_replica", 4),
+    )
+    result = uvloop.run(run_soak(1, duration_s=10.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
+def test_late_request_to_an_evacuated_zone_is_found() -> None:
+    """Guards against a check that finds nothing, whatever replicas receive."""
+    history = History()
+    history.evacuations.append(Evacuation(frozenset({"r1"}), 0.0, 5_000.0))
+    history.rate_limits["r1"].received += [Received(1_000.0, "vm"), Received(4e3, "vm")]
+    assert len(list(evacuated_zones(history))) == 1
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_requests_that_crash_replicas_are_refused_while_vms_and_replicas_end(
     seed: int,
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -30,6 +30,8 @@
 N_DESKS = 3
 REVOCATION_MS = 2_500.0
 LEAVING_MS = 1_200.0
+EVACUATION_MS = 1_500.0
+"""Longer than ``LEAVING_MS``, so that the intervals of polls do not depend on it."""
 GRACE_S = 3.0
 FREE_MS = 1_500.0
 RESTART_S = (0.5, 1.5)
@@ -111,6 +113,7 @@
         self.replicas: dict[str, SoakReplica] = {}
         self.links: dict[str, Link] = {}
         self.services: dict[str, str] = {}
+        self.zones: dict[str, str] = {}
         self.culprits: dict[Culprit, str] = {}
         self.bad_parts: set[str] = set()
         self.endings: dict[str, Ending] = {}
@@ -227,7 +230,10 @@
         address = self.links[replica_id].address.removeprefix("http://")
         service = self.services[replica_id]
         started_ms = self._started_ms.setdefault(replica_id, round(time.time() * 1_000))
-        entry = build_entry(service, address, slots=16, state=state, born=started_ms)
+        zone = self.zones.get(replica_id, "a")
+        entry = build_entry(
+            service, address, zone=zone, slots=16, state=state, born=started_ms
+        )
         self.store.put(f"servers/{replica_id}", entry)
 
     def set_path(self, vm: SoakVm, mode: PathMode) -> None:
@@ -271,6 +277,7 @@
             "bounds": {
                 "key_revocation_ms": REVOCATION_MS,
                 "leaving_ms": LEAVING_MS,
+                "evacuation_ms": EVACUATION_MS,
                 "grace_s": GRACE_S,
                 "free_ms": FREE_MS,
             },
