Limit the rate of cold replicas with permits

Cause: a replica that starts, or becomes cold again, crashes at the rate of a warm one, and no VM limited what it sent there.

The permit is checked again right before the request is sent.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -27,6 +27,7 @@
     from quetzaldeck.decisions import Dispatch
     from quetzaldeck.decisions.silence.verdict import SilenceVerdict
     from quetzaldeck.entry.call import Call
+    from quetzaldeck.entry.peers.permits import HeldPermit
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
     from quetzaldeck.routing import Replica
@@ -70,6 +71,7 @@
         self._members: frozenset[str] = frozenset()
         self._incarnation = ""
         self._replica: Replica | None = None
+        self._permits: list[HeldPermit] = []
         self._sent_ms: float | None = None
         self._has_response = False
 
@@ -110,8 +112,12 @@
         :raises UpstreamError: if it does not come in time; nothing was sent
         """
         max_wait_ms = dispatch.max_permit_wait_ms
-        for name in dispatch.upstreams:
-            await self._state.permits.acquire(name, max_wait_ms)
+        permits = self._state.permits
+        if dispatch.is_retrial:
+            self._state.rate_limits.presume_cold(dispatch.upstreams)
+        self._permits = [
+            await permits.acquire(name, max_wait_ms) for name in dispatch.upstreams
+        ]
         if max_wait_ms:
             self._ticket.note_sent(dispatch.attempt_id)
 
@@ -207,6 +213,8 @@
         )
         replica = self._find_replica(name)
         self._check()
+        for permit in self._permits:
+            self._state.permits.check(permit)
         self._incarnation = replica.incarnation
         self._replica = replica
         headers = build_request_headers(self._call.headers, parameters)
@@ -227,7 +235,7 @@
         return tuple(
             Helper(replicas[name].address)
             for name in dispatch.helpers
-            if name in replicas
+            if name in replicas and self._state.rate_limits.find_cold(name) is None
         )
 
     def _find_replica(self, name: str) -> Replica:
