Order customers by what all VMs dispatch, behind a setting

Cause: with 64 VMs or more each VM sees few requests of a customer, so a customer that sends several times its usual load looks like any other in the queue of each VM.

Change: while requests wait, a VM counts the tokens that it dispatches by queue and customer and announces the cumulative sums with its loads. Another VM advances the start tags of its fair queue by the increase, for service of the last ten seconds only. The rate of announcements falls with the number of VMs. With fair_shares off, which is the default, nothing is counted, and updates without shares are encoded as before. Requests overtaken because of shares are logged and counted by rule.

The effect under load is not measured yet.

--- a/src/quetzaldeck/decisions/policies.py
+++ b/src/quetzaldeck/decisions/policies.py
@@ -53,6 +53,7 @@
     resend_budget: ResendBudget | None = None,
     groups: GroupBounds | None = None,
     poison: PoisonBounds | None = None,
+    has_fair_shares: bool = False,
 ) -> Scheduler:
     """:returns: the scheduler of one VM, in the gateway and in the bench alike
 
@@ -71,6 +72,7 @@
         resend_budget=resend_budget,
         groups=groups,
         poison=poison,
+        has_fair_shares=has_fair_shares,
     )
 
 
--- a/src/quetzaldeck/decisions/queueing/api.py
+++ b/src/quetzaldeck/decisions/queueing/api.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from quetzaldeck.decisions.queueing.passed_over import PassedOver
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.tuning import Tuning
 
@@ -45,6 +46,18 @@
     def remove(self, request_id: str) -> Request | None:
         """:returns: the removed request, ``None`` if it was not queued"""
 
+    def note_served_elsewhere(  # noqa: B027 - fifo has no shares
+        self, target: str, customer: str, n_tokens: int
+    ) -> None:
+        """Note tokens that other VMs dispatched for a customer while requests waited.
+
+        :param target: label of the queue; see ``share_target``
+        """
+
+    def pop_passed_over(self) -> list[PassedOver]:
+        """:returns: requests overtaken since the last call, while VMs share service"""
+        return []
+
     @abstractmethod
     def __iter__(self) -> Iterator[Request]:
         """:returns: the queued requests in unspecified order"""
--- a/src/quetzaldeck/decisions/queueing/fair.py
+++ b/src/quetzaldeck/decisions/queueing/fair.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions.queueing.api import QueuePolicy, queue_policies
+from quetzaldeck.decisions.queueing.customer_tags import CustomerTagTable
 from quetzaldeck.decisions.queueing.target_queue import TargetQueue
 from quetzaldeck.decisions.request import MAX_MEDIUM_TOKENS
 
@@ -12,6 +13,7 @@
     from collections.abc import Iterator
 
     from quetzaldeck.decisions.queueing.api import PlaceFunction
+    from quetzaldeck.decisions.queueing.passed_over import PassedOver
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.tuning import Tuning
 
@@ -56,6 +58,7 @@
         self._queues: dict[_QueueKey, TargetQueue] = {}
         self._requests: dict[str, Request] = {}
         self._stretch = DEFAULT_STRETCH
+        self._tags = CustomerTagTable()
 
     @property
     def highest_priority(self) -> int | None:
@@ -73,7 +76,7 @@
         key = _queue_key(request)
         queue = self._queues.get(key)
         if queue is None:
-            queue = self._queues[key] = TargetQueue()
+            queue = self._queues[key] = TargetQueue(self._tags)
         queue.push(request, self._due_ms(request))
 
     def requeue(self, request: Request) -> None:
@@ -84,6 +87,7 @@
         self, now_ms: float, place: PlaceFunction
     ) -> tuple[Request, tuple[str, ...]] | None:
         """:returns: the next request that can be placed, and its upstreams"""
+        self._tags.advance(now_ms)
         for key in sorted(self._queues):
             queue = self._queues[key]
             placed = queue.take(place)
@@ -106,6 +110,14 @@
             del self._queues[key]
         return request
 
+    def note_served_elsewhere(self, target: str, customer: str, n_tokens: int) -> None:
+        """Advance the start tag of a customer by what other VMs dispatched for it."""
+        self._tags.note_served_elsewhere(target, customer, n_tokens)
+
+    def pop_passed_over(self) -> list[PassedOver]:
+        """:returns: requests overtaken since the last call, while VMs share service"""
+        return self._tags.pop_passed_over()
+
     def __iter__(self) -> Iterator[Request]:
         return iter(tuple(self._requests.values()))
 
--- a/src/quetzaldeck/decisions/queueing/in_time.py
+++ b/src/quetzaldeck/decisions/queueing/in_time.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterator
 
     from quetzaldeck.decisions.queueing.api import PlaceFunction
+    from quetzaldeck.decisions.queueing.passed_over import PassedOver
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.tuning import Tuning
 
@@ -73,6 +74,15 @@
         self._latest_starts.discard(request_id)
         return self._in_time.remove(request_id) or self._late.remove(request_id)
 
+    def note_served_elsewhere(self, target: str, customer: str, n_tokens: int) -> None:
+        """Advance the start tags of a customer by what other VMs dispatched for it."""
+        self._in_time.note_served_elsewhere(target, customer, n_tokens)
+        self._late.note_served_elsewhere(target, customer, n_tokens)
+
+    def pop_passed_over(self) -> list[PassedOver]:
+        """:returns: requests overtaken since the last call, while VMs share service"""
+        return self._in_time.pop_passed_over() + self._late.pop_passed_over()
+
     def __iter__(self) -> Iterator[Request]:
         yield from self._in_time
         yield from self._late
--- a/src/quetzaldeck/decisions/queueing/start_time_fair_queue.py
+++ b/src/quetzaldeck/decisions/queueing/start_time_fair_queue.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.decisions.queueing.customer_queue import CustomerQueue
+from quetzaldeck.decisions.queueing.customer_tags import CustomerTags
+from quetzaldeck.decisions.queueing.passed_over import PassedOver, ShareRule
 from quetzaldeck.decisions.request import Request
 
 if TYPE_CHECKING:
@@ -19,8 +21,6 @@
 wait for an adapter or for enough memory while that of the next customer can be placed;
 trying more customers costs more than it gains."""
 
-_MIN_IDLE_TAGS = 64
-
 
 class PlacedRequest(NamedTuple):
     """A request taken from the queue and the upstreams it is placed on."""
@@ -49,13 +49,19 @@
     gets a burst of that size, and a smaller quantum takes many rounds over all
     customers before a long prompt is served. A heap ordered by start tag has neither
     problem; each decision is logarithmic in the number of waiting customers.
+
+    Where customers share the fleet, the start tag also advances by what other VMs
+    dispatched for the customer, divided by its weight.
+
+    :param tags: start tags of customers without requests, and service elsewhere
+    :param target: label of the queue
     """
 
-    def __init__(self) -> None:
+    def __init__(self, tags: CustomerTags | None = None, target: str = "") -> None:
         self._queues: dict[str, CustomerQueue] = {}
         self._schedule: list[_ScheduledCustomer] = []
-        self._idle_tags: dict[str, float] = {}
-        self._virtual_time = 0.0
+        self._tags = CustomerTags() if tags is None else tags
+        self._target = target
         self._sequence = itertools.count()
         self._n_requests = 0
 
@@ -71,9 +77,7 @@
         queue = self._queues.get(request.customer)
         if queue is None:
             queue = self._queues[request.customer] = CustomerQueue()
-            start_tag = max(
-                self._virtual_time, self._idle_tags.get(request.customer, 0.0)
-            )
+            start_tag = self._tags.start_tag(request.customer)
             self._schedule_customer(request.customer, start_tag)
         queue.push(request, due_ms)
         self._n_requests += 1
@@ -96,10 +100,16 @@
             if head is None:
                 self._remove_idle(entry)
                 continue
+            start_tag = self._tags.advance(entry.start_tag, entry.customer, head.weight)
+            if start_tag > entry.start_tag:
+                heapq.heappush(self._schedule, entry._replace(start_tag=start_tag))
+                continue
             upstreams = place(head)
             if upstreams is None:
                 skipped.append(entry)
                 continue
+            if self._tags.has_recent:
+                self._note_passed_over(entry, head)
             self._dequeue(entry, head)
             placed = PlacedRequest(head, upstreams)
         for entry in skipped:
@@ -107,7 +117,7 @@
         return placed
 
     def _dequeue(self, entry: _ScheduledCustomer, request: Request) -> None:
-        self._virtual_time = max(self._virtual_time, entry.start_tag)
+        self._tags.virtual_time = max(self._tags.virtual_time, entry.start_tag)
         start_tag = entry.start_tag + request.n_kv_tokens / request.weight
         self.discard(request)
         if self._queues[entry.customer].peek() is None:
@@ -122,18 +132,40 @@
         )
 
     def _remove_idle(self, entry: _ScheduledCustomer) -> None:
-        """Remove a customer without requests and keep its start tag.
+        """Remove a customer without requests and keep its start tag."""
+        del self._queues[entry.customer]
+        self._tags.note_idle(entry.customer, entry.start_tag, len(self._queues))
 
-        The tag matters only while it is ahead of the virtual time; older ones are
-        dropped, so that memory does not grow with all customers ever served.
+    def _note_passed_over(self, entry: _ScheduledCustomer, served: Request) -> None:
+        """Record the oldest request that ``served`` overtakes, if there is one.
+
+        Customers before it in the schedule could not be placed, those behind it wait
+        because of their shares.
         """
-        del self._queues[entry.customer]
-        self._idle_tags[entry.customer] = entry.start_tag
-        if len(self._idle_tags) > 2 * len(self._queues) + _MIN_IDLE_TAGS:
-            now = self._virtual_time
-            self._idle_tags = {
-                c: tag for c, tag in self._idle_tags.items() if tag > now
-            }
+        overtaken: tuple[Request, _ScheduledCustomer] | None = None
+        oldest_ms = served.arrived_ms
+        for other in self._schedule:
+            head = self._queues[other.customer].peek()
+            if head is not None and head.arrived_ms < oldest_ms:
+                oldest_ms, overtaken = head.arrived_ms, (head, other)
+        if overtaken is None:
+            return
+        request, other = overtaken
+        is_due_here = self._local_tag(other) < self._local_tag(entry)
+        self._tags.passed_over.append(
+            PassedOver(
+                self._target,
+                ShareRule.SERVED_ELSEWHERE if is_due_here else ShareRule.SERVED_HERE,
+                request.customer,
+                request.request_id,
+                request.arrived_ms,
+                served.customer,
+                served.request_id,
+            )
+        )
+
+    def _local_tag(self, entry: _ScheduledCustomer) -> float:
+        return entry.start_tag - self._tags.lead(entry.start_tag, entry.customer)
 
 
 __all__ = ("MAX_TRIED_CUSTOMERS", "PlacedRequest", "StartTimeFairQueue")
--- a/src/quetzaldeck/decisions/queueing/target_queue.py
+++ b/src/quetzaldeck/decisions/queueing/target_queue.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.queueing.share_target import share_target
 from quetzaldeck.decisions.queueing.start_time_fair_queue import StartTimeFairQueue
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from quetzaldeck.decisions.queueing.api import PlaceFunction
+    from quetzaldeck.decisions.queueing.customer_tags import CustomerTagTable
     from quetzaldeck.decisions.queueing.start_time_fair_queue import PlacedRequest
     from quetzaldeck.decisions.request import Request
 
@@ -27,9 +29,12 @@
     Lower priorities earn credit for tokens served at higher ones, and a priority with
     credit is served first. Without this guaranteed share, a high-priority customer that
     keeps its queue full would starve all others.
+
+    :param tags: start tags of customers, which other VMs' dispatches advance
     """
 
-    def __init__(self) -> None:
+    def __init__(self, tags: CustomerTagTable) -> None:
+        self._tags = tags
         self._queues: dict[int, StartTimeFairQueue] = {}
         self._credits: dict[int, float] = {}
 
@@ -52,7 +57,9 @@
         """Add a request that is due at ``due_ms``."""
         queue = self._queues.get(request.priority)
         if queue is None:
-            queue = self._queues[request.priority] = StartTimeFairQueue()
+            target = share_target(request)
+            queue = StartTimeFairQueue(self._tags.obtain(target), target)
+            self._queues[request.priority] = queue
         queue.push(request, due_ms)
 
     def discard(self, request: Request) -> None:
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.attempts.tracked import TrackedRequest, TrackedRequests
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.estimation import TokenEstimator
+from quetzaldeck.decisions.fair_shares import ShareTracker
 from quetzaldeck.decisions.fleet_observer import FleetObserver
 from quetzaldeck.decisions.groups import GroupPlanner
 from quetzaldeck.decisions.head_of_line import Unprotected
@@ -43,7 +44,7 @@
     from quetzaldeck.decisions.paths import PathVerdict
     from quetzaldeck.decisions.placement import PlacementPolicy
     from quetzaldeck.decisions.poison import PoisonBounds
-    from quetzaldeck.decisions.queueing import QueuePolicy
+    from quetzaldeck.decisions.queueing import PassedOver, QueuePolicy
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import ResendBudget
     from quetzaldeck.decisions.silence.verdict import SilenceVerdict
@@ -62,6 +63,7 @@
     :param resend_budget: budget of sends of a request after its first
     :param groups: parameters of engine groups that share the memory of long prompts
     :param poison: thresholds for requests that crash upstreams
+    :param has_fair_shares: whether what other VMs dispatched for a customer counts
     """
 
     def __init__(
@@ -76,9 +78,11 @@
         resend_budget: ResendBudget | None = None,
         groups: GroupBounds | None = None,
         poison: PoisonBounds | None = None,
+        has_fair_shares: bool = False,
     ) -> None:
         self._clock = clock
         self._queue = queue
+        self._shares = ShareTracker(queue, clock.now_ms()) if has_fair_shares else None
         random_state = placement.random_state
         self._admission = admission or BoundsOnly(random_state=random_state)
         self._head_of_line = head_of_line or Unprotected()
@@ -203,6 +207,11 @@
         """:returns: the limiter that enforces this VM's share of the customer limits"""
         return self._limits
 
+    @property
+    def shares(self) -> ShareTracker | None:
+        """:returns: the service of customers at other VMs; ``None``: it is not used"""
+        return self._shares
+
     @property
     def n_queued(self) -> int:
         """:returns: requests that wait for placement or for the end of a backoff"""
@@ -277,6 +286,8 @@
         decisions: list[Decision] = list(self._sweep.run(now_ms))
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
+            if self._shares is not None:
+                self._shares.note_dispatched(request, now_ms)
             latest_ms = self._latest_turn_ms(request, now_ms)
             decisions.append(self._starter.start(request, upstreams, now_ms, latest_ms))
         return decisions
@@ -405,6 +416,10 @@
             return None
         return self._failed.handle(tracked, end, now_ms)
 
+    def pop_passed_over(self) -> list[PassedOver]:
+        """:returns: requests overtaken because of shares since the last call"""
+        return [] if self._shares is None else self._queue.pop_passed_over()
+
     def _check_admission(self, request: Request, now_ms: float) -> Failure | None:
         if request.deadline_ms <= now_ms:
             return Failure(Reason.DEADLINE_EXCEEDED)
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from quetzaldeck.decisions.fair_shares import ShareSum
 from quetzaldeck.decisions.health.outcomes import Outcomes
 from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.poison import CrashSighting, RunSighting, RunState
@@ -107,6 +108,14 @@
     wait_ms: float = 0.0
 
 
+class ShareUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens that a VM dispatched for a customer, in all; see ``ShareSum``."""
+
+    target: str
+    customer: str
+    n_tokens: int
+
+
 class VmUpdate(msgspec.Struct, frozen=True, array_like=True):
     """What one VM announces to all others; may be relayed by other VMs.
 
@@ -116,6 +125,7 @@
         slow in the VM's previous update
     :param limits: what upstreams said of their rate limits
     :param runs: requests that run, or may have run when their upstreams ended
+    :param shares: tokens dispatched for customers; left out of the datagram if empty
     """
 
     vm: str
@@ -125,18 +135,34 @@
     paces: dict[str, float] = {}
     limits: tuple[LimitUpdate, ...] = ()
     runs: tuple[RunUpdate, ...] = ()
+    shares: tuple[ShareUpdate, ...] = ()
 
     @property
     def says_anything(self) -> bool:
         """:returns: whether the update is not empty"""
-        return bool(self.loads or self.has_events)
+        return bool(self.loads or self.shares or self.has_events)
 
     @property
     def has_events(self) -> bool:
-        """:returns: whether it contains anything other than loads"""
+        """:returns: whether it contains anything other than loads and shares"""
         return bool(self.crashes or self.paces or self.limits or self.runs)
 
 
+class _BareVmUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """An update without shares, as it is encoded.
+
+    ``omit_defaults`` does not apply to structs that are encoded as arrays.
+    """
+
+    vm: str
+    sequence: int
+    loads: tuple[LoadUpdate, ...]
+    crashes: tuple[CrashUpdate, ...]
+    paces: dict[str, float]
+    limits: tuple[LimitUpdate, ...]
+    runs: tuple[RunUpdate, ...]
+
+
 Reach = Literal["", "fleet", "members"]
 """Where the receiver forwards the updates: nowhere, to all VMs, or to its members."""
 
@@ -192,9 +218,26 @@
 
 def encode_message(message: PeerMessage) -> bytes:
     """:returns: the datagram for ``message``"""
+    if message.news:
+        news = tuple(_without_empty_shares(update) for update in message.news)
+        message = msgspec.structs.replace(message, news=news)
     return msgspec.json.encode(message)
 
 
+def _without_empty_shares(update: VmUpdate) -> VmUpdate | _BareVmUpdate:
+    if update.shares:
+        return update
+    return _BareVmUpdate(
+        update.vm,
+        update.sequence,
+        update.loads,
+        update.crashes,
+        update.paces,
+        update.limits,
+        update.runs,
+    )
+
+
 def decode_message(data: bytes) -> PeerMessage:
     """:returns: the message in a datagram
 
@@ -231,6 +274,16 @@
     )
 
 
+def build_share_update(share: ShareSum) -> ShareUpdate:
+    """:returns: the update that announces tokens dispatched for a customer"""
+    return ShareUpdate(*share)
+
+
+def read_share_update(update: ShareUpdate) -> ShareSum:
+    """:returns: tokens that another VM dispatched for a customer"""
+    return ShareSum(update.target, update.customer, max(0, update.n_tokens))
+
+
 def build_crash_update(sighting: CrashSighting) -> CrashUpdate:
     """:returns: the update that announces a crash, or the clearing of a request"""
     run_ms = sighting.run_ms
@@ -327,16 +380,19 @@
     "PermitRequest",
     "Reach",
     "RunUpdate",
+    "ShareUpdate",
     "VmUpdate",
     "build_crash_update",
     "build_limit_update",
     "build_load_update",
     "build_permit_answer",
     "build_run_update",
+    "build_share_update",
     "decode_message",
     "encode_message",
     "read_crash_update",
     "read_limit_update",
     "read_load_update",
     "read_run_update",
+    "read_share_update",
 )
--- a/src/quetzaldeck/entry/peers/node.py
+++ b/src/quetzaldeck/entry/peers/node.py
@@ -27,6 +27,7 @@
         LimitUpdate,
         LoadUpdate,
         RunUpdate,
+        ShareUpdate,
     )
     from quetzaldeck.entry.peers.table import PeerTable
 
@@ -124,6 +125,7 @@
         paces: Mapping[str, float] | None = None,
         limits: Iterable[LimitUpdate] = (),
         runs: Iterable[RunUpdate] = (),
+        shares: Iterable[ShareUpdate] = (),
     ) -> None:
         """Send an update of this VM to all other VMs."""
         self._sequence += 1
@@ -135,6 +137,7 @@
             dict(paces or {}),
             tuple(limits),
             tuple(runs),
+            tuple(shares),
         )
         self._store.merge(update, now_ms)
         if not self.uses_relays:
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -18,15 +18,18 @@
     PeerMessage,
     build_limit_update,
     build_load_update,
+    build_share_update,
     decode_message,
     encode_message,
     read_load_update,
+    read_share_update,
 )
 from quetzaldeck.entry.peers.node import PeerNode
 from quetzaldeck.entry.peers.rate_limit_exchange import RateLimitExchange
 from quetzaldeck.gateway.messages import (
     ObservePaces,
     ObservePeerLoad,
+    ObserveShares,
 )
 from quetzaldeck.telemetry import log_event
 
@@ -195,6 +198,9 @@
         self._crashes.observe(update.crashes)
         self._crashes.observe_runs(update.runs)
         self._rate_limits.note_updates(update.limits, update.vm)
+        if update.shares:
+            shares = tuple(read_share_update(share) for share in update.shares)
+            dispatch.send_deferrable(ObserveShares(update.vm, shares))
         if update.paces:
             dispatch.send_deferrable(ObservePaces(tuple(update.paces.items())))
 
@@ -244,9 +250,15 @@
         changed = self._changes.select_due(own_loads, now_ms, len(self._table))
         crashes = self._crashes.take_announcements()
         runs = self._crashes.take_run_announcements()
-        if changed or crashes or runs:
-            loads = [build_load_update(upstream, load) for upstream, load in changed]
-            self._node.announce(now_ms, loads=loads, crashes=crashes, runs=runs)
+        shares = self._context.dispatch.take_share_changes(len(self._table) + 1)
+        if changed or crashes or runs or shares:
+            self._node.announce(
+                now_ms,
+                loads=[build_load_update(*entry) for entry in changed],
+                crashes=crashes,
+                runs=runs,
+                shares=[build_share_update(share) for share in shares],
+            )
 
     def _advance(self) -> None:
         """Do and send what is due, and schedule the next call."""
--- a/src/quetzaldeck/entry/peers/update_store.py
+++ b/src/quetzaldeck/entry/peers/update_store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from quetzaldeck.decisions.loads.load_changes import REFRESH_INTERVAL_MS
-from quetzaldeck.entry.peers.messages import LoadUpdate, VmUpdate
+from quetzaldeck.entry.peers.messages import LoadUpdate, ShareUpdate, VmUpdate
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -36,17 +36,24 @@
     received_ms: float
 
 
+class _StoredShare(NamedTuple):
+    sequence: int
+    received_ms: float
+
+
 class UpdateStore:
     """Loads by VM and upstream, the one with the highest sequence number of each.
 
     Updates arrive by several paths, more than once or out of order. Only what is newer
     than the stored entry is taken, so that no load is counted twice and none reappears
-    after its end. Crashes and paces are taken once, which stops VMs from forwarding
-    them to each other endlessly.
+    after its end. The same holds for shares, by VM, target and customer; they are not
+    sent to VMs that join, as the next sums include them. Crashes and paces are taken
+    once, which stops VMs from forwarding them to each other endlessly.
     """
 
     def __init__(self) -> None:
         self._loads_by_vm: dict[str, dict[str, _StoredLoad]] = {}
+        self._shares_by_vm: dict[str, dict[tuple[str, str], _StoredShare]] = {}
         self._seen_updates: dict[str, deque[int]] = {}
 
     def merge(self, update: VmUpdate, now_ms: float) -> VmUpdate:
@@ -54,25 +61,46 @@
 
         :returns: the update without what was known already
         """
-        stored = self._loads_by_vm.setdefault(update.vm, {})
-        new_loads = []
-        for load in update.loads:
-            before = stored.get(load.upstream)
-            if before is not None and before.sequence >= update.sequence:
-                continue
-            stored[load.upstream] = _StoredLoad(update.sequence, load, now_ms)
-            new_loads.append(load)
+        new_loads = self._merge_loads(update, now_ms)
+        new_shares = self._merge_shares(update, now_ms)
         if update.has_events:
             seen = self._seen_updates.setdefault(
                 update.vm, deque(maxlen=N_REMEMBERED_UPDATES)
             )
             key = hash((update.sequence, *_list_events(update)))
             if key in seen:
-                return VmUpdate(update.vm, update.sequence, tuple(new_loads))
+                return VmUpdate(
+                    update.vm, update.sequence, new_loads, shares=new_shares
+                )
             seen.append(key)
-        if len(new_loads) == len(update.loads):
+        if (len(new_loads), len(new_shares)) == (len(update.loads), len(update.shares)):
             return update
-        return msgspec.structs.replace(update, loads=tuple(new_loads))
+        return msgspec.structs.replace(update, loads=new_loads, shares=new_shares)
+
+    def _merge_loads(self, update: VmUpdate, now_ms: float) -> tuple[LoadUpdate, ...]:
+        stored = self._loads_by_vm.setdefault(update.vm, {})
+        new_loads = []
+        for load in update.loads:
+            before = stored.get(load.upstream)
+            if before is not None and before.sequence >= update.sequence:
+                continue
+            stored[load.upstream] = _StoredLoad(update.sequence, load, now_ms)
+            new_loads.append(load)
+        return tuple(new_loads)
+
+    def _merge_shares(self, update: VmUpdate, now_ms: float) -> tuple[ShareUpdate, ...]:
+        if not update.shares:
+            return ()
+        stored = self._shares_by_vm.setdefault(update.vm, {})
+        new_shares = []
+        for share in update.shares:
+            key = (share.target, share.customer)
+            before = stored.get(key)
+            if before is not None and before.sequence >= update.sequence:
+                continue
+            stored[key] = _StoredShare(update.sequence, now_ms)
+            new_shares.append(share)
+        return tuple(new_shares)
 
     def list_current(self, now_ms: float) -> Iterator[VmUpdate]:
         """:returns: the updates to send to a VM that has just joined"""
@@ -85,7 +113,7 @@
                 yield VmUpdate(vm, sequence, tuple(current))
 
     def expire(self, now_ms: float) -> None:
-        """Drop loads that were not repeated within ``SEQUENCE_TTL_MS``."""
+        """Drop loads and shares that were not repeated within ``SEQUENCE_TTL_MS``."""
         for vm, loads in tuple(self._loads_by_vm.items()):
             self._loads_by_vm[vm] = {
                 upstream: stored
@@ -95,6 +123,14 @@
             if not self._loads_by_vm[vm]:
                 del self._loads_by_vm[vm]
                 self._seen_updates.pop(vm, None)
+        for vm, shares in tuple(self._shares_by_vm.items()):
+            self._shares_by_vm[vm] = {
+                key: stored
+                for key, stored in shares.items()
+                if now_ms - stored.received_ms <= SEQUENCE_TTL_MS
+            }
+            if not self._shares_by_vm[vm]:
+                del self._shares_by_vm[vm]
 
 
 def _is_forwarded(stored: _StoredLoad, now_ms: float) -> bool:
@@ -114,20 +150,29 @@
 
     def __init__(self) -> None:
         self._loads: dict[tuple[str, str], tuple[int, LoadUpdate]] = {}
+        self._shares: dict[tuple[str, str, str], tuple[int, ShareUpdate]] = {}
         self._others: list[VmUpdate] = []
 
     def __bool__(self) -> bool:
-        return bool(self._loads or self._others)
+        return bool(self._loads or self._shares or self._others)
 
     def add(self, update: VmUpdate) -> None:
-        """Add an update; its loads replace older ones of the same VM and upstream."""
+        """Add an update; its loads replace older ones of the same VM and upstream.
+
+        Its shares replace older ones of the same VM, target and customer.
+        """
         for load in update.loads:
             key = (update.vm, load.upstream)
             queued = self._loads.get(key)
             if queued is None or queued[0] < update.sequence:
                 self._loads[key] = (update.sequence, load)
+        for share in update.shares:
+            share_key = (update.vm, share.target, share.customer)
+            before = self._shares.get(share_key)
+            if before is None or before[0] < update.sequence:
+                self._shares[share_key] = (update.sequence, share)
         if update.has_events:
-            self._others.append(msgspec.structs.replace(update, loads=()))
+            self._others.append(msgspec.structs.replace(update, loads=(), shares=()))
 
     def take(self) -> list[VmUpdate]:
         """Empty the queue.
@@ -137,11 +182,17 @@
         loads: dict[tuple[str, int], list[LoadUpdate]] = {}
         for (vm, _), (sequence, load) in self._loads.items():
             loads.setdefault((vm, sequence), []).append(load)
+        shares: dict[tuple[str, int], list[ShareUpdate]] = {}
+        for (vm, _, _), (sequence, share) in self._shares.items():
+            shares.setdefault((vm, sequence), []).append(share)
         updates = [
-            VmUpdate(vm, number, tuple(own)) for (vm, number), own in loads.items()
+            VmUpdate(*key, tuple(own), shares=tuple(shares.pop(key, ())))
+            for key, own in loads.items()
         ]
+        updates += [VmUpdate(*key, shares=tuple(own)) for key, own in shares.items()]
         updates += self._others
         self._loads = {}
+        self._shares = {}
         self._others = []
         return updates
 
@@ -170,7 +221,7 @@
 def _split_update(update: VmUpdate, n_entries: int) -> Iterator[VmUpdate]:
     """Split the update of one VM into pieces of at most ``n_entries`` of one kind."""
     paces = tuple(update.paces.items())
-    kinds = (update.loads, *_list_events(update))
+    kinds = (update.loads, update.shares, *_list_events(update))
     length = max(len(entries) for entries in kinds)
     if _size(update) <= n_entries:
         yield update
@@ -183,17 +234,19 @@
             VmUpdate(update.vm, update.sequence, paces=dict(paces[part])),
             VmUpdate(update.vm, update.sequence, limits=update.limits[part]),
             VmUpdate(update.vm, update.sequence, runs=update.runs[part]),
+            VmUpdate(update.vm, update.sequence, shares=update.shares[part]),
         ):
             if _size(piece):
                 yield piece
 
 
 def _size(update: VmUpdate) -> int:
-    return len(update.loads) + sum(len(events) for events in _list_events(update))
+    n_events = sum(len(events) for events in _list_events(update))
+    return len(update.loads) + len(update.shares) + n_events
 
 
 def _list_events(update: VmUpdate) -> tuple[tuple[object, ...], ...]:
-    """:returns: what an update contains besides loads, by kind"""
+    """:returns: what an update contains besides loads and shares, by kind"""
     paces = tuple(update.paces.items())
     return (update.crashes, paces, update.limits, update.runs)
 
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -168,6 +168,7 @@
             resend_budget=ResendBudget(
                 ratio=bounds.retry_ratio, window_ms=bounds.retry_window_s * 1_000
             ),
+            has_fair_shares=self._settings.fair_shares,
         )
 
 
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -155,6 +155,10 @@
     policies: Annotated[
         Policies, Option("Policies, all or none named; changed for comparisons only.")
     ] = ENTRY_POLICIES
+    fair_shares: Annotated[
+        bool,
+        Option("Whether a customer's service at all VMs counts; needs a restart."),
+    ] = False
     random_state: Annotated[int, Option("Seed of random choices; 0: any.")] = 0
 
 
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -34,12 +34,14 @@
     ObservePeerLoad,
     ObserveRateLimit,
     ObserveRuns,
+    ObserveShares,
     ObserveUsage,
     ResumeAttempt,
     RetryKept,
     Submit,
     Withdraw,
 )
+from quetzaldeck.gateway.passed_over_log import PassedOverLog
 from quetzaldeck.gateway.ticket import Ticket
 
 if TYPE_CHECKING:
@@ -47,6 +49,7 @@
 
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Decision, Request, Scheduler
+    from quetzaldeck.decisions.fair_shares import ShareSum
     from quetzaldeck.decisions.limits import UsageUpdate
     from quetzaldeck.decisions.loads.peer_load import VmLoad
     from quetzaldeck.decisions.poison import (
@@ -79,6 +82,7 @@
         self._metrics = metrics
         self._degraded_log = DegradedUpstreamsLog(scheduler)
         self._crash_log = CrashLog(scheduler.poison, clock, metrics.upstreams)
+        self._passed_over_log = PassedOverLog(scheduler, metrics)
         self._mailbox: asyncio.Queue[Message] = asyncio.Queue()
         self._deferred: list[Message] = []
         self._outboxes: dict[str, asyncio.Queue[Decision]] = {}
@@ -167,6 +171,15 @@
         """:returns: usage of limited customers to be sent to the other VMs"""
         return self._scheduler.limits.take_updates(self._clock.now_ms())
 
+    def take_share_changes(self, n_vms: int) -> list[ShareSum]:
+        """:returns: tokens dispatched by customer, to be sent to the other VMs now
+
+        :param n_vms: number of VMs that announce them to each other
+        """
+        if self._scheduler.shares is None:
+            return []
+        return self._scheduler.shares.take_changes(self._clock.now_ms(), n_vms)
+
     def send(self, message: Message) -> None:
         """Add a message to the task's mailbox."""
         self._mailbox.put_nowait(message)
@@ -199,6 +212,7 @@
             now_ms = self._clock.now_ms()
             self._degraded_log.check(now_ms)
             self._crash_log.check(now_ms)
+            self._passed_over_log.check(now_ms)
             self._metrics.queued.set(self._scheduler.n_queued)
             self._metrics.running.set(self._scheduler.n_running)
 
@@ -269,6 +283,7 @@
                 | ObserveIncarnations()
                 | ObservePath()
                 | ObserveRuns()
+                | ObserveShares()
                 | ObserveUsage()
             ):
                 self._observe_update(message)
@@ -345,6 +360,7 @@
             | ObserveIncarnations
             | ObservePath
             | ObserveRuns
+            | ObserveShares
             | ObserveUsage
         ),
     ) -> None:
@@ -371,11 +387,18 @@
                 self._scheduler.fleet.observe_crashes(message.sightings)
             case ObserveRuns():
                 self._scheduler.fleet.observe_runs(message.sightings)
+            case ObserveShares():
+                self._observe_shares(message)
             case ObserveUsage():
                 self._scheduler.limits.observe(
                     message.vm, message.update, self._clock.now_ms()
                 )
 
+    def _observe_shares(self, message: ObserveShares) -> None:
+        if self._scheduler.shares is not None:
+            now_ms = self._clock.now_ms()
+            self._scheduler.shares.observe(message.vm, message.sums, now_ms)
+
     def _end_attempt(self, message: EndAttempt) -> None:
         failure = self._scheduler.end_attempt(message.end)
         fault = message.end.fault
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -7,6 +7,7 @@
 
 from quetzaldeck.bundle import Bundle
 from quetzaldeck.decisions import AttemptEnd, Decision, LoadReport, Request
+from quetzaldeck.decisions.fair_shares import ShareSum
 from quetzaldeck.decisions.limits import UsageUpdate
 from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.paths import PathVerdict
@@ -159,6 +160,13 @@
     update: UsageUpdate
 
 
+class ObserveShares(NamedTuple):
+    """Tokens that another VM dispatched for customers while requests waited there."""
+
+    vm: str
+    sums: tuple[ShareSum, ...]
+
+
 class ObserveCache(NamedTuple):
     """Changes of an engine's prefix cache."""
 
@@ -224,6 +232,7 @@
     | ObserveCheck
     | ObserveRuns
     | ObserveCrashes
+    | ObserveShares
     | ObserveUsage
 )
 
@@ -250,6 +259,7 @@
     "ObservePeerLoad",
     "ObserveRateLimit",
     "ObserveRuns",
+    "ObserveShares",
     "ObserveUsage",
     "ResumeAttempt",
     "RetryKept",
--- a/src/quetzaldeck/telemetry/gateway_metrics.py
+++ b/src/quetzaldeck/telemetry/gateway_metrics.py
@@ -99,6 +99,12 @@
             "Requests that wait",
             registry=self.registry,
         )
+        self.passed_over = Counter(
+            "quetzaldeck_passed_over",
+            "Requests served before an older one of the same priority, by rule",
+            ["rule"],
+            registry=self.registry,
+        )
         self.running = Gauge(
             "quetzaldeck_running", "Attempts that run", registry=self.registry
         )
