--- a/src/quetzaldeck/decisions/fair_shares/dispatched_tokens.py
+++ b/src/quetzaldeck/decisions/fair_shares/dispatched_tokens.py
@@ -10,8 +10,8 @@
 """Minimum time between two announcements of a VM."""
 
 FLEET_SUMS_PER_S = 32.0
-"""Sums that all VMs together announce per second. Each VM receives all of them; at some
-85 bytes each they cost a VM less than 3 KB/s, however many VMs queue."""
+"""Sums that all VMs together announce per second. Each VM receives all of them; at 93
+bytes or less each they cost a VM some 3 KB/s, however many VMs queue."""
 
 MAX_SUMS_PER_ANNOUNCEMENT = 8
 
--- a/src/quetzaldeck/decisions/queueing/start_time_fair_queue.py
+++ b/src/quetzaldeck/decisions/queueing/start_time_fair_queue.py
@@ -151,7 +151,7 @@
         if overtaken is None:
             return
         request, other = overtaken
-        is_due_here = self._local_tag(other) < self._local_tag(entry)
+        is_due_here = self._local_rank(other) < self._local_rank(entry)
         self._tags.passed_over.append(
             PassedOver(
                 self._target,
@@ -164,8 +164,10 @@
             )
         )
 
-    def _local_tag(self, entry: _ScheduledCustomer) -> float:
-        return entry.start_tag - self._tags.lead(entry.start_tag, entry.customer)
+    def _local_rank(self, entry: _ScheduledCustomer) -> tuple[float, int]:
+        """:returns: sort key of a customer without service at other VMs"""
+        lead = self._tags.lead(entry.start_tag, entry.customer)
+        return entry.start_tag - lead, entry.sequence_number
 
 
 __all__ = ("MAX_TRIED_CUSTOMERS", "PlacedRequest", "StartTimeFairQueue")
