Count only dispatches of polls that leave requests waiting

Cause: several requests that arrive between two polls are placed in one poll; all but the last counted as contended, so that VMs without a queue announced sums.

Change: a poll counts its dispatches after it has placed what it can. Tests of the path from the dispatch task to another VM's order, log and counter, and of the datagrams.

--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -284,12 +284,16 @@
             pause_ms = partial(self._placer.suspect_pause_ms, now_ms=now_ms)
             self._waiting.set_aside(now_ms, pause_ms)
         decisions: list[Decision] = list(self._sweep.run(now_ms))
+        started: list[Request] = []
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
-            if self._shares is not None:
-                self._shares.note_dispatched(request, now_ms)
             latest_ms = self._latest_turn_ms(request, now_ms)
             decisions.append(self._starter.start(request, upstreams, now_ms, latest_ms))
+            started.append(request)
+        if self._shares is not None:
+            # Now the queue holds only what could not be placed.
+            for request in started:
+                self._shares.note_dispatched(request, now_ms)
         return decisions
 
     def note_first_token(self, attempt_id: str) -> None:
--- a/tests/entry/peers/test_peer_task.py
+++ b/tests/entry/peers/test_peer_task.py
@@ -13,12 +13,15 @@
 from tests.ports import choose_port
 from tests.support.platform.site import PLAN_PATH, run_site
 
+from quetzaldeck.decisions.fair_shares import ShareSum, ShareTracker
+from quetzaldeck.decisions.fair_shares.dispatched_tokens import FORGET_MS
 from quetzaldeck.decisions.health.outcomes import Outcomes
 from quetzaldeck.decisions.loads.load_changes import REFRESH_INTERVAL_MS, LoadChanges
 from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.entry.peers import PeerTable, PeerTask
 from quetzaldeck.entry.peers.messages import (
     PeerMessage,
+    ShareUpdate,
     VmUpdate,
     build_load_update,
     decode_message,
@@ -144,6 +147,37 @@
     run_site(test, engines=(never_answer,))
 
 
+def test_shares_are_announced_and_received() -> None:
+    """Guards against sums that a VM counts but does not send, or receives but drops."""
+
+    async def test(site: Site) -> None:
+        state = site.entry.session.state
+        table = PeerTable("127.0.0.9", (), random_state=state.random_state)
+        task = PeerTask(state, table, own="127.0.0.1", vm="own", port=1)
+        transport = task._transport = RecordingTransport()
+        address = ("127.0.0.2", 1)
+        shares = (ShareUpdate("m/0", "gym", 700),)
+        update = VmUpdate("other", 1, shares=shares)
+        data = encode_message(PeerMessage("other", news=(update,)))
+        task.datagram_received(data, address)
+        now_ms = state.clock.now_ms()
+        scheduler = state.dispatch._scheduler
+        queue = scheduler._queue
+        tracker = scheduler._shares = ShareTracker(queue, now_ms - FORGET_MS)
+        state.dispatch._handle_deferred()
+        assert tracker._fleet.apply("other", [ShareSum("m/0", "gym", 900)], now_ms) == [
+            ShareSum("m/0", "gym", 200)
+        ]
+        tracker._own.note_dispatched("m/0", "gym", 50, now_ms)
+        transport.sent.clear()
+        task._announce_changes(now_ms)
+        task._send_outgoing()
+        (message,) = transport.sent
+        assert message.news[0].shares == (ShareUpdate("m/0", "gym", 50),)
+
+    run_site(test)
+
+
 async def never_answer(arrival: Arrival, connection: Connection) -> None:
     """Leave the request unanswered."""
     await asyncio.sleep(3_600)
