Explain where a request would go

Operators could only infer from logs and metrics where a VM would place a request, and which filter keeps a replica out. The metrics address now answers GET /v1/explain, and `quetzaldeck explain` prints the answer. The decision runs on a deep copy of the decision state that shares the upstream states, so that asking draws no random number and reserves no time. CandidateFilter and Placer are split so that the explanation uses the same checks.

--- a/src/quetzaldeck/cli/operator.py
+++ b/src/quetzaldeck/cli/operator.py
@@ -11,6 +11,7 @@
 from quetzaldeck.cli.bundle_commands import bundle_group
 from quetzaldeck.cli.common import EPILOG, version_option
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.cli.explain_command import explain_command
 from quetzaldeck.cli.history_commands import history_group
 from quetzaldeck.cli.log_commands import logs_group
 from quetzaldeck.cli.running import print_findings
@@ -72,6 +73,7 @@
 main.add_command(bundle_group)
 main.add_command(settings_group)
 main.add_command(status_command)
+main.add_command(explain_command)
 main.add_command(history_group)
 main.add_command(logs_group)
 
--- a/src/quetzaldeck/decisions/admission/api.py
+++ b/src/quetzaldeck/decisions/admission/api.py
@@ -47,6 +47,15 @@
         :returns: the refusal, ``None`` to admit it
         """
 
+    def predict_wait_ms(
+        self, request: Request, now_ms: float, *, can_start: bool
+    ) -> float | None:
+        """:returns: predicted time in the queue; ``None`` if it predicts none
+
+        :param can_start: whether an upstream has capacity for the request now
+        """
+        return None
+
     @abstractmethod
     def latest_start_ms(self, request: Request) -> float:
         """:returns: time after which a dispatch would be too late"""
--- a/src/quetzaldeck/decisions/admission/predicted_wait.py
+++ b/src/quetzaldeck/decisions/admission/predicted_wait.py
@@ -158,6 +158,12 @@
         wait_ms = uncorrected_wait_ms * self._correction(request).factor(now_ms)
         return Prediction(wait_ms, first_token_ms, answer_ms, rate, uncorrected_wait_ms)
 
+    def predict_wait_ms(
+        self, request: Request, now_ms: float, *, can_start: bool
+    ) -> float | None:
+        """:returns: predicted time in the queue"""
+        return self.predict(request, now_ms, can_start=can_start).wait_ms
+
     def latest_start_ms(self, request: Request) -> float:
         """:returns: time after which even the fastest run would be too late"""
         latest_ms = min(request.deadline_ms, self._caller_idle_deadline_ms(request))
--- a/src/quetzaldeck/decisions/loads/peer_load.py
+++ b/src/quetzaldeck/decisions/loads/peer_load.py
@@ -79,6 +79,7 @@
         self._loads: dict[str, tuple[float, VmLoad]] = {}
         self._total = _NO_LOAD
         self._total_until_ms = math.inf
+        self.updated_ms = -math.inf
         self.outcomes = PeerOutcomes()
 
     def update(self, vm: str, load: VmLoad, now_ms: float) -> int:
@@ -86,6 +87,7 @@
 
         :returns: increase of the VM's prompt tokens still to be prefilled here
         """
+        self.updated_ms = now_ms
         before = self._loads.pop(vm, None)
         if load.needs_refresh:
             self._loads[vm] = (now_ms, load)
--- a/src/quetzaldeck/decisions/placement/api.py
+++ b/src/quetzaldeck/decisions/placement/api.py
@@ -52,6 +52,12 @@
         :returns: name of the upstream; ``None`` to keep the request waiting
         """
 
+    def estimate_costs(
+        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
+    ) -> dict[str, float]:
+        """:returns: costs that it compares, without jitter; empty if it has none"""
+        return {}
+
     def choose_helpers(
         self,
         request: Request,
--- a/src/quetzaldeck/decisions/placement/candidates.py
+++ b/src/quetzaldeck/decisions/placement/candidates.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.placement.exclusion import Exclusion
 from quetzaldeck.decisions.pools import admit_probes, list_usable
 from quetzaldeck.decisions.request import LengthClass
 
@@ -101,9 +102,17 @@
 
     def can_accept(self, state: UpstreamState, request: Request, now_ms: float) -> bool:
         """Check whether an upstream gets new work, has capacity and takes requests."""
-        if not state.accepts_work or state.pacing.is_blocked(now_ms):
-            return False
-        return self._has_capacity(state, request, now_ms)
+        return self.find_exclusion(state, request, now_ms) is None
+
+    def find_exclusion(
+        self, state: UpstreamState, request: Request, now_ms: float
+    ) -> Exclusion | None:
+        """:returns: why an upstream cannot accept a request; ``None`` if it can"""
+        return find_block(state, now_ms) or self._find_shortage(state, request, now_ms)
+
+    def max_requests(self, state: UpstreamState) -> int:
+        """:returns: limit of concurrent requests of an upstream"""
+        return state.spec.max_requests or self._max_requests
 
     def find_next_turn(
         self,
@@ -120,23 +129,30 @@
         """
         if find_soonest(pool, now_ms) is None:
             return None
-        free = [s for s in pool if self._has_capacity(s, request, now_ms)]
+        free = [s for s in pool if self._find_shortage(s, request, now_ms) is None]
         soonest = find_soonest(free, now_ms)
         if soonest is None:
             return None
         turn_ms = now_ms + soonest.pacing.wait_ms(now_ms)
         return soonest if turn_ms <= latest_turn_ms else None
 
-    def _has_capacity(
+    def _find_shortage(
         self, state: UpstreamState, request: Request, now_ms: float
-    ) -> bool:
-        max_requests = state.spec.max_requests or self._max_requests
-        if state.n_requests(now_ms) >= max_requests:
-            return False
+    ) -> Exclusion | None:
+        """:returns: the capacity that an upstream lacks for a request, if any"""
+        if state.n_requests(now_ms) >= self.max_requests(state):
+            return Exclusion.SLOTS
         if state.spec.kind == "service":
-            return True
+            return None
         n_needed = state.n_kv_tokens_used(now_ms) + request.n_kv_tokens
-        return n_needed <= state.spec.kv_tokens
+        return None if n_needed <= state.spec.kv_tokens else Exclusion.MEMORY
+
+
+def find_block(state: UpstreamState, now_ms: float) -> Exclusion | None:
+    """:returns: why an upstream takes no request of any size now, if it takes none"""
+    if not state.accepts_work:
+        return Exclusion.LEAVING if state.is_leaving else Exclusion.EVACUATED
+    return Exclusion.RATE_LIMITED if state.pacing.is_blocked(now_ms) else None
 
 
 def find_soonest(pool: Sequence[UpstreamState], now_ms: float) -> UpstreamState | None:
@@ -169,4 +185,4 @@
     return PROBE_OVERDUE_MS if state.health.was_refused else PROBE_ANY_REQUEST_MS
 
 
-__all__ = ("CandidateFilter", "find_soonest")
+__all__ = ("CandidateFilter", "find_block", "find_soonest")
--- a/src/quetzaldeck/decisions/placement/first_token.py
+++ b/src/quetzaldeck/decisions/placement/first_token.py
@@ -75,6 +75,16 @@
         """:returns: the candidate with the least work before this request"""
         return self._sort_by_cost(candidates, now_ms)[0].spec.name
 
+    def estimate_costs(
+        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
+    ) -> dict[str, float]:
+        """:returns: work before the request on each engine, in milliseconds"""
+        peer_ms_per_token = self._find_peer_latency(pool)
+        return {
+            state.spec.name: self._cost_ms(state, peer_ms_per_token, now_ms, 0.0)
+            for state in pool
+        }
+
     def choose_helpers(
         self,
         request: Request,
@@ -129,22 +139,29 @@
         self, pool: Sequence[UpstreamState], now_ms: float
     ) -> list[UpstreamState]:
         """:returns: the pool, least work first"""
-        pool_ms_per_token = (
-            median_ms_per_token(pool, self._random_state) if pool else None
-        )
-        return sorted(
-            pool, key=lambda state: self._cost_ms(state, pool_ms_per_token, now_ms)
-        )
+        peer_ms_per_token = self._find_peer_latency(pool)
+
+        def cost_of(state: UpstreamState) -> float:
+            jitter_ms = self._random_state.uniform(0.0, OTHER_ZONE_MS)
+            return self._cost_ms(state, peer_ms_per_token, now_ms, jitter_ms)
+
+        return sorted(pool, key=cost_of)
+
+    def _find_peer_latency(self, pool: Sequence[UpstreamState]) -> float | None:
+        return median_ms_per_token(pool, self._random_state) if pool else None
 
     def _cost_ms(
-        self, state: UpstreamState, peer_ms_per_token: float | None, now_ms: float
+        self,
+        state: UpstreamState,
+        peer_ms_per_token: float | None,
+        now_ms: float,
+        jitter_ms: float,
     ) -> float:
         """:returns: work before a new request, in milliseconds, plus jitter
 
         The load of other VMs is known only as sums, so each running request counts with
         an average cost. The jitter spreads requests over engines with equal work.
         """
-        jitter_ms = self._random_state.uniform(0.0, OTHER_ZONE_MS)
         cost_ms = jitter_ms
         if state.spec.availability_zone != self._availability_zone:
             cost_ms += OTHER_ZONE_MS
--- a/src/quetzaldeck/decisions/placement/placer.py
+++ b/src/quetzaldeck/decisions/placement/placer.py
@@ -99,6 +99,15 @@
         """:returns: number of releases of memory that was not held; above 0 is a bug"""
         return self._n_double_releases
 
+    @property
+    def search(self) -> PlacementSearch:
+        """:returns: the search for placements"""
+        return self._search
+
+    def is_path_lost(self, request: Request) -> bool:
+        """:returns: whether this VM reaches no upstream of a request"""
+        return self._paths.is_lost(request.target)
+
     def pause_ms(self, request: Request, now_ms: float) -> float:
         """:returns: how long a request stays out of the queue, so that others can pass
 
@@ -171,10 +180,7 @@
             as long as there are others
         :returns: the upstreams for the request; ``None`` if it has to wait
         """
-        if self._paths.is_lost(request.target):
-            # An attempt would fail and count, while the next verdict is due soon.
-            return None
-        placement = self._search.find(
+        placement = self.find(
             request,
             avoided,
             now_ms,
@@ -186,6 +192,27 @@
         self._unreserved[request.request_id] = placement
         return placement.upstreams
 
+    def find(
+        self,
+        request: Request,
+        avoided: Sequence[str],
+        now_ms: float,
+        latest_turn_ms: float = math.inf,
+        *,
+        prefers_unlimited: bool = False,
+    ) -> Placement | None:
+        """:returns: the placement that :meth:`place` chooses; nothing is recorded"""
+        if self.is_path_lost(request):
+            # An attempt would fail and count, while the next verdict is due soon.
+            return None
+        return self._search.find(
+            request,
+            avoided,
+            now_ms,
+            latest_turn_ms,
+            prefers_unlimited=prefers_unlimited,
+        )
+
     def reserve(
         self, request: Request, attempt_id: str, now_ms: float
     ) -> GroupPlan | None:
--- a/src/quetzaldeck/decisions/placement/search.py
+++ b/src/quetzaldeck/decisions/placement/search.py
@@ -10,6 +10,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.placement.candidates import find_block
+from quetzaldeck.decisions.placement.exclusion import Exclusion
 from quetzaldeck.decisions.placement.placement import Placement
 from quetzaldeck.decisions.pools import exclude_failing, exclude_slow
 
@@ -20,6 +22,7 @@
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.placement.api import PlacementPolicy
     from quetzaldeck.decisions.placement.candidates import CandidateFilter
+    from quetzaldeck.decisions.placement.filter_trace import FilterTrace
     from quetzaldeck.decisions.placement.group_plans import GroupPlans
     from quetzaldeck.decisions.placement.helper_selector import HelperSelector
     from quetzaldeck.decisions.placement.suspect_placer import SuspectPlacer
@@ -40,6 +43,9 @@
     :param suspects: places requests suspected of crashing engines
     """
 
+    trace: FilterTrace | None = None
+    """Records what the filters exclude; set only on a copy that explains a choice."""
+
     def __init__(
         self,
         *,
@@ -94,7 +100,7 @@
         :param latest_turn_ms: latest time at which the request may get its turn
         """
         pool = self._table.list_serving(request)
-        if not self._may_start(request, pool, now_ms):
+        if not self.may_start(request, pool, now_ms):
             return False
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, (), now_ms) is not None
@@ -107,7 +113,7 @@
             return True
         return self._find_next_turn(request, now_ms, latest_turn_ms) is not None
 
-    def _may_start(
+    def may_start(
         self, request: Request, pool: Sequence[UpstreamState], now_ms: float
     ) -> bool:
         """:returns: whether no long prompt that is under way has to end first"""
@@ -115,6 +121,43 @@
             return True
         return self._head_of_line.may_start(request, pool, now_ms)
 
+    def find_exclusion(
+        self, request: Request, state: UpstreamState, now_ms: float
+    ) -> Exclusion | None:
+        """:returns: why :meth:`find`, just traced, leaves out an upstream, if it does
+
+        :raises ValueError: if the search is not traced
+        """
+        if self.trace is None:
+            msg = "set a trace and search for a placement first"
+            raise ValueError(msg)
+        name = state.spec.name
+        if name in self.trace.candidates:
+            return self.trace.excluded.get(name)
+        exclusion = self._candidates.find_exclusion(state, request, now_ms)
+        if exclusion is not None or not self.trace.candidates:
+            return exclusion or _find_ejection(state)
+        return _find_ejection(state) or Exclusion.NOT_SAMPLED
+
+    def find_group_exclusion(
+        self, request: Request, state: UpstreamState, now_ms: float
+    ) -> Exclusion | None:
+        """:returns: why an upstream cannot be a member of a group, if it cannot"""
+        exclusion = find_block(state, now_ms) or _find_ejection(state)
+        if exclusion is not None:
+            return exclusion
+        pool = self._table.list_serving(request)
+        if state in self._helper_selector.list_prefill_engines(request, pool, now_ms):
+            return None if state.may_help(now_ms) else Exclusion.PROMPT_PARTS
+        if state.pacing.is_limited:
+            return Exclusion.RATE_LIMITED
+        is_slow = state.pace.is_slow(now_ms)
+        return Exclusion.SLOW if is_slow else Exclusion.HEAD_OF_LINE
+
+    def max_requests(self, state: UpstreamState) -> int:
+        """:returns: limit of concurrent requests of an upstream"""
+        return self._candidates.max_requests(state)
+
     def _find_now(
         self,
         request: Request,
@@ -122,7 +165,7 @@
         avoided: Sequence[str],
         now_ms: float,
     ) -> Placement | None:
-        if not self._may_start(request, pool, now_ms):
+        if not self.may_start(request, pool, now_ms):
             return None
         if self._suspects.is_suspect(request, now_ms):
             return self._suspects.find(request, pool, avoided, now_ms)
@@ -206,10 +249,20 @@
         candidates = self._candidates.list_candidates(request, pool, now_ms, preferred)
         if not candidates:
             return None
-        candidates = exclude_failing(candidates, pool, now_ms)
-        candidates = exclude_slow(candidates, pool, now_ms)
-        untried = [state for state in candidates if state.spec.name not in avoided]
-        return self._head_of_line.restrict(request, untried or candidates, now_ms)
+        sound = exclude_failing(candidates, pool, now_ms)
+        fast = exclude_slow(sound, pool, now_ms)
+        untried = [state for state in fast if state.spec.name not in avoided] or fast
+        allowed = self._head_of_line.restrict(request, untried, now_ms)
+        if self.trace is not None:
+            self.trace.note_candidates(candidates)
+            self.trace.note_filter(Exclusion.FAILING, candidates, sound)
+            self.trace.note_filter(Exclusion.SLOW, sound, fast)
+            self.trace.note_filter(Exclusion.HEAD_OF_LINE, untried, allowed)
+        return allowed
+
+
+def _find_ejection(state: UpstreamState) -> Exclusion | None:
+    return Exclusion.EJECTED if state.health.is_ejected else None
 
 
 __all__ = ("PlacementSearch",)
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.attempts.tracked import TrackedRequest, TrackedRequests
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.decisions.estimation import TokenEstimator
+from quetzaldeck.decisions.explanations import PlacementExplainer
 from quetzaldeck.decisions.fleet_observer import FleetObserver
 from quetzaldeck.decisions.groups import GroupPlanner
 from quetzaldeck.decisions.head_of_line import Unprotected
@@ -20,9 +21,10 @@
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.placement.refusal_check import RefusalCheck
 from quetzaldeck.decisions.poison import PoisonRegistry
-from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS, latest_turn_ms
+from quetzaldeck.decisions.rate_limits import MAX_OPTIONAL_PERMITS
 from quetzaldeck.decisions.retries import NO_CHARGE, RetryPolicy
 from quetzaldeck.decisions.scheduler_bounds import SchedulerBounds
+from quetzaldeck.decisions.scheduling.arrival_check import ArrivalCheck
 from quetzaldeck.decisions.scheduling.attempt_releaser import AttemptReleaser
 from quetzaldeck.decisions.scheduling.attempt_replacer import AttemptReplacer
 from quetzaldeck.decisions.scheduling.failed_attempts import FailedAttemptHandler
@@ -31,13 +33,13 @@
 from quetzaldeck.decisions.silence.policy import SilencePolicy
 from quetzaldeck.decisions.tuning import tune
 from quetzaldeck.decisions.upstream_table import UpstreamTable
-from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
     from quetzaldeck.bundle.document import Bundle
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.admission import AdmissionPolicy
     from quetzaldeck.decisions.decision import AttemptEnd, Decision
+    from quetzaldeck.decisions.explanations import Explanation
     from quetzaldeck.decisions.groups import GroupBounds
     from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
     from quetzaldeck.decisions.paths import PathVerdict
@@ -47,6 +49,7 @@
     from quetzaldeck.decisions.request import Request
     from quetzaldeck.decisions.retries import ResendBudget
     from quetzaldeck.decisions.silence.verdict import SilenceVerdict
+    from quetzaldeck.outcomes import Failure
 
 
 class Scheduler:
@@ -115,6 +118,22 @@
         )
         self._limits = CustomerLimiter(random_state=random_state)
         self._tracked = TrackedRequests(self._limits)
+        self._arrivals = ArrivalCheck(
+            table=table,
+            refusals=self._refusals,
+            limits=self._limits,
+            placer=self._placer,
+            admission=self._admission,
+        )
+        self._explainer = PlacementExplainer(
+            arrivals=self._arrivals,
+            placer=self._placer,
+            admission=self._admission,
+            head_of_line=self._head_of_line,
+            tokens=self._tokens,
+            table=table,
+            shared=(clock, table, registry, self._paths),
+        )
         self._starter = AttemptStarter(
             clock=clock,
             table=table,
@@ -239,7 +258,7 @@
         n_uncorrected_tokens = request.n_prompt_tokens
         request = self._tokens.correct(request)
         self._head_of_line.note_arrival(request, now_ms)
-        failure = self._check_admission(request, now_ms)
+        failure = self._arrivals.check(request, now_ms)
         if failure is not None:
             return failure
         self._tracked.add(TrackedRequest(request, n_uncorrected_tokens), now_ms)
@@ -252,6 +271,11 @@
             self._waiting.add(request, now_ms)
         return None
 
+    def explain(self, request: Request) -> Explanation:
+        """:returns: what would become of a request that arrived now; nothing changes"""
+        n_queued = self.n_queued
+        return self._explainer.explain(request, self._clock.now_ms(), n_queued)
+
     def withdraw(self, request_id: str) -> None:
         """Remove a request whose caller disconnected or received the whole answer."""
         self._drop_if_unsent(request_id)
@@ -277,7 +301,7 @@
         decisions: list[Decision] = list(self._sweep.run(now_ms))
         while (taken := self._waiting.take(now_ms, self._place)) is not None:
             request, upstreams = taken
-            latest_ms = self._latest_turn_ms(request, now_ms)
+            latest_ms = self._arrivals.latest_turn_ms(request, now_ms)
             decisions.append(self._starter.start(request, upstreams, now_ms, latest_ms))
         return decisions
 
@@ -405,20 +429,6 @@
             return None
         return self._failed.handle(tracked, end, now_ms)
 
-    def _check_admission(self, request: Request, now_ms: float) -> Failure | None:
-        if request.deadline_ms <= now_ms:
-            return Failure(Reason.DEADLINE_EXCEEDED)
-        refusal = self._refusals.check(request, now_ms)
-        latest_ms = self._latest_turn_ms(request, now_ms)
-        refusal = refusal or self._refusals.check_rate_limits(
-            request, now_ms, latest_ms
-        )
-        refusal = refusal or self._limits.check(request, now_ms)
-        if refusal is not None:
-            return refusal
-        can_start = self._placer.can_start(request, now_ms, latest_ms)
-        return self._admission.check(request, now_ms, can_start=can_start)
-
     def _place(self, request: Request) -> tuple[str, ...] | None:
         history = self._tracked[request.request_id].history
         now_ms = self._clock.now_ms()
@@ -426,14 +436,9 @@
             request,
             history.avoided,
             now_ms,
-            self._latest_turn_ms(request, now_ms),
+            self._arrivals.latest_turn_ms(request, now_ms),
             prefers_unlimited=history.n_rate_limited >= MAX_OPTIONAL_PERMITS,
         )
 
-    def _latest_turn_ms(self, request: Request, now_ms: float) -> float:
-        if not self._upstreams.has_rate_limits:
-            return request.deadline_ms
-        return latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
-
 
 __all__ = ("Scheduler",)
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.health import UpstreamHealth, compute_ms_per_token
@@ -147,6 +148,12 @@
         """
         return self.ledger.release(attempt_id)
 
+    def load_age_ms(self, now_ms: float) -> float | None:
+        """:returns: age of the newest load report or load of another VM, if any"""
+        reported_ms = -math.inf if self.report is None else self.reported_ms
+        newest_ms = max(reported_ms, self.peers.updated_ms)
+        return None if newest_ms == -math.inf else max(0.0, now_ms - newest_ms)
+
     def own_load(self, now_ms: float) -> VmLoad:
         """:returns: load of this VM on the upstream, for the other VMs"""
         ledger = self.ledger
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -10,6 +10,7 @@
 
 from quetzaldeck.clock import Clock
 from quetzaldeck.clock.clock import MS_PER_SECOND
+from quetzaldeck.entry.explain_endpoint import EXPLAIN_PATH, ExplainEndpoint
 from quetzaldeck.entry.handler import CallHandler
 from quetzaldeck.entry.session import EntrySession
 from quetzaldeck.entry.view import read_caller_limits
@@ -122,7 +123,10 @@
 
 
 class MetricsService(HttpServiceBase):
-    """Serves metrics on an address of their own, which callers need not reach."""
+    """Serves metrics and explanations of placements.
+
+    Their address is their own, which callers need not reach.
+    """
 
     shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
 
@@ -135,7 +139,13 @@
     async def open(self) -> web.Application:
         """Build the application."""
         application = web.Application()
-        application.add_routes([web.get("/metrics", self._metrics)])
+        explain = ExplainEndpoint(lambda: self._entry.session.state)
+        application.add_routes(
+            [
+                web.get("/metrics", self._metrics),
+                web.get(EXPLAIN_PATH, explain.handle),
+            ]
+        )
         return application
 
     async def close(self) -> None:
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -16,6 +16,7 @@
     ApplyBundle,
     DropAttempt,
     EndAttempt,
+    Explain,
     JudgeSilence,
     NoteFirstToken,
     NoteHandedOver,
@@ -47,6 +48,7 @@
 
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Decision, Request, Scheduler
+    from quetzaldeck.decisions.explanations import Explanation
     from quetzaldeck.decisions.limits import UsageUpdate
     from quetzaldeck.decisions.loads.peer_load import VmLoad
     from quetzaldeck.decisions.poison import (
@@ -187,6 +189,12 @@
         else:
             self._deferred.append(message)
 
+    async def explain(self, request: Request) -> Explanation:
+        """:returns: what would become of a request that arrived now"""
+        reply: asyncio.Future[Explanation] = asyncio.get_running_loop().create_future()
+        self.send(Explain(request, reply))
+        return await reply
+
     def open_ticket(self, request: Request) -> Ticket:
         """:returns: a context manager that admits and later withdraws a request"""
         return Ticket(request, self.send)
@@ -231,8 +239,8 @@
 
     def _handle(self, message: Message) -> None:
         match message:
-            case Submit():
-                self._submit(message)
+            case Submit() | Explain():
+                self._handle_arrival(message)
             case EndAttempt():
                 self._end_attempt(message)
                 self._load_changed.set()
@@ -273,6 +281,19 @@
             ):
                 self._observe_update(message)
 
+    def _handle_arrival(self, message: Submit | Explain) -> None:
+        """Handle a request, or a question about one that does not exist."""
+        if isinstance(message, Submit):
+            self._submit(message)
+            return
+        if message.reply.done():
+            return
+        # An error must not end the task, which serves the requests of callers.
+        try:
+            message.reply.set_result(self._scheduler.explain(message.request))
+        except Exception as error:
+            message.reply.set_exception(error)
+
     def _note_progress(
         self,
         message: (
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -7,6 +7,7 @@
 
 from quetzaldeck.bundle import Bundle
 from quetzaldeck.decisions import AttemptEnd, Decision, LoadReport, Request
+from quetzaldeck.decisions.explanations import Explanation
 from quetzaldeck.decisions.limits import UsageUpdate
 from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.paths import PathVerdict
@@ -24,6 +25,13 @@
     decisions: asyncio.Queue[Decision]
 
 
+class Explain(NamedTuple):
+    """Explain what would become of a request, without admitting it."""
+
+    request: Request
+    reply: asyncio.Future[Explanation]
+
+
 class NoteFirstToken(NamedTuple):
     """An attempt delivered its first token."""
 
@@ -200,6 +208,7 @@
 
 Message = (
     Submit
+    | Explain
     | NoteFirstToken
     | NoteLived
     | NoteReserved
@@ -231,6 +240,7 @@
     "ApplyBundle",
     "DropAttempt",
     "EndAttempt",
+    "Explain",
     "JudgeSilence",
     "Message",
     "NoteFirstToken",
