--- a/src/quetzaldeck/cli/explain_command.py
+++ b/src/quetzaldeck/cli/explain_command.py
@@ -163,7 +163,7 @@
     text = f"outcome={answer['outcome']}"
     failure = answer.get("failure")
     if failure is not None:
-        return f"{text} {_render_fields(failure, tuple(failure))}"
+        return f"{text} {_render_present(failure)}"
     shown = {
         "upstreams": ",".join(answer["upstreams"]),
         "helpers": ",".join(answer["helpers"]),
@@ -173,8 +173,13 @@
         "n_queued": answer["n_queued"],
         "is_probe": answer["is_probe"] or None,
     }
-    shown = {name: value for name, value in shown.items() if value not in (None, "")}
-    return f"{text} {_render_fields(shown, tuple(shown))}"
+    return f"{text} {_render_present(shown)}"
+
+
+def _render_present(fields: dict[str, Any]) -> str:
+    return _render_fields(
+        fields, tuple(name for name in fields if fields[name] not in (None, ""))
+    )
 
 
 def _render_table(candidates: list[dict[str, Any]]) -> list[str]:
--- a/src/quetzaldeck/decisions/explanations/explainer.py
+++ b/src/quetzaldeck/decisions/explanations/explainer.py
@@ -135,23 +135,18 @@
         costs = parts.placer.policy.estimate_costs(request, pool, now_ms)
         search = parts.placer.search
         is_group = placement is not None and placement.plan is not None
+        in_group = search.find_group_exclusions(request, now_ms) if is_group else {}
         summaries = []
         for state in pool:
-            role = _find_role(placement, state.spec.name)
-            excluded_by: Exclusion | None = None
-            if is_group:
-                excluded_by = search.find_group_exclusion(request, state, now_ms)
-            elif role is not UpstreamRole.ANSWERS:
+            name = state.spec.name
+            role = _find_role(placement, name)
+            excluded_by = in_group.get(name)
+            if not is_group and role is not UpstreamRole.ANSWERS:
                 excluded_by = search.find_exclusion(request, state, now_ms)
+            n_slots = search.max_requests(state)
+            cost = costs.get(name)
             summaries.append(
-                _summarize(
-                    state,
-                    role,
-                    excluded_by,
-                    search.max_requests(state),
-                    costs.get(state.spec.name),
-                    now_ms,
-                )
+                _summarize(state, role, excluded_by, n_slots, cost, now_ms)
             )
         return tuple(summaries)
 
--- a/src/quetzaldeck/decisions/placement/search.py
+++ b/src/quetzaldeck/decisions/placement/search.py
@@ -139,20 +139,20 @@
             return exclusion or _find_ejection(state)
         return _find_ejection(state) or Exclusion.NOT_SAMPLED
 
-    def find_group_exclusion(
-        self, request: Request, state: UpstreamState, now_ms: float
-    ) -> Exclusion | None:
-        """:returns: why an upstream cannot be a member of a group, if it cannot"""
-        exclusion = find_block(state, now_ms) or _find_ejection(state)
-        if exclusion is not None:
-            return exclusion
+    def find_group_exclusions(
+        self, request: Request, now_ms: float
+    ) -> dict[str, Exclusion]:
+        """:returns: engines that cannot be members of a group, and why"""
         pool = self._table.list_serving(request)
-        if state in self._helper_selector.list_prefill_engines(request, pool, now_ms):
-            return None if state.may_help(now_ms) else Exclusion.PROMPT_PARTS
-        if state.pacing.is_limited:
-            return Exclusion.RATE_LIMITED
-        is_slow = state.pace.is_slow(now_ms)
-        return Exclusion.SLOW if is_slow else Exclusion.HEAD_OF_LINE
+        members = self._helper_selector.list_prefill_engines(request, pool, now_ms)
+        names = {state.spec.name for state in members}
+        found = {
+            state.spec.name: _find_group_exclusion(
+                state, now_ms, is_member=state.spec.name in names
+            )
+            for state in pool
+        }
+        return {name: why for name, why in found.items() if why is not None}
 
     def max_requests(self, state: UpstreamState) -> int:
         """:returns: limit of concurrent requests of an upstream"""
@@ -265,4 +265,21 @@
     return Exclusion.EJECTED if state.health.is_ejected else None
 
 
+def _find_group_exclusion(
+    state: UpstreamState, now_ms: float, *, is_member: bool
+) -> Exclusion | None:
+    """:returns: why an engine cannot be a member of a group, if it cannot
+
+    :param is_member: whether it may prefill parts of the prompt
+    """
+    exclusion = find_block(state, now_ms) or _find_ejection(state)
+    if exclusion is not None:
+        return exclusion
+    if is_member:
+        return None if state.may_help(now_ms) else Exclusion.PROMPT_PARTS
+    if state.pacing.is_limited:
+        return Exclusion.RATE_LIMITED
+    return Exclusion.SLOW if state.pace.is_slow(now_ms) else Exclusion.HEAD_OF_LINE
+
+
 __all__ = ("PlacementSearch",)
