--- a/tests/decisions/test_explanations.py
+++ b/tests/decisions/test_explanations.py
@@ -236,6 +236,36 @@
     assert pickle.dumps(scheduler) != before
 
 
+def run_traffic(*, is_asked: bool) -> list[str]:
+    """:returns: all decisions on 400 requests of all lengths, with and without news"""
+    clock = ManualClock()
+    scheduler = make_scheduler(clock, n_engines=40)
+    draws = random.Random(3)
+    decisions = []
+    for index in range(400):
+        clock.advance(draws.uniform(0.0, 20.0))
+        name = f"e{draws.randrange(40)}"
+        load = VmLoad(draws.randrange(9), draws.randrange(50_000), 100_000)
+        scheduler.fleet.observe_peer("vm", [(name, load)])
+        if index % 20 == 0:
+            scheduler.fleet.observe_rate_limit(name, 2.0)
+        n_prompt_tokens = round(1_000 * 10 ** draws.uniform(0.0, 2.8))
+        request = make_request(clock, n_prompt_tokens)
+        if is_asked:
+            scheduler.explain(request)
+        request = request._replace(request_id=f"r{index}")
+        decisions.append(repr(scheduler.submit(request)))
+        decisions.extend(map(repr, scheduler.poll()))
+    return decisions
+
+
+def test_later_decisions_are_the_same_with_questions_in_between() -> None:
+    """Guards against questions that change what a VM decides while time goes on."""
+    decisions = run_traffic(is_asked=False)
+    assert len(decisions) > 500
+    assert run_traffic(is_asked=True) == decisions
+
+
 def test_a_request_that_is_behind_others_waits(clock: ManualClock) -> None:
     scheduler = make_scheduler(clock, n_engines=1)
     fill_slots(scheduler, clock)
