Name evacuated replicas in explanations

The table lists upstreams of evacuated zones apart from those that requests may use, so that an explanation left them out. All upstreams of the service are listed now, and evacuated ones are named as such, also for groups.

tests/decisions/test_explanations.py, tests/entry/test_explain_endpoint.py, tests/cli and tests/docs pass.

--- a/src/quetzaldeck/decisions/explanations/explainer.py
+++ b/src/quetzaldeck/decisions/explanations/explainer.py
@@ -137,7 +137,7 @@
         is_group = placement is not None and placement.plan is not None
         in_group = search.find_group_exclusions(request, now_ms) if is_group else {}
         summaries = []
-        for state in pool:
+        for state in self._table.list_all_serving(request):
             name = state.spec.name
             role = _find_role(placement, name)
             excluded_by = in_group.get(name)
--- a/src/quetzaldeck/decisions/placement/search.py
+++ b/src/quetzaldeck/decisions/placement/search.py
@@ -150,7 +150,7 @@
             state.spec.name: _find_group_exclusion(
                 state, now_ms, is_member=state.spec.name in names
             )
-            for state in pool
+            for state in self._table.list_all_serving(request)
         }
         return {name: why for name, why in found.items() if why is not None}
 
--- a/tests/decisions/test_explanations.py
+++ b/tests/decisions/test_explanations.py
@@ -50,7 +50,7 @@
             f"e{index}",
             "",
             models=("m",),
-            availability_zone="a",
+            availability_zone="a" if index else "b",
             kv_tokens=FIGURES.kv_tokens,
             max_requests=FIGURES.n_slots,
             figures=FIGURES,
@@ -83,6 +83,10 @@
     scheduler.fleet.observe((), ("e0",))
 
 
+def evacuate(scheduler: Scheduler, clock: ManualClock) -> None:
+    scheduler.fleet.observe_evacuations({"b"})
+
+
 def eject(scheduler: Scheduler, clock: ManualClock) -> None:
     state = scheduler.upstreams.get("e0")
     assert state is not None
@@ -120,6 +124,7 @@
 
 CASES = (
     ExclusionCase(Exclusion.LEAVING, make_leaving),
+    ExclusionCase(Exclusion.EVACUATED, evacuate),
     ExclusionCase(Exclusion.EJECTED, eject),
     ExclusionCase(Exclusion.RATE_LIMITED, limit_rate),
     ExclusionCase(Exclusion.SLOTS, fill_slots),
@@ -204,6 +209,25 @@
     assert roles.count(UpstreamRole.HOLDS_PART) == len(explanation.upstreams) - 1
 
 
+def test_a_group_leaves_out_evacuated_engines(clock: ManualClock) -> None:
+    scheduler = make_scheduler(clock, n_engines=40)
+    evacuate(scheduler, clock)
+    explanation = scheduler.explain(make_request(clock, 700_000))
+    assert len(explanation.upstreams) > 1
+    assert find(explanation, "e0").excluded_by is Exclusion.EVACUATED
+
+
+def test_all_evacuated_engines_are_named_with_the_refusal(clock: ManualClock) -> None:
+    scheduler = make_scheduler(clock)
+    scheduler.fleet.observe_evacuations({"a", "b"})
+    explanation = scheduler.explain(make_request(clock))
+    assert explanation.failure is not None
+    assert explanation.failure.reason is Reason.NO_UPSTREAM
+    causes = {item.excluded_by for item in explanation.candidates}
+    assert causes == {Exclusion.EVACUATED}
+    assert len(explanation.candidates) == N_ENGINES
+
+
 def test_engines_of_a_large_pool_that_were_not_compared_are_named(
     clock: ManualClock,
 ) -> None:
