--- a/src/quetzaldeck/entry/explain_endpoint.py
+++ b/src/quetzaldeck/entry/explain_endpoint.py
@@ -39,9 +39,8 @@
 class ExplainEndpoint:
     """Explains placements of one VM, a few a second at most.
 
-    :param get_state: returns the state of the VM
-
-        :raises RuntimeError: before the VM has one
+    :param get_state: returns the state of the VM; raises ``RuntimeError`` before it has
+        one
     """
 
     def __init__(self, get_state: Callable[[], EntryState]) -> None:
