--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -7,6 +7,7 @@
 
 from quetzaldeck.bundle import Bundle
 from quetzaldeck.decisions import AttemptEnd, Decision, LoadReport, Request
+from quetzaldeck.decisions.explanations import Explanation
 from quetzaldeck.decisions.fair_shares import ShareSum
 from quetzaldeck.decisions.limits import UsageUpdate
 from quetzaldeck.decisions.loads.peer_load import VmLoad
@@ -25,6 +26,13 @@
     decisions: asyncio.Queue[Decision]
 
 
+class Explain(NamedTuple):
+    """Explain what would become of a request, without admitting it."""
+
+    request: Request
+    reply: asyncio.Future[Explanation]
+
+
 class NoteFirstToken(NamedTuple):
     """An attempt delivered its first token."""
 
@@ -212,6 +220,7 @@
 
 Message = (
     Submit
+    | Explain
     | NoteFirstToken
     | NoteLived
     | NoteReserved
@@ -244,6 +253,7 @@
     "ApplyBundle",
     "DropAttempt",
     "EndAttempt",
+    "Explain",
     "JudgeSilence",
     "Message",
     "NoteFirstToken",
