--- a/src/quetzaldeck/decisions/retries/history.py
+++ b/src/quetzaldeck/decisions/retries/history.py
@@ -23,6 +23,7 @@
     :param may_have_run: whether any upstream may have started to run the request
     :param has_output: whether any upstream generated a part of the answer
     :param is_handed_over: whether another VM makes the attempts that are left
+    :param n_diverted: attempts not sent, as the zone of their upstream was evacuated
     """
 
     n_dispatched: int = 0
@@ -34,6 +35,7 @@
     may_have_run: bool = False
     has_output: bool = False
     is_handed_over: bool = False
+    n_diverted: int = 0
 
     @property
     def ran(self) -> Ran:
@@ -61,7 +63,7 @@
         an evacuated zone does not count.
         """
         if end.fault is AttemptFault.EVACUATED:
-            return self
+            return self._replace(n_diverted=self.n_diverted + 1)
         if end.fault is AttemptFault.NO_ROOM:
             return self._replace(n_no_room=self.n_no_room + 1)
         if end.fault is AttemptFault.RATE_LIMITED:
--- a/src/quetzaldeck/decisions/retries/policy.py
+++ b/src/quetzaldeck/decisions/retries/policy.py
@@ -44,8 +44,9 @@
 due by then."""
 
 
-_UNSENT_FAULTS = frozenset((AttemptFault.RATE_LIMITED, AttemptFault.EVACUATED))
-"""Faults of attempts that were not sent, so that another one need not be delayed."""
+MAX_IMMEDIATE_DIVERSIONS = 3
+"""Diversions of one request from evacuated zones that are followed by the next attempt
+at once. More of them show that zones are evacuated again and again."""
 
 
 class Retry(NamedTuple):
@@ -184,15 +185,19 @@
     def _delay(self, end: AttemptEnd, history: AttemptHistory) -> float:
         """:returns: delay before the next attempt, in milliseconds
 
-        None after a refused permit, or if the zone of the upstream was evacuated: the
-        request was not sent and goes elsewhere.
+        None after a refused permit, or after the first diversions from evacuated zones:
+        the request was not sent and goes elsewhere.
 
         The backoff has full jitter: with a fixed part, requests that failed in the same
         crash would be retried nearly at the same time.
         """
-        if end.fault in _UNSENT_FAULTS:
+        if end.fault is AttemptFault.RATE_LIMITED:
             return 0.0
-        n_failed = history.n_maybe_run + history.n_not_run + history.n_no_room
+        is_diverted = end.fault is AttemptFault.EVACUATED
+        if is_diverted and history.n_diverted <= MAX_IMMEDIATE_DIVERSIONS:
+            return 0.0
+        n_failed = history.n_diverted if is_diverted else 0
+        n_failed += history.n_maybe_run + history.n_not_run + history.n_no_room
         bounds = self._bounds
         ceiling_ms = bounds.max_delay_ms
         if end.fault is AttemptFault.NO_ROOM:
--- a/tests/belief/test_evacuated_zones.py
+++ b/tests/belief/test_evacuated_zones.py
@@ -128,7 +128,9 @@
     second.poll(first)
     third.poll(second)
     first.apply(SourceAnswer(6, (ZoneRestored("a"),)))
+    waking = second.feed._changed
     second.poll(first)
+    assert waking.is_set(), "VMs that poll the second one are answered at once"
     third.poll(second)
     assert not third.belief.evacuated_zones
 
