--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from functools import partial
 from typing import TYPE_CHECKING
 
 from prometheus_client import generate_latest
@@ -28,7 +29,7 @@
     from tests.support.platform.site import Site
 
 HUGE = (500_000, 100)
-LONG = (200_000, 100)
+LONG = (100_000, 100)
 LONG_MS = 5_000
 HOLD_S = 1.0
 
@@ -186,35 +187,29 @@
 def test_helpers_of_the_zone_are_not_named() -> None:
     """Guards against prompt parts for engines of an evacuated zone.
 
-    The helpers of the second request are placed before the evacuation, which is read
-    while the request waits to be sent.
+    The helpers are chosen before the evacuation, which is read while the request waits
+    to be sent.
     """
 
-    async def test(site: Site) -> None:
-        for engine in site.engines:
-            engine.handler = answer
+    async def test(site: Site, *, is_evacuated: bool) -> None:
+        for index, engine in enumerate(site.engines):
+            await set_zone(site, engine, f"z{index}")
         state = site.entry.session.state
-        acquire = state.permits.acquire
-        await site.call(PLAN_PATH, prompt=LONG, deadline_ms=LONG_MS)
-        first = next(engine for engine in site.engines if engine.calls)
-        named = first.calls[0].headers["quetzaldeck-helpers"]
-        assert any(engine.address in named for engine in site.engines)
 
-        async def acquire_late(upstream: str, max_wait_ms: float) -> None:
-            addressed = site.engines[int(upstream[1:])]
-            for engine in site.engines:
-                if engine is not addressed:
-                    await set_zone(site, engine, "b")
-            await evacuate(site, "b")
-            await acquire(upstream, max_wait_ms)
+        async def acquire(upstream: str, max_wait_ms: float) -> None:
+            zones = {f"z{index}" for index in range(6)} - {f"z{upstream[1:]}"}
+            if is_evacuated:
+                for zone in zones:
+                    site.store.put(f"op/evacuate/{zone}", {})
+                await site.wait(lambda: state.belief.evacuated_zones == zones)
 
-        state.permits.acquire = acquire_late  # type: ignore[method-assign]
+        state.permits.acquire = acquire  # type: ignore[method-assign]
         await site.call(PLAN_PATH, prompt=LONG, deadline_ms=LONG_MS)
-        calls = [call for engine in site.engines for call in engine.calls]
-        call = next(call for call in calls if call.call_id == "call2")
-        assert "quetzaldeck-helpers" not in call.headers
+        (call,) = [call for engine in site.engines for call in engine.calls]
+        assert ("quetzaldeck-helpers" not in call.headers) is is_evacuated
 
-    run_site(test, engines=(answer,) * 6)
+    for is_evacuated in (False, True):
+        run_site(partial(test, is_evacuated=is_evacuated), engines=(answer,) * 6)
 
 
 def test_request_that_waits_for_memory_is_diverted() -> None:
