--- a/tests/entry/test_shared_evacuations.py
+++ b/tests/entry/test_shared_evacuations.py
@@ -135,3 +135,18 @@
         await wait_until(fleet, evacuated=False)
 
     run_fleet(test)
+
+
+def test_polls_are_short_enough_for_the_bound() -> None:
+    """Guards against polls that last longer than an evacuation may take."""
+
+    async def test(fleet: EntryFleet) -> None:
+        (vm,) = fleet.vms.values()
+        before_ms = vm.sources.bounds.min_deadline_ms
+        settings = vm.state.settings
+        for evacuation_ms, expected_ms in ((5_000.0, before_ms), (800.0, 800.0)):
+            bounds = settings.bounds._replace(evacuation_ms=evacuation_ms)
+            vm.state.apply_settings(settings._replace(bounds=bounds))
+            assert vm.sources.bounds.min_deadline_ms == expected_ms
+
+    run_fleet(test, n_vms=1)
