Limit the rate of cold replicas with permits

Cause: a replica that starts, or becomes cold again, crashes at the rate of a warm one, and no VM limited what it sent there.

Change: claims that a replica is cold are kept by source (store entry, response header, another VM, presumption) and end by themselves. While one holds, requests need a permit of the VM that issues those of rate-limited upstreams, at a rate which stays within the tolerance with two issuers, a deputy and late permits. The permit is checked again right before the request is sent. A permit request states the cold time that its sender knows.

--- a/src/quetzaldeck/decisions/attempts/attempt_starter.py
+++ b/src/quetzaldeck/decisions/attempts/attempt_starter.py
@@ -85,8 +85,13 @@
             backlog_ms,
             self._table.predict_first_token_ms(upstreams[-1], backlog_ms, now_ms),
             max_permit_wait_ms,
+            any(self._is_ejected(name) for name in upstreams),
         )
 
+    def _is_ejected(self, name: str) -> bool:
+        state = self._table.get(name)
+        return state is not None and state.health.is_ejected
+
     def _reserve_turns(
         self, upstreams: tuple[str, ...], now_ms: float, *, queues: bool
     ) -> bool:
--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -27,6 +27,7 @@
     :param first_token_ms: predicted time to the first token; 0: unknown
     :param max_permit_wait_ms: how long the request can wait for its turn at upstreams
         that limit their rate; 0: it is better placed elsewhere
+    :param is_retrial: whether the upstream was ejected, so that it may have restarted
     """
 
     request: Request
@@ -39,6 +40,7 @@
     backlog_ms: float = 0.0
     first_token_ms: float = 0.0
     max_permit_wait_ms: float = 0.0
+    is_retrial: bool = False
 
 
 class Rejection(NamedTuple):
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -99,9 +99,15 @@
             if state is not None:
                 state.pace.note(pace, now_ms)
 
-    def observe_rate_limit(self, name: str, requests_per_s: float | None) -> None:
-        """Apply the limit that an upstream names; ``None``: it names none."""
-        self._table.set_rate_limit(name, requests_per_s, self._clock.now_ms())
+    def observe_rate_limit(
+        self, name: str, requests_per_s: float | None, *, is_cold: bool = False
+    ) -> None:
+        """Apply the limit of an upstream; ``None``: there is none.
+
+        :param is_cold: whether it is limited because it is cold
+        """
+        now_ms = self._clock.now_ms()
+        self._table.set_rate_limit(name, requests_per_s, now_ms, is_cold=is_cold)
         self._waiting.note_capacity_freed()
 
     def note_permit_refused(self, name: str, wait_ms: float) -> None:
--- a/src/quetzaldeck/decisions/placement/search.py
+++ b/src/quetzaldeck/decisions/placement/search.py
@@ -12,6 +12,7 @@
 
 from quetzaldeck.decisions.placement.placement import Placement
 from quetzaldeck.decisions.pools import exclude_failing, exclude_slow
+from quetzaldeck.decisions.request import LengthClass
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -28,6 +29,9 @@
     from quetzaldeck.decisions.upstream_table import UpstreamTable
 
 
+_LONG_CLASSES = frozenset((LengthClass.LONG, LengthClass.HUGE))
+
+
 class PlacementSearch:
     """Searches for a placement; it reserves nothing.
 
@@ -202,8 +206,7 @@
         now_ms: float,
     ) -> Sequence[UpstreamState] | None:
         """:returns: permitted upstreams; ``None`` if no upstream has capacity"""
-        preferred = self._policy.list_preferred(request)
-        candidates = self._candidates.list_candidates(request, pool, now_ms, preferred)
+        candidates = self._list_candidates(request, pool, now_ms)
         if not candidates:
             return None
         candidates = exclude_failing(candidates, pool, now_ms)
@@ -211,5 +214,24 @@
         untried = [state for state in candidates if state.spec.name not in avoided]
         return self._head_of_line.restrict(request, untried or candidates, now_ms)
 
+    def _list_candidates(
+        self, request: Request, pool: Sequence[UpstreamState], now_ms: float
+    ) -> list[UpstreamState]:
+        """:returns: upstreams with capacity; for long prompts cold ones come last
+
+        A cold upstream that fails loses the work of its prompts, and the longest ones
+        would run beyond the time for which it is cold.
+        """
+        preferred = self._policy.list_preferred(request)
+        if not request.service and request.length_class in _LONG_CLASSES:
+            warm = [state for state in pool if not state.pacing.is_cold]
+            if len(warm) < len(pool):
+                found = self._candidates.list_candidates(
+                    request, warm, now_ms, preferred
+                )
+                if found:
+                    return found
+        return self._candidates.list_candidates(request, pool, now_ms, preferred)
+
 
 __all__ = ("PlacementSearch",)
--- a/src/quetzaldeck/decisions/rate_limits/pacing.py
+++ b/src/quetzaldeck/decisions/rate_limits/pacing.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self._requests_per_s: float | None = None
+        self._is_cold = False
         self._next_ms = float("-inf")
 
     @property
@@ -21,14 +22,25 @@
         """:returns: whether the upstream names a limit"""
         return self._requests_per_s is not None
 
+    @property
+    def is_cold(self) -> bool:
+        """:returns: whether the limit is that of a cold replica"""
+        return self._is_cold
+
     @property
     def interval_ms(self) -> float:
         """:returns: time between two requests of all VMs; 0 without a limit"""
         rate = self._requests_per_s
         return 0.0 if rate is None else interval_ms(rate)
 
-    def set_limit(self, requests_per_s: float | None, now_ms: float) -> None:
-        """Set the limit that the upstream names; ``None``: it names none."""
+    def set_limit(
+        self, requests_per_s: float | None, now_ms: float, *, is_cold: bool = False
+    ) -> None:
+        """Set the limit in force; ``None``: there is none.
+
+        :param is_cold: whether the upstream is limited because it is cold
+        """
+        self._is_cold = is_cold
         if requests_per_s == self._requests_per_s:
             return
         self._requests_per_s = requests_per_s
--- a/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
+++ b/src/quetzaldeck/decisions/rate_limits/permit_issuer.py
@@ -21,8 +21,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.rate_limits.fleet_size import FleetSize
 from quetzaldeck.decisions.rate_limits.issuer_ranking import IssuerRanking
 from quetzaldeck.decisions.rate_limits.send_schedule import Permit, SendSchedule
 
@@ -47,11 +49,14 @@
         self._bounds = bounds
         self._ranking = IssuerRanking(own)
         self._schedules: dict[tuple[str, str], SendSchedule] = {}
+        self._cold_schedules: dict[str, SendSchedule] = {}
+        self._fleet_size = FleetSize()
         self._alone_since_ms: float | None = None
         self._alone_until_ms = float("-inf")
 
     def note_fleet(self, n_peers: int, now_ms: float) -> None:
         """Record that this VM expects other VMs and knows ``n_peers`` of them now."""
+        self._fleet_size.note(n_peers + 1, now_ms)
         if n_peers:
             self._alone_since_ms = None
             return
@@ -87,6 +92,38 @@
         schedule.set_rate(requests_per_s * share, now_ms)
         return schedule.reserve(max_wait_ms, now_ms)
 
+    def issue_cold(
+        self,
+        upstream: str,
+        requests_per_s: float | None,
+        max_wait_ms: float,
+        peers: Sequence[str],
+        now_ms: float,
+    ) -> Permit | None:
+        """Answer a VM that wants to send a request to a cold upstream.
+
+        Parts of a partitioned fleet do not know of each other's permits, so only one
+        with more than half of the VMs issues any. There is one schedule for all
+        incarnations, since VMs may not know yet which one is running, and no unused
+        time is made up for.
+
+        :param requests_per_s: the limit in force; ``None``: no request may be sent
+        :param max_wait_ms: how long the request can wait for its turn
+        :returns: ``None`` if this VM issues no permits for the upstream
+        """
+        share = self._rate_share(upstream, peers, now_ms)
+        if not share or not self._has_majority(len(peers) + 1, now_ms):
+            return None
+        if requests_per_s is None:
+            return Permit(is_granted=False, wait_ms=math.inf)
+        rate = requests_per_s * share
+        schedule = self._cold_schedules.get(upstream)
+        if schedule is None:
+            schedule = SendSchedule(rate, now_ms)
+            self._cold_schedules[upstream] = schedule
+        schedule.set_rate(rate, now_ms)
+        return schedule.reserve(max_wait_ms, now_ms, max_burst_ms=0.0)
+
     def is_settled(self, n_peers: int, now_ms: float) -> bool:
         """Check whether this VM and the others have had time to learn of each other.
 
@@ -114,6 +151,17 @@
         """Forget the schedules of upstreams that are gone."""
         for key in [key for key in self._schedules if key[0] not in upstreams]:
             del self._schedules[key]
+        for name in [name for name in self._cold_schedules if name not in upstreams]:
+            del self._cold_schedules[name]
+
+    def _has_majority(self, n_vms: int, now_ms: float) -> bool:
+        """:returns: whether this part of the fleet is larger than all others together
+
+        A VM that expects others and knows none cannot tell.
+        """
+        if self._alone_since_ms is not None:
+            return False
+        return 2 * n_vms > self._fleet_size.find_largest(n_vms, now_ms)
 
     def _rate_share(self, upstream: str, peers: Sequence[str], now_ms: float) -> float:
         """:returns: share of the limit that this VM issues; 0: none"""
--- a/src/quetzaldeck/decisions/rate_limits/send_schedule.py
+++ b/src/quetzaldeck/decisions/rate_limits/send_schedule.py
@@ -47,12 +47,15 @@
         backlog_ms = max(0.0, self._next_ms - now_ms)
         self._next_ms += backlog_ms * (self._interval_ms / before_ms - 1.0)
 
-    def reserve(self, max_wait_ms: float, now_ms: float) -> Permit:
+    def reserve(
+        self, max_wait_ms: float, now_ms: float, *, max_burst_ms: float = MAX_BURST_MS
+    ) -> Permit:
         """Reserve the next turn, unless it comes too late for the request.
 
         :param max_wait_ms: how long the request can wait
+        :param max_burst_ms: unused time that may be made up for
         """
-        turn_ms = max(self._next_ms, now_ms - MAX_BURST_MS, self._earliest_ms)
+        turn_ms = max(self._next_ms, now_ms - max_burst_ms, self._earliest_ms)
         wait_ms = max(0.0, turn_ms - now_ms)
         if wait_ms > max_wait_ms:
             return Permit(is_granted=False, wait_ms=wait_ms)
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -117,12 +117,20 @@
         return has_changed
 
     def set_rate_limit(
-        self, name: str, requests_per_s: float | None, now_ms: float
+        self,
+        name: str,
+        requests_per_s: float | None,
+        now_ms: float,
+        *,
+        is_cold: bool = False,
     ) -> None:
-        """Set the limit that an upstream names; ``None``: it names none."""
+        """Set the limit of an upstream; ``None``: there is none.
+
+        :param is_cold: whether it is limited because it is cold
+        """
         state = self.get(name)
         if state is not None:
-            state.pacing.set_limit(requests_per_s, now_ms)
+            state.pacing.set_limit(requests_per_s, now_ms, is_cold=is_cold)
         if state is None or requests_per_s is None:
             self._limited.discard(name)
         else:
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -28,6 +28,7 @@
     from quetzaldeck.decisions import Dispatch
     from quetzaldeck.decisions.silence.verdict import SilenceVerdict
     from quetzaldeck.entry.call import Call
+    from quetzaldeck.entry.peers.permits import HeldPermit
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
     from quetzaldeck.routing import Replica
@@ -83,6 +84,7 @@
         self._members: frozenset[str] = frozenset()
         self._incarnation = ""
         self._replica: Replica | None = None
+        self._permits: list[HeldPermit] = []
         self._sent_ms: float | None = None
         self._has_response = False
         self._stage = AttemptStage.QUEUED
@@ -130,8 +132,12 @@
         """
         self._state.evacuations.check(dispatch.upstreams)
         max_wait_ms = dispatch.max_permit_wait_ms
-        for name in dispatch.upstreams:
-            await self._state.permits.acquire(name, max_wait_ms)
+        permits = self._state.permits
+        if dispatch.is_retrial:
+            self._state.rate_limits.presume_cold(dispatch.upstreams)
+        self._permits = [
+            await permits.acquire(name, max_wait_ms) for name in dispatch.upstreams
+        ]
         if max_wait_ms:
             self._ticket.note_sent(dispatch.attempt_id)
         self._stage = AttemptStage.READY
@@ -234,6 +240,8 @@
         replica = self._find_replica(name)
         self._state.evacuations.check(dispatch.upstreams)
         self._check()
+        for permit in self._permits:
+            self._state.permits.check(permit)
         self._incarnation = replica.incarnation
         self._replica = replica
         headers = build_request_headers(self._call.headers, parameters)
@@ -250,13 +258,15 @@
         )
 
     def _list_helpers(self, dispatch: Dispatch) -> tuple[Helper, ...]:
-        """:returns: the helpers; the prompt is prefilled without those evacuated"""
+        """:returns: the helpers, without those that are evacuated or cold by now"""
         belief = self._state.belief
         replicas = (belief.replicas.get(name) for name in dispatch.helpers)
         return tuple(
             Helper(replica.address)
             for replica in replicas
-            if replica is not None and not belief.is_evacuated(replica)
+            if replica is not None
+            and not belief.is_evacuated(replica)
+            and self._state.rate_limits.find_cold(replica.replica_id) is None
         )
 
     def _find_replica(self, name: str) -> Replica:
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import TYPE_CHECKING, Literal
 
 import msgspec
 
@@ -11,6 +11,9 @@
 from quetzaldeck.decisions.poison import CrashSighting, RunSighting, RunState
 from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
 
+if TYPE_CHECKING:
+    from quetzaldeck.decisions.cold_replicas import ColdClaim
+
 
 class LoadUpdate(msgspec.Struct, frozen=True, array_like=True):
     """Load of a VM at one upstream; see :class:`VmLoad` for the fields."""
@@ -70,15 +73,26 @@
     is_awaited: bool = False
 
 
+class ColdTime(msgspec.Struct, frozen=True):
+    """A limit that is not named by its rate: the upstream is cold.
+
+    :param cold_ms: time for which it stays cold
+    """
+
+    cold_ms: float
+
+
 class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
     """What an upstream said of its rate limit; see ``RateLimitStatement``.
 
+    :param requests_per_s: the limit; ``None``: it has ended; a :class:`ColdTime` does
+        not replace a limit that the upstream has named
     :param age_ms: time since a VM received the response that said so
     """
 
     upstream: str
     incarnation: str
-    requests_per_s: float | None
+    requests_per_s: float | ColdTime | None
     age_ms: float
 
 
@@ -86,7 +100,8 @@
     """Asks for a permit to send a request to an upstream that limits its rate.
 
     :param number: the answer repeats it
-    :param limit: the limit that the sender knows
+    :param limit: the limit that the sender knows; if it knows that the upstream is
+        cold, the time for which it is
     :param max_wait_ms: how long the request can wait for its turn
     """
 
@@ -295,11 +310,24 @@
     )
 
 
+def build_cold_update(claim: ColdClaim, now_ms: float) -> LimitUpdate:
+    """:returns: the update that announces that an upstream is cold
+
+    :param now_ms: uptime of this VM
+    """
+    cold = ColdTime(round(max(0.0, claim.until_ms - now_ms), N_AGE_DIGITS))
+    return LimitUpdate(claim.upstream, claim.incarnation, cold, 0.0)
+
+
 def read_limit_update(update: LimitUpdate, now_ms: float) -> RateLimitStatement:
     """:returns: what an upstream said to another VM
 
     :param now_ms: uptime of this VM
+    :raises TypeError: if it does not name a rate but a :class:`ColdTime`
     """
+    if isinstance(update.requests_per_s, ColdTime):
+        msg = f"{update.upstream}: a cold time is no statement of the upstream"
+        raise TypeError(msg)
     heard_ms = now_ms - max(0.0, update.age_ms)
     return RateLimitStatement(
         update.upstream, update.incarnation, update.requests_per_s, heard_ms
@@ -318,6 +346,7 @@
 
 
 __all__ = (
+    "ColdTime",
     "CrashUpdate",
     "Join",
     "LimitUpdate",
@@ -328,6 +357,7 @@
     "Reach",
     "RunUpdate",
     "VmUpdate",
+    "build_cold_update",
     "build_crash_update",
     "build_limit_update",
     "build_load_update",
--- a/src/quetzaldeck/entry/peers/permit_client.py
+++ b/src/quetzaldeck/entry/peers/permit_client.py
@@ -7,7 +7,12 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.rate_limits import Permit
-from quetzaldeck.entry.peers.messages import PermitRequest, build_limit_update
+from quetzaldeck.entry.peers.messages import (
+    LimitUpdate,
+    PermitRequest,
+    build_cold_update,
+    build_limit_update,
+)
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
@@ -15,7 +20,7 @@
     from collections.abc import Callable, Container
 
     from quetzaldeck.clock import Clock
-    from quetzaldeck.decisions.rate_limits import RateLimitStatement
+    from quetzaldeck.decisions.rate_limits import EffectiveLimit
     from quetzaldeck.entry.peers.messages import PermitAnswer
     from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
@@ -48,23 +53,23 @@
         self._send = send
 
     async def ask(
-        self, vm: str, statement: RateLimitStatement, max_wait_ms: float
+        self, vm: str, limit: EffectiveLimit, max_wait_ms: float
     ) -> Permit | None:
         """Ask a VM for a permit.
 
-        :param statement: the limit in force, as far as this VM knows
+        :param limit: the limit in force, as far as this VM knows
         :param max_wait_ms: how long the request can wait for its turn
         :returns: ``None`` if the VM issues none for the upstream or does not answer
         """
-        upstream = statement.upstream
+        upstream = limit.upstream
         now_ms = self._clock.uptime_ms()
         if self._send is None:
             return None
         if now_ms < self._unavailable_until_ms.get((vm, upstream), 0.0):
             return None
         number = next(self._numbers)
-        limit = build_limit_update(statement, now_ms)
-        self._send(vm, PermitRequest(number, limit, round(max_wait_ms, 1)))
+        update = _build_update(limit, now_ms)
+        self._send(vm, PermitRequest(number, update, round(max_wait_ms, 1)))
         answer = await self._wait_for_answer(number)
         if answer is None:
             self._note_unavailable(vm, upstream, "no_answer")
@@ -108,4 +113,18 @@
         log_event("permit_issuer_unavailable", peer=vm, upstream=upstream, why=why)
 
 
+def _build_update(limit: EffectiveLimit, now_ms: float) -> LimitUpdate:
+    """:returns: what the sender of a permit request knows of the limit
+
+    The issuer has heard of a limit that the upstream names as the sender has; whether
+    the upstream is cold may be known to the sender only.
+    """
+    if limit.cold is not None:
+        return build_cold_update(limit.cold, now_ms)
+    if limit.stated is None:
+        msg = f"{limit.upstream} has no limit to ask a permit for"
+        raise ValueError(msg)
+    return build_limit_update(limit.stated, now_ms)
+
+
 __all__ = ("UNAVAILABLE_MS", "PermitClient")
--- a/src/quetzaldeck/entry/peers/rate_limit_exchange.py
+++ b/src/quetzaldeck/entry/peers/rate_limit_exchange.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.entry.peers.messages import (
+    ColdTime,
     PeerMessage,
+    build_cold_update,
     build_limit_update,
     build_permit_answer,
     read_limit_update,
@@ -51,7 +53,14 @@
         """Note what upstreams said to another VM."""
         uptime_ms = self._clock.uptime_ms()
         for update in updates:
-            self._limits.note_peer(read_limit_update(update, uptime_ms), peer=peer)
+            limit = update.requests_per_s
+            if isinstance(limit, ColdTime):
+                self._limits.note_peer_cold(
+                    update.upstream, update.incarnation, limit.cold_ms
+                )
+            else:
+                statement = read_limit_update(update, uptime_ms)
+                self._limits.note_peer(statement, peer=peer)
 
     def request_permit(self, address: str, request: PermitRequest) -> None:
         """Send a permit request to the VM at an address."""
@@ -64,22 +73,44 @@
             too many for a message
         """
         uptime_ms = self._clock.uptime_ms()
-        statements = self._limits.list_statements()
-        if upstream:
-            statements = [s for s in statements if s.upstream == upstream]
-        if len(statements) > MAX_LISTED_LIMITS:
-            statements = self._random_state.sample(statements, MAX_LISTED_LIMITS)
-        return tuple(
-            build_limit_update(statement, uptime_ms) for statement in statements
-        )
+        updates = [
+            build_limit_update(statement, uptime_ms)
+            for statement in self._limits.list_statements()
+            if upstream in ("", statement.upstream)
+        ]
+        if len(updates) > MAX_LISTED_LIMITS:
+            updates = self._random_state.sample(updates, MAX_LISTED_LIMITS)
+        return tuple(updates)
+
+    def list_cold_updates(self, upstream: str = "") -> tuple[LimitUpdate, ...]:
+        """List the replicas that responses to this VM have shown to be cold.
+
+        Store entries reach all VMs, and what only this VM presumes may be the fault of
+        its path. What other VMs have said is not repeated, so that it ends.
+
+        :param upstream: the only one to list; ``""``: all, a random choice if there are
+            too many for a message
+        """
+        uptime_ms = self._clock.uptime_ms()
+        updates = [
+            build_cold_update(claim, uptime_ms)
+            for claim in self._limits.list_shown_cold()
+            if upstream in ("", claim.upstream)
+        ]
+        if len(updates) > MAX_LISTED_LIMITS:
+            updates = self._random_state.sample(updates, MAX_LISTED_LIMITS)
+        return tuple(updates)
 
     def _answer(self, request: PermitRequest, address: str) -> None:
         upstream = request.limit.upstream
         self.note_updates((request.limit,), address)
-        permit = self._permits.issue(upstream, request.max_wait_ms)
+        is_cold = isinstance(request.limit.requests_per_s, ColdTime)
+        permit = self._permits.issue(
+            upstream, request.max_wait_ms, is_known_cold=is_cold
+        )
         answer = PeerMessage(
             self._vm,
-            limits=self.list_updates(upstream),
+            limits=self.list_updates(upstream) + self.list_cold_updates(upstream),
             permit_answer=build_permit_answer(request.number, permit),
         )
         self._send(answer, address)
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from quetzaldeck.decisions.cold_replicas import ColdClaim
 from quetzaldeck.decisions.loads.load_changes import LoadChanges, max_send_delay_ms
 from quetzaldeck.entry.peers.crash_exchange import CrashExchange
 from quetzaldeck.entry.peers.greetings import (
@@ -16,6 +17,7 @@
 )
 from quetzaldeck.entry.peers.messages import (
     PeerMessage,
+    build_cold_update,
     build_limit_update,
     build_load_update,
     decode_message,
@@ -147,9 +149,13 @@
         self._send_outgoing()
         self._schedule(now_ms)
 
-    def _announce_limit(self, statement: RateLimitStatement) -> None:
+    def _announce_limit(self, said: RateLimitStatement | ColdClaim) -> None:
         """Announce what an upstream said to all other VMs."""
-        update = build_limit_update(statement, self._context.clock.uptime_ms())
+        uptime_ms = self._context.clock.uptime_ms()
+        if isinstance(said, ColdClaim):
+            update = build_cold_update(said, uptime_ms)
+        else:
+            update = build_limit_update(said, uptime_ms)
         self._node.announce(self._context.clock.now_ms(), limits=(update,))
         self._send_outgoing()
 
@@ -217,7 +223,10 @@
             settings.availability_zone,
             settings.processor.capacity,
             self._table.sample_heard(now_ms),
-            limits=self._rate_limits.list_updates(),
+            limits=(
+                *self._rate_limits.list_updates(),
+                *self._rate_limits.list_cold_updates(),
+            ),
             crashes=self._crashes.list_updates(),
             runs=self._crashes.list_run_updates(),
         )
--- a/src/quetzaldeck/entry/rate_limits.py
+++ b/src/quetzaldeck/entry/rate_limits.py
@@ -6,46 +6,103 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.decisions.rate_limits import RateLimitRegistry, RateLimitStatement
+from quetzaldeck.decisions.cold_replicas import ColdSource
+from quetzaldeck.decisions.rate_limits import (
+    EffectiveLimit,
+    RateLimitRegistry,
+    RateLimitStatement,
+)
+from quetzaldeck.entry.cold_replicas import ColdWatch
 from quetzaldeck.gateway.messages import ObserveRateLimit
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from quetzaldeck.clock import Clock
+    from quetzaldeck.decisions.cold_replicas import ColdClaim
     from quetzaldeck.decisions.rate_limits.registry import RateLimitChange
     from quetzaldeck.entry.response_head import ResponseHead
+    from quetzaldeck.entry.settings import EntryBounds
     from quetzaldeck.gateway.dispatch_task import DispatchTask
-    from quetzaldeck.routing import Replica
+    from quetzaldeck.routing import Replica, Service
     from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
 
 class RateLimits:
     """Keeps the limits that upstreams name, for placement, operators and other VMs.
 
+    The limit in force of an upstream is the lower of the one that it names and the one
+    that its service has for cold replicas while it is cold.
+
     :param dispatch: is notified of each change
+    :param read_bounds: the bounds in force
     """
 
     def __init__(
-        self, clock: Clock, dispatch: DispatchTask, metrics: UpstreamMetrics
+        self,
+        clock: Clock,
+        dispatch: DispatchTask,
+        metrics: UpstreamMetrics,
+        read_bounds: Callable[[], EntryBounds],
     ) -> None:
         self._clock = clock
         self._dispatch = dispatch
         self._metrics = metrics
         self._registry = RateLimitRegistry()
-        self._announce: Callable[[RateLimitStatement], None] | None = None
+        self._cold = ColdWatch(clock, metrics, read_bounds, self._observe)
+        self._announce: Callable[[RateLimitStatement | ColdClaim], None] | None = None
 
-    def connect(self, announce: Callable[[RateLimitStatement], None]) -> None:
+    def connect(
+        self, announce: Callable[[RateLimitStatement | ColdClaim], None]
+    ) -> None:
         """Use the connection to the other VMs.
 
         :param announce: sends them a change that a response has shown
         """
         self._announce = announce
 
-    def find(self, upstream: str) -> RateLimitStatement | None:
-        """:returns: the limit in force of an upstream; ``None``: it names none"""
-        return self._registry.find(upstream)
+    def find(self, upstream: str) -> EffectiveLimit | None:
+        """:returns: the limit in force of an upstream; ``None``: there is none"""
+        stated = self._registry.find(upstream)
+        cold = self._cold.find(upstream)
+        if cold is None:
+            if stated is None:
+                return None
+            return EffectiveLimit(upstream, stated.requests_per_s, stated)
+        rate = self._cold.find_rate(upstream)
+        if stated is not None and stated.requests_per_s is not None and rate:
+            rate = min(rate, stated.requests_per_s)
+        return EffectiveLimit(upstream, rate, stated, cold)
+
+    def find_cold(self, upstream: str) -> ColdClaim | None:
+        """:returns: the claim that an upstream is cold; ``None``: it is warm"""
+        return self._cold.find(upstream)
+
+    def list_shown_cold(self) -> list[ColdClaim]:
+        """:returns: the claims that responses to this VM have made"""
+        return self._cold.list_shown()
+
+    def presume_cold(self, names: Iterable[str]) -> None:
+        """Presume replicas cold until an entry written from now on has arrived.
+
+        :param names: replicas that may have restarted unnoticed, since they got no
+            requests for a while
+        """
+        self._cold.presume(names)
+
+    def note_cold(self, upstream: str, incarnation: str, cold_ms: float | None) -> None:
+        """Record the cold time that a response states; ``None``: it states none."""
+        if not cold_ms:
+            return
+        claim = self._cold.note(upstream, incarnation, ColdSource.HEADER, cold_ms)
+        if claim is not None and self._announce is not None:
+            self._announce(claim)
+
+    def note_peer_cold(self, upstream: str, incarnation: str, cold_ms: float) -> None:
+        """Record the cold time that another VM knows."""
+        if cold_ms:
+            self._cold.note(upstream, incarnation, ColdSource.PEER, cold_ms)
 
     def list_statements(self) -> list[RateLimitStatement]:
         """:returns: what upstreams said last, ends of limits included"""
@@ -58,6 +115,8 @@
 
         Only a response that surely comes from the upstream ends a limit.
         """
+        if not head.is_other_replica:
+            self.note_cold(upstream, incarnation, head.cold_ms)
         if head.is_other_replica or not (head.is_sealed or head.rate_limit is not None):
             return
         statement = RateLimitStatement(
@@ -80,23 +139,40 @@
         """Count a request that is sent to an upstream."""
         if self._registry.find(upstream) is not None:
             self._metrics.rate_limited_sends.labels(upstream).inc()
+        if self._cold.find(upstream) is not None:
+            self._metrics.cold_sends.labels(upstream).inc()
 
-    def apply_replicas(self, replicas: Mapping[str, Replica]) -> None:
-        """Forget the limits of replicas that are gone or have restarted."""
+    def apply_replicas(
+        self, replicas: Mapping[str, Replica], services: Mapping[str, Service]
+    ) -> None:
+        """Apply the entries of replicas; forget limits of those gone or restarted."""
+        self._cold.apply_replicas(replicas, services)
+        for claim in self._cold.list_cold():
+            # Placement may not have known the upstream when it became cold.
+            self._observe(claim.upstream)
         if not self.list_statements():
             return
         incarnations = {name: r.incarnation for name, r in replicas.items()}
         for name in self._registry.expire(incarnations, self._clock.uptime_ms()):
-            self._dispatch.send(ObserveRateLimit(name, None))
+            self._observe(name)
             self._remove_metrics(name)
         for statement in self.list_statements():
             # Placement may not have known the upstream when the limit was named.
-            limit = ObserveRateLimit(statement.upstream, statement.requests_per_s)
-            self._dispatch.send(limit)
+            self._observe(statement.upstream)
+
+    def _observe(self, upstream: str) -> None:
+        """Tell placement the limit in force of an upstream."""
+        limit = self.find(upstream)
+        if limit is None:
+            self._dispatch.send(ObserveRateLimit(upstream, None))
+            return
+        is_cold = limit.cold is not None
+        rate = limit.requests_per_s or 0.0
+        self._dispatch.send(ObserveRateLimit(upstream, rate, is_cold))
 
     def _apply(self, change: RateLimitChange, **source: str) -> None:
         upstream, incarnation, requests_per_s, _ = change.statement
-        self._dispatch.send(ObserveRateLimit(upstream, requests_per_s))
+        self._observe(upstream)
         since_wall_ms = (
             self._clock.wall_ms() - self._clock.uptime_ms() + change.since_ms
         )
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -39,6 +39,7 @@
     from quetzaldeck.belief import FleetBelief
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.groups import GroupBounds
+    from quetzaldeck.entry.response_head import ResponseHead
     from quetzaldeck.entry.settings import EntryBounds, EntrySettings
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.entry.view import RoutingView
@@ -87,7 +88,9 @@
         self.orders = orders
         self._health_checks = health_checks
         self.group_bounds = group_bounds
-        self.rate_limits = RateLimits(clock, dispatch, metrics.upstreams)
+        self.rate_limits = RateLimits(
+            clock, dispatch, metrics.upstreams, lambda: self.settings.bounds
+        )
         own_address = parse_listen_address(settings.listen.callers).host
         self.permits = Permits(own_address, self.rate_limits, clock, metrics.upstreams)
         self.random_state = random.Random(settings.random_state or None)
@@ -186,7 +189,15 @@
         service = None if view is None else view.services.get(replica.service)
         if service is None:
             return Liveness.UNKNOWN
-        return await self._health_checks.check(replica, service.health_path)
+        return await self._health_checks.check(
+            replica, service.health_path, self._note_cold
+        )
+
+    def _note_cold(self, replica: Replica, head: ResponseHead) -> None:
+        """Record the cold time that the response to a health check states."""
+        self.rate_limits.note_cold(
+            replica.replica_id, replica.incarnation, head.cold_ms
+        )
 
     async def _probe(self, replica: Replica) -> bool:
         """Probe a replica; an engine reports without a free slot.
@@ -198,7 +209,9 @@
         if service is None:
             return True
         if service.engine is None:
-            return await self._health_checks.is_reached(replica, service.health_path)
+            return await self._health_checks.is_reached(
+                replica, service.health_path, self._note_cold
+            )
         try:
             await self._probes.read_pace(replica)
         except UpstreamError as error:
@@ -227,7 +240,7 @@
         self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
         self.dispatch.send(Observe((), list_leaving(self.belief)))
         self.evacuations.apply()
-        self.rate_limits.apply_replicas(self.belief.replicas)
+        self.rate_limits.apply_replicas(self.belief.replicas, self._view.services)
         self.permits.expire(self.belief.replicas)
         self.paths.apply_replicas()
         self.crash_checks.apply_replicas()
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -332,7 +332,7 @@
                 self._scheduler.fleet.observe_paces(message.paces)
             case ObserveRateLimit():
                 self._scheduler.fleet.observe_rate_limit(
-                    message.upstream, message.requests_per_s
+                    message.upstream, message.requests_per_s, is_cold=message.is_cold
                 )
 
     def _observe_update(
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -140,10 +140,14 @@
 
 
 class ObserveRateLimit(NamedTuple):
-    """An upstream names a limit of requests a second; ``None``: it names none."""
+    """An upstream has a limit of requests a second; ``None``: it has none.
+
+    :param is_cold: whether it is limited because it is cold
+    """
 
     upstream: str
     requests_per_s: float | None
+    is_cold: bool = False
 
 
 class ObservePaces(NamedTuple):
--- a/src/quetzaldeck/platform/health_checks.py
+++ b/src/quetzaldeck/platform/health_checks.py
@@ -10,19 +10,21 @@
 from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.platform.headers import (
     EXPECTED_REPLICA,
-    WRONG_REPLICA_STATUS,
     read_response_head,
 )
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams.http import is_refused
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable
 
     from quetzaldeck.clock import Clock
+    from quetzaldeck.entry.response_head import ResponseHead
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.routing import Replica
 
+    OnHead = Callable[[Replica, ResponseHead], None]
+
 CHECK_TIMEOUT_MS = 500.0
 """Less than a replica takes to start again after a crash, so that no answer can come
 from the next incarnation. A check waits for a slot as a request does."""
@@ -38,21 +40,33 @@
         self._client = client
         self._clock = clock
 
-    async def check(self, replica: Replica, path: str) -> Liveness:
-        """:returns: whether a replica lives, whatever it says of its health"""
+    async def check(
+        self, replica: Replica, path: str, on_head: OnHead | None = None
+    ) -> Liveness:
+        """Check whether a replica lives, whatever it says of its health.
+
+        :param on_head: called with the head of its response
+        """
         begun_ms = self._clock.now_ms()
-        liveness = await self._ask(replica, path)
+        liveness = await self._ask(replica, path, on_head)
         is_late = self._clock.now_ms() > begun_ms + CHECK_TIMEOUT_MS
         if is_late and liveness is Liveness.ALIVE and not replica.incarnation:
             # Nothing shows whether it has started again meanwhile.
             return Liveness.UNKNOWN
         return liveness
 
-    async def is_reached(self, replica: Replica, path: str) -> bool:
-        """:returns: whether a replica answers, though it may have started again"""
-        return await self._ask(replica, path) is Liveness.ALIVE
+    async def is_reached(
+        self, replica: Replica, path: str, on_head: OnHead | None = None
+    ) -> bool:
+        """Check whether a replica answers, though it may have started again.
 
-    async def _ask(self, replica: Replica, path: str) -> Liveness:
+        :param on_head: called with the head of its response
+        """
+        return await self._ask(replica, path, on_head) is Liveness.ALIVE
+
+    async def _ask(
+        self, replica: Replica, path: str, on_head: OnHead | None
+    ) -> Liveness:
         headers = CIMultiDict({EXPECTED_REPLICA: replica.replica_id})
         try:
             async with RunningTimeout(CHECK_TIMEOUT_MS):
@@ -62,17 +76,20 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Liveness.ENDED if is_refused(error) else Liveness.UNKNOWN
         response.close()
-        return _judge(replica.replica_id, response.status, response.headers)
+        head = read_response_head(response.status, response.headers)
+        liveness = _judge(replica.replica_id, head)
+        if liveness is Liveness.ALIVE and on_head is not None:
+            on_head(replica, head)
+        return liveness
 
 
-def _judge(replica_id: str, status: int, headers: Mapping[str, str]) -> Liveness:
+def _judge(replica_id: str, head: ResponseHead) -> Liveness:
     """:returns: whether the replica that responds is the expected one
 
     A replica without a free slot responds without its id. No other one can have its
     address so soon.
     """
-    responding = read_response_head(status, headers).replica_id
-    if status == WRONG_REPLICA_STATUS or responding not in ("", replica_id):
+    if head.is_other_replica or head.replica_id not in ("", replica_id):
         return Liveness.ENDED
     return Liveness.ALIVE
 
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -174,6 +174,23 @@
             ["upstream"],
             registry=registry,
         )
+        self.cold_replicas = Gauge(
+            "quetzaldeck_cold_replicas",
+            "Replicas that are cold, as far as this VM knows",
+            registry=registry,
+        )
+        self.cold_sends = Counter(
+            "quetzaldeck_cold_sends",
+            "Requests sent to an upstream while it is cold",
+            ["upstream"],
+            registry=registry,
+        )
+        self.cold_refusals = Counter(
+            "quetzaldeck_cold_permits_refused",
+            "Permits for a cold upstream that this VM was refused, or used too late",
+            ["upstream"],
+            registry=registry,
+        )
 
 
 __all__ = ("UpstreamMetrics",)
--- a/tests/entry/peers/test_rate_limits.py
+++ b/tests/entry/peers/test_rate_limits.py
@@ -15,7 +15,7 @@
 from tests.support.platform.fleet import run_fleet
 
 from quetzaldeck.clock import ManualClock
-from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
+from quetzaldeck.decisions.rate_limits import EffectiveLimit, Permit, RateLimitStatement
 from quetzaldeck.entry.peers.messages import (
     LimitUpdate,
     LoadUpdate,
@@ -33,6 +33,7 @@
     from tests.support.platform.fleet import EntryFleet, EntryVm
 
 STATEMENT = RateLimitStatement("e0", "", 2.0, 0.0)
+LIMIT = EffectiveLimit("e0", 2.0, STATEMENT)
 
 
 def name_limit(vm: EntryVm, rate: float | None) -> None:
@@ -103,11 +104,11 @@
         client = PermitClient(clock, GatewayMetrics().upstreams)
         asked: list[str] = []
         client.connect(lambda vm, _: asked.append(vm))
-        assert await client.ask("10.0.0.1", STATEMENT, 0.0) is None
-        assert await client.ask("10.0.0.1", STATEMENT, 0.0) is None
+        assert await client.ask("10.0.0.1", LIMIT, 0.0) is None
+        assert await client.ask("10.0.0.1", LIMIT, 0.0) is None
         assert asked == ["10.0.0.1"]
         clock.advance(2_000.0)
-        assert await client.ask("10.0.0.1", STATEMENT, 0.0) is None
+        assert await client.ask("10.0.0.1", LIMIT, 0.0) is None
         assert asked == ["10.0.0.1"] * 2
 
     uvloop.run(test())
@@ -123,7 +124,7 @@
         client.connect(lambda _, request: requests.append(request))
         own, other = socket.socketpair()
         with own, other:
-            asking = asyncio.create_task(client.ask("10.0.0.1", STATEMENT, 0.0))
+            asking = asyncio.create_task(client.ask("10.0.0.1", LIMIT, 0.0))
             await asyncio.sleep(0)
             loop = asyncio.get_running_loop()
 
@@ -145,15 +146,14 @@
         requests: list[PermitRequest] = []
         client.connect(lambda _, request: requests.append(request))
         asking = [
-            asyncio.create_task(client.ask("10.0.0.1", STATEMENT, 0.0))
-            for _ in range(2)
+            asyncio.create_task(client.ask("10.0.0.1", LIMIT, 0.0)) for _ in range(2)
         ]
         await asyncio.sleep(0)
         for request, wait_ms in zip(reversed(requests), (7.0, 3.0), strict=True):
             permit = Permit(is_granted=True, wait_ms=wait_ms)
             client.note_answer(build_permit_answer(request.number, permit))
         assert await asyncio.gather(*asking) == [(True, 3.0), (True, 7.0)]
-        late = asyncio.create_task(client.ask("10.0.0.1", STATEMENT, 0.0))
+        late = asyncio.create_task(client.ask("10.0.0.1", LIMIT, 0.0))
         await asyncio.sleep(ANSWER_TIMEOUT_MS / 1_000 + 0.1)
         client.note_answer(build_permit_answer(requests[-1].number, None))
         assert await late is None
--- a/tests/entry/test_keys_and_routes.py
+++ b/tests/entry/test_keys_and_routes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import pytest
 from tests.support.platform.site import (
@@ -224,9 +224,10 @@
     """A request that will not be sent is held until its turn at a limited replica."""
     is_waiting = asyncio.Event()
 
-    async def wait_for_turn(upstream: str, max_wait_ms: float) -> None:
+    async def wait_for_turn(upstream: str, max_wait_ms: float) -> NoReturn:
         is_waiting.set()
         await asyncio.sleep(3_600.0)
+        raise AssertionError
 
     async def test(site: Site) -> None:
         state = site.entry.session.state
--- a/tests/entry/test_living_attempts.py
+++ b/tests/entry/test_living_attempts.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import aiohttp
 import pytest
@@ -375,8 +375,9 @@
     async def behave(arrival: Arrival, connection: Connection) -> None:
         await stream(arrival, connection, n_before=3, pause_s=SILENCE_S)
 
-    async def wait_for_turn(upstream: str, max_wait_ms: float) -> None:
+    async def wait_for_turn(upstream: str, max_wait_ms: float) -> NoReturn:
         await asyncio.sleep(3_600.0)
+        raise AssertionError
 
     async def test(site: Site) -> None:
         state = site.entry.session.state
