--- a/src/quetzaldeck/decisions/cold_replicas/__init__.py
+++ b/src/quetzaldeck/decisions/cold_replicas/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from quetzaldeck.decisions.cold_replicas.claim import ColdClaim, ColdSource
+from quetzaldeck.decisions.cold_replicas.effective_limit import EffectiveLimit
 from quetzaldeck.decisions.cold_replicas.rate import (
     COLD_LATENESS_MS,
     compute_cold_rate,
@@ -14,5 +15,6 @@
     "ColdClaim",
     "ColdReplicas",
     "ColdSource",
+    "EffectiveLimit",
     "compute_cold_rate",
 )
--- a/src/quetzaldeck/decisions/rate_limits/effective_limit.py
+++ b/src/quetzaldeck/decisions/cold_replicas/effective_limit.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from quetzaldeck.decisions.cold_replicas import ColdClaim
+from quetzaldeck.decisions.cold_replicas.claim import ColdClaim
 from quetzaldeck.decisions.rate_limits.statement import RateLimitStatement
 
 
--- a/src/quetzaldeck/decisions/rate_limits/__init__.py
+++ b/src/quetzaldeck/decisions/rate_limits/__init__.py
@@ -6,7 +6,6 @@
     MAX_OPTIONAL_PERMITS,
     latest_turn_ms,
 )
-from quetzaldeck.decisions.rate_limits.effective_limit import EffectiveLimit
 from quetzaldeck.decisions.rate_limits.issuer_bounds import IssuerBounds
 from quetzaldeck.decisions.rate_limits.pacing import Pacing
 from quetzaldeck.decisions.rate_limits.permit_issuer import PermitIssuer
@@ -16,7 +15,6 @@
 
 __all__ = (
     "MAX_OPTIONAL_PERMITS",
-    "EffectiveLimit",
     "IssuerBounds",
     "Pacing",
     "Permit",
--- a/src/quetzaldeck/entry/peers/permit_client.py
+++ b/src/quetzaldeck/entry/peers/permit_client.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable, Container
 
     from quetzaldeck.clock import Clock
-    from quetzaldeck.decisions.rate_limits import EffectiveLimit
+    from quetzaldeck.decisions.cold_replicas import EffectiveLimit
     from quetzaldeck.entry.peers.messages import PermitAnswer
     from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
--- a/src/quetzaldeck/entry/peers/permits.py
+++ b/src/quetzaldeck/entry/peers/permits.py
@@ -22,7 +22,7 @@
     from collections.abc import Container
 
     from quetzaldeck.clock import Clock
-    from quetzaldeck.decisions.rate_limits import EffectiveLimit
+    from quetzaldeck.decisions.cold_replicas import EffectiveLimit
     from quetzaldeck.entry.peers.permit_client import SendRequest
     from quetzaldeck.entry.peers.table import PeerTable
     from quetzaldeck.entry.rate_limits import RateLimits
--- a/src/quetzaldeck/entry/rate_limits.py
+++ b/src/quetzaldeck/entry/rate_limits.py
@@ -6,9 +6,8 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.decisions.cold_replicas import ColdSource
+from quetzaldeck.decisions.cold_replicas import ColdSource, EffectiveLimit
 from quetzaldeck.decisions.rate_limits import (
-    EffectiveLimit,
     RateLimitRegistry,
     RateLimitStatement,
 )
--- a/tests/entry/peers/test_rate_limits.py
+++ b/tests/entry/peers/test_rate_limits.py
@@ -15,7 +15,8 @@
 from tests.support.platform.fleet import run_fleet
 
 from quetzaldeck.clock import ManualClock
-from quetzaldeck.decisions.rate_limits import EffectiveLimit, Permit, RateLimitStatement
+from quetzaldeck.decisions.cold_replicas import EffectiveLimit
+from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
 from quetzaldeck.entry.peers.messages import (
     LimitUpdate,
     LoadUpdate,
