Test entry VMs in front of cold replicas

Cause: entries, responses and other VMs disagree on whether a replica is cold, and a VM may not reach the issuer.

--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -134,7 +134,8 @@
 class StandInReplica:
     """Accepts connections and passes each request to ``handler``; a context manager.
 
-    ``rate_limit`` is named in each response while it is not ``None``.
+    ``rate_limit`` is named in each response while it is not ``None``, and the cold time
+    until ``cold_until_s`` of the event loop.
     """
 
     def __init__(
@@ -151,6 +152,7 @@
         self.n_health_checks = 0
         self.pace = 1.0
         self.rate_limit: float | None = None
+        self.cold_until_s = float("-inf")
         self.report: bytes | None = None
         self.is_silent_on_reports = False
         self.address = ""
@@ -229,9 +231,13 @@
             writer.close()
 
     def _list_fields(self) -> tuple[str, ...]:
-        if self.rate_limit is None:
-            return ()
-        return (f"Server-Limit: {self.rate_limit:g}",)
+        fields = []
+        if self.rate_limit is not None:
+            fields.append(f"Server-Limit: {self.rate_limit:g}")
+        cold_ms = (self.cold_until_s - asyncio.get_running_loop().time()) * 1_000
+        if cold_ms > 0:
+            fields.append(f"Quetzaldeck-Cold-Ms: {cold_ms:.0f}")
+        return tuple(fields)
 
     async def _report(self, arrival: Arrival, connection: Connection) -> None:
         """Answer a pace query; it takes no slot and is not passed to ``handler``."""
