--- a/src/quetzaldeck/entry/evacuations.py
+++ b/src/quetzaldeck/entry/evacuations.py
@@ -53,17 +53,21 @@
         finally:
             self._watchers.discard(on_evacuated)
 
-    def apply(self) -> None:
-        """Apply a change of the evacuated zones, if there is one."""
+    def apply(self) -> frozenset[str]:
+        """Apply a change of the evacuated zones, if there is one.
+
+        :returns: the zones that have been restored
+        """
         zones, before = self._belief.evacuated_zones, self._applied
         if zones == before:
-            return
+            return frozenset()
         self._applied = zones
         self._dispatch.send(ObserveEvacuations(zones))
         self._update_metrics(zones, before)
         if zones - before:
             for on_evacuated in tuple(self._watchers):
                 on_evacuated()
+        return before - zones
 
     def check(self, upstreams: Iterable[str]) -> None:
         """Check that none of the replicas of an attempt is in an evacuated zone.
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -239,8 +239,15 @@
         self.dispatch.send(ApplyBundle(build_bundle(self.belief, self._view)))
         self.dispatch.send(ObserveIncarnations(list_incarnations(self.belief)))
         self.dispatch.send(Observe((), list_leaving(self.belief)))
-        self.evacuations.apply()
+        restored = self.evacuations.apply()
         self.rate_limits.apply_replicas(self.belief.replicas, self._view.services)
+        if restored:
+            # Its replicas may have restarted or cooled down while they got no requests.
+            self.rate_limits.presume_cold(
+                name
+                for name, replica in self.belief.replicas.items()
+                if replica.availability_zone in restored
+            )
         self.permits.expire(self.belief.replicas)
         self.paths.apply_replicas()
         self.crash_checks.apply_replicas()
--- a/tests/entry/test_cold_replicas.py
+++ b/tests/entry/test_cold_replicas.py
@@ -241,6 +241,22 @@
     run_fleet(test)
 
 
+def test_replicas_of_a_restored_zone_are_presumed_cold() -> None:
+    """A zone returns cold, and its entries do not say so yet."""
+
+    async def test(fleet: EntryFleet) -> None:
+        setup = await set_up(fleet, 1)
+        fleet.store.put("op/evacuate/a", {})
+        await fleet.wait(
+            lambda: all(vm.state.belief.evacuated_zones for vm in fleet.vms.values())
+        )
+        fleet.store.delete("op/evacuate/a")
+        await setup.wait_until_known("w0", is_cold=True)
+        await setup.wait_until_known("w0", is_cold=False)
+
+    run_fleet(test)
+
+
 def test_replica_that_refused_connections_is_presumed_cold() -> None:
     """A probe and what follows it hit a replica that has just started again."""
 
