--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -22,6 +22,8 @@
     from tests.support.platform.replica import Arrival, Connection, StandInReplica
     from tests.support.platform.site import Site
 
+    from quetzaldeck.entry.peers.permits import HeldPermit
+
 HUGE = (500_000, 100)
 LONG = (200_000, 100)
 LONG_MS = 5_000
@@ -195,13 +197,13 @@
         named = first.calls[0].headers["quetzaldeck-helpers"]
         assert any(engine.address in named for engine in site.engines)
 
-        async def acquire_late(upstream: str, max_wait_ms: float) -> None:
+        async def acquire_late(upstream: str, max_wait_ms: float) -> HeldPermit:
             addressed = site.engines[int(upstream[1:])]
             for engine in site.engines:
                 if engine is not addressed:
                     await set_zone(site, engine, "b")
             await evacuate(site, "b")
-            await acquire(upstream, max_wait_ms)
+            return await acquire(upstream, max_wait_ms)
 
         state.permits.acquire = acquire_late  # type: ignore[method-assign]
         await site.call(PLAN_PATH, prompt=LONG, deadline_ms=LONG_MS)
