--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -309,11 +309,12 @@
         acquire = state.permits.acquire
         chosen: list[str] = []
 
-        async def acquire_late(upstream: str, max_wait_ms: float) -> None:
-            await acquire(upstream, max_wait_ms)
+        async def acquire_late(upstream: str, max_wait_ms: float) -> HeldPermit:
+            permit = await acquire(upstream, max_wait_ms)
             if not chosen:
                 chosen.append(upstream)
                 evacuate_unnoticed(site, "a1" if upstream == "d0" else "b1")
+            return permit
 
         state.permits.acquire = acquire_late  # type: ignore[method-assign]
         assert (await site.call(BOOK_PATH)).status == 200
