--- a/src/quetzaldeck/bench/bench_vm.py
+++ b/src/quetzaldeck/bench/bench_vm.py
@@ -100,6 +100,14 @@
         now_ms = self._events.now_ms
         return [(u.spec.name, u.own_load(now_ms)) for u in self.scheduler.upstreams]
 
+    def list_queued(self) -> list[str]:
+        """:returns: ids of the calls that wait here for an upstream"""
+        return [
+            submission.state.call.call_id
+            for submission in self._submissions.values()
+            if submission.attempt is None
+        ]
+
     def observe_load(self, report: LoadReport) -> None:
         """Deliver the load report of an answer to the VM after the network latency."""
         observe = self.scheduler.fleet.observe_load
--- a/src/quetzaldeck/bench/pass_engine.py
+++ b/src/quetzaldeck/bench/pass_engine.py
@@ -49,6 +49,21 @@
         """:returns: KV cache tokens in use"""
         return self._model.n_kv_tokens_used
 
+    @property
+    def n_requests(self) -> int:
+        """:returns: requests that run or wait here"""
+        return self._model.n_running + self._model.n_waiting
+
+    def list_without_slot(self) -> list[str]:
+        """:returns: ids of the calls that wait here until another answer ends"""
+        if self._model.n_running < self._figures.n_slots:
+            return []
+        return [
+            attempt.call.call_id
+            for attempt in self._attempts.values()
+            if self._model.is_waiting(attempt.attempt_id)
+        ]
+
     @property
     def can_help(self) -> bool:
         """:returns: whether it accepts one more part for another engine's answer"""
--- a/src/quetzaldeck/bench/run.py
+++ b/src/quetzaldeck/bench/run.py
@@ -76,7 +76,8 @@
         end_ms = self._end_ms()
         self._sample_loads()
         if self._scenario.shape.figures is not None:
-            latency_ms = self._scenario.shape.latency_ms
+            shape = self._scenario.shape
+            latency_ms = shape.peer_lag_ms or shape.latency_ms
             LoadSharing(self._vms, self._events, latency_ms=latency_ms).start()
             self._sample_paces()
         last_ms = max((call.at_ms for call in self._scenario.calls), default=0.0)
@@ -304,4 +305,4 @@
     return BenchEngine if spec.figures is None else PassEngine
 
 
-__all__ = ("run_scenario",)
+__all__ = ("Driver", "run_scenario")
--- a/src/quetzaldeck/bench/scenario.py
+++ b/src/quetzaldeck/bench/scenario.py
@@ -37,6 +37,8 @@
     :param report_lag_ms: age of a report when the VMs receive it
     :param latency_ms: one-way latency between a VM and an upstream
     :param update_lag_ms: time until an update of one VM reaches the others
+    :param peer_lag_ms: time until the load of one VM reaches the others, through
+        relays; 0: the network latency
     :param idle_timeout_ms: how long a VM waits on a silent connection
     :param figures: speed and size of engines that work in passes and can prefill a
         prompt in parts. They send no load reports; the VMs send each other their loads.
@@ -55,6 +57,7 @@
     report_lag_ms: float = 400.0
     latency_ms: float = 0.5
     update_lag_ms: float = 400.0
+    peer_lag_ms: float = 0.0
     idle_timeout_ms: float = 3_000.0
     zones: tuple[str, ...] = ZONES
     figures: EngineFigures | None = None
--- a/src/quetzaldeck/engine_model/pass_model.py
+++ b/src/quetzaldeck/engine_model/pass_model.py
@@ -73,6 +73,10 @@
         """:returns: whether there is neither running nor waiting work"""
         return not self._batch and not self._waiting
 
+    def is_waiting(self, work_id: str) -> bool:
+        """:returns: whether work has not joined the batch yet"""
+        return work_id in self._waiting
+
     def submit(self, work: PassWork) -> None:
         """Add work to the queue for the next pass."""
         self._n_submitted += 1
