Show operators the information by which requests are placed

Cause: nothing told how old the loads were that decided a placement, nor whether requests waited while an engine was idle.

Change: histograms of the age of the chosen upstream's load and of the wait beside an idle engine, and the slots in use of each engine, read when the metrics are read. A search that finds no upstream checks which engines are idle, in addition to the checks that it makes anyway.

--- a/src/quetzaldeck/decisions/attempts/attempt_starter.py
+++ b/src/quetzaldeck/decisions/attempts/attempt_starter.py
@@ -86,12 +86,18 @@
             self._table.predict_first_token_ms(upstreams[-1], backlog_ms, now_ms),
             max_permit_wait_ms,
             any(self._is_ejected(name) for name in upstreams),
+            self._load_age_ms(upstreams[-1], now_ms),
+            tracked.idle_wait_ms,
         )
 
     def _is_ejected(self, name: str) -> bool:
         state = self._table.get(name)
         return state is not None and state.health.is_ejected
 
+    def _load_age_ms(self, upstream: str, now_ms: float) -> float | None:
+        state = self._table.get(upstream)
+        return None if state is None else state.load_age_ms(now_ms)
+
     def _reserve_turns(
         self, upstreams: tuple[str, ...], now_ms: float, *, queues: bool
     ) -> bool:
--- a/src/quetzaldeck/decisions/attempts/tracked.py
+++ b/src/quetzaldeck/decisions/attempts/tracked.py
@@ -44,6 +44,9 @@
     :param replaced: attempts that keep running until the one that replaces them writes
     :param charge: what the budgets were charged for the running or the next attempt
     :param last_end: end of the attempt that the running or next one follows
+    :param idle_wait_ms: how long it has waited while an engine was idle
+    :param refused_ms: when it was last found that no upstream can take it; ``None``:
+        never, or no engine was idle then
     :param is_kept: whether no attempt is tracked or waits, but replaced ones may run
     """
 
@@ -59,6 +62,20 @@
     charge: RetryCharge = NO_CHARGE
     last_end: AttemptEnd | None = None
     is_kept: bool = False
+    idle_wait_ms: float = 0.0
+    refused_ms: float | None = None
+
+    def note_refused(self, now_ms: float, *, has_idle: bool) -> TrackedRequest:
+        """Count the time since the last search if an engine was idle at both.
+
+        :returns: the request with the time added
+        """
+        waited_ms = self.idle_wait_ms
+        if has_idle and self.refused_ms is not None:
+            waited_ms += now_ms - self.refused_ms
+        return self._replace(
+            idle_wait_ms=waited_ms, refused_ms=now_ms if has_idle else None
+        )
 
 
 class TrackedRequests:
--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -28,6 +28,9 @@
     :param max_permit_wait_ms: how long the request can wait for its turn at upstreams
         that limit their rate; 0: it is better placed elsewhere
     :param is_retrial: whether the upstream was ejected, so that it may have restarted
+    :param load_age_ms: age of the latest reported load of the upstream that answers;
+        ``None``: none was reported
+    :param idle_wait_ms: how long the request waited while an engine was idle
     """
 
     request: Request
@@ -41,6 +44,8 @@
     first_token_ms: float = 0.0
     max_permit_wait_ms: float = 0.0
     is_retrial: bool = False
+    load_age_ms: float | None = None
+    idle_wait_ms: float = 0.0
 
 
 class Rejection(NamedTuple):
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -439,15 +439,21 @@
         return self._admission.check(request, now_ms, can_start=can_start)
 
     def _place(self, request: Request) -> tuple[str, ...] | None:
-        history = self._tracked[request.request_id].history
+        tracked = self._tracked[request.request_id]
+        history = tracked.history
         now_ms = self._clock.now_ms()
-        return self._placer.place(
+        placed = self._placer.place(
             request,
             history.avoided,
             now_ms,
             self._latest_turn_ms(request, now_ms),
             prefers_unlimited=history.n_rate_limited >= MAX_OPTIONAL_PERMITS,
         )
+        if placed is None:
+            serving = self._upstreams.list_serving(request)
+            has_idle = any(state.is_idle(now_ms) for state in serving)
+            self._tracked.update(tracked.note_refused(now_ms, has_idle=has_idle))
+        return placed
 
     def _latest_turn_ms(self, request: Request, now_ms: float) -> float:
         if not self._upstreams.has_rate_limits:
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -24,6 +24,9 @@
 keep it looking full for ever. Most answers to short prompts end within about this
 time."""
 
+MAX_IDLE_SHARE = 0.25
+"""Share of its slots in use up to which an engine counts as idle in the metrics."""
+
 
 class UpstreamState:
     """Combines reported load, this VM's attempts since the report and peer loads.
@@ -42,6 +45,7 @@
         self.spec = spec
         self.report: LoadReport | None = None
         self.reported_ms = 0.0
+        self._load_known_ms: float | None = None
         self.is_leaving = False
         self.is_evacuated = False
         """Whether its zone is evacuated; its shutdown is not planned."""
@@ -77,6 +81,7 @@
             return
         self.report = None
         self.reported_ms = 0.0
+        self._load_known_ms = None
         self.health.reset_after_restart(now_ms)
         self.ledger.drop_all()
         self.peers = PeerLoad()
@@ -118,6 +123,7 @@
         self.report = report
         self.reported_ms = measured_ms
         self.ledger.note_report(measured_ms)
+        self._note_load_known(measured_ms)
 
     def add(self, attempt: InFlightAttempt) -> None:
         """Reserve capacity for an attempt before it is sent.
@@ -130,6 +136,26 @@
     def update_peer_load(self, vm: str, load: VmLoad, now_ms: float) -> None:
         """Replace the load that another VM puts on this upstream."""
         self._add_prefill_work(self.peers.update(vm, load, now_ms), now_ms)
+        self._note_load_known(now_ms)
+
+    def load_age_ms(self, now_ms: float) -> float | None:
+        """:returns: age of the latest load that others reported; ``None``: no report
+
+        The load of another VM counts from its receipt, since it names no time.
+        """
+        if self._load_known_ms is None:
+            return None
+        return max(0.0, now_ms - self._load_known_ms)
+
+    def is_idle(self, now_ms: float) -> bool:
+        """:returns: whether at most a quarter of the engine's slots is in use"""
+        figures = self.spec.figures
+        if figures is None:
+            return False
+        return self.n_requests(now_ms) <= figures.n_slots * MAX_IDLE_SHARE
+
+    def _note_load_known(self, at_ms: float) -> None:
+        self._load_known_ms = max(self._load_known_ms or at_ms, at_ms)
 
     def _add_prefill_work(self, n_tokens: int, now_ms: float) -> None:
         figures = self.spec.figures
--- a/src/quetzaldeck/entry/attempt_log.py
+++ b/src/quetzaldeck/entry/attempt_log.py
@@ -32,6 +32,7 @@
             length = dispatch.request.length_class.value
             metric = self._state.metrics.queue_wait_seconds.labels(length)
             metric.observe(wait_ms / 1_000)
+        self._state.metrics.placements.observe(dispatch)
         log_event(
             "dispatched",
             request=self._call.head.call_id,
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -133,6 +133,7 @@
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.in_flight = InFlightRequests()
         metrics.in_flight.set_function(self.in_flight.__len__)
+        metrics.placements.watch_slots(dispatch.list_slots_in_use)
         self.drain = Drain(self.in_flight, build_shutdown(settings.bounds), metrics)
         self.past_routes = PastRoutes(clock)
         self._view: RoutingView | None = None
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -159,6 +159,15 @@
         state = self._scheduler.upstreams.get(upstream)
         return -math.inf if state is None else state.peers.outcomes.answered_ms
 
+    def list_slots_in_use(self) -> list[tuple[str, int]]:
+        """:returns: requests of all VMs on each engine, as known here"""
+        now_ms = self._clock.now_ms()
+        return [
+            (state.spec.name, state.n_requests(now_ms))
+            for state in self._scheduler.upstreams
+            if state.spec.figures is not None
+        ]
+
     def list_own_loads(self) -> list[tuple[str, VmLoad]]:
         """:returns: load of this VM on each upstream"""
         now_ms = self._clock.now_ms()
--- a/src/quetzaldeck/telemetry/gateway_metrics.py
+++ b/src/quetzaldeck/telemetry/gateway_metrics.py
@@ -6,6 +6,7 @@
 
 from quetzaldeck.outcomes import Reason
 from quetzaldeck.telemetry.peer_metrics import PeerMetrics
+from quetzaldeck.telemetry.placement_metrics import PlacementMetrics
 from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
 
 _TTFT_BUCKETS = (0.05, 0.1, 0.2, 0.35, 0.55, 0.8, 1.2, 2, 4, 8, 16, 32, 64, 128)
@@ -135,6 +136,7 @@
             registry=self.registry,
         )
         self.upstreams = UpstreamMetrics(self.registry)
+        self.placements = PlacementMetrics(self.registry)
         self.peers = PeerMetrics(self.registry)
         for reason in Reason:
             self.failures.labels(reason.value, "no")
