Keep one age of the loads by which requests are placed

Cause: the explanation of placements and the metrics of placement each brought the age of the latest load. Change: the one that explanations use serves both.

--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -46,7 +46,6 @@
         self.spec = spec
         self.report: LoadReport | None = None
         self.reported_ms = 0.0
-        self._load_known_ms: float | None = None
         self.is_leaving = False
         self.is_evacuated = False
         """Whether its zone is evacuated; its shutdown is not planned."""
@@ -82,7 +81,6 @@
             return
         self.report = None
         self.reported_ms = 0.0
-        self._load_known_ms = None
         self.health.reset_after_restart(now_ms)
         self.ledger.drop_all()
         self.peers = PeerLoad()
@@ -124,7 +122,6 @@
         self.report = report
         self.reported_ms = measured_ms
         self.ledger.note_report(measured_ms)
-        self._note_load_known(measured_ms)
 
     def add(self, attempt: InFlightAttempt) -> None:
         """Reserve capacity for an attempt before it is sent.
@@ -137,16 +134,6 @@
     def update_peer_load(self, vm: str, load: VmLoad, now_ms: float) -> None:
         """Replace the load that another VM puts on this upstream."""
         self._add_prefill_work(self.peers.update(vm, load, now_ms), now_ms)
-        self._note_load_known(now_ms)
-
-    def load_age_ms(self, now_ms: float) -> float | None:
-        """:returns: age of the latest load that others reported; ``None``: no report
-
-        The load of another VM counts from its receipt, since it names no time.
-        """
-        if self._load_known_ms is None:
-            return None
-        return max(0.0, now_ms - self._load_known_ms)
 
     def is_idle(self, now_ms: float) -> bool:
         """:returns: whether at most a quarter of the engine's slots is in use"""
@@ -155,9 +142,6 @@
             return False
         return self.n_requests(now_ms) <= figures.n_slots * MAX_IDLE_SHARE
 
-    def _note_load_known(self, at_ms: float) -> None:
-        self._load_known_ms = max(self._load_known_ms or at_ms, at_ms)
-
     def _add_prefill_work(self, n_tokens: int, now_ms: float) -> None:
         figures = self.spec.figures
         if figures is not None and n_tokens:
@@ -175,7 +159,10 @@
         return self.ledger.release(attempt_id)
 
     def load_age_ms(self, now_ms: float) -> float | None:
-        """:returns: age of the newest load report or load of another VM, if any"""
+        """:returns: age of the latest load that others reported; ``None``: no report
+
+        The load of another VM counts from its receipt, since it names no time.
+        """
         reported_ms = -math.inf if self.report is None else self.reported_ms
         newest_ms = max(reported_ms, self.peers.updated_ms)
         return None if newest_ms == -math.inf else max(0.0, now_ms - newest_ms)
