Name cold replicas in explanations

A cold replica has a rate limit, and was named as rate limited, or as not sampled where a long prompt avoids it. It is named cold now.

--- a/src/quetzaldeck/decisions/placement/candidates.py
+++ b/src/quetzaldeck/decisions/placement/candidates.py
@@ -152,7 +152,9 @@
     """:returns: why an upstream takes no request of any size now, if it takes none"""
     if not state.accepts_work:
         return Exclusion.LEAVING if state.is_leaving else Exclusion.EVACUATED
-    return Exclusion.RATE_LIMITED if state.pacing.is_blocked(now_ms) else None
+    if not state.pacing.is_blocked(now_ms):
+        return None
+    return Exclusion.COLD if state.pacing.is_cold else Exclusion.RATE_LIMITED
 
 
 def find_soonest(pool: Sequence[UpstreamState], now_ms: float) -> UpstreamState | None:
--- a/src/quetzaldeck/decisions/placement/exclusion.py
+++ b/src/quetzaldeck/decisions/placement/exclusion.py
@@ -15,6 +15,7 @@
     LEAVING = "leaving"
     EVACUATED = "evacuated"
     EJECTED = "ejected"
+    COLD = "cold"
     RATE_LIMITED = "rate_limited"
     SLOTS = "slots"
     MEMORY = "memory"
--- a/src/quetzaldeck/decisions/placement/search.py
+++ b/src/quetzaldeck/decisions/placement/search.py
@@ -139,6 +139,8 @@
         if name in self.trace.candidates:
             return self.trace.excluded.get(name)
         exclusion = self._candidates.find_exclusion(state, request, now_ms)
+        if exclusion is None and state.pacing.is_cold and self.trace.candidates:
+            return _find_ejection(state) or Exclusion.COLD
         if exclusion is not None or not self.trace.candidates:
             return exclusion or _find_ejection(state)
         return _find_ejection(state) or Exclusion.NOT_SAMPLED
@@ -300,7 +302,7 @@
     if is_member:
         return None if state.may_help(now_ms) else Exclusion.PROMPT_PARTS
     if state.pacing.is_limited:
-        return Exclusion.RATE_LIMITED
+        return Exclusion.COLD if state.pacing.is_cold else Exclusion.RATE_LIMITED
     return Exclusion.SLOW if state.pace.is_slow(now_ms) else Exclusion.HEAD_OF_LINE
 
 
--- a/tests/decisions/test_explanations.py
+++ b/tests/decisions/test_explanations.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import io
 import pickle
 import random
+import weakref
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import pytest
 
@@ -68,6 +70,22 @@
     )
 
 
+class StatePickler(pickle.Pickler):
+    """Pickles a scheduler, weak dictionaries by what they hold."""
+
+    def reducer_override(self, obj: object) -> Any:
+        """:returns: how to pickle an object"""
+        if isinstance(obj, weakref.WeakValueDictionary):
+            return dict, (dict(obj),)
+        return NotImplemented
+
+
+def dump(scheduler: Scheduler) -> bytes:
+    buffer = io.BytesIO()
+    StatePickler(buffer).dump(scheduler)
+    return buffer.getvalue()
+
+
 def find(explanation: Explanation, name: str) -> UpstreamSummary:
     return next(item for item in explanation.candidates if item.name == name)
 
@@ -98,6 +116,11 @@
     scheduler.fleet.note_permit_refused("e0", 700.0)
 
 
+def make_cold(scheduler: Scheduler, clock: ManualClock) -> None:
+    scheduler.fleet.observe_rate_limit("e0", 15.0, is_cold=True)
+    scheduler.fleet.note_permit_refused("e0", 700.0)
+
+
 def fill_slots(scheduler: Scheduler, clock: ManualClock) -> None:
     scheduler.fleet.observe_peer("vm", [("e0", VmLoad(n_requests=FIGURES.n_slots))])
 
@@ -127,6 +150,7 @@
     ExclusionCase(Exclusion.EVACUATED, evacuate),
     ExclusionCase(Exclusion.EJECTED, eject),
     ExclusionCase(Exclusion.RATE_LIMITED, limit_rate),
+    ExclusionCase(Exclusion.COLD, make_cold),
     ExclusionCase(Exclusion.SLOTS, fill_slots),
     ExclusionCase(Exclusion.MEMORY, fill_memory),
     ExclusionCase(Exclusion.FAILING, fail_often),
@@ -217,6 +241,14 @@
     assert find(explanation, "e0").excluded_by is Exclusion.EVACUATED
 
 
+def test_a_cold_engine_is_named_that_a_long_prompt_avoids(clock: ManualClock) -> None:
+    scheduler = make_scheduler(clock)
+    scheduler.fleet.observe_rate_limit("e0", 15.0, is_cold=True)
+    explanation = scheduler.explain(make_request(clock, 90_000))
+    assert explanation.outcome is Outcome.STARTS
+    assert find(explanation, "e0").excluded_by is Exclusion.COLD
+
+
 def test_all_evacuated_engines_are_named_with_the_refusal(clock: ManualClock) -> None:
     scheduler = make_scheduler(clock)
     scheduler.fleet.observe_evacuations({"a", "b"})
@@ -252,12 +284,12 @@
     assert scheduler.n_queued
     questions = [make_request(clock, n) for n in (1_000, 90_000, 700_000, 9_000_000)]
     questions.append(questions[1]._replace(deadline_ms=clock.now_ms() + 500))
-    before = pickle.dumps(scheduler)
+    before = dump(scheduler)
     explanations = [scheduler.explain(question) for question in questions]
-    assert pickle.dumps(scheduler) == before
+    assert dump(scheduler) == before
     assert {item.outcome for item in explanations} == {Outcome.WAITS, Outcome.REFUSED}
     scheduler.submit(questions[0])
-    assert pickle.dumps(scheduler) != before
+    assert dump(scheduler) != before
 
 
 def run_traffic(*, is_asked: bool) -> list[str]:
