Replace a replica by one that starts at its address

Cause: when all replicas of a zone restart with new ids, their former entries expire only after three heartbeats. Change: an entry with a later start at the same address of the same service removes the earlier replica; late writes of that one are ignored. Entries without a start, or of another service, prove nothing.

--- a/src/quetzaldeck/belief/fleet_belief.py
+++ b/src/quetzaldeck/belief/fleet_belief.py
@@ -18,6 +18,9 @@
   is gone. An answer of another VM that is behind this one changes no zone.
 - A replica may restart under the same id. Late writes of its earlier incarnation are
   ignored, as they may announce that the earlier one leaves.
+- A replica that starts at the address of an earlier one replaces it at once, since the
+  entry of the earlier one expires only after some heartbeats. Otherwise every request
+  placed on a zone whose replicas have all restarted would be answered by another one.
 """
 
 from __future__ import annotations
@@ -56,6 +59,7 @@
         self._evacuations = Evacuations()
         self._configuration: RoutingConfiguration | None = None
         self._replicas: dict[str, Replica] = {}
+        self._ids_by_address: dict[str, str] = {}
         self._revision = 0
         self._confirmed_ms = float("-inf")
 
@@ -213,13 +217,15 @@
 
     def _apply_replica(self, replica: Replica) -> BeliefEvent | None:
         held = self._replicas.get(replica.replica_id)
-        if held is not None and _is_older(replica, held):
-            fields = {
-                "replica": replica.replica_id,
-                "started_ms": replica.started_ms,
-                "held_ms": held.started_ms,
-            }
-            return BeliefEvent("replica_older", fields, is_warning=True)
+        before = self._find_at_address(replica)
+        for newer in (held, before):
+            if newer is not None and _is_older(replica, newer):
+                fields = {
+                    "replica": replica.replica_id,
+                    "started_ms": replica.started_ms,
+                    "held_ms": newer.started_ms,
+                }
+                return BeliefEvent("replica_older", fields, is_warning=True)
         has_returned = self._lapses.note_returned(replica.replica_id)
         if held == replica and not has_returned:
             return None
@@ -230,6 +236,11 @@
             "address": replica.address,
             "leaving": replica.is_leaving,
         }
+        if replica.started_ms and (before is None or _is_older(before, replica)):
+            self._ids_by_address[replica.address] = replica.replica_id
+        if before is not None and _is_older(before, replica):
+            self._drop(before.replica_id, "replaced at its address")
+            fields["replaces"] = before.replica_id
         if held is not None and held.started_ms != replica.started_ms:
             fields["started_ms"] = replica.started_ms
             return BeliefEvent("replica_restarted", fields)
@@ -238,6 +249,19 @@
         event = "replica_added" if held is None else "replica_changed"
         return BeliefEvent(event, fields)
 
+    def _find_at_address(self, replica: Replica) -> Replica | None:
+        """:returns: another replica of the service at the address, if both name a start
+
+        Only one of the same service counts: an entry of another writer may name any
+        address.
+        """
+        other = self._replicas.get(self._ids_by_address.get(replica.address, ""))
+        if other is None or other.replica_id == replica.replica_id:
+            return None
+        if (other.service, other.address) != (replica.service, replica.address):
+            return None
+        return other
+
     def _remove(self, replica_id: str, now_ms: float) -> BeliefEvent | None:
         held = self._replicas.get(replica_id)
         if held is None:
@@ -266,6 +290,11 @@
 
     def _drop(self, replica_id: str, why: str) -> BeliefEvent:
         replica = self._replicas.pop(replica_id, None)
+        self._lapses.note_returned(replica_id)
+        if replica is not None and (
+            self._ids_by_address.get(replica.address) == replica_id
+        ):
+            del self._ids_by_address[replica.address]
         service = "" if replica is None else replica.service
         fields = {"replica": replica_id, "service": service, "why": why}
         return BeliefEvent("replica_gone", fields)
--- a/tests/belief/test_fleet_belief.py
+++ b/tests/belief/test_fleet_belief.py
@@ -216,3 +216,37 @@
     changes = (configure(3), ReplicaRead(make_replica()))
     apply(belief, *changes)
     assert apply(belief, *changes, is_complete=is_complete) == []
+
+
+def test_replica_that_starts_at_the_address_of_another_replaces_it() -> None:
+    """Guards against requests for replicas that have restarted with new ids.
+
+    The entry of the earlier one expires seconds later; a late write of it is ignored.
+    """
+    belief = FleetBelief(BOUNDS)
+    first = make_replica("r1")._replace(started_ms=1_000)
+    second = make_replica("r2")._replace(started_ms=5_000)
+    apply(belief, ReplicaRead(first))
+    assert apply(belief, ReplicaRead(second)) == ["replica_added"]
+    assert list(belief.replicas) == ["r2"]
+    assert apply(belief, ReplicaRead(first)) == ["replica_older"]
+    assert apply(belief, ReplicaRemoved("r1")) == []
+    assert list(belief.replicas) == ["r2"]
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        make_replica("r2"),
+        make_replica("r2")._replace(started_ms=5_000, service="unknown"),
+        make_replica("r2")._replace(started_ms=5_000, address="10.0.0.2:80"),
+    ],
+)
+def test_replica_stays_beside_an_entry_that_does_not_prove_its_end(
+    entry: Replica,
+) -> None:
+    """Guards against an entry of another writer that removes a sound replica."""
+    belief = FleetBelief(BOUNDS)
+    apply(belief, ReplicaRead(make_replica("r1")._replace(started_ms=1_000)))
+    apply(belief, ReplicaRead(entry))
+    assert "r1" in belief.replicas
