Decode and log what replicas ask of a VM, and that they leave

Cause: no line showed whether a VM had read that a replica asked for rest, so the three hypotheses differed only in when requests were dispatched. Change: the head of a response states the rest (Retry-After of a 429 or 503: seconds with a fraction, or a date) and whether the replica leaves; a line upstream_said for each. Nothing is decided by it yet.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -19,6 +19,7 @@
 from quetzaldeck.gateway.messages import ObserveLoad
 from quetzaldeck.gateway.silence_watch import SilenceWatch
 from quetzaldeck.platform import build_request_headers, read_response_head
+from quetzaldeck.telemetry import log_event
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
 
@@ -210,6 +211,7 @@
             self._state.paths.note_heard(name)
             head = read_response_head(response.status, response.headers)
             self._report_load(name, head)
+            self._log_statements(name, head)
             self._state.rate_limits.note_response(
                 name, self._incarnation, head, call_id=self._call.head.call_id
             )
@@ -305,6 +307,19 @@
         )
         self._state.dispatch.send(ObserveLoad(report))
 
+    def _log_statements(self, name: str, head: ResponseHead) -> None:
+        """Log what a replica asks of this VM."""
+        if head.rest_ms is None and not head.is_leaving:
+            return
+        log_event(
+            "upstream_said",
+            request=self._call.head.call_id,
+            upstream=name,
+            status=head.status,
+            rest_ms=head.rest_ms,
+            leaving=head.is_leaving,
+        )
+
     def _check_head(self, name: str, head: ResponseHead) -> None:
         """:raises UpstreamError: if the response must not be forwarded to the caller"""
         if head.call_id and head.call_id != self._call.head.call_id:
--- a/src/quetzaldeck/entry/response_head.py
+++ b/src/quetzaldeck/entry/response_head.py
@@ -28,6 +28,9 @@
     :param rate_limit: requests a second that the replica takes from all VMs together;
         ``None`` if it names no limit
     :param cold_ms: time for which the replica stays cold; ``None`` if it does not say
+    :param rest_ms: time for which the replica wants nothing from this VM; ``None`` if
+        it does not turn the request away, or does not say
+    :param is_leaving: whether the replica says that it is leaving
     """
 
     status: int
@@ -41,6 +44,8 @@
     faulty_address: str = ""
     rate_limit: float | None = None
     cold_ms: float | None = None
+    rest_ms: float | None = None
+    is_leaving: bool = False
 
 
 __all__ = ("ReplicaLoad", "ResponseHead")
--- a/src/quetzaldeck/platform/headers.py
+++ b/src/quetzaldeck/platform/headers.py
@@ -8,6 +8,7 @@
 
 from quetzaldeck.entry.call_head import CallHead, PromptSize
 from quetzaldeck.entry.response_head import ReplicaLoad, ResponseHead
+from quetzaldeck.http.retry_after import read_retry_after_ms
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -35,8 +36,12 @@
 _RATE_LIMIT = "Server-Limit"
 """Requests a second that the replica takes from all VMs together."""
 _COLD = "Quetzaldeck-Cold-Ms"
+_LEAVING = "Server-Leaving"
+"""``1`` in each response of a replica that leaves."""
 _FAULTY_ADDRESS = "At-Server"
 WRONG_REPLICA_STATUS = 421
+_TURNED_AWAY_STATUSES = (429, 503)
+"""Responses whose ``Retry-After`` says for how long the replica wants nothing."""
 
 MAX_NUMBER = 1 << 40
 """Largest number accepted in a header: 34 years in milliseconds, or a million times the
@@ -88,6 +93,8 @@
         headers.get(_FAULTY_ADDRESS, ""),
         _read_decimal(headers.get(_RATE_LIMIT)),
         _read_decimal(headers.get(_COLD)),
+        _read_rest_ms(status, headers),
+        headers.get(_LEAVING, "").strip() == "1",
     )
 
 
@@ -203,6 +210,13 @@
     return ReplicaLoad(n_running, n_waiting, n_slots)
 
 
+def _read_rest_ms(status: int, headers: Mapping[str, str]) -> float | None:
+    """:returns: the time for which the replica wants nothing; ``None``: it says none"""
+    if status not in _TURNED_AWAY_STATUSES:
+        return None
+    return read_retry_after_ms(headers) or None
+
+
 def _read_decimal(text: str | None) -> float | None:
     """:returns: the number; ``None`` if absent, negative or out of bounds"""
     try:
