--- a/tests/support/platform/replica.py
+++ b/tests/support/platform/replica.py
@@ -87,9 +87,16 @@
             + body
         )
 
-    async def answer_not_executed(self, arrival: Arrival, status: int = 503) -> None:
-        """Write a response which says that the request was not executed."""
-        fields = ("Content-Length: 0", "Quetzaldeck-Not-Executed: 1")
+    async def answer_not_executed(
+        self, arrival: Arrival, status: int = 503, *, rest: str = ""
+    ) -> None:
+        """Write a response which says that the request was not executed.
+
+        :param rest: value of ``Retry-After``; ``""``: none
+        """
+        fields = ["Content-Length: 0", "Quetzaldeck-Not-Executed: 1"]
+        if rest:
+            fields.append(f"Retry-After: {rest}")
         await self.send(self.build_head(arrival, status, *fields))
 
     async def begin_stream(self, arrival: Arrival) -> None:
@@ -135,7 +142,8 @@
     """Accepts connections and passes each request to ``handler``; a context manager.
 
     ``rate_limit`` is named in each response while it is not ``None``, and the cold time
-    until ``cold_until_s`` of the event loop.
+    until ``cold_until_s`` of the event loop. While ``rest`` is not empty, calls are
+    turned away with that ``Retry-After``. While ``is_leaving``, each response says so.
     """
 
     def __init__(
@@ -153,6 +161,8 @@
         self.pace = 1.0
         self.rate_limit: float | None = None
         self.cold_until_s = float("-inf")
+        self.rest = ""
+        self.is_leaving = False
         self.report: bytes | None = None
         self.is_silent_on_reports = False
         self.address = ""
@@ -220,6 +230,9 @@
                     await self._answer_health_check(arrival, connection)
                     continue
                 self.arrivals.append(arrival)
+                if self.rest:
+                    await connection.answer_not_executed(arrival, rest=self.rest)
+                    continue
                 await self.handler(arrival, connection)
         except (asyncio.IncompleteReadError, ConnectionError):
             self.n_closed += 1
@@ -237,6 +250,8 @@
         cold_ms = (self.cold_until_s - asyncio.get_running_loop().time()) * 1_000
         if cold_ms > 0:
             fields.append(f"Quetzaldeck-Cold-Ms: {cold_ms:.0f}")
+        if self.is_leaving:
+            fields.append("Server-Leaving: 1")
         return tuple(fields)
 
     async def _report(self, arrival: Arrival, connection: Connection) -> None:
