--- a/src/quetzaldeck/belief/fleet_belief.py
+++ b/src/quetzaldeck/belief/fleet_belief.py
@@ -92,10 +92,6 @@
         """:returns: whether a replica gets no new work, as its zone is evacuated"""
         return replica.availability_zone in self._evacuations.zones
 
-    def accepts_work(self, replica: Replica) -> bool:
-        """:returns: whether a replica may get new work"""
-        return not (replica.is_leaving or self.is_evacuated(replica))
-
     def list_replicas(self) -> tuple[Replica, ...]:
         """:returns: replicas that have an entry at the source, as far as is known"""
         return tuple(
--- a/src/quetzaldeck/cli/explain_command.py
+++ b/src/quetzaldeck/cli/explain_command.py
@@ -34,6 +34,7 @@
     "backlog_ms",
     "load_age_ms",
     "limit_wait_ms",
+    "closed_ms",
     "cost",
 )
 
@@ -207,6 +208,7 @@
         _render_number(candidate["prefill_backlog_ms"]),
         _render_number(candidate["load_age_ms"]),
         _render_number(candidate["rate_limit_wait_ms"]),
+        _render_number(candidate.get("closed_ms")),
         _render_number(candidate["cost"]),
     )
 
--- a/src/quetzaldeck/decisions/attempts/monitor.py
+++ b/src/quetzaldeck/decisions/attempts/monitor.py
@@ -110,7 +110,7 @@
             others = [n for n in upstreams if n != name or end.fault is not _BROKEN]
             self.note_left(request, end.attempt_id, others, now_ms)
         state = self._table.get(name)
-        if state is None:
+        if state is None or end.is_diverted:
             return None
         if end.is_gone:
             self._poison.ends.note_ended(name, now_ms)
@@ -220,6 +220,7 @@
         attempt = state.ledger.get(attempt_id)
         if attempt is not None:
             self._poison.ends.note_survived(state.spec.name, attempt.started_ms)
+            state.note_accepted(attempt.started_ms)
 
 
 def _is_help_refused(end: AttemptEnd, upstreams: Sequence[str]) -> bool:
--- a/src/quetzaldeck/decisions/decision.py
+++ b/src/quetzaldeck/decisions/decision.py
@@ -69,6 +69,8 @@
     parts for as many other engines as it has slots. ``RATE_LIMITED`` is a permit that
     was refused: the upstream takes no more requests now, and none was sent.
     ``EVACUATED``: the zone of the upstream was evacuated before the request was sent.
+    ``RESTING``: the upstream turned the request away and wants nothing for some time,
+    or had turned away another one before this one was sent.
     """
 
     CONNECT = "connect"
@@ -83,6 +85,7 @@
     HELPER = "helper"
     RATE_LIMITED = "rate_limited"
     EVACUATED = "evacuated"
+    RESTING = "resting"
 
 
 class AttemptEnd(NamedTuple):
@@ -93,7 +96,7 @@
     :param n_prompt_tokens: prompt tokens counted by the engine; 0 if unknown
     :param may_have_run: whether the upstream may have started to run it
     :param was_sent: whether the request was sent to the upstream, even if not run
-    :param retry_after_ms: retry delay requested by the upstream, if any
+    :param retry_after_ms: delay before this request may be made again, if any
     :param upstream: group member or helper that failed; ``""``: the only upstream
     :param incarnation: incarnation reported by that upstream; ``""``: none
     :param is_gone: whether nothing listens at the address of that upstream
@@ -110,6 +113,13 @@
     incarnation: str = ""
     is_gone: bool = False
 
+    @property
+    def is_diverted(self) -> bool:
+        """:returns: whether its upstream was closed to new requests before the send"""
+        if self.fault is AttemptFault.RESTING:
+            return not self.was_sent
+        return self.fault is AttemptFault.EVACUATED
+
 
 __all__ = (
     "MAX_HELPERS",
--- a/src/quetzaldeck/decisions/explanations/explainer.py
+++ b/src/quetzaldeck/decisions/explanations/explainer.py
@@ -15,6 +15,7 @@
     WaitCause,
 )
 from quetzaldeck.decisions.head_of_line import HeadOfLinePolicy
+from quetzaldeck.decisions.placement.candidates import find_soonest
 from quetzaldeck.decisions.placement.filter_trace import FilterTrace
 from quetzaldeck.decisions.placement.placer import Placer
 from quetzaldeck.decisions.scheduling.arrival_check import ArrivalCheck
@@ -122,6 +123,9 @@
         pool = self._table.list_serving(request)
         if not parts.placer.search.may_start(request, pool, now_ms):
             return WaitCause.HEAD_OF_LINE
+        soonest = find_soonest(pool, now_ms)
+        if soonest is not None and soonest.rest_wait_ms(now_ms):
+            return WaitCause.REST
         return WaitCause.CAPACITY
 
     def _summarize_all(
@@ -183,6 +187,7 @@
         state.prefill_backlog_ms(now_ms),
         state.load_age_ms(now_ms),
         pacing.wait_ms(now_ms) if pacing.is_limited else None,
+        state.rest_wait_ms(now_ms) or None,
         cost,
     )
 
--- a/src/quetzaldeck/decisions/explanations/explanation.py
+++ b/src/quetzaldeck/decisions/explanations/explanation.py
@@ -28,6 +28,8 @@
     """Long prompts that are being prefilled have to end first."""
     PATH_LOST = "path_lost"
     """This VM reaches no upstream of the service at present."""
+    REST = "rest"
+    """All permitted upstreams have asked this VM for rest."""
     CAPACITY = "capacity"
     """No permitted upstream has capacity."""
 
@@ -51,6 +53,8 @@
     :param load_age_ms: age of the newest load received; ``None``: none received
     :param rate_limit_wait_ms: time until its rate limit permits a request; ``None``: it
         has no limit
+    :param closed_ms: time until it may get something new; ``None``: it may now, or when
+        is not known
     :param cost: estimated by the policy, without jitter; ``None``: it estimates none
     """
 
@@ -66,6 +70,7 @@
     prefill_backlog_ms: float
     load_age_ms: float | None
     rate_limit_wait_ms: float | None
+    closed_ms: float | None
     cost: float | None
 
 
--- a/src/quetzaldeck/decisions/fleet_observer.py
+++ b/src/quetzaldeck/decisions/fleet_observer.py
@@ -56,6 +56,7 @@
         """Apply load reports and the list of leaving upstreams."""
         self._table.observe(reports, self._clock.now_ms())
         self._table.mark_leaving(leaving)
+        self._table.statements.expire(self._clock.now_ms())
         self._monitor.note_alive()
         self._waiting.note_capacity_freed()
 
@@ -64,6 +65,10 @@
         self._table.set_evacuated_zones(zones)
         self._waiting.note_capacity_freed()
 
+    def note_statement(self) -> None:
+        """Have requests that wait placed or refused, as an upstream rests or leaves."""
+        self._waiting.note_capacity_freed()
+
     def observe_incarnations(self, incarnations: Iterable[tuple[str, str]]) -> None:
         """Apply the incarnation that each upstream reports."""
         now_ms = self._clock.now_ms()
--- a/src/quetzaldeck/decisions/health/upstream_health.py
+++ b/src/quetzaldeck/decisions/health/upstream_health.py
@@ -289,7 +289,12 @@
 """Faults after which a failed probe keeps an upstream ejected."""
 
 _LIVENESS_FAULTS = frozenset(
-    (AttemptFault.OVERLOADED, AttemptFault.REFUSED, AttemptFault.TOO_LONG)
+    (
+        AttemptFault.OVERLOADED,
+        AttemptFault.REFUSED,
+        AttemptFault.RESTING,
+        AttemptFault.TOO_LONG,
+    )
 )
 """Faults that an upstream reports itself, which proves that it is alive."""
 
--- a/src/quetzaldeck/decisions/placement/candidates.py
+++ b/src/quetzaldeck/decisions/placement/candidates.py
@@ -131,7 +131,7 @@
             return None
         free = [s for s in pool if self._find_shortage(s, request, now_ms) is None]
         soonest = find_soonest(free, now_ms)
-        if soonest is None:
+        if soonest is None or soonest.rest_wait_ms(now_ms):
             return None
         turn_ms = now_ms + soonest.pacing.wait_ms(now_ms)
         return soonest if turn_ms <= latest_turn_ms else None
@@ -150,28 +150,32 @@
 
 def find_block(state: UpstreamState, now_ms: float) -> Exclusion | None:
     """:returns: why an upstream takes no request of any size now, if it takes none"""
-    if not state.accepts_work:
-        return Exclusion.LEAVING if state.is_leaving else Exclusion.EVACUATED
+    closure = state.find_closure(now_ms)
+    if closure is not None:
+        return Exclusion(closure.cause.value)
+    if state.rest_wait_ms(now_ms):
+        return Exclusion.RESTING
     if not state.pacing.is_blocked(now_ms):
         return None
     return Exclusion.COLD if state.pacing.is_cold else Exclusion.RATE_LIMITED
 
 
 def find_soonest(pool: Sequence[UpstreamState], now_ms: float) -> UpstreamState | None:
-    """Find the upstream that takes a request soonest, if all limit their rate.
+    """Find the upstream that takes a request soonest, if all rest or limit their rate.
 
-    :returns: ``None`` if one of the usable upstreams has no limit
+    :returns: ``None`` if one of the usable upstreams need only have capacity
     """
-    is_unlimited_known = any(
-        state.accepts_work and not (state.pacing.is_limited or state.health.is_ejected)
+    is_unrestricted_known = any(
+        state.accepts_work
+        and not (state.health.is_ejected or state.is_restricted(now_ms))
         for state in pool
     )
-    if is_unlimited_known:
+    if is_unrestricted_known:
         return None
     usable = [state for state in list_usable(pool) if state.accepts_work]
-    if not all(state.pacing.is_limited for state in usable):
+    if not all(state.is_restricted(now_ms) for state in usable):
         return None
-    return min(usable, key=lambda state: state.pacing.wait_ms(now_ms), default=None)
+    return min(usable, key=lambda state: state.wait_ms(now_ms), default=None)
 
 
 def _probe_delay_ms(request: Request, state: UpstreamState) -> float:
--- a/src/quetzaldeck/decisions/placement/exclusion.py
+++ b/src/quetzaldeck/decisions/placement/exclusion.py
@@ -14,6 +14,7 @@
 
     LEAVING = "leaving"
     EVACUATED = "evacuated"
+    RESTING = "resting"
     EJECTED = "ejected"
     COLD = "cold"
     RATE_LIMITED = "rate_limited"
--- a/src/quetzaldeck/decisions/placement/first_token.py
+++ b/src/quetzaldeck/decisions/placement/first_token.py
@@ -100,7 +100,7 @@
             state
             for state in pool
             if state.spec.name != chosen
-            and state.accepts_work
+            and state.find_closure(now_ms) is None
             and not state.health.is_ejected
             and state.may_help(now_ms)
         ]
--- a/src/quetzaldeck/decisions/placement/group_plans.py
+++ b/src/quetzaldeck/decisions/placement/group_plans.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.placement.candidates import find_block
 from quetzaldeck.decisions.pools import list_usable
 
 if TYPE_CHECKING:
@@ -91,11 +92,7 @@
 def _list_available(
     pool: Sequence[UpstreamState], now_ms: float
 ) -> list[UpstreamState]:
-    return [
-        state
-        for state in list_usable(pool)
-        if state.accepts_work and not state.pacing.is_blocked(now_ms)
-    ]
+    return [state for state in list_usable(pool) if find_block(state, now_ms) is None]
 
 
 __all__ = ("GroupPlans",)
--- a/src/quetzaldeck/decisions/placement/refusal_check.py
+++ b/src/quetzaldeck/decisions/placement/refusal_check.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.availability.statements import TRIAL_MS
 from quetzaldeck.decisions.placement.candidates import find_soonest
 from quetzaldeck.decisions.placement.path_verdicts import NO_UPSTREAM_RETRY_MS
 from quetzaldeck.outcomes import Failure, Reason
@@ -72,34 +73,36 @@
             "upstreams are in evacuated zones, and the others cannot hold the prompt"
         )
 
-    def check_rate_limits(
+    def check_restrictions(
         self, request: Request, now_ms: float, latest_turn_ms: float
     ) -> Failure | None:
-        """Refuse a request that no upstream takes in time, as all limit their rate.
+        """Refuse a request that no upstream takes in time.
 
-        The callers of such requests get different retry times, so that they do not all
-        compete for the next turn.
+        That is if all rest or limit their rate. The callers of such requests get
+        different retry times, so that they do not all compete for the next turn.
 
         :param latest_turn_ms: latest time at which the request may get its turn
         """
-        if not self._table.has_rate_limits:
+        if not self._table.has_restrictions(now_ms):
             return None
         pool = self._table.list_serving(request)
         soonest = find_soonest(pool, now_ms)
         if soonest is None:
             return None
-        wait_ms = soonest.pacing.wait_ms(now_ms)
+        wait_ms = soonest.wait_ms(now_ms)
         if now_ms + wait_ms <= latest_turn_ms:
             return None
-        jitter_ms = self._random_state.uniform(0.0, soonest.pacing.interval_ms)
+        is_resting = soonest.rest_wait_ms(now_ms) > 0.0
+        spread_ms = TRIAL_MS if is_resting else soonest.pacing.interval_ms
+        what = "rest or limit their rate" if is_resting else "limit their rate"
         detail = (
-            f"{request.target}: all upstreams limit their rate, and the next one takes "
+            f"{request.target}: all upstreams {what}, and the next one takes "
             f"a request in {wait_ms:.0f} ms; the caller can wait "
             f"{max(0.0, latest_turn_ms - now_ms):.0f} ms"
         )
         return Failure(
-            Reason.UPSTREAM_RATE_LIMITED,
-            retry_after_ms=wait_ms + jitter_ms,
+            Reason.UPSTREAM_RESTING if is_resting else Reason.UPSTREAM_RATE_LIMITED,
+            retry_after_ms=wait_ms + self._random_state.uniform(0.0, spread_ms),
             detail=detail,
         )
 
--- a/src/quetzaldeck/decisions/retries/history.py
+++ b/src/quetzaldeck/decisions/retries/history.py
@@ -23,7 +23,8 @@
     :param may_have_run: whether any upstream may have started to run the request
     :param has_output: whether any upstream generated a part of the answer
     :param is_handed_over: whether another VM makes the attempts that are left
-    :param n_diverted: attempts not sent, as the zone of their upstream was evacuated
+    :param n_diverted: attempts not sent, as their upstream was closed to new requests
+        meanwhile
     """
 
     n_dispatched: int = 0
@@ -59,10 +60,10 @@
 
         An upstream that refused a reservation for lack of capacity is not avoided: it
         may have capacity next time. Nor is one that refused a prompt longer than
-        estimated, or that takes no more requests now. An attempt that was diverted from
-        an evacuated zone does not count.
+        estimated, or that takes no more requests now. An attempt that was diverted does
+        not count.
         """
-        if end.fault is AttemptFault.EVACUATED:
+        if end.is_diverted:
             return self._replace(n_diverted=self.n_diverted + 1)
         if end.fault is AttemptFault.NO_ROOM:
             return self._replace(n_no_room=self.n_no_room + 1)
--- a/src/quetzaldeck/decisions/retries/policy.py
+++ b/src/quetzaldeck/decisions/retries/policy.py
@@ -45,8 +45,8 @@
 
 
 MAX_IMMEDIATE_DIVERSIONS = 3
-"""Diversions of one request from evacuated zones that are followed by the next attempt
-at once. More of them show that zones are evacuated again and again."""
+"""Diversions of one request that are followed by the next attempt at once. More of them
+show that upstreams are closed again and again."""
 
 
 class Retry(NamedTuple):
@@ -185,15 +185,17 @@
     def _delay(self, end: AttemptEnd, history: AttemptHistory) -> float:
         """:returns: delay before the next attempt, in milliseconds
 
-        None after a refused permit, or after the first diversions from evacuated zones:
-        the request was not sent and goes elsewhere.
+        None after a refused permit, after the first diversions, or if the upstream
+        wants to rest: the request was not run and goes elsewhere.
 
         The backoff has full jitter: with a fixed part, requests that failed in the same
         crash would be retried nearly at the same time.
         """
         if end.fault is AttemptFault.RATE_LIMITED:
             return 0.0
-        is_diverted = end.fault is AttemptFault.EVACUATED
+        is_diverted = end.is_diverted
+        if end.fault is AttemptFault.RESTING and not is_diverted:
+            return 0.0
         if is_diverted and history.n_diverted <= MAX_IMMEDIATE_DIVERSIONS:
             return 0.0
         n_failed = history.n_diverted if is_diverted else 0
@@ -228,6 +230,8 @@
         return Reason.NO_UPSTREAM
     if fault is AttemptFault.RATE_LIMITED:
         return Reason.UPSTREAM_RATE_LIMITED
+    if fault is AttemptFault.RESTING:
+        return Reason.UPSTREAM_RESTING
     if fault is AttemptFault.TOO_LONG:
         return Reason.PROMPT_TOO_LARGE
     return Reason.UPSTREAM_FAILED
--- a/src/quetzaldeck/decisions/scheduler.py
+++ b/src/quetzaldeck/decisions/scheduler.py
@@ -92,7 +92,7 @@
         self._waiting = WaitingRequests(queue, self._admission)
         self._tokens = TokenEstimator()
         self._learner = AnswerLearner(self._admission, self._tokens)
-        self._upstreams = table = UpstreamTable()
+        self._upstreams = table = UpstreamTable(random_state=random_state)
         self._poison = registry = PoisonRegistry(poison, count_upstreams=table.__len__)
         self._placement = placement
         planner = GroupPlanner(groups)
--- a/src/quetzaldeck/decisions/scheduling/arrival_check.py
+++ b/src/quetzaldeck/decisions/scheduling/arrival_check.py
@@ -19,7 +19,7 @@
 class ArrivalCheck:
     """Refuses requests that cannot be served, or not in time.
 
-    :param table: knows whether any upstream limits its rate
+    :param table: knows whether any upstream rests or limits its rate
     :param refusals: checks whether any upstream can serve a request
     :param limits: enforces the limits of customers
     :param placer: finds out whether a request could start now
@@ -47,7 +47,7 @@
             return Failure(Reason.DEADLINE_EXCEEDED)
         refusal = self._refusals.check(request, now_ms)
         latest_ms = self.latest_turn_ms(request, now_ms)
-        refusal = refusal or self._refusals.check_rate_limits(
+        refusal = refusal or self._refusals.check_restrictions(
             request, now_ms, latest_ms
         )
         refusal = refusal or self._limits.check(request, now_ms)
@@ -58,7 +58,7 @@
 
     def latest_turn_ms(self, request: Request, now_ms: float) -> float:
         """:returns: latest time at which a request may get its turn at an upstream"""
-        if not self._table.has_rate_limits:
+        if not self._table.has_restrictions(now_ms):
             return request.deadline_ms
         return latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
 
--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -124,7 +124,7 @@
         failure = self._refusals.check(request, now_ms)
         if failure is None:
             latest_start_ms = self._admission.latest_start_ms(request)
-            failure = self._refusals.check_rate_limits(
+            failure = self._refusals.check_restrictions(
                 request, now_ms, latest_turn_ms(latest_start_ms, now_ms)
             )
         if failure is not None:
--- a/src/quetzaldeck/decisions/scheduling/queue_sweep.py
+++ b/src/quetzaldeck/decisions/scheduling/queue_sweep.py
@@ -35,7 +35,8 @@
     :param refusals: checks whether any upstream can serve a request
     :param paths: which services this VM reaches
     :param poison: knows which requests have crashed too many engines
-    :param table: knows whether any upstream limits its rate or is evacuated
+    :param table: knows whether any upstream rests, leaves, limits its rate or is
+        evacuated
     :param failed: withdraws the next attempt of a request that is kept
     :param withdraw: removes a request by its id
     """
@@ -67,9 +68,9 @@
         """:returns: a rejection for each request that cannot be served any more"""
         yield from self._reject_expired(now_ms)
         yield from self._reject_poison(now_ms)
-        yield from self._reject_evacuated(now_ms)
+        yield from self._reject_closed(now_ms)
         yield from self._reject_unreached(now_ms)
-        yield from self._reject_rate_limited(now_ms)
+        yield from self._reject_restricted(now_ms)
 
     def _reject_expired(self, now_ms: float) -> Iterable[Rejection]:
         for request_id in self._waiting.pop_expired(now_ms):
@@ -85,9 +86,9 @@
             if failure is not None:
                 yield self._reject(request, failure, now_ms)
 
-    def _reject_evacuated(self, now_ms: float) -> Iterable[Rejection]:
-        """Reject requests that no upstream outside evacuated zones can serve."""
-        has_changed = self._table.pop_evacuation_changed()
+    def _reject_closed(self, now_ms: float) -> Iterable[Rejection]:
+        """Reject requests whose upstreams all leave, or are in evacuated zones."""
+        has_changed = self._table.pop_closures_changed()
         waiting = tuple(self._waiting) if has_changed else ()
         for request in waiting:
             failure = self._refusals.check_upstreams(request)
@@ -102,12 +103,12 @@
             if failure is not None:
                 yield self._reject(request, failure, now_ms)
 
-    def _reject_rate_limited(self, now_ms: float) -> Iterable[Rejection]:
-        """Reject requests that no upstream takes in time, as all limit their rate."""
-        waiting = tuple(self._waiting) if self._table.has_rate_limits else ()
+    def _reject_restricted(self, now_ms: float) -> Iterable[Rejection]:
+        """Reject requests that no upstream takes in time: all rest or limit rates."""
+        waiting = tuple(self._waiting) if self._table.has_restrictions(now_ms) else ()
         for request in waiting:
             latest_ms = latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
-            failure = self._refusals.check_rate_limits(request, now_ms, latest_ms)
+            failure = self._refusals.check_restrictions(request, now_ms, latest_ms)
             if failure is not None:
                 yield self._reject(request, failure, now_ms)
 
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+import random
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.availability import UpstreamStatements, find_closure
 from quetzaldeck.decisions.health import UpstreamHealth, compute_ms_per_token
 from quetzaldeck.decisions.health.help_refusals import HelpRefusals
 from quetzaldeck.decisions.health.outcomes import DecayingOutcomes, Outcomes
@@ -16,6 +18,7 @@
 
 if TYPE_CHECKING:
     from quetzaldeck.bundle.document import UpstreamSpec
+    from quetzaldeck.decisions.availability import Closure, Statement
     from quetzaldeck.decisions.loads.load_report import LoadReport
 
 
@@ -40,13 +43,20 @@
     answer was complete.
 
     :param spec: the upstream's entry in the bundle
+    :param statements: what upstreams have said of themselves; by default nothing
     """
 
-    def __init__(self, spec: UpstreamSpec) -> None:
+    def __init__(
+        self, spec: UpstreamSpec, statements: UpstreamStatements | None = None
+    ) -> None:
         self.spec = spec
+        self._statements = statements or UpstreamStatements(
+            random_state=random.Random(0)
+        )
         self.report: LoadReport | None = None
         self.reported_ms = 0.0
-        self.is_leaving = False
+        self.is_listed_leaving = False
+        """Whether the list of upstreams says that it leaves."""
         self.is_evacuated = False
         """Whether its zone is evacuated; its shutdown is not planned."""
         self.health = UpstreamHealth()
@@ -59,11 +69,60 @@
         self._incarnation = ""
         self._backlog = PrefillBacklog()
 
+    @property
+    def is_leaving(self) -> bool:
+        """:returns: whether it leaves, by the list of upstreams or its own word"""
+        statement = self._statement
+        said = statement is not None and statement.is_leaving
+        return self.is_listed_leaving or said
+
     @property
     def accepts_work(self) -> bool:
-        """:returns: whether new work may be placed here"""
+        """:returns: whether new work may be placed here, now or once it has rested"""
         return not (self.is_leaving or self.is_evacuated)
 
+    @property
+    def _statement(self) -> Statement | None:
+        return self._statements.find(self.spec.name, self.incarnation)
+
+    def find_closure(self, now_ms: float) -> Closure | None:
+        """:returns: why nothing new may be sent here now; ``None``: it may"""
+        return find_closure(
+            self._statement,
+            now_ms,
+            is_listed_leaving=self.is_listed_leaving,
+            is_evacuated=self.is_evacuated,
+        )
+
+    def rest_wait_ms(self, now_ms: float) -> float:
+        """:returns: time until the upstream has rested; 0: it does not rest
+
+        After a rest, until the first request has been accepted, others wait.
+        """
+        statement = self._statement
+        if statement is None:
+            return 0.0
+        trial_until_ms = statement.trial_until_ms(now_ms)
+        if trial_until_ms is not None and self._runs_since(statement.rest_until_ms):
+            return trial_until_ms - now_ms
+        return max(0.0, statement.rest_until_ms - now_ms)
+
+    def wait_ms(self, now_ms: float) -> float:
+        """:returns: time until it has rested and its rate limit allows a request"""
+        return max(self.rest_wait_ms(now_ms), self.pacing.wait_ms(now_ms))
+
+    def is_restricted(self, now_ms: float) -> bool:
+        """:returns: whether it rests, or takes only some requests a second"""
+        return self.pacing.is_limited or self.rest_wait_ms(now_ms) > 0.0
+
+    def note_accepted(self, sent_ms: float) -> None:
+        """Record that it has accepted a request that was sent at a time."""
+        self._statements.note_accepted(self.spec.name, sent_ms)
+
+    def _runs_since(self, begin_ms: float) -> bool:
+        """:returns: whether an attempt of this VM runs that was sent since a time"""
+        return any(attempt.started_ms >= begin_ms for attempt in self.ledger)
+
     @property
     def incarnation(self) -> str:
         """:returns: the noted incarnation, else the last report's; ``""``: none"""
--- a/src/quetzaldeck/decisions/upstream_table.py
+++ b/src/quetzaldeck/decisions/upstream_table.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from statistics import median
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions.availability import UpstreamStatements
 from quetzaldeck.decisions.estimation import predict_first_token_ms
 from quetzaldeck.decisions.pools import find_failing
 from quetzaldeck.decisions.upstream_state import UpstreamState
@@ -21,9 +23,15 @@
 
 
 class UpstreamTable:
-    """Upstream states, indexed by name and by the model or service they serve."""
+    """Upstream states, indexed by name and by the model or service they serve.
 
-    def __init__(self) -> None:
+    :param random_state: spreads the times at which VMs return to rested upstreams
+    """
+
+    def __init__(self, *, random_state: random.Random | None = None) -> None:
+        self._statements = UpstreamStatements(
+            random_state=random_state or random.Random(0)
+        )
         self._states: dict[str, UpstreamState] = {}
         self._by_target: dict[str, list[UpstreamState]] = {}
         self._retired: dict[str, UpstreamState] = {}
@@ -38,6 +46,15 @@
     def __len__(self) -> int:
         return len(self._states)
 
+    @property
+    def statements(self) -> UpstreamStatements:
+        """:returns: what upstreams have said of themselves in responses"""
+        return self._statements
+
+    def has_restrictions(self, now_ms: float) -> bool:
+        """:returns: whether any upstream rests or limits its rate"""
+        return bool(self._limited) or self._statements.has_rests(now_ms)
+
     @property
     def has_rate_limits(self) -> bool:
         """:returns: whether any upstream limits its rate"""
@@ -64,7 +81,7 @@
         for spec in bundle.upstreams:
             state = self._states.pop(spec.name, None) or self._retired.get(spec.name)
             if state is None:
-                state = UpstreamState(spec)
+                state = UpstreamState(spec, self._statements)
                 if not is_first:
                     state.health.start_warm_up(now_ms)
             state.spec = spec
@@ -97,9 +114,12 @@
                 state.observe(report, now_ms)
 
     def mark_leaving(self, names: Collection[str]) -> None:
-        """Mark the named upstreams as leaving, and all others as not leaving."""
+        """Mark the upstreams that are listed as leaving, and no others.
+
+        What upstreams have said themselves is not revoked by the list.
+        """
         for name, state in self._states.items():
-            state.is_leaving = name in names
+            state.is_listed_leaving = name in names
         self._is_evacuation_new = self.has_evacuated_zones
 
     def set_evacuated_zones(self, zones: Collection[str]) -> None:
@@ -108,13 +128,14 @@
             self._evacuated_zones = frozenset(zones)
             self._rebuild_index()
 
-    def pop_evacuation_changed(self) -> bool:
-        """:returns: whether upstreams changed since the last call, if any is evacuated
+    def pop_closures_changed(self) -> bool:
+        """:returns: whether requests that wait may have lost their last upstream
 
-        Requests that wait may have lost their last upstream then.
+        That is, since the last call upstreams changed while a zone is evacuated, or one
+        has said that it leaves.
         """
         has_changed, self._is_evacuation_new = self._is_evacuation_new, False
-        return has_changed
+        return self._statements.pop_new_leaving() or has_changed
 
     def set_rate_limit(
         self,
--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -19,7 +19,6 @@
 from quetzaldeck.gateway.messages import ObserveLoad
 from quetzaldeck.gateway.silence_watch import SilenceWatch
 from quetzaldeck.platform import build_request_headers, read_response_head
-from quetzaldeck.telemetry import log_event
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
 
@@ -131,7 +130,7 @@
 
         :raises UpstreamError: if it does not come in time; nothing was sent
         """
-        self._state.evacuations.check(dispatch.upstreams)
+        self._state.availability.check(dispatch.upstreams)
         max_wait_ms = dispatch.max_permit_wait_ms
         permits = self._state.permits
         if dispatch.is_retrial:
@@ -211,7 +210,8 @@
             self._state.paths.note_heard(name)
             head = read_response_head(response.status, response.headers)
             self._report_load(name, head)
-            self._log_statements(name, head)
+            if self._replica is not None:
+                self._state.note_statements(self._replica, head)
             self._state.rate_limits.note_response(
                 name, self._incarnation, head, call_id=self._call.head.call_id
             )
@@ -240,7 +240,7 @@
             last_event_id,
         )
         replica = self._find_replica(name)
-        self._state.evacuations.check(dispatch.upstreams)
+        self._state.availability.check(dispatch.upstreams)
         self._check()
         for permit in self._permits:
             self._state.permits.check(permit)
@@ -271,17 +271,17 @@
 
     def _may_help(self, replica: Replica) -> bool:
         """:returns: whether a replica that was named as a helper still gets a part"""
-        if self._state.belief.is_evacuated(replica):
+        if self._state.availability.find_closure(replica) is not None:
             return False
         return self._state.rate_limits.find_cold(replica.replica_id) is None
 
     def _find_replica(self, name: str) -> Replica:
         """:returns: the replica that a dispatch names
 
-        :raises UpstreamError: if it has left, or begun to leave, since the dispatch
+        :raises UpstreamError: if it has left since the dispatch
         """
         replica = self._state.belief.replicas.get(name)
-        if replica is None or replica.is_leaving:
+        if replica is None:
             raise UpstreamError(
                 AttemptFault.OVERLOADED,
                 f"{name}: the replica left after the request was dispatched to it",
@@ -307,19 +307,6 @@
         )
         self._state.dispatch.send(ObserveLoad(report))
 
-    def _log_statements(self, name: str, head: ResponseHead) -> None:
-        """Log what a replica asks of this VM."""
-        if head.rest_ms is None and not head.is_leaving:
-            return
-        log_event(
-            "upstream_said",
-            request=self._call.head.call_id,
-            upstream=name,
-            status=head.status,
-            rest_ms=head.rest_ms,
-            leaving=head.is_leaving,
-        )
-
     def _check_head(self, name: str, head: ResponseHead) -> None:
         """:raises UpstreamError: if the response must not be forwarded to the caller"""
         if head.call_id and head.call_id != self._call.head.call_id:
@@ -350,6 +337,8 @@
         faulty = self._find_faulty_replica(name, head)
         if head.is_other_replica:
             fault = AttemptFault.CONNECT
+        elif faulty == name and head.rest_ms:
+            fault = AttemptFault.RESTING
         elif faulty == name or faulty in self._members:
             fault = AttemptFault.OVERLOADED
         else:
--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -116,7 +116,7 @@
         if self._is_diverted or not is_waiting or self.task.done():
             return
         try:
-            self._state.evacuations.check(self.dispatch.upstreams)
+            self._state.availability.check(self.dispatch.upstreams)
         except UpstreamError:
             self._is_diverted = True
             self.task.cancel()
--- a/src/quetzaldeck/entry/crash_checks.py
+++ b/src/quetzaldeck/entry/crash_checks.py
@@ -24,6 +24,7 @@
 from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.gateway.messages import ObserveCheck
 from quetzaldeck.routing import Replica
+from quetzaldeck.routing.replica import is_listed_leaving
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -88,6 +89,7 @@
     :param dispatch: is told of the results
     :param bounds: how long another incarnation at the address counts as proof, and how
         long replicas run what nobody waits for
+    :param is_leaving: whether a replica leaves, so that its end is no crash
     """
 
     def __init__(
@@ -100,8 +102,10 @@
         metrics: UpstreamMetrics,
         *,
         bounds: PoisonBounds,
+        is_leaving: Callable[[Replica], bool] = is_listed_leaving,
     ) -> None:
         self._clock = clock
+        self._judge_leaving = is_leaving
         self._read_replicas = read_replicas
         self._check = check
         self._may_conclude = may_conclude
@@ -197,7 +201,7 @@
 
     def _is_leaving(self, name: str) -> bool:
         current = self._find(name)
-        return current is not None and current.is_leaving
+        return current is not None and self._judge_leaving(current)
 
     async def _run_checks(self, name: str) -> None:
         """Check a replica, once more if connections broke after a check began."""
--- a/src/quetzaldeck/entry/evacuations.py
+++ b/src/quetzaldeck/entry/evacuations.py
@@ -11,12 +11,10 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.gateway.messages import ObserveEvacuations
-from quetzaldeck.upstreams import UpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Iterator
 
     from quetzaldeck.belief import FleetBelief
     from quetzaldeck.clock import Clock
@@ -69,25 +67,6 @@
                 on_evacuated()
         return before - zones
 
-    def check(self, upstreams: Iterable[str]) -> None:
-        """Check that none of the replicas of an attempt is in an evacuated zone.
-
-        :raises UpstreamError: if one is; nothing was sent
-        """
-        if not self._belief.evacuated_zones:
-            return
-        for name in upstreams:
-            replica = self._belief.replicas.get(name)
-            if replica is not None and self._belief.is_evacuated(replica):
-                raise UpstreamError(
-                    AttemptFault.EVACUATED,
-                    f"{name}: zone {replica.availability_zone} was evacuated after the "
-                    "request was dispatched",
-                    may_have_run=False,
-                    was_sent=False,
-                    upstream=name,
-                )
-
     def _update_metrics(self, zones: frozenset[str], before: frozenset[str]) -> None:
         self._metrics.evacuated_zones.set(len(zones))
         age_ms = self._belief.age_ms(self._clock.uptime_ms())
--- a/src/quetzaldeck/entry/memory_reservation.py
+++ b/src/quetzaldeck/entry/memory_reservation.py
@@ -85,11 +85,11 @@
         )
 
     async def _reserve(self, name: str, n_tokens: int) -> bool:
-        """:raises UpstreamError: also if the zone of a member has been evacuated"""
+        """:raises UpstreamError: also if a member gets nothing new any more"""
         replica = self._state.belief.replicas.get(name)
-        if replica is None or replica.is_leaving:
+        if replica is None:
             return False
-        self._state.evacuations.check((name,))
+        self._state.availability.check((name,))
         return await self._order(replica, n_tokens)
 
     async def _order(self, replica: Replica, n_tokens: int) -> bool:
--- a/src/quetzaldeck/entry/pace_task.py
+++ b/src/quetzaldeck/entry/pace_task.py
@@ -100,10 +100,11 @@
         if view is None:
             return {}
         services = {s.name for s in view.services.values() if s.engine is not None}
+        accepts_work = self._state.availability.accepts_work
         return {
             replica.replica_id: replica
             for replica in self._state.belief.replicas.values()
-            if replica.service in services and self._state.belief.accepts_work(replica)
+            if replica.service in services and accepts_work(replica)
         }
 
     def _list_vms(self) -> dict[str, list[str]]:
--- a/src/quetzaldeck/entry/presumed_crashes.py
+++ b/src/quetzaldeck/entry/presumed_crashes.py
@@ -15,13 +15,17 @@
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.poison import Liveness
 from quetzaldeck.gateway.messages import ObserveCheck
+from quetzaldeck.routing.replica import is_listed_leaving
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quetzaldeck.belief import FleetBelief
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions.poison import PresumedCrash
     from quetzaldeck.gateway.dispatch_task import DispatchTask
+    from quetzaldeck.routing import Replica
 
 INTERVAL_MS = 250.0
 """Time between two looks at the entries, while any crash is presumed."""
@@ -35,6 +39,7 @@
 
     :param dispatch: knows them, and is told of the results
     :param expiry_ms: time after which the entry of a replica that has ended is gone
+    :param is_leaving: whether a replica leaves, so that its end is no crash
     """
 
     def __init__(
@@ -44,11 +49,13 @@
         dispatch: DispatchTask,
         *,
         expiry_ms: float,
+        is_leaving: Callable[[Replica], bool] = is_listed_leaving,
     ) -> None:
         self._clock = clock
         self._belief = belief
         self._dispatch = dispatch
         self._expiry_ms = expiry_ms
+        self._is_leaving = is_leaving
         self._absent: set[str] = set()
 
     async def run(self) -> None:
@@ -84,7 +91,7 @@
         if replica is None:
             self._absent.add(crash.upstream)
             return Liveness.UNKNOWN, ""
-        if replica.is_leaving:
+        if self._is_leaving(replica):
             return Liveness.ALIVE, "leaving"
         known = crash.incarnation and replica.incarnation
         if known and crash.incarnation != replica.incarnation:
--- a/src/quetzaldeck/entry/session.py
+++ b/src/quetzaldeck/entry/session.py
@@ -40,7 +40,9 @@
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Scheduler
     from quetzaldeck.entry.peers import BeliefFeed
+    from quetzaldeck.entry.response_head import ResponseHead
     from quetzaldeck.entry.settings import EntrySettings
+    from quetzaldeck.routing import Replica
 
 
 class EntrySession(SessionBase[EntryState]):
@@ -95,9 +97,9 @@
             dispatch=dispatch,
             upstreams=upstreams,
             belief=FleetBelief(build_belief_bounds(self._settings.bounds)),
-            orders=ReplicaOrders(upstreams),
+            orders=ReplicaOrders(upstreams, self._note_head),
             health_checks=HealthChecks(check_client, self._clock),
-            probes=ReplicaReports(check_client),
+            probes=ReplicaReports(check_client, self._note_head),
             peer_client=handover_client,
             group_bounds=ENTRY_GROUPS,
         )
@@ -119,7 +121,7 @@
         belief_task = BeliefTask(self._state, self._sources)
         pace_task = PaceTask(
             self._state,
-            ReplicaReports(upstreams),
+            ReplicaReports(upstreams, self._note_head),
             self._peer_table,
             peer_task.announce_paces,
             own_address=self._own_host,
@@ -146,6 +148,9 @@
         if self._peer_table is not None:
             self._peer_table.set_seeds(_seed_hosts(settings))
 
+    def _note_head(self, replica: Replica, head: ResponseHead) -> None:
+        self.state.note_head(replica, head)
+
     def _build_table(self) -> PeerTable:
         seeds = _seed_hosts(self._settings)
         random_state = self.state.random_state
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -10,6 +10,7 @@
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.poison import Liveness
+from quetzaldeck.entry.availability import Availability
 from quetzaldeck.entry.belief_bounds import build_belief_bounds
 from quetzaldeck.entry.crash_checks import CrashChecks
 from quetzaldeck.entry.evacuations import Evacuations
@@ -30,6 +31,7 @@
 from quetzaldeck.gateway.messages import ApplyBundle, Observe, ObserveIncarnations
 from quetzaldeck.gateway.release_task import Release, ReleaseTask
 from quetzaldeck.gateway.settings import ShutdownSettings
+from quetzaldeck.gateway.statement_notes import StatementNotes
 from quetzaldeck.http import parse_listen_address
 from quetzaldeck.upstreams import UpstreamError
 
@@ -96,10 +98,14 @@
         self.random_state = random.Random(settings.random_state or None)
         self._probes = probes
         self.evacuations = Evacuations(belief, clock, dispatch, metrics.upstreams)
+        self.availability = Availability(belief, dispatch.statements, clock)
+        self._statement_notes = StatementNotes(
+            dispatch, clock, metrics.upstreams, has_unique_names=True
+        )
         self.paths = PathWatch(
             clock,
             lambda: belief.replicas,
-            belief.accepts_work,
+            self.availability.accepts_work,
             self._probe,
             dispatch,
             metrics.upstreams,
@@ -123,12 +129,14 @@
             dispatch,
             metrics.upstreams,
             bounds=dispatch.poison_bounds,
+            is_leaving=self.availability.is_leaving,
         )
         self.presumed_crashes = PresumedCrashes(
             clock,
             belief,
             dispatch,
             expiry_ms=dispatch.poison_bounds.presumed_ms,
+            is_leaving=self.availability.is_leaving,
         )
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.in_flight = InFlightRequests()
@@ -191,14 +199,28 @@
         if service is None:
             return Liveness.UNKNOWN
         return await self._health_checks.check(
-            replica, service.health_path, self._note_cold
+            replica, service.health_path, self.note_head
         )
 
-    def _note_cold(self, replica: Replica, head: ResponseHead) -> None:
-        """Record the cold time that the response to a health check states."""
+    def note_head(self, replica: Replica, head: ResponseHead) -> None:
+        """Record what a response says that answers no request of a caller."""
         self.rate_limits.note_cold(
             replica.replica_id, replica.incarnation, head.cold_ms
         )
+        self.note_statements(replica, head)
+
+    def note_statements(self, replica: Replica, head: ResponseHead) -> None:
+        """Record whether the replica that responds wants to rest, or leaves.
+
+        :param replica: the replica that was addressed, as it was then
+        """
+        name, incarnation = replica.replica_id, replica.incarnation
+        if head.is_other_replica:
+            name, incarnation = head.replica_id, ""
+        if name:
+            self._statement_notes.note(
+                name, incarnation, rest_ms=head.rest_ms, is_leaving=head.is_leaving
+            )
 
     async def _probe(self, replica: Replica) -> bool:
         """Probe a replica; an engine reports without a free slot.
@@ -211,7 +233,7 @@
             return True
         if service.engine is None:
             return await self._health_checks.is_reached(
-                replica, service.health_path, self._note_cold
+                replica, service.health_path, self.note_head
             )
         try:
             await self._probes.read_pace(replica)
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -36,6 +36,7 @@
     ObserveRateLimit,
     ObserveRuns,
     ObserveShares,
+    ObserveStatement,
     ObserveUsage,
     ResumeAttempt,
     RetryKept,
@@ -50,6 +51,7 @@
 
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Decision, Request, Scheduler
+    from quetzaldeck.decisions.availability import Closure, UpstreamStatements
     from quetzaldeck.decisions.explanations import Explanation
     from quetzaldeck.decisions.fair_shares import ShareSum
     from quetzaldeck.decisions.limits import UsageUpdate
@@ -101,6 +103,16 @@
         """:returns: number of running attempts"""
         return self._scheduler.n_running
 
+    @property
+    def statements(self) -> UpstreamStatements:
+        """:returns: what upstreams have said of themselves in responses"""
+        return self._scheduler.upstreams.statements
+
+    def find_closure(self, upstream: str) -> Closure | None:
+        """:returns: why an upstream gets nothing new now; ``None``: it may"""
+        state = self._scheduler.upstreams.get(upstream)
+        return None if state is None else state.find_closure(self._clock.now_ms())
+
     @property
     def poison_bounds(self) -> PoisonBounds:
         """:returns: parameters of the detection of requests that crash engines"""
@@ -289,7 +301,11 @@
             case Observe():
                 self._observe(message)
             case (
-                ObserveLoad() | ObservePeerLoad() | ObservePaces() | ObserveRateLimit()
+                ObserveLoad()
+                | ObservePeerLoad()
+                | ObservePaces()
+                | ObserveRateLimit()
+                | ObserveStatement()
             ):
                 self._observe_load(message)
             case (
@@ -365,9 +381,15 @@
 
     def _observe_load(
         self,
-        message: ObserveLoad | ObservePeerLoad | ObservePaces | ObserveRateLimit,
+        message: (
+            ObserveLoad
+            | ObservePeerLoad
+            | ObservePaces
+            | ObserveRateLimit
+            | ObserveStatement
+        ),
     ) -> None:
-        """Handle loads, paces and limits reported by upstreams or other VMs."""
+        """Handle what upstreams or other VMs report of the upstreams."""
         match message:
             case ObserveLoad():
                 self._scheduler.fleet.observe_load(message.report)
@@ -379,6 +401,8 @@
                 self._scheduler.fleet.observe_rate_limit(
                     message.upstream, message.requests_per_s, is_cold=message.is_cold
                 )
+            case ObserveStatement():
+                self._scheduler.fleet.note_statement()
 
     def _observe_update(
         self,
--- a/src/quetzaldeck/gateway/messages.py
+++ b/src/quetzaldeck/gateway/messages.py
@@ -129,6 +129,12 @@
     zones: frozenset[str]
 
 
+class ObserveStatement(NamedTuple):
+    """An upstream has said that it rests or leaves, which is recorded already."""
+
+    upstream: str
+
+
 class ObserveIncarnations(NamedTuple):
     """The incarnation that each upstream reports, by name."""
 
@@ -238,6 +244,7 @@
     | ObservePaces
     | ObservePath
     | ObserveRateLimit
+    | ObserveStatement
     | ObserveEvacuations
     | ObserveIncarnations
     | ObservePeerLoad
@@ -274,6 +281,7 @@
     "ObserveRateLimit",
     "ObserveRuns",
     "ObserveShares",
+    "ObserveStatement",
     "ObserveUsage",
     "ResumeAttempt",
     "RetryKept",
--- a/src/quetzaldeck/gateway/relay.py
+++ b/src/quetzaldeck/gateway/relay.py
@@ -146,11 +146,14 @@
         self._recheck()
         attempt = self._build_attempt(dispatch)
         if dispatch.plan is None:
+            self._state.check_open(dispatch.upstreams[-1])
             self.has_dispatched = True
             await self._read_answer(run, attempt)
             return
         async with self._reserve(dispatch.plan, attempt) as group:
             self._recheck()
+            for name in dispatch.upstreams:
+                self._state.check_open(name)
             self.has_dispatched = True
             await self._read_answer(run, await group.prefill())
 
@@ -325,6 +328,7 @@
             n_output_tokens=self.answer.n_output_tokens,
             n_prompt_tokens=self.answer.n_prompt_tokens,
             may_have_run=error is None or error.may_have_run,
+            was_sent=error is None or error.was_sent,
             retry_after_ms=None if error is None else error.retry_after_ms,
             upstream="" if error is None else error.upstream,
             incarnation="" if error is None else error.incarnation,
--- a/src/quetzaldeck/gateway/service_run.py
+++ b/src/quetzaldeck/gateway/service_run.py
@@ -105,6 +105,8 @@
             attempt.attempt_id,
             error.fault,
             may_have_run=error.may_have_run,
+            was_sent=error.was_sent,
+            upstream=error.upstream,
             is_gone=error.is_gone,
         )
         if await self._attempts.end_failed(end):
@@ -140,6 +142,7 @@
             lambda verdict: self._handle_verdict(attempt, verdict),
         )
         name = attempt.dispatch.upstreams[0]
+        self._state.check_open(name)
         if self._claimed is not None:
             self._claimed.begin_dispatch()
         try:
--- a/src/quetzaldeck/gateway/session.py
+++ b/src/quetzaldeck/gateway/session.py
@@ -24,6 +24,7 @@
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Scheduler
     from quetzaldeck.gateway.settings import GatewaySettings
+    from quetzaldeck.upstreams.http import Said
 
 
 class GatewaySession(SessionBase[GatewayState]):
@@ -79,7 +80,10 @@
         timeouts = UpstreamTimeouts(
             bounds.connect_ms, bounds.idle_ms, bounds.max_answer_bytes
         )
-        return Connections(timeouts, self._note_replaced_pool)
+        return Connections(timeouts, self._note_replaced_pool, self._note_said)
+
+    def _note_said(self, upstream: str, said: Said) -> None:
+        self.state.note_said(upstream, said)
 
     def _note_replaced_pool(self, upstream: str) -> None:
         self.metrics.upstreams.replaced_pools.labels(upstream).inc()
--- a/src/quetzaldeck/gateway/state.py
+++ b/src/quetzaldeck/gateway/state.py
@@ -8,12 +8,14 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.placement import CacheCursor
+from quetzaldeck.gateway.closed_upstream import build_closed_error
 from quetzaldeck.gateway.customers import CustomerIndex
 from quetzaldeck.gateway.detached_calls import DetachedCalls
 from quetzaldeck.gateway.drain import Drain
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.in_flight import InFlightRequests
 from quetzaldeck.gateway.messages import ApplyBundle, ObserveCache
+from quetzaldeck.gateway.statement_notes import StatementNotes
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
@@ -31,6 +33,7 @@
     from quetzaldeck.telemetry import GatewayMetrics
     from quetzaldeck.upstreams import Owner
     from quetzaldeck.upstreams.connections import Connections
+    from quetzaldeck.upstreams.http import Said
 
 
 class GatewayState:
@@ -63,6 +66,7 @@
         metrics.in_flight.set_function(self.in_flight.__len__)
         self.drain = Drain(self.in_flight, settings.shutdown, metrics)
         self.last_agent_response_ms: float | None = None
+        self._statement_notes = StatementNotes(dispatch, clock, metrics.upstreams)
         self._cache_cursors: dict[str, CacheCursor] = {}
         self._bundle: Bundle | None = None
         self._customers: CustomerIndex | None = None
@@ -121,6 +125,24 @@
         self._cache_cursors[events.upstream] = cursor.after(events)
         self.dispatch.send(ObserveCache(events))
 
+    def note_said(self, upstream: str, said: Said) -> None:
+        """Record what an upstream says of itself."""
+        self._statement_notes.note(
+            upstream,
+            said.incarnation,
+            rest_ms=said.rest_ms,
+            is_leaving=said.is_leaving,
+        )
+
+    def check_open(self, upstream: str) -> None:
+        """Check right before a send that an upstream takes something new.
+
+        :raises UpstreamError: if it does not; nothing was sent
+        """
+        closure = self.dispatch.find_closure(upstream)
+        if closure is not None:
+            raise build_closed_error(upstream, closure)
+
     def apply_bundle(self, bundle: Bundle) -> None:
         """Put a newer bundle in force for new requests."""
         self._bundle = bundle
--- a/src/quetzaldeck/outcomes/reason.py
+++ b/src/quetzaldeck/outcomes/reason.py
@@ -33,6 +33,7 @@
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
     UPSTREAM_RATE_LIMITED = "upstream_rate_limited"
+    UPSTREAM_RESTING = "upstream_resting"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     POISON_SUSPECTED = "poison_suspected"
     SHUTTING_DOWN = "shutting_down"
@@ -151,6 +152,12 @@
         "the upstreams take no more requests in the time left",
         DEFAULT_RETRY_AFTER_MS,
     ),
+    Reason.UPSTREAM_RESTING: ReasonInfo(
+        503,
+        _CAPACITY,
+        "the upstreams turn requests away until after the time left",
+        DEFAULT_RETRY_AFTER_MS,
+    ),
     Reason.RETRY_BUDGET_SPENT: ReasonInfo(
         503,
         _UPSTREAM,
--- a/src/quetzaldeck/platform/headers.py
+++ b/src/quetzaldeck/platform/headers.py
@@ -11,9 +11,13 @@
 from quetzaldeck.http.retry_after import read_retry_after_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from quetzaldeck.entry.forwarding_parameters import ForwardingParameters, Helper
+    from quetzaldeck.routing import Replica
+
+    OnHead = Callable[[Replica, ResponseHead], None]
+    """Called with the replica that was asked and the head of its response."""
 
 CALL_ID = "Quetzaldeck-Attempt-Id"
 """Id of one attempt of a caller; a retry by the caller has another id."""
@@ -63,6 +67,10 @@
 _HEADERS_SET_BY_VM = (_KEY, _DEADLINE, EXPECTED_REPLICA, _CUSTOMER, _RANK, _HELPERS)
 
 
+def ignore_head(replica: Replica, head: ResponseHead) -> None:
+    """Act on nothing that a response says; see ``OnHead``."""
+
+
 def read_call_head(headers: Mapping[str, str]) -> CallHead:
     """Parse the headers of a caller's request.
 
@@ -233,6 +241,7 @@
     "build_handover_headers",
     "build_request_headers",
     "build_response_headers",
+    "ignore_head",
     "read_call_head",
     "read_response_head",
 )
--- a/src/quetzaldeck/platform/health_checks.py
+++ b/src/quetzaldeck/platform/health_checks.py
@@ -16,15 +16,12 @@
 from quetzaldeck.upstreams.http import is_refused
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from quetzaldeck.clock import Clock
     from quetzaldeck.entry.response_head import ResponseHead
     from quetzaldeck.entry.upstream_client import UpstreamClient
+    from quetzaldeck.platform.headers import OnHead
     from quetzaldeck.routing import Replica
 
-    OnHead = Callable[[Replica, ResponseHead], None]
-
 CHECK_TIMEOUT_MS = 500.0
 """Less than a replica takes to start again after a crash, so that no answer can come
 from the next incarnation. A check waits for a slot as a request does."""
--- a/src/quetzaldeck/platform/orders.py
+++ b/src/quetzaldeck/platform/orders.py
@@ -9,13 +9,20 @@
 
 from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.http.answer_bounds import read_body
-from quetzaldeck.platform.headers import EXPECTED_REPLICA, WRONG_REPLICA_STATUS
+from quetzaldeck.platform.headers import (
+    EXPECTED_REPLICA,
+    WRONG_REPLICA_STATUS,
+    ignore_head,
+    read_response_head,
+)
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
 
 if TYPE_CHECKING:
+    from quetzaldeck.entry.response_head import ResponseHead
     from quetzaldeck.entry.upstream_client import UpstreamClient
+    from quetzaldeck.platform.headers import OnHead
     from quetzaldeck.routing import Replica
 
 ORDER_TIMEOUT_MS = 500.0
@@ -41,10 +48,12 @@
     """Sends orders to replicas.
 
     :param client: connections to the replicas
+    :param on_head: called with the head of each response
     """
 
-    def __init__(self, client: UpstreamClient) -> None:
+    def __init__(self, client: UpstreamClient, on_head: OnHead = ignore_head) -> None:
         self._client = client
+        self._on_head = on_head
 
     async def reserve(
         self, replica: Replica, reservation_id: str, n_tokens: int, hold_ms: float
@@ -55,23 +64,27 @@
         :raises UpstreamError: if the outcome is not known
         """
         order = _Order("reserve", reservation_id, n_tokens, int(hold_ms))
-        status = await self._send(replica, order)
-        if status == OK_STATUS:
+        head = await self._send(replica, order)
+        if head.status == OK_STATUS:
             return True
-        if status == CONFLICT_STATUS:
+        if head.status == CONFLICT_STATUS:
             return False
-        raise _fault(replica, f"reserve order answered with status {status}")
+        fault = AttemptFault.RESTING if head.rest_ms else AttemptFault.FAILED
+        raise _fault(
+            replica, f"reserve order answered with status {head.status}", fault
+        )
 
     async def release(self, replica: Replica, reservation_id: str) -> None:
         """Release reserved memory; a reservation that does not exist is no error.
 
         :raises UpstreamError: if the order failed or was not answered
         """
-        status = await self._send(replica, _Order("release", reservation_id))
+        head = await self._send(replica, _Order("release", reservation_id))
+        status = head.status
         if status not in (OK_STATUS, CONFLICT_STATUS, WRONG_REPLICA_STATUS):
             raise _fault(replica, f"release order answered with status {status}")
 
-    async def _send(self, replica: Replica, order: _Order) -> int:
+    async def _send(self, replica: Replica, order: _Order) -> ResponseHead:
         headers = CIMultiDict(
             {
                 "Content-Type": "application/json",
@@ -87,13 +100,17 @@
                 replica.address, "POST", "/order", headers, body
             )
             async with response:
+                head = read_response_head(response.status, response.headers)
+                self._on_head(replica, head)
                 await read_body(response, MAX_ANSWER_BYTES)
-                return response.status
+                return head
 
 
-def _fault(replica: Replica, detail: str) -> UpstreamError:
+def _fault(
+    replica: Replica, detail: str, fault: AttemptFault = AttemptFault.FAILED
+) -> UpstreamError:
     name = replica.replica_id
-    return UpstreamError(AttemptFault.FAILED, f"{name}: {detail}", upstream=name)
+    return UpstreamError(fault, f"{name}: {detail}", upstream=name)
 
 
 __all__ = ("ReplicaOrders",)
--- a/src/quetzaldeck/platform/reports.py
+++ b/src/quetzaldeck/platform/reports.py
@@ -8,7 +8,11 @@
 from multidict import CIMultiDict
 
 from quetzaldeck.decisions import AttemptFault
-from quetzaldeck.platform.headers import EXPECTED_REPLICA
+from quetzaldeck.platform.headers import (
+    EXPECTED_REPLICA,
+    ignore_head,
+    read_response_head,
+)
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams import UpstreamError
 from quetzaldeck.upstreams.http import translate_faults
@@ -17,6 +21,7 @@
     import aiohttp
 
     from quetzaldeck.entry.upstream_client import UpstreamClient
+    from quetzaldeck.platform.headers import OnHead
     from quetzaldeck.routing import Replica
 
 REPORT_TIMEOUT_MS = 500.0
@@ -41,10 +46,12 @@
     """Requests reports from engines.
 
     :param client: connections to the engines
+    :param on_head: called with the head of each response
     """
 
-    def __init__(self, client: UpstreamClient) -> None:
+    def __init__(self, client: UpstreamClient, on_head: OnHead = ignore_head) -> None:
         self._client = client
+        self._on_head = on_head
 
     async def read_pace(self, replica: Replica) -> float | None:
         """Request the pace of an engine.
@@ -63,6 +70,8 @@
                 replica.address, "GET", "/report", headers, None
             )
             async with response:
+                head = read_response_head(response.status, response.headers)
+                self._on_head(replica, head)
                 body = await _read_body(name, response)
         if response.status != OK_STATUS:
             raise _fault(name, f"report request answered with status {response.status}")
--- a/src/quetzaldeck/routing/replica.py
+++ b/src/quetzaldeck/routing/replica.py
@@ -32,4 +32,9 @@
         return str(self.started_ms) if self.started_ms else ""
 
 
-__all__ = ("Replica",)
+def is_listed_leaving(replica: Replica) -> bool:
+    """:returns: whether a replica's entry says that it leaves"""
+    return replica.is_leaving
+
+
+__all__ = ("Replica", "is_listed_leaving")
--- a/src/quetzaldeck/telemetry/upstream_metrics.py
+++ b/src/quetzaldeck/telemetry/upstream_metrics.py
@@ -57,6 +57,12 @@
             ["kind"],
             registry=registry,
         )
+        self.rests = Counter(
+            "quetzaldeck_upstream_rests",
+            "Responses in which an upstream asked this VM for rest",
+            ["upstream"],
+            registry=registry,
+        )
         self.replaced_pools = Counter(
             "quetzaldeck_replaced_pools",
             "Connection pools replaced after a silent read",
--- a/src/quetzaldeck/upstreams/api.py
+++ b/src/quetzaldeck/upstreams/api.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzaldeck.registry import Registry
+from quetzaldeck.upstreams.http import read_said
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -25,6 +26,7 @@
         RunningSequence,
     )
     from quetzaldeck.upstreams.call import ServiceAnswer, ServiceCall
+    from quetzaldeck.upstreams.http import Said
     from quetzaldeck.upstreams.watch import Watch
 
 
@@ -32,6 +34,10 @@
     """Nobody watches the connection."""
 
 
+def ignore_said(upstream: str, said: Said) -> None:
+    """Nobody acts on what an upstream says of itself."""
+
+
 MAX_ANSWER_BYTES = 8 << 20
 """An answer is held until it is complete: a few endless ones have to fit into the
 memory of a VM."""
@@ -56,6 +62,7 @@
     :param spec: the upstream's entry in the bundle
     :param session: connection pool, owned by the creator of the adapter
     :param timeouts: timeouts of requests to the upstream
+    :param on_said: called with its name and what it says of itself with each response
     """
 
     def __init__(
@@ -63,10 +70,12 @@
         spec: UpstreamSpec,
         session: aiohttp.ClientSession,
         timeouts: UpstreamTimeouts,
+        on_said: Callable[[str, Said], None] = ignore_said,
     ) -> None:
         self._spec = spec
         self._session = session
         self._timeouts = timeouts
+        self._on_said = on_said
 
     @property
     def name(self) -> str:
@@ -78,6 +87,12 @@
         """:returns: the connection pool that calls of this adapter use"""
         return self._session
 
+    def _note_said(self, response: aiohttp.ClientResponse) -> None:
+        """Pass on what the upstream says of itself."""
+        said = read_said(response)
+        if said.rest_ms or said.is_leaving:
+            self._on_said(self.name, said)
+
     @abstractmethod
     async def read_load(self) -> LoadReport:
         """:returns: the upstream's report of its load
@@ -146,9 +161,10 @@
         spec: UpstreamSpec,
         session: aiohttp.ClientSession,
         timeouts: UpstreamTimeouts,
+        on_said: Callable[[str, Said], None] = ignore_said,
         note_heard: Callable[[], None] = _ignore,
     ) -> None:
-        super().__init__(spec, session, timeouts)
+        super().__init__(spec, session, timeouts, on_said)
         self._note_heard = note_heard
 
     @abstractmethod
@@ -173,5 +189,6 @@
     "Upstream",
     "UpstreamTimeouts",
     "engine_protocols",
+    "ignore_said",
     "service_protocols",
 )
--- a/src/quetzaldeck/upstreams/connections.py
+++ b/src/quetzaldeck/upstreams/connections.py
@@ -11,6 +11,7 @@
     ServiceUpstream,
     UpstreamTimeouts,
     engine_protocols,
+    ignore_said,
     service_protocols,
 )
 from quetzaldeck.upstreams.errors import UpstreamError
@@ -22,6 +23,7 @@
 
     from quetzaldeck.bundle.document import UpstreamSpec
     from quetzaldeck.upstreams.api import Upstream
+    from quetzaldeck.upstreams.http import Said
     from quetzaldeck.upstreams.pools import ConnectionPool
 
 
@@ -30,12 +32,17 @@
 
     :param timeouts: timeouts of requests to an upstream
     :param on_replaced: called with the name of an upstream whose pool was replaced
+    :param on_said: called with the name of an upstream that rests or leaves
     """
 
     def __init__(
-        self, timeouts: UpstreamTimeouts, on_replaced: Callable[[str], None]
+        self,
+        timeouts: UpstreamTimeouts,
+        on_replaced: Callable[[str], None],
+        on_said: Callable[[str, Said], None] = ignore_said,
     ) -> None:
         self._timeouts = timeouts
+        self._on_said = on_said
         self._on_replaced = on_replaced
         self._pools = ConnectionPools()
         self._specs: dict[str, UpstreamSpec] = {}
@@ -65,7 +72,7 @@
         spec = self._specs[name]
         adapter = engine_protocols.get(spec.protocol)
         async with self._use(name) as pool:
-            yield adapter(spec, pool.session, self._timeouts)
+            yield adapter(spec, pool.session, self._timeouts, self._on_said)
 
     @asynccontextmanager
     async def use_service(self, name: str) -> AsyncIterator[ServiceUpstream]:
@@ -79,7 +86,11 @@
             with CallSilence(pool, self._timeouts.idle_ms) as silence:
                 try:
                     yield adapter(
-                        spec, pool.session, self._timeouts, silence.note_heard
+                        spec,
+                        pool.session,
+                        self._timeouts,
+                        self._on_said,
+                        silence.note_heard,
                     )
                 finally:
                     if silence.is_silent:
--- a/src/quetzaldeck/upstreams/http.py
+++ b/src/quetzaldeck/upstreams/http.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
 from aiohttp.http_exceptions import HttpProcessingError
 
 from quetzaldeck.decisions.decision import AttemptFault
 from quetzaldeck.http.answer_bounds import OverBoundError, log_over_bound
+from quetzaldeck.http.retry_after import read_retry_after_ms
 from quetzaldeck.upstreams.errors import UpstreamError
 
 if TYPE_CHECKING:
@@ -28,9 +29,22 @@
 HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
 INCARNATION_HEADER = "Quetzaldeck-Incarnation"
+LEAVING_HEADER = "Server-Leaving"
+"""``1`` in each response of an upstream that leaves."""
 MS_PER_SECOND = 1_000
-MAX_RETRY_AFTER_S = 3_600.0
-"""Cap on an upstream's ``Retry-After``: one hour."""
+
+
+class Said(NamedTuple):
+    """What an upstream says of itself with a response.
+
+    :param incarnation: ``""`` if it states none
+    :param rest_ms: time for which it wants nothing from this VM; ``None``: it says none
+    :param is_leaving: whether it says that it leaves
+    """
+
+    incarnation: str
+    rest_ms: float | None
+    is_leaving: bool
 
 
 def build_timeout(
@@ -116,6 +130,7 @@
     status = response.status
     if status < HTTP_CLIENT_ERROR:
         return
+    retry_after_ms = read_retry_after_ms(response.headers)
     if status == HTTP_CONFLICT:
         fault = AttemptFault.NO_ROOM
     elif status == HTTP_TOO_LARGE:
@@ -124,6 +139,8 @@
         fault = AttemptFault.BAD_ANSWER
     elif status in (HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE):
         fault = AttemptFault.OVERLOADED
+        if retry_after_ms:
+            fault, retry_after_ms = AttemptFault.RESTING, None
     elif status < HTTP_SERVER_ERROR:
         fault = AttemptFault.REFUSED
     else:
@@ -133,22 +150,29 @@
         f"{name}: HTTP status {status}",
         may_have_run=fault is not AttemptFault.NO_ROOM,
         upstream=name,
-        retry_after_ms=_read_retry_after(response.headers.get("Retry-After")),
+        retry_after_ms=retry_after_ms,
     )
 
 
-def _read_retry_after(text: str | None) -> float | None:
-    """:returns: value of the header in milliseconds; dates are ignored"""
-    if text is None or not text.isascii() or not text.strip().isdigit():
-        return None
-    return min(float(text), MAX_RETRY_AFTER_S) * MS_PER_SECOND
+def read_said(response: aiohttp.ClientResponse) -> Said:
+    """:returns: what an upstream says of itself with a response"""
+    rest_ms = None
+    if response.status in (HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE):
+        rest_ms = read_retry_after_ms(response.headers) or None
+    return Said(
+        response.headers.get(INCARNATION_HEADER, ""),
+        rest_ms,
+        response.headers.get(LEAVING_HEADER, "").strip() == "1",
+    )
 
 
 __all__ = (
     "INCARNATION_HEADER",
     "ResponseOrigin",
+    "Said",
     "build_timeout",
     "check_status",
     "is_refused",
+    "read_said",
     "translate_faults",
 )
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -58,6 +58,7 @@
         async with translate_faults(self._spec.name), AsyncExitStack() as stack:
             response = await watch.wait(send)
             self._note_heard()
+            self._note_said(response)
 
             async def read() -> bytes:
                 data = await watch.wait(response.content.readany)
--- a/src/quetzaldeck/upstreams/openai_engine.py
+++ b/src/quetzaldeck/upstreams/openai_engine.py
@@ -87,6 +87,7 @@
         async with translate_faults(name) as origin, AsyncExitStack() as stack:
             response = await watch.wait(send)
             origin.read_header(response)
+            self._note_said(response)
             incarnation = origin.incarnation
             check_status(name, response)
             is_complete = False
@@ -175,6 +176,7 @@
             await watch.wait(send) as response,
         ):
             origin.read_header(response)
+            self._note_said(response)
             check_status(name, response)
             async for data in _read_events(response, watch):
                 try:
@@ -240,6 +242,7 @@
             RunningTimeout(CONTROL_TIMEOUT_MS),
             self._session.get(self._spec.address + path, timeout=timeout) as response,
         ):
+            self._note_said(response)
             check_status(self._spec.name, response)
             return await read_body(response, MAX_CONTROL_BYTES)
 
@@ -254,6 +257,7 @@
                 timeout=timeout,
             ) as response,
         ):
+            self._note_said(response)
             check_status(self._spec.name, response)
             return await read_body(response, MAX_CONTROL_BYTES)
 
--- a/tests/belief/test_evacuated_zones.py
+++ b/tests/belief/test_evacuated_zones.py
@@ -78,10 +78,9 @@
     changes = (ZoneEvacuated("a"), ZoneRestored("a"), ZoneEvacuated("a"))
     vm.apply(SourceAnswer(8, changes))
     assert vm.belief.evacuated_zones == {"a"}
-    assert not vm.belief.accepts_work(REPLICA)
+    assert vm.belief.is_evacuated(REPLICA)
     vm.apply(SourceAnswer(9, (ZoneRestored("a"),)))
-    assert vm.belief.accepts_work(REPLICA)
-    assert not vm.belief.accepts_work(REPLICA._replace(is_leaving=True))
+    assert not vm.belief.is_evacuated(REPLICA)
 
 
 def test_complete_state_of_a_vm_that_is_behind_restores_no_zone() -> None:
--- a/tests/decisions/placement/test_first_token.py
+++ b/tests/decisions/placement/test_first_token.py
@@ -99,7 +99,7 @@
     policy: FirstToken, make_request: Callable[..., Request]
 ) -> None:
     pool = make_pool(4)
-    pool[1].is_leaving = True
+    pool[1].is_listed_leaving = True
     name, helpers = choose(policy, make_request(100_000), [pool[0], pool[1]])
     assert {name, *helpers} <= {"a0", "a1"}
     assert "a1" not in helpers
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -286,7 +286,7 @@
     answer = SourceAnswer(state.belief.revision + 1, (ZoneEvacuated(zone),))
     now_ms = state.clock.uptime_ms()
     state.belief.apply(answer, asked_ms=now_ms, now_ms=now_ms)
-    check = state.evacuations.check
+    check = state.availability.check
 
     def check_and_apply(upstreams: Iterable[str]) -> None:
         try:
@@ -295,7 +295,7 @@
             state.evacuations.apply()
             raise
 
-    state.evacuations.check = check_and_apply  # type: ignore[method-assign]
+    state.availability.check = check_and_apply  # type: ignore[method-assign]
 
 
 def test_latest_state_is_checked_right_before_a_request_is_sent() -> None:
--- a/tests/entry/test_shared_evacuations.py
+++ b/tests/entry/test_shared_evacuations.py
@@ -21,8 +21,9 @@
     names = ("e0", "d0")
     states = [vm.state.dispatch._scheduler.upstreams.get(name) for name in names]
     decides = all(s is not None and not s.accepts_work for s in states)
-    belief = vm.state.belief
-    checks = not any(belief.accepts_work(belief.replicas[name]) for name in names)
+    replicas = vm.state.belief.replicas
+    accepts_work = vm.state.availability.accepts_work
+    checks = not any(accepts_work(replicas[name]) for name in names)
     assert checks or not decides
     return checks and decides
 
