Let the soak ask for rest and announce leaving, and check what VMs send then

Cause: no fault of the soak asked for rest or said that a replica leaves. Change: two faults, for one, two or all replicas of a service, beside kills, freezes, cut replicas and an outage of the store; two checks by replica and VM.

--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -32,8 +32,15 @@
 LEAVING_TOLERANCE_MS = 400.0
 """Covers a request that was already on its way, on a busy machine."""
 
+MAX_IN_REST = 2
+REST_GRACE_MS = 500.0
+"""Requests of a VM that may reach a resting replica, and how long after it has asked
+for rest they do not count."""
+
 GENTLE_FAULTS = frozenset(
     {
+        "announce_leaving",
+        "ask_for_rest",
         "change_routes",
         "configure_often",
         "evacuate_zone",
@@ -235,6 +242,46 @@
             yield f"{replica}: {excess}"
 
 
+@register
+def rests_are_kept(history: History) -> Iterator[str]:
+    """A replica gets at most two requests of a VM while it has asked it for rest.
+
+    A VM that restarted, froze or was cut off is excused; the store excuses none.
+    """
+    for replica, rests in history.rests.items():
+        received = history.rate_limits[replica].received
+        for vm, at_ms, rest_ms in rests:
+            end_ms = at_ms + rest_ms
+            is_excused = history.is_disturbed(
+                vm, at_ms - REST_GRACE_MS, end_ms
+            ) or history.is_cut_off(vm, at_ms - REST_GRACE_MS, end_ms)
+            grace_ms = REST_GRACE_MS + history.max_loop_stall_ms(at_ms, end_ms)
+            n_received = sum(
+                request.vm == vm and at_ms + grace_ms < request.at_ms < end_ms
+                for request in received
+            )
+            if n_received > MAX_IN_REST and not is_excused:
+                yield f"{vm} sent {replica} {n_received} requests in {rest_ms:.0f} ms"
+
+
+@register
+def announced_leaving(history: History) -> Iterator[str]:
+    """A replica gets nothing more from a VM that it has told that it leaves.
+
+    A VM that restarted, froze or was cut off since is excused; the store excuses none.
+    """
+    for replica, told in history.told_leaving.items():
+        for request in history.rate_limits[replica].received:
+            told_ms = told.get(request.vm)
+            if told_ms is None:
+                continue
+            late_ms = request.at_ms - told_ms - LEAVING_MS - LEAVING_TOLERANCE_MS
+            span = (request.vm, told_ms - REST_GRACE_MS, request.at_ms)
+            is_excused = history.is_disturbed(*span) or history.is_cut_off(*span)
+            if late_ms > 0 and not is_excused:
+                yield f"{request.vm} sent {replica} a request {late_ms:.0f} ms too late"
+
+
 @register
 def culprits_stop(history: History) -> Iterator[str]:
     """A request that has crashed three replicas is not sent on by any VM.
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -46,6 +46,8 @@
 MAX_SILENCES = 4
 ENDLESS_S = (3.0, 4.0)
 EVACUATION_S = (2.5, 4.0)
+REST_S = (3.0, 5.0)
+"""How long replicas ask for rest, or say that they leave before their entry is gone."""
 VERSION_INTERVAL_S = (0.5, 1.5)
 N_ADDED_ROUTES = 20
 MAX_CHANGES = 4
@@ -225,6 +227,36 @@
     setattr(replica, field, 0.0)
 
 
+@register
+async def ask_for_rest(world: SoakWorld, random_state: random.Random) -> None:
+    """Replicas turn requests away and ask for rest: one, two or all of a service."""
+    service = random_state.choice([DESK, ENGINES])
+    names = [r for r in world.serving if world.services[r] == service]
+    n_resting = random_state.choice([1, 2, len(names)])
+    chosen = random_state.sample(names, min(n_resting, len(names)))
+    p_refused = random_state.choice([0.4, 1.0]) if len(chosen) < len(names) else 0.4
+    rest_s = random_state.choice([0.9, 1.5, 3.0])
+    for name in chosen:
+        world.replicas[name].rest_s = rest_s
+        world.replicas[name].p_refused = p_refused
+    await asyncio.sleep(random_state.uniform(*REST_S))
+    for name in chosen:
+        world.replicas[name].p_refused = 0.0
+        world.replicas[name].rest_s = 0.0
+
+
+@register
+async def announce_leaving(world: SoakWorld, random_state: random.Random) -> None:
+    """A replica says in its responses that it leaves, well before its entry does."""
+    replica_id = choose_replica(world, random_state)
+    await world.add_replica(world.services[replica_id])
+    world.replicas[replica_id].server.is_leaving = True
+    await asyncio.sleep(random_state.uniform(*REST_S))
+    if world.replicas[replica_id].server.is_leaving and replica_id in world.serving:
+        world.history.leaving_ms[replica_id] = now_ms()
+        world.store.delete(f"servers/{replica_id}")
+
+
 @register
 async def mute_replica(world: SoakWorld, random_state: random.Random) -> None:
     """A replica accepts requests but answers none; no health check detects it."""
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -101,6 +101,14 @@
     end_ms: float
 
 
+class Rest(NamedTuple):
+    """A replica turned a request of a VM away and asked for rest."""
+
+    vm: str
+    at_ms: float
+    rest_ms: float
+
+
 class RouteGap(NamedTuple):
     """The configuration had no route for some kinds of request for a while."""
 
@@ -129,8 +137,9 @@
     which a replica was marked as leaving, by replica, ``injections`` when each fault
     acted, excused or not, ``work_ends`` when replicas ended their work on each call,
     ``silences`` when replicas sent nothing, ``rate_limits`` what each replica
-    received and named, ``crashes`` what replicas got of requests that crash them, and
-    ``part_crashes`` what they got of prompts with parts that do.
+    received and named, ``rests`` what rest each replica asked for, ``told_leaving``
+    when it first told each VM that it leaves, ``crashes`` what replicas got of requests
+    that crash them, and ``part_crashes`` what they got of prompts with parts that do.
     """
 
     def __init__(self) -> None:
@@ -148,6 +157,8 @@
         self.loop_stalls: list[LoopStall] = []
         self.revoked_ms: dict[str, float] = {}
         self.leaving_ms: dict[str, float] = {}
+        self.rests: defaultdict[str, list[Rest]] = defaultdict(list)
+        self.told_leaving: defaultdict[str, dict[str, float]] = defaultdict(dict)
         self.crashes = CrashRecord()
         self.part_crashes = CrashRecord(N_PART_CRASHES)
         self.skews: list[Skew] = []
@@ -174,6 +185,15 @@
             for item in self.fault_intervals
         )
 
+    def is_cut_off(self, vm: str, begin_ms: float, end_ms: float) -> bool:
+        """:returns: whether a VM reached no replica at some time of a time span"""
+        return any(
+            vm in partition.vms
+            and partition.begin_ms < end_ms
+            and partition.end_ms > begin_ms
+            for partition in self.partitions
+        )
+
     def is_affected(self, target: str, begin_ms: float, end_ms: float) -> bool:
         """:returns: whether a fault affected a VM, or all VMs, in a time span"""
         return any(
@@ -206,6 +226,7 @@
     "History",
     "Partition",
     "RequestKind",
+    "Rest",
     "RouteGap",
     "Skew",
     "now_ms",
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from tests.soak.entry.endless import Endless, pour
-from tests.soak.entry.history import Culprit, Execution, now_ms
+from tests.soak.entry.history import Culprit, Execution, Rest, now_ms
 from tests.support.platform.crash_check import Sending
 from tests.support.platform.rate_limit_check import Naming, Received
 from tests.support.platform.replica import StandInReplica, event
@@ -31,8 +31,9 @@
 
     Faults set three probabilities: ``p_response_lost``, that a request runs but its
     response is lost; ``p_response_repeated``, that a response is sent twice;
-    ``p_refused``, that a request is refused without running. ``endless`` is what it
-    sends without end in place of answers.
+    ``p_refused``, that a request is refused without running, with ``rest_s`` as its
+    ``Retry-After`` if that is not 0. ``endless`` is what it sends without end in place
+    of answers.
     """
 
     def __init__(self, replica_id: str, world: SoakWorld) -> None:
@@ -43,6 +44,7 @@
         self.p_response_lost = 0.0
         self.p_response_repeated = 0.0
         self.p_refused = 0.0
+        self.rest_s = 0.0
         self.endless: Endless | None = None
         self._pace = 1.0
         self._has_crashed = False
@@ -80,8 +82,11 @@
             await connection.answer_not_executed(arrival, status=421)
             return
         self._record.received.append(Received(now_ms(), read_vm(arrival.call_id)))
+        if self.server.is_leaving:
+            told = self._history.told_leaving[self.replica_id]
+            told.setdefault(read_vm(arrival.call_id), now_ms())
         if self._draw(self.p_refused):
-            await connection.answer_not_executed(arrival)
+            await self._refuse(arrival, connection)
             return
         after = arrival.headers.get("last-event-id", "")
         owner = arrival.headers.get("quetzaldeck-tenant", "")
@@ -100,6 +105,14 @@
             ended = (self.replica_id, now_ms())
             self._history.work_ends[arrival.call_id].append(ended)
 
+    async def _refuse(self, arrival: Arrival, connection: Connection) -> None:
+        if not self.rest_s:
+            await connection.answer_not_executed(arrival)
+            return
+        rest = Rest(read_vm(arrival.call_id), now_ms(), self.rest_s * 1_000)
+        self._history.rests[self.replica_id].append(rest)
+        await connection.answer_not_executed(arrival, rest=f"{self.rest_s:g}")
+
     async def _run(self, arrival: Arrival, connection: Connection, after: str) -> None:
         if self.endless is not None:
             await pour(self.endless, arrival, connection)
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -8,9 +8,13 @@
 
 import pytest
 import uvloop
-from tests.soak.entry.checks import evacuated_zones
+from tests.soak.entry.checks import (
+    announced_leaving,
+    evacuated_zones,
+    rests_are_kept,
+)
 from tests.soak.entry.faults import FAULTS, PlannedFault, inject, plan_faults
-from tests.soak.entry.history import Evacuation, History
+from tests.soak.entry.history import Evacuation, History, Rest
 from tests.soak.entry.run import run_soak
 from tests.support.platform.rate_limit_check import Received
 
@@ -41,6 +45,8 @@
         "change_routes",
         "send_endless_bytes",
         "evacuate_zone",
+        "ask_for_rest",
+        "announce_leaving",
     }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
@@ -128,6 +134,41 @@
     assert result.n_calls > 200
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_resting_and_leaving_replicas_get_nothing_while_vms_and_the_store_fail(
+    seed: int,
+) -> None:
+    """Guards against requests to replicas that have asked for rest or said they leave.
+
+    The store is down meanwhile, and VMs start, freeze or are cut off.
+    """
+    plan = (
+        PlannedFault(0.2, "ask_for_rest", 10 * seed),
+        PlannedFault(0.6, "announce_leaving", 10 * seed + 1),
+        PlannedFault(1.0, "store_down", seed),
+        PlannedFault(2.0, "kill_vm", 1),
+        PlannedFault(2.5, "ask_for_rest", 10 * seed + 2),
+        PlannedFault(3.5, "cut_replica", 3),
+        PlannedFault(4.0, "freeze_vm", 2),
+        PlannedFault(5.0, "announce_leaving", 10 * seed + 3),
+        PlannedFault(6.0, "store_lapse", 4),
+    )
+    result = uvloop.run(run_soak(seed, duration_s=9.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
+def test_requests_in_a_rest_and_after_leaving_are_found() -> None:
+    """Guards against checks that find nothing, whatever replicas receive."""
+    history = History()
+    history.rests["r1"].append(Rest("vm", 0.0, 3_000.0))
+    history.told_leaving["r1"]["vm"] = 0.0
+    received = history.rate_limits["r1"].received
+    received += [Received(at_ms, "vm") for at_ms in (400.0, 600.0, 900.0, 2_900.0)]
+    assert len(list(rests_are_kept(history))) == 1
+    assert len(list(announced_leaving(history))) == 1
+
+
 def test_late_request_to_an_evacuated_zone_is_found() -> None:
     """Guards against a check that finds nothing, whatever replicas receive."""
     history = History()
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -188,6 +188,9 @@
         self.services[replica_id] = self.services[before]
         if keeps_id:
             self._ended.discard(before)
+            # The new process owes nothing for what the one before has said.
+            self.history.rests.pop(before, None)
+            self.history.told_leaving.pop(before, None)
             self._started_ms[before] = round(time.time() * 1_000)
         self.register(replica_id)
         if not keeps_id:
