Let placement see what upstreams have said, and test its decisions

Cause: each state of an upstream took an empty registry of its own, as an empty one is false; placement went on to choose resting upstreams, and only the last check before a send kept requests from them. A prompt that only resting engines can hold is refused at once.

--- a/src/quetzaldeck/decisions/placement/refusal_check.py
+++ b/src/quetzaldeck/decisions/placement/refusal_check.py
@@ -86,7 +86,9 @@
         if not self._table.has_restrictions(now_ms):
             return None
         pool = self._table.list_serving(request)
-        soonest = find_soonest(pool, now_ms)
+        large = [s for s in pool if request.n_kv_tokens <= s.spec.kv_tokens]
+        # A prompt that no single engine can hold may still run on several.
+        soonest = find_soonest(pool if request.service else large or pool, now_ms)
         if soonest is None:
             return None
         wait_ms = soonest.wait_ms(now_ms)
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -50,9 +50,9 @@
         self, spec: UpstreamSpec, statements: UpstreamStatements | None = None
     ) -> None:
         self.spec = spec
-        self._statements = statements or UpstreamStatements(
-            random_state=random.Random(0)
-        )
+        if statements is None:
+            statements = UpstreamStatements(random_state=random.Random(0))
+        self._statements = statements
         self.report: LoadReport | None = None
         self.reported_ms = 0.0
         self.is_listed_leaving = False
--- a/tests/entry/test_upstream_statements.py
+++ b/tests/entry/test_upstream_statements.py
@@ -8,6 +8,8 @@
 
 from tests.support.platform.site import BOOK_PATH, run_site
 
+from quetzaldeck.decisions.availability import ClosureCause
+
 if TYPE_CHECKING:
     from tests.support.platform.site import Site
 
@@ -36,6 +38,9 @@
         statuses = await send(site, REST_S - 0.5)
         assert statuses == {200: statuses.total()}
         assert len(resting.calls) == 1
+        closure = site.entry.session.state.dispatch.find_closure("d0")
+        assert closure is not None
+        assert closure.cause is ClosureCause.RESTING
         resting.rest = ""
         await send(site, 1.5)
         assert len(resting.calls) > 1
