Divert requests that wait as a replica says it leaves; test both interfaces

Cause: a request that waited for memory or a permit noticed only at its send that its replica had said that it leaves. Change: such attempts check their replicas at once, as after an evacuation, and end with the cause that the check names; stand-ins turn calls away, ask for rest and say that they leave. Tests: where a statement is made (call, stream, memory order, report), whose it is (421, At-Server), requests that wait for memory, a service of which all rest beside another one, and engines of the own interface, which wait 2.5 s for the rest of the upstream before.

--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -59,7 +59,7 @@
         self._claim = claim
         self._heard_ms = state.clock.now_ms()
         self._has_started = False
-        self._is_diverted = False
+        self._diversion: UpstreamError | None = None
         self.dispatch = dispatch
         self.is_left = False
         """Whether another attempt is to replace this one, which keeps running."""
@@ -108,41 +108,32 @@
         )
 
     def divert(self) -> None:
-        """End an attempt that is not sent yet if its upstream's zone was evacuated.
+        """End an attempt that is not sent yet if its upstream takes nothing new.
 
         One that has not started notices it itself.
         """
         is_waiting = self._has_started and self.runner.sent_ms is None
-        if self._is_diverted or not is_waiting or self.task.done():
+        if self._diversion is not None or not is_waiting or self.task.done():
             return
         try:
             self._state.availability.check(self.dispatch.upstreams)
-        except UpstreamError:
-            self._is_diverted = True
+        except UpstreamError as error:
+            self._diversion = error
             self.task.cancel()
 
     async def _run(self) -> web.StreamResponse:
         """:returns: the complete response
 
-        :raises UpstreamError: if the upstream failed, or its zone was evacuated
+        :raises UpstreamError: if the upstream failed, or takes nothing new
         :raises RequestError: if the call must not be sent, or its caller is gone
         """
         self._has_started = True
         try:
             return await self._make()
         except asyncio.CancelledError:
-            if not self._is_diverted or self.task.uncancel():
+            if self._diversion is None or self.task.uncancel():
                 raise
-            raise self._build_diversion() from None
-
-    def _build_diversion(self) -> UpstreamError:
-        return UpstreamError(
-            AttemptFault.EVACUATED,
-            f"{self.upstream}: the zone was evacuated before the request was sent",
-            may_have_run=False,
-            was_sent=False,
-            upstream=self.upstream,
-        )
+            raise self._diversion from None
 
     async def _make(self) -> web.StreamResponse:
         """:returns: the complete response
--- a/src/quetzaldeck/entry/evacuations.py
+++ b/src/quetzaldeck/entry/evacuations.py
@@ -44,7 +44,7 @@
 
     @contextmanager
     def watch(self, on_evacuated: Callable[[], None]) -> Iterator[None]:
-        """Call ``on_evacuated`` after each evacuation of a zone."""
+        """Call ``on_evacuated`` after each evacuation, and if a replica leaves."""
         self._watchers.add(on_evacuated)
         try:
             yield
@@ -63,10 +63,14 @@
         self._dispatch.send(ObserveEvacuations(zones))
         self._update_metrics(zones, before)
         if zones - before:
-            for on_evacuated in tuple(self._watchers):
-                on_evacuated()
+            self.divert_waiting()
         return before - zones
 
+    def divert_waiting(self) -> None:
+        """Have attempts that wait to be sent check their replicas now."""
+        for on_evacuated in tuple(self._watchers):
+            on_evacuated()
+
     def _update_metrics(self, zones: frozenset[str], before: frozenset[str]) -> None:
         self._metrics.evacuated_zones.set(len(zones))
         age_ms = self._belief.age_ms(self._clock.uptime_ms())
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -217,10 +217,10 @@
         name, incarnation = replica.replica_id, replica.incarnation
         if head.is_other_replica:
             name, incarnation = head.replica_id, ""
-        if name:
-            self._statement_notes.note(
-                name, incarnation, rest_ms=head.rest_ms, is_leaving=head.is_leaving
-            )
+        if name and self._statement_notes.note(
+            name, incarnation, rest_ms=head.rest_ms, is_leaving=head.is_leaving
+        ):
+            self.evacuations.divert_waiting()
 
     async def _probe(self, replica: Replica) -> bool:
         """Probe a replica; an engine reports without a free slot.
--- a/src/quetzaldeck/gateway/statement_notes.py
+++ b/src/quetzaldeck/gateway/statement_notes.py
@@ -44,16 +44,16 @@
         *,
         rest_ms: float | None,
         is_leaving: bool,
-    ) -> None:
+    ) -> bool:
         """Record what a response says.
 
         :param incarnation: of the upstream that responds; ``""`` if not known
         :param rest_ms: time for which it wants nothing from this VM; ``None``: none
+        :returns: whether the upstream has said for the first time that it leaves
         """
         if rest_ms:
             self._note_rest(upstream, incarnation, rest_ms)
-        if is_leaving:
-            self._note_leaving(upstream, incarnation)
+        return is_leaving and self._note_leaving(upstream, incarnation)
 
     def _note_rest(self, upstream: str, incarnation: str, rest_ms: float) -> None:
         self._metrics.rests.labels(upstream).inc()
@@ -69,7 +69,7 @@
             )
             self._dispatch.send(ObserveStatement(upstream))
 
-    def _note_leaving(self, upstream: str, incarnation: str) -> None:
+    def _note_leaving(self, upstream: str, incarnation: str) -> bool:
         statements = self._dispatch.statements
         if incarnation or self._has_unique_names:
             is_new = statements.note_leaving(upstream, incarnation)
@@ -79,6 +79,7 @@
         if is_new:
             log_event("upstream_leaves", upstream=upstream, incarnation=incarnation)
             self._dispatch.send(ObserveStatement(upstream))
+        return is_new
 
 
 __all__ = ("StatementNotes",)
--- a/src/quetzaldeck/standin/engine.py
+++ b/src/quetzaldeck/standin/engine.py
@@ -24,6 +24,7 @@
 from quetzaldeck.standin.engine_task import EngineTask, HeldSequence
 from quetzaldeck.standin.faults import EngineFaults
 from quetzaldeck.standin.group_routes import GroupRoutes, ImportFailedError
+from quetzaldeck.standin.statements import build_refusal, build_statement_headers
 from quetzaldeck.upstreams.attempt import Owner
 from quetzaldeck.upstreams.http import INCARNATION_HEADER
 from quetzaldeck.upstreams.sse import DONE, KEEP_ALIVE, encode_event
@@ -159,6 +160,7 @@
         return {
             "Content-Type": "text/event-stream",
             INCARNATION_HEADER: self._incarnation,
+            **build_statement_headers(self._faults),
         }
 
     async def _end_task(self) -> None:
@@ -169,6 +171,9 @@
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         body = msgspec.json.decode(await request.read())
+        refusal = build_refusal(self._faults)
+        if refusal is not None:
+            return refusal
         control = body["quetzaldeck"]
         prompt, delivered = split_delivered(body, control["offset"])
         sequence = build_sequence(body, prompt, delivered)
--- a/src/quetzaldeck/standin/faults.py
+++ b/src/quetzaldeck/standin/faults.py
@@ -47,6 +47,17 @@
             choices=ENDLESS_KINDS,
         ),
     ] = ""
+    rest_ms: Annotated[
+        int,
+        Option(
+            "Turns calls away and asks for so much rest; 0: it does not.",
+            unit="ms",
+            minimum=0,
+        ),
+    ] = 0
+    is_leaving: Annotated[
+        bool, Option("Says in each response to a call that it leaves.")
+    ] = False
 
 
 class ServiceFaults(NamedTuple):
@@ -68,6 +79,17 @@
             choices=ENDLESS_KINDS,
         ),
     ] = ""
+    rest_ms: Annotated[
+        int,
+        Option(
+            "Turns calls away and asks for so much rest; 0: it does not.",
+            unit="ms",
+            minimum=0,
+        ),
+    ] = 0
+    is_leaving: Annotated[
+        bool, Option("Says in each response to a call that it leaves.")
+    ] = False
 
 
 class ConfigurationFaults(NamedTuple):
--- a/src/quetzaldeck/standin/plain_service.py
+++ b/src/quetzaldeck/standin/plain_service.py
@@ -14,6 +14,7 @@
 from quetzaldeck.standin.base import StandinBase
 from quetzaldeck.standin.endless import pour
 from quetzaldeck.standin.faults import ServiceFaults
+from quetzaldeck.standin.statements import build_refusal, build_statement_headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,6 +66,9 @@
         if faults.n_crashes_before:
             self.faults = faults._replace(n_crashes_before=faults.n_crashes_before - 1)
             return await self._abort(request)
+        refusal = build_refusal(faults)
+        if refusal is not None:
+            return refusal
         key = request.headers.get("Idempotency-Key", "")
         digest = xxhash.xxh3_64_hexdigest(body)
         self._executions[key] += 1
@@ -79,7 +83,10 @@
         if faults.n_crashes_after:
             self.faults = faults._replace(n_crashes_after=faults.n_crashes_after - 1)
             return await self._abort(request)
-        return json_response({"key": key, "path": request.path, "digest": digest})
+        return json_response(
+            {"key": key, "path": request.path, "digest": digest},
+            headers=build_statement_headers(faults),
+        )
 
     async def _abort(self, request: web.Request) -> web.Response:
         """Abort the connection of a call, like a process that crashes."""
