Prefer other upstreams for a moment after one refused though it runs few requests

Cause: the same as for rests: a refusal is a sign of life only, and the upstream that runs nothing has the least work of all. Change: a refusal while less than half of the slots are known to be in use makes placement prefer others for 250 ms, doubled with each refusal in a row up to a second; if all refuse, none is avoided; an upstream at capacity is not.

--- a/src/quetzaldeck/decisions/attempts/monitor.py
+++ b/src/quetzaldeck/decisions/attempts/monitor.py
@@ -23,6 +23,9 @@
 """Faults after which upstreams may go on running the request: one that is silent, and
 the other members of a group when the connection to one breaks."""
 
+_TURNED_AWAY = frozenset((AttemptFault.OVERLOADED, AttemptFault.RESTING))
+"""Faults by which an upstream says that it did not run a request."""
+
 _FAILURES = frozenset(
     (
         AttemptFault.FAILED,
@@ -116,12 +119,24 @@
             self._poison.ends.note_ended(name, now_ms)
         if end.fault is AttemptFault.BROKEN:
             self._note_crash(request, end, state, now_ms)
-        if _is_help_refused(end, upstreams):
-            state.note_help_refused(now_ms)
+        self._note_refusal(end, upstreams, state, now_ms)
         if end.fault in _FAILURES:
             state.outcomes.note(now_ms, is_answered=False)
         return state.health.note_fault(end.attempt_id, end.fault, now_ms)
 
+    def _note_refusal(
+        self,
+        end: AttemptEnd,
+        upstreams: Sequence[str],
+        state: UpstreamState,
+        now_ms: float,
+    ) -> None:
+        """Record that an upstream refused a request, or a part of a prompt."""
+        if _is_help_refused(end, upstreams):
+            state.note_help_refused(now_ms)
+        elif end.fault in _TURNED_AWAY and end.was_sent:
+            state.note_turned_away(now_ms)
+
     def _note_crash(
         self, request: Request, end: AttemptEnd, state: UpstreamState, now_ms: float
     ) -> None:
--- a/src/quetzaldeck/decisions/placement/exclusion.py
+++ b/src/quetzaldeck/decisions/placement/exclusion.py
@@ -23,6 +23,7 @@
     NOT_SAMPLED = "not_sampled"
     FAILING = "failing"
     SLOW = "slow"
+    REFUSING = "refusing"
     PROMPT_PARTS = "prompt_parts"
     HEAD_OF_LINE = "head_of_line"
 
--- a/src/quetzaldeck/decisions/placement/search.py
+++ b/src/quetzaldeck/decisions/placement/search.py
@@ -256,12 +256,14 @@
             return None
         sound = exclude_failing(candidates, pool, now_ms)
         fast = exclude_slow(sound, pool, now_ms)
-        untried = [state for state in fast if state.spec.name not in avoided] or fast
+        taking = [s for s in fast if not s.is_refusing(now_ms)] or fast
+        untried = [s for s in taking if s.spec.name not in avoided] or taking
         allowed = self._head_of_line.restrict(request, untried, now_ms)
         if self.trace is not None:
             self.trace.note_candidates(candidates)
             self.trace.note_filter(Exclusion.FAILING, candidates, sound)
             self.trace.note_filter(Exclusion.SLOW, sound, fast)
+            self.trace.note_filter(Exclusion.REFUSING, fast, taking)
             self.trace.note_filter(Exclusion.HEAD_OF_LINE, untried, allowed)
         return allowed
 
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -11,6 +11,7 @@
 from quetzaldeck.decisions.health.help_refusals import HelpRefusals
 from quetzaldeck.decisions.health.outcomes import DecayingOutcomes, Outcomes
 from quetzaldeck.decisions.health.pace import Pace
+from quetzaldeck.decisions.health.turn_aways import TurnAways
 from quetzaldeck.decisions.loads.peer_load import PeerLoad, VmLoad
 from quetzaldeck.decisions.memory import InFlightAttempt, MemoryLedger
 from quetzaldeck.decisions.prefill_backlog import PrefillBacklog
@@ -66,6 +67,7 @@
         self.pace = Pace()
         self.pacing = Pacing()
         self._help_refusals = HelpRefusals()
+        self._turn_aways = TurnAways()
         self._incarnation = ""
         self._backlog = PrefillBacklog()
 
@@ -117,6 +119,7 @@
 
     def note_accepted(self, sent_ms: float) -> None:
         """Record that it has accepted a request that was sent at a time."""
+        self._turn_aways.note_accepted()
         self._statements.note_accepted(self.spec.name, sent_ms)
 
     def _runs_since(self, begin_ms: float) -> bool:
@@ -147,6 +150,7 @@
         self.pace = Pace()
         self.pacing = Pacing()
         self._help_refusals = HelpRefusals()
+        self._turn_aways = TurnAways()
         self._backlog = PrefillBacklog()
 
     def is_other_incarnation(self, incarnation: str) -> bool:
@@ -307,6 +311,17 @@
             n_parts = self.n_parts(now_ms)
             self._help_refusals.note(n_parts, figures.n_slots, now_ms)
 
+    def note_turned_away(self, now_ms: float) -> None:
+        """Record that it refused an attempt of this VM, which is still counted."""
+        max_requests = self.spec.max_requests
+        if max_requests:
+            n_others = self.n_requests(now_ms) - 1
+            self._turn_aways.note_refused(n_others, max_requests, now_ms)
+
+    def is_refusing(self, now_ms: float) -> bool:
+        """:returns: whether it has just refused a request although it runs few"""
+        return self._turn_aways.is_refusing(now_ms)
+
     def slow_factor(self, peer_ms_per_token: float | None, now_ms: float) -> float:
         """:returns: 1, or how many times slower than its peers if it is slow
 
--- a/tests/decisions/test_availability.py
+++ b/tests/decisions/test_availability.py
@@ -11,6 +11,7 @@
 
 import pytest
 from tests.support.builders import (
+    FEW_SLOTS,
     make_entry_scheduler,
     make_request,
     make_scheduler,
@@ -25,6 +26,7 @@
     TRIAL_MS,
 )
 from quetzaldeck.decisions.explanations import Outcome, WaitCause
+from quetzaldeck.decisions.health.turn_aways import FIRST_HOLD_MS
 from quetzaldeck.decisions.placement.exclusion import Exclusion
 from quetzaldeck.outcomes import Failure, Ran, Reason
 
@@ -260,3 +262,26 @@
     scheduler.upstreams.statements.note_leaving("e0", "")
     excluded = {c.name: c.excluded_by for c in scheduler.explain(request).candidates}
     assert excluded["e0"] is Exclusion.LEAVING
+
+
+@pytest.mark.parametrize("is_full", [False, True])
+def test_idle_upstream_that_refuses_is_avoided_for_a_moment(
+    clock: ManualClock, *, is_full: bool
+) -> None:
+    """Guards against an upstream that refuses without a time and attracts all work."""
+    scheduler = make_entry_scheduler(clock, NAMES)
+    for _ in range(FEW_SLOTS.n_slots * 2 if is_full else 0):
+        assert isinstance(submit(scheduler, clock), Dispatch)
+    dispatch = submit(scheduler, clock)
+    assert isinstance(dispatch, Dispatch)
+    refusing = dispatch.upstreams[-1]
+    end = turn_away(dispatch)._replace(fault=AttemptFault.OVERLOADED)
+    assert scheduler.end_attempt(end) is None
+    state = scheduler.upstreams.get(refusing)
+    assert state is not None
+    assert state.is_refusing(clock.now_ms()) is not is_full
+    clock.advance(FIRST_HOLD_MS)
+    assert not state.is_refusing(clock.now_ms())
+    for other in scheduler.upstreams:
+        other.note_turned_away(clock.now_ms())
+    assert submit(scheduler, clock) is not None, "if all refuse, none is avoided"
