Let requests wait for the end of a rest until their latest start

Cause: where all upstreams of a service rest, a request waited for half of its time at most, as for a turn at a rate limit, and was refused although it could have been served after the rest. Change: rests are compared with the latest start, rate limits with half of the time as before; the soak of the own interface turns calls away and leaves.

--- a/src/quetzaldeck/decisions/placement/refusal_check.py
+++ b/src/quetzaldeck/decisions/placement/refusal_check.py
@@ -7,6 +7,7 @@
 from quetzaldeck.decisions.availability.statements import TRIAL_MS
 from quetzaldeck.decisions.placement.candidates import find_soonest
 from quetzaldeck.decisions.placement.path_verdicts import NO_UPSTREAM_RETRY_MS
+from quetzaldeck.decisions.rate_limits import latest_turn_ms
 from quetzaldeck.outcomes import Failure, Reason
 
 if TYPE_CHECKING:
@@ -74,14 +75,15 @@
         )
 
     def check_restrictions(
-        self, request: Request, now_ms: float, latest_turn_ms: float
+        self, request: Request, now_ms: float, latest_start_ms: float
     ) -> Failure | None:
         """Refuse a request that no upstream takes in time.
 
         That is if all rest or limit their rate. The callers of such requests get
         different retry times, so that they do not all compete for the next turn.
 
-        :param latest_turn_ms: latest time at which the request may get its turn
+        :param latest_start_ms: time after which even the fastest answer would be too
+            late
         """
         if not self._table.has_restrictions(now_ms):
             return None
@@ -92,15 +94,18 @@
         if soonest is None:
             return None
         wait_ms = soonest.wait_ms(now_ms)
-        if now_ms + wait_ms <= latest_turn_ms:
-            return None
         is_resting = soonest.rest_wait_ms(now_ms) > 0.0
+        latest_ms = latest_start_ms
+        if not is_resting:
+            latest_ms = latest_turn_ms(latest_start_ms, now_ms)
+        if now_ms + wait_ms <= latest_ms:
+            return None
         spread_ms = TRIAL_MS if is_resting else soonest.pacing.interval_ms
         what = "rest or limit their rate" if is_resting else "limit their rate"
         detail = (
             f"{request.target}: all upstreams {what}, and the next one takes "
             f"a request in {wait_ms:.0f} ms; the caller can wait "
-            f"{max(0.0, latest_turn_ms - now_ms):.0f} ms"
+            f"{max(0.0, latest_ms - now_ms):.0f} ms"
         )
         return Failure(
             Reason.UPSTREAM_RESTING if is_resting else Reason.UPSTREAM_RATE_LIMITED,
--- a/src/quetzaldeck/decisions/scheduling/arrival_check.py
+++ b/src/quetzaldeck/decisions/scheduling/arrival_check.py
@@ -48,7 +48,7 @@
         refusal = self._refusals.check(request, now_ms)
         latest_ms = self.latest_turn_ms(request, now_ms)
         refusal = refusal or self._refusals.check_restrictions(
-            request, now_ms, latest_ms
+            request, now_ms, self._admission.latest_start_ms(request)
         )
         refusal = refusal or self._limits.check(request, now_ms)
         if refusal is not None:
@@ -58,7 +58,7 @@
 
     def latest_turn_ms(self, request: Request, now_ms: float) -> float:
         """:returns: latest time at which a request may get its turn at an upstream"""
-        if not self._table.has_restrictions(now_ms):
+        if not self._table.has_rate_limits:
             return request.deadline_ms
         return latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
 
--- a/src/quetzaldeck/decisions/scheduling/failed_attempts.py
+++ b/src/quetzaldeck/decisions/scheduling/failed_attempts.py
@@ -11,7 +11,6 @@
 
 from quetzaldeck.decisions.attempts.tracked import TrackedRequest
 from quetzaldeck.decisions.decision import AttemptFault
-from quetzaldeck.decisions.rate_limits import latest_turn_ms
 from quetzaldeck.decisions.retries import NO_CHARGE, Retry, grow_estimate
 from quetzaldeck.outcomes import Failure, Ran, Reason
 
@@ -125,7 +124,7 @@
         if failure is None:
             latest_start_ms = self._admission.latest_start_ms(request)
             failure = self._refusals.check_restrictions(
-                request, now_ms, latest_turn_ms(latest_start_ms, now_ms)
+                request, now_ms, latest_start_ms
             )
         if failure is not None:
             return failure._replace(ran=history.ran)
--- a/src/quetzaldeck/decisions/scheduling/queue_sweep.py
+++ b/src/quetzaldeck/decisions/scheduling/queue_sweep.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.decision import Rejection
-from quetzaldeck.decisions.rate_limits import latest_turn_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -107,7 +106,7 @@
         """Reject requests that no upstream takes in time: all rest or limit rates."""
         waiting = tuple(self._waiting) if self._table.has_restrictions(now_ms) else ()
         for request in waiting:
-            latest_ms = latest_turn_ms(self._admission.latest_start_ms(request), now_ms)
+            latest_ms = self._admission.latest_start_ms(request)
             failure = self._refusals.check_restrictions(request, now_ms, latest_ms)
             if failure is not None:
                 yield self._reject(request, failure, now_ms)
--- a/tests/soak/own/faults/upstreams.py
+++ b/tests/soak/own/faults/upstreams.py
@@ -18,6 +18,7 @@
 DOWN_MS = 1_500.0
 PAUSE_MS = 3_000.0
 LOAD_LAG_MS = 3_000
+REST_MS = 1_500
 CACHE_EVENT_GAP = 3
 N_ABORTED_CALLS = 5
 N_POISON_SENDS = 12
@@ -101,6 +102,33 @@
             engine.faults = EngineFaults()
 
 
+@faults.register("resting_engine")
+class RestingEngine(_SingleEngineFault):
+    """An engine turns all calls away and asks for rest."""
+
+    async def begin(self) -> None:
+        """Turn calls away."""
+        self._engine.faults = EngineFaults(rest_ms=REST_MS)
+
+    async def end(self) -> None:
+        """Run calls again."""
+        self._engine.faults = EngineFaults()
+
+
+@faults.register("leaving_engine")
+class LeavingEngine(_SingleEngineFault):
+    """An engine says that it leaves, before the list does, and starts again."""
+
+    async def begin(self) -> None:
+        """Say so in each response."""
+        self._engine.faults = EngineFaults(is_leaving=True)
+
+    async def end(self) -> None:
+        """Start a new incarnation, which stays."""
+        self._engine.faults = EngineFaults()
+        self._engine.start_fault(self._engine.crash(DOWN_MS))
+
+
 @faults.register("service_breaks_off")
 class ServiceAborts(Fault):
     """Replicas abort calls, some before they run and some after."""
--- a/tests/soak/test_fault_run.py
+++ b/tests/soak/test_fault_run.py
@@ -30,9 +30,9 @@
         return await FaultRun(settings, control, choose_port).run()
 
 
-@pytest.mark.parametrize("fault_name", ["kill_vm", "partition"])
+@pytest.mark.parametrize("fault_name", ["kill_vm", "partition", "resting_engine"])
 def test_fault_run_violates_no_invariant(tmp_path: Path, fault_name: str) -> None:
-    """A VM is killed, or agents are partitioned, under bookings and model calls.
+    """Faults of VMs, agents and engines under bookings and model calls.
 
     Callers resend bookings through other VMs; no call may run twice, get lost or
     receive the answer to another call.
