Count only requests sent after a refusal as the end of a row of refusals

Cause: a stream that began before an upstream started to refuse reset the time for which others are preferred; a test of retries described a delay that no adapter asks for any more. Change: the time of the last refusal is kept; the tests use a fault that still has a Retry-After, and one shows that a request turned away is not delayed; unused code is gone.

--- a/src/quetzaldeck/decisions/availability/statements.py
+++ b/src/quetzaldeck/decisions/availability/statements.py
@@ -139,17 +139,13 @@
     def expire(self, now_ms: float) -> None:
         """Forget what no longer holds."""
         for upstream, statement in tuple(self._statements.items()):
-            if statement.leaves_until_ms <= now_ms:
+            if statement.is_leaving and statement.leaves_until_ms <= now_ms:
                 statement = statement._replace(leaves_until_ms=-math.inf)
                 self._statements[upstream] = statement
             is_over = statement.rest_until_ms + TRIAL_MS <= now_ms
             if is_over and not statement.is_leaving:
                 del self._statements[upstream]
 
-    def forget(self, upstream: str) -> None:
-        """Forget what an upstream has said, as its process has ended."""
-        self._statements.pop(upstream, None)
-
     def _find_own(self, upstream: str, incarnation: str) -> Statement | None:
         """:returns: the statement to add to; ``None``: a later incarnation made one"""
         statement = self._statements.get(upstream)
--- a/src/quetzaldeck/decisions/health/turn_aways.py
+++ b/src/quetzaldeck/decisions/health/turn_aways.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self._n_in_row = 0
+        self._refused_ms = float("-inf")
         self._until_ms = float("-inf")
 
     def note_refused(self, n_requests: int, max_requests: int, now_ms: float) -> None:
@@ -40,11 +41,16 @@
             return
         hold_ms = min(MAX_HOLD_MS, FIRST_HOLD_MS * 2**self._n_in_row)
         self._n_in_row += hold_ms < MAX_HOLD_MS
+        self._refused_ms = now_ms
         self._until_ms = now_ms + hold_ms
 
-    def note_accepted(self) -> None:
-        """Record that a request was accepted."""
-        self._n_in_row = 0
+    def note_accepted(self, sent_ms: float) -> None:
+        """Record that a request was accepted; an earlier one ends no row of refusals.
+
+        :param sent_ms: when it was sent
+        """
+        if sent_ms >= self._refused_ms:
+            self._n_in_row = 0
 
     def is_refusing(self, now_ms: float) -> bool:
         """:returns: whether other upstreams are preferred"""
--- a/src/quetzaldeck/decisions/upstream_state.py
+++ b/src/quetzaldeck/decisions/upstream_state.py
@@ -119,7 +119,7 @@
 
     def note_accepted(self, sent_ms: float) -> None:
         """Record that it has accepted a request that was sent at a time."""
-        self._turn_aways.note_accepted()
+        self._turn_aways.note_accepted(sent_ms)
         self._statements.note_accepted(self.spec.name, sent_ms)
 
     def _runs_since(self, begin_ms: float) -> bool:
--- a/tests/decisions/retries/test_retry_policy.py
+++ b/tests/decisions/retries/test_retry_policy.py
@@ -54,18 +54,25 @@
 
 
 def test_decide_waits_for_the_retry_after_of_the_upstream() -> None:
-    end = AttemptEnd("a", AttemptFault.OVERLOADED, retry_after_ms=3_000)
+    end = AttemptEnd("a", AttemptFault.FAILED, retry_after_ms=3_000)
     retry = decide(end)
     assert isinstance(retry, Retry)
     assert retry.due_ms >= NOW_MS + 3_000
 
 
+def test_request_goes_elsewhere_at_once_if_its_upstream_rests() -> None:
+    """Guards against a request that waits for one upstream while others are free."""
+    retry = decide(AttemptEnd("a", AttemptFault.RESTING, may_have_run=False))
+    assert isinstance(retry, Retry)
+    assert retry.due_ms == NOW_MS
+
+
 def test_decide_fails_at_once_if_the_retry_would_miss_the_deadline() -> None:
     """The upstream asks for a retry after the caller's deadline.
 
     The caller should get the failure now instead of at its deadline.
     """
-    end = AttemptEnd("a", AttemptFault.OVERLOADED, retry_after_ms=3_000)
+    end = AttemptEnd("a", AttemptFault.FAILED, retry_after_ms=3_000)
     failure = decide(end, timeout_ms=2_000)
     assert isinstance(failure, Failure)
     assert failure.reason is Reason.UPSTREAM_FAILED
