--- a/tests/decisions/test_availability.py
+++ b/tests/decisions/test_availability.py
@@ -19,7 +19,11 @@
 )
 
 from quetzaldeck.decisions import AttemptEnd, AttemptFault, Dispatch, Rejection
-from quetzaldeck.decisions.availability import UpstreamStatements
+from quetzaldeck.decisions.availability import (
+    ClosureCause,
+    UpstreamStatements,
+    find_closure,
+)
 from quetzaldeck.decisions.availability.statements import (
     MAX_UPSTREAMS,
     RETURN_SPREAD_MS,
@@ -285,3 +289,11 @@
     for other in scheduler.upstreams:
         other.note_turned_away(clock.now_ms())
     assert submit(scheduler, clock) is not None, "if all refuse, none is avoided"
+
+
+@pytest.mark.parametrize("is_evacuated", [False, True])
+def test_listed_leaving_closes_an_upstream(*, is_evacuated: bool) -> None:
+    """Guards against new work for a replica whose entry says that it leaves."""
+    closure = find_closure(None, 0.0, is_listed_leaving=True, is_evacuated=is_evacuated)
+    assert closure is not None
+    assert closure.cause is ClosureCause.LEAVING
