--- a/review/support/world.py
+++ b/review/support/world.py
@@ -448,6 +448,8 @@
                 self.world.record.write(f"{self.name} is ready")
                 return
             await asyncio.sleep(0.05)
+        tail = self.log_path.read_text(encoding="utf-8")[-2_000:]
+        self.world.record.write(f"log of {self.name}: {tail}")
         msg = f"{self.name} is not ready after {timeout_s} s"
         raise RuntimeError(msg)
 
