--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,134 +1,138 @@
-"""A VM is stopped with SIGTERM while clients slowly read answers that are complete."""
+"""A replica sends a second copy of a rejection where the next answer is expected."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
+import random
 import sys
-import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-import signal
-
 from review.support.world import (
     Replica,
     World,
     build_call,
     build_route,
+    exchange,
     has_trouble,
     run_case,
 )
 
-N_CLIENTS = 5
-BODY = b"x" * 800_000
-DEADLINE_MS = 15_000
-SLOW_S = 5.0
-"""Time for which a client reads slowly; then it reads as fast as it can."""
-SLOW_BYTES = 2_048
-SLOW_INTERVAL_S = 0.1
-TERM_DELAY_S = 0.3
-MAX_SEGMENT = 1_460
-"""Segment size of an Ethernet, as loopback would have segments of 64 KiB."""
+SEED = 1
+LENGTH_S = 90.0
+REQUESTS_PER_S = 90.0
+DEADLINE_MS = 1_000
+N_VMS = 2
+N_SLOTS = 2
+N_QUEUED = 1
+WORK_S = 0.04
+COPIED_SHARE = 0.03
+"""Largest share of its answers that a faulty replica sends twice."""
+LEAVING_SHARE = 0.3
+LEAVING_S = 0.01
+
+
+class App(Replica):
+    """Runs what fits into its slots and its queue, and rejects the rest.
+
+    It finishes what it runs when a connection closes; only most replicas drop that.
+    """
 
+    n_slots = N_SLOTS
+    is_faulty = False
 
-class AppReplica(Replica):
-    """Answers at once with a body of 800 kB."""
+    def __init__(self, *args) -> None:
+        super().__init__(*args, work_s=WORK_S)
+        self._slots = asyncio.Semaphore(N_SLOTS)
+        self._n_held = 0
+        self._copies: dict[object, tuple[str, bytes]] = {}
+        self.n_answers = self.n_rejected = self.n_copies = 0
 
     async def serve(self, message, reader, writer) -> bool:
-        self.note_run(message)
-        writer.write(self.answer(message, BODY))
+        call_id, copied = message.call_id, self._copies.pop(writer, None)
+        if copied is not None:
+            writer.write(copied[1])
+            self.world.record.write(
+                f"replica {self.name} sends the rejection of {copied[0]} again, where "
+                f"the answer to {call_id} is expected"
+            )
+        if self._n_held >= N_SLOTS + N_QUEUED:
+            self.n_answers += 1
+            self.n_rejected += 1
+            rejection = self.not_executed(message)
+            writer.write(rejection)
+            self.world.record.write(f"replica {self.name} rejects {call_id}, not run")
+            may_copy = self.n_copies + 1 <= COPIED_SHARE * self.n_answers
+            if self.is_faulty and has_trouble() and may_copy:
+                self.n_copies += 1
+                self._copies[writer] = (call_id, rejection)
+            return True
+        self._n_held += 1
+        try:
+            async with self._slots:
+                self.note_run(message)
+                await asyncio.sleep(self.work_s)
+        finally:
+            self._n_held -= 1
+        self.n_answers += 1
+        self.world.record.write(f"replica {self.name} answers {call_id} 200")
+        writer.write(self.answer(message))
         await writer.drain()
-        self.world.record.write(f"replica {self.name} has answered {message.call_id}")
         return True
 
 
-class SlowClient:
-    """Sends one request and reads its answer, slowly at first."""
-
-    def __init__(self, world: World, address: tuple[str, int], call_id: str) -> None:
-        self._world = world
-        self._address = address
-        self.call_id = call_id
-        self.data = b""
-        self.ended_s = 0.0
-
-    @property
-    def is_complete(self) -> bool:
-        head, end, body = self.data.partition(b"\r\n\r\n")
-        return bool(end) and head.startswith(b"HTTP/1.1 200") and len(body) == len(BODY)
-
-    async def run(self) -> None:
-        loop = asyncio.get_running_loop()
-        with socket.socket() as sock:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, MAX_SEGMENT)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
-            await loop.sock_connect(sock, self._address)
-            call = build_call(self.call_id, "/app/x", deadline_ms=DEADLINE_MS)
-            await loop.sock_sendall(sock, call)
-            start = time.monotonic()
-            self._world.record.write(f"client sends {self.call_id}")
-            while not self.is_complete:
-                is_slow = time.monotonic() - start < SLOW_S
-                try:
-                    data = await loop.sock_recv(sock, SLOW_BYTES if is_slow else 65_536)
-                except OSError as error:
-                    self._world.record.write(f"client {self.call_id}: {error!r}")
-                    break
-                if not data:
-                    break
-                self.data += data
-                if is_slow:
-                    await asyncio.sleep(SLOW_INTERVAL_S)
-        self.ended_s = time.monotonic() - start
-        self._world.record.write(
-            f"client {self.call_id}: {len(self.data)} bytes after {self.ended_s:.1f} s, "
-            f"{'complete' if self.is_complete else 'CUT OFF'}"
-        )
+async def call(world: World, vm, call_id: str, answers: dict, *, leaves: bool) -> None:
+    """Send a request; a client that leaves closes its connection early."""
+    request = build_call(call_id, "/book/x", deadline_ms=DEADLINE_MS)
+    try:
+        async with asyncio.timeout(LEAVING_S if leaves else DEADLINE_MS / 1_000):
+            answer = await exchange(vm.callers, request)
+            answers[call_id] = "closed" if answer is None else str(answer.status)
+    except TimeoutError:
+        answers[call_id] = "left" if leaves else "deadline"
+    world.record.write(f"client {call_id} at {vm.name}: {answers[call_id]}")
 
 
 async def case(folder: Path) -> list[str]:
-    bounds = {"stableWindowMs": 4_000, "drainMs": 3_000, "configApplyMs": 3_000}
-    async with World(folder, **bounds) as world:
-        route = build_route("app", "app", "non_idempotent", timeout_ms=DEADLINE_MS)
-        world.configure([route])
-        await world.add_replica(AppReplica(world, "i-1", "app"))
-        vm, other = world.add_vm(), world.add_vm()
-        await asyncio.gather(vm.start(), other.start())
-        # The VMs have been in touch for longer than stableWindowMs.
-        await asyncio.sleep(5.0)
-        clients = [
-            SlowClient(world, vm.callers, f"c0ffee00000000{n:02x}")
-            for n in range(N_CLIENTS)
-        ]
-        tasks = [asyncio.create_task(client.run()) for client in clients]
-        await asyncio.sleep(TERM_DELAY_S)
-        stopped = None
-        if has_trouble():
-            vm.signal(signal.SIGTERM)
-            term_s = time.monotonic()
-            status = await vm.process.wait()
-            stopped = time.monotonic() - term_s
-            world.record.write(f"{vm.name} has ended with {status}, {stopped:.1f} s after")
+    random_state = random.Random(SEED)
+    async with World(folder) as world:
+        world.configure([build_route("book", "app", "non_idempotent")])
+        replicas = [App(world, f"i-{n}", "app") for n in (1, 2)]
+        replicas[0].is_faulty = True
+        for replica in replicas:
+            await world.add_replica(replica)
+        vms = [world.add_vm() for _ in range(N_VMS)]
+        await asyncio.gather(*(vm.start() for vm in vms))
+        await asyncio.sleep(4.0)
+        answers: dict[str, str] = {}
+        tasks = []
+        end_s = world.record.now() + LENGTH_S
+        while world.record.now() < end_s:
+            await asyncio.sleep(random_state.expovariate(REQUESTS_PER_S))
+            call_id = f"{len(tasks):016x}"
+            vm = random_state.choice(vms)
+            leaves = random_state.random() < LEAVING_SHARE
+            tasks.append(
+                asyncio.create_task(call(world, vm, call_id, answers, leaves=leaves))
+            )
         await asyncio.gather(*tasks)
-        lines = vm.log_path.read_text(encoding="utf-8").splitlines()
-        for line in lines:
-            if "shutdown_phase" in line or "unsent" in line or "event=stopped" in line:
-                world.record.write(f"log of {vm.name}: {line.partition(' ')[2]}")
-        grace_s = 8.0
-        return [
-            f"{client.call_id}: read whole, run once, answered by the replica; the "
-            f"connection ended after {len(client.data)} of {len(BODY)} bytes, "
-            f"{stopped:.1f} s after the SIGTERM of its VM"
-            for client in clients
-            if not client.is_complete
-            and world.count_runs(client.call_id) == 1
-            and client.ended_s * 1_000 < DEADLINE_MS
-            and stopped is not None
-            and stopped < grace_s + 1
-        ]
+        await asyncio.sleep(1.0)
+        world.record.write(f"clients: {dict(Counter(answers.values()))}")
+        for replica in replicas:
+            world.record.write(
+                f"replica {replica.name}: {replica.n_answers} answers, of these "
+                f"{replica.n_rejected} rejections, {replica.n_copies} of them twice"
+            )
+        breaches = []
+        for call_id, answer in answers.items():
+            n_runs = world.count_runs(call_id)
+            if n_runs > 1:
+                breaches.append(f"TWICE: {call_id} ran {n_runs} times")
+            if n_runs and answer in ("408", "421", "429", "503"):
+                breaches.append(f"REFUSED: {call_id} ran, and its client got {answer}")
+        return breaches
 
 
 if __name__ == "__main__":
