--- a/review/support/world.py
+++ b/review/support/world.py
@@ -182,7 +182,10 @@
         return await read_message(reader)
 
     async def handle(
-        self, message: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        message: Message,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         """:returns: whether the connection stays open"""
         raise NotImplementedError
@@ -217,7 +220,10 @@
         self._changed = asyncio.Event()
 
     async def handle(
-        self, message: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        message: Message,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         path, _, query = message.target.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
@@ -347,7 +353,10 @@
         self.world.record.write(f"replica {self.name} runs {message.call_id}")
 
     async def handle(
-        self, message: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        message: Message,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         if message.target == "/healthz":
             writer.write(build_response(200, {"Quetzaldeck-Instance-Id": self.name}))
@@ -362,7 +371,10 @@
         return await self.serve(message, reader, writer)
 
     async def serve(
-        self, message: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        message: Message,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         """Run a request; :returns: whether the connection stays open"""
         self.note_run(message)
