--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import sys
 from collections import Counter
@@ -16,10 +17,11 @@
     build_call,
     build_route,
     exchange,
-    has_trouble,
     run_case,
 )
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the disruption is left out."""
 SEED = 1
 LENGTH_S = 90.0
 REQUESTS_PER_S = 90.0
@@ -65,7 +67,7 @@
             writer.write(rejection)
             self.world.record.write(f"replica {self.name} rejects {call_id}, not run")
             may_copy = self.n_copies + 1 <= COPIED_SHARE * self.n_answers
-            if self.is_faulty and has_trouble() and may_copy:
+            if self.is_faulty and HAS_TROUBLE and may_copy:
                 self.n_copies += 1
                 self._copies[writer] = (call_id, rejection)
             return True
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -10,8 +11,10 @@
 
 import signal
 
-from review.support.world import Replica, World, build_route, has_trouble, run_case
+from review.support.world import Replica, World, build_route, run_case
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the disruption is left out."""
 N_VMS = 4
 N_RESTARTED = 2
 N_ROUNDS = 3
@@ -37,7 +40,7 @@
     vm.seeds = [*vm.seeds[:2], vm.world.vm_host(100 + round_number)]
     vm.write_settings()
     record.write(f"the settings file of {vm.name} has changed")
-    if has_trouble():
+    if HAS_TROUBLE:
         vm.signal(signal.SIGHUP)
     try:
         async with asyncio.timeout(1.0):
--- a/review/support/world.py
+++ b/review/support/world.py
@@ -647,11 +647,6 @@
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", field, text)
 
 
-def has_trouble() -> bool:
-    """:returns: whether the disruption takes place; not with ``TROUBLE=0``"""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(case) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
