Log what proves that an attempt was not run, and the connection of its answer

Cause: a line on a failed attempt says whether it may have run, not on which evidence, nor on which connection the answer came, so that a late answer to an earlier sending can't be told from the answer to this one. Change: attempt_failed names the evidence and the connection, as its local port and the number of requests sent on it. No logic is changed.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -16,6 +16,7 @@
 from quetzaldeck.entry.forwarding_parameters import ForwardingParameters, Helper
 from quetzaldeck.entry.memory_reservation import MemoryReservation
 from quetzaldeck.entry.response_head import ResponseHead
+from quetzaldeck.entry.upstream_protocol import read_connection
 from quetzaldeck.gateway.messages import ObserveLoad
 from quetzaldeck.gateway.silence_watch import SilenceWatch
 from quetzaldeck.platform import build_request_headers, read_response_head
@@ -87,6 +88,7 @@
         self._permits: list[HeldPermit] = []
         self._sent_ms: float | None = None
         self._has_response = False
+        self._connection = ""
         self._stage = AttemptStage.QUEUED
 
     @property
@@ -99,6 +101,11 @@
         """:returns: when the attempt was sent; ``None``: not yet"""
         return self._sent_ms
 
+    @property
+    def connection(self) -> str:
+        """:returns: the connection that the response came on; ``""``: none came"""
+        return self._connection
+
     @property
     def replica(self) -> Replica | None:
         """:returns: the replica sent to; ``None``: none yet"""
@@ -207,6 +214,7 @@
 
             response = await watch.wait(send)
             self._has_response = True
+            self._connection = read_connection(response)
             self._state.paths.note_heard(name)
             head = read_response_head(response.status, response.headers)
             self._report_load(name, head)
--- a/src/quetzaldeck/entry/attempt_log.py
+++ b/src/quetzaldeck/entry/attempt_log.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.decisions.poison import format_fingerprint
+from quetzaldeck.entry.sending import find_evidence
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -56,6 +57,8 @@
             upstream=error.upstream or attempt.upstream,
             fault=error.fault.value,
             may_have_run=error.may_have_run,
+            evidence=find_evidence(error).value,
+            connection=attempt.runner.connection,
             parts=self._list_parts(),
             error=error,
         )
--- a/src/quetzaldeck/entry/upstream_client.py
+++ b/src/quetzaldeck/entry/upstream_client.py
@@ -7,7 +7,11 @@
 import aiohttp
 from yarl import URL
 
-from quetzaldeck.entry.upstream_protocol import UpstreamConnector, UpstreamRequest
+from quetzaldeck.entry.upstream_protocol import (
+    UpstreamConnector,
+    UpstreamRequest,
+    UpstreamResponse,
+)
 from quetzaldeck.upstreams.send_once import send_once
 
 if TYPE_CHECKING:
@@ -64,6 +68,7 @@
         self._client = aiohttp.ClientSession(
             connector=connector,
             request_class=UpstreamRequest,
+            response_class=UpstreamResponse,
             middlewares=(send_once,),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-from aiohttp.client_reqrep import ClientRequest
+from aiohttp.client_reqrep import ClientRequest, ClientResponse
 
 from quetzaldeck.http.answer_bounds import BoundedResponseHandler
 from quetzaldeck.running_timeout import RunningTimeout
@@ -18,7 +18,6 @@
     import asyncio
 
     from aiohttp.client_proto import ResponseHandler
-    from aiohttp.client_reqrep import ClientResponse
     from aiohttp.connector import AddrInfoType, Connection
     from aiohttp.http import RawResponseMessage
     from aiohttp.tracing import Trace
@@ -73,6 +72,7 @@
         self._clock = clock
         self._echo_header = echo_header
         self._expected_id: str | None = None
+        self._n_requests = 0
         self._reusable_until_ms: float | None = None
 
     @property
@@ -80,9 +80,18 @@
         """:returns: header in which a response echoes the id of its request"""
         return self._echo_header
 
+    @property
+    def label(self) -> str:
+        """:returns: local port, and how many requests were sent on the connection"""
+        if self.transport is None:
+            return ""
+        address = self.transport.get_extra_info("sockname")
+        return f"{address[1]}/{self._n_requests}" if address else ""
+
     def expect_response_to(self, request_id: str | None) -> None:
         """Set the id of the request about to be sent; ``None`` if it has none."""
         self._expected_id = request_id
+        self._n_requests += 1
 
     def is_connected(self) -> bool:
         """:returns: whether the connection may be used for another request"""
@@ -142,6 +151,28 @@
         return await super().send(conn)
 
 
+class UpstreamResponse(ClientResponse):
+    """A response that tells on which connection it came.
+
+    ``connection_label`` is empty until the response has started.
+    """
+
+    connection_label = ""
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        """Read the head; see the base class."""
+        protocol = connection.protocol
+        if isinstance(protocol, UpstreamProtocol):
+            # The connection is released as soon as a short response is complete.
+            self.connection_label = protocol.label
+        return await super().start(connection)
+
+
+def read_connection(response: ClientResponse) -> str:
+    """:returns: the connection that a response came on; ``""`` if it is not known"""
+    return response.connection_label if isinstance(response, UpstreamResponse) else ""
+
+
 class UpstreamConnector(aiohttp.TCPConnector):
     """Opens connections of :class:`UpstreamProtocol`.
 
@@ -194,4 +225,11 @@
     return opened
 
 
-__all__ = ("UpstreamConnector", "UpstreamProtocol", "UpstreamRequest", "open_socket")
+__all__ = (
+    "UpstreamConnector",
+    "UpstreamProtocol",
+    "UpstreamRequest",
+    "UpstreamResponse",
+    "open_socket",
+    "read_connection",
+)
