Forward no status that promises what the replica has not stated

What callers saw: 429 or 503 for a booking that had run (REFUSED). Cause: a replica's own 408, 429 or 503 was forwarded unchanged, and callers conclude from these statuses that a request has not run; the line of the attempt said may_have_run=True, the next one status=503. Change: such a response is a fault after which the request may have run, so that a booking ends as 502 and a look-up is sent elsewhere; also if another VM forwards it. The field counts with error statuses only, not with a success. Why it works: no response of a replica with one of these statuses reaches a caller.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -322,6 +322,9 @@
             raise UpstreamError(AttemptFault.BAD_ANSWER, detail, upstream=name)
         if head.has_not_run:
             self._raise_not_run(name, head)
+        if head.is_unfounded_promise:
+            detail = f"{name}: status {head.status}, but not that nothing was run"
+            raise UpstreamError(AttemptFault.FAILED, detail, upstream=name)
         if head.is_encoded:
             detail = f"{name}: an intermediary changed the encoding of the body"
             raise UpstreamError(AttemptFault.BAD_ANSWER, detail, upstream=name)
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -305,14 +306,15 @@
 
     :raises UpstreamError: if the response is neither
     """
-    if read_response_head(response.status, response.headers).is_sealed:
+    head = read_response_head(response.status, response.headers)
+    if head.is_sealed and not head.is_unfounded_promise:
         return None
-    try:
-        failure = read_failure(response.headers, peer)
-    except ValueError:
-        failure = None
+    failure = None
+    if not head.is_sealed:
+        with suppress(ValueError):
+            failure = read_failure(response.headers, peer)
     if failure is None:
-        detail = f"{peer}: status {response.status} without the replica's seal header"
+        detail = f"{peer}: status {response.status}, from neither a replica nor the VM"
         raise UpstreamError(AttemptFault.BAD_ANSWER, detail, upstream=peer)
     return failure
 
--- a/src/quetzaldeck/entry/response_head.py
+++ b/src/quetzaldeck/entry/response_head.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from quetzaldeck.outcomes import PROMISE_STATUSES
+
 
 class ReplicaLoad(NamedTuple):
     """Load that a replica reports in the headers of its responses."""
@@ -47,5 +49,10 @@
     rest_ms: float | None = None
     is_leaving: bool = False
 
+    @property
+    def is_unfounded_promise(self) -> bool:
+        """:returns: whether callers would conclude what the replica does not state"""
+        return self.status in PROMISE_STATUSES and not self.has_not_run
+
 
 __all__ = ("ReplicaLoad", "ResponseHead")
--- a/src/quetzaldeck/outcomes/__init__.py
+++ b/src/quetzaldeck/outcomes/__init__.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from quetzaldeck.outcomes.failure import ErrorBody, Failure, build_error_body
-from quetzaldeck.outcomes.ran import Ran
+from quetzaldeck.outcomes.ran import PROMISE_STATUSES, Ran
 from quetzaldeck.outcomes.reason import REASON_INFO, Reason
 
 __all__ = (
+    "PROMISE_STATUSES",
     "REASON_INFO",
     "ErrorBody",
     "Failure",
--- a/src/quetzaldeck/outcomes/ran.py
+++ b/src/quetzaldeck/outcomes/ran.py
@@ -16,4 +16,8 @@
     YES = "yes"
 
 
-__all__ = ("Ran",)
+PROMISE_STATUSES = frozenset((408, 421, 429, 503))
+"""HTTP statuses from which callers conclude that a request has not run and never will,
+and send it again."""
+
+__all__ = ("PROMISE_STATUSES", "Ran")
--- a/src/quetzaldeck/platform/headers.py
+++ b/src/quetzaldeck/platform/headers.py
@@ -44,6 +44,7 @@
 """``1`` in each response of a replica that leaves."""
 _FAULTY_ADDRESS = "At-Server"
 WRONG_REPLICA_STATUS = 421
+_MIN_ERROR_STATUS = 400
 _TURNED_AWAY_STATUSES = (429, 503)
 """Responses whose ``Retry-After`` says for how long the replica wants nothing."""
 
@@ -89,11 +90,12 @@
 def read_response_head(status: int, headers: Mapping[str, str]) -> ResponseHead:
     """Parse the status and headers of a replica's response; ignore invalid values."""
     is_other_replica = status == WRONG_REPLICA_STATUS
+    states_not_run = _NOT_RUN in headers and status >= _MIN_ERROR_STATUS
     return ResponseHead(
         status,
         headers.get(CALL_ID, ""),
         _SEAL in headers,
-        _NOT_RUN in headers or is_other_replica,
+        states_not_run or is_other_replica,
         is_other_replica,
         "Content-Encoding" in headers,
         _read_load(headers.get(_LOAD)),
