Send no request twice on a connection, and take no answer without its id

What callers saw: a booking that ran twice (TWICE), or was refused and had run (REFUSED). Cause: all sendings of a request have one id, so a late copy of the first rejection counted as the answer to the second sending on the same connection; a response without an id, and any response to an order, counted as the one that was expected. Change: a response belongs to a request only if it echoes exactly its id, none for orders and reports; before a request is sent, idle connections on which one with its id was sent are closed; a connection ends after 256 requests, as it remembers their ids. Why it works: on a connection each id was sent once, so that a response with it answers this sending, and a response without one answers nothing. Open: two orders on one connection have no id, so the copy of an answer to the first one may count for the second.

--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -18,6 +18,7 @@
     import asyncio
 
     from aiohttp.client_proto import ResponseHandler
+    from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import AddrInfoType, Connection
     from aiohttp.http import RawResponseMessage
     from aiohttp.tracing import Trace
@@ -52,15 +53,23 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
+MAX_REQUESTS = 256
+"""Requests after which a connection is closed, as it remembers each of them."""
+
+MIN_FINAL_STATUS = 200
+
+
 class UpstreamProtocol(BoundedResponseHandler):
-    """One connection to an upstream, guarded against three faults.
+    """One connection to an upstream, guarded against four faults.
 
     - A body without a length ends with its connection. If the connection is reset,
       aiohttp takes the bytes received so far for the whole body; here the body fails.
     - An upstream may send a response that no request asked for. If it arrives while the
       connection is idle, the connection is not reused. If it arrives in place of the
-      expected response, the id that it echoes shows this, and the next response is
-      awaited.
+      expected response, the id that it echoes shows this, or that it echoes none, and
+      the next response is awaited.
+    - All sendings of a request have one id, so a late response to the first one would
+      count as the response to the second. No request is sent twice on a connection.
     - A connection is reused only within the keep-alive time that the upstream states,
       as it may be closed at any moment after that.
     """
@@ -73,6 +82,7 @@
         self._echo_header = echo_header
         self._expected_id: str | None = None
         self._n_requests = 0
+        self._sent_ids: set[int] = set()
         self._reusable_until_ms: float | None = None
 
     @property
@@ -90,8 +100,20 @@
 
     def expect_response_to(self, request_id: str | None) -> None:
         """Set the id of the request about to be sent; ``None`` if it has none."""
-        self._expected_id = request_id
+        self._expected_id = request_id or None
         self._n_requests += 1
+        if request_id:
+            # Callers choose the ids, and long ones would fill the memory.
+            self._sent_ids.add(hash(request_id))
+
+    def has_sent(self, request_id: str) -> bool:
+        """:returns: whether a request with this id was sent on the connection"""
+        return hash(request_id) in self._sent_ids
+
+    @property
+    def should_close(self) -> bool:
+        """:returns: whether no further request may be sent; see the base class"""
+        return super().should_close or self._n_requests >= MAX_REQUESTS
 
     def is_connected(self) -> bool:
         """:returns: whether the connection may be used for another request"""
@@ -120,9 +142,10 @@
             )
 
     def is_expected(self, message: RawResponseMessage) -> bool:
-        """:returns: whether a head does not belong to another request"""
-        answered = message.headers.get(self._echo_header)
-        return answered is None or self._expected_id in (None, answered)
+        """:returns: whether a head belongs to the request; interim ones have no id"""
+        if message.code < MIN_FINAL_STATUS:
+            return True
+        return (message.headers.get(self._echo_header) or None) == self._expected_id
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that was incomplete when the connection was reset."""
@@ -196,11 +219,33 @@
             socket_factory=open_socket,
             use_dns_cache=False,
         )
+        self._echo_header = echo_header
         # aiohttp annotates this attribute with its own class; a subclass works as well.
         self._factory = functools.partial(  # type: ignore[assignment]
             UpstreamProtocol, loop=self._loop, clock=clock, echo_header=echo_header
         )
 
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        """Get a connection on which the request was not sent; see the base class."""
+        if request_id := req.headers.get(self._echo_header):
+            self._close_used(req.connection_key, request_id)
+        return await super().connect(req, traces, timeout)
+
+    def _close_used(self, key: ConnectionKey, request_id: str) -> None:
+        """Close idle connections on which a request was sent before."""
+        idle = self._conns.get(key)
+        if not idle:
+            return
+        for item in tuple(idle):
+            protocol = item[0]
+            if isinstance(protocol, UpstreamProtocol) and protocol.has_sent(request_id):
+                idle.remove(item)
+                protocol.close()
+        if not idle:
+            del self._conns[key]
+
     async def _create_connection(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> ResponseHandler:
