Keep one account of the sendings of a call, and word every failure from it

Cause: whether a call may have run was kept by hand in some ten places (the runner, the run of the call, the offer to other VMs, the handover, the scheduler's history), and the failure of whichever ended the call decided the status. Change: CallAccount records each sending to an upstream or to another VM with what proves that it was not run; CallAccount.word is the only place from which a caller of an admitted call is told so. A call that must not be repeated is not sent while an earlier sending may have run, whatever the scheduler decides. request_failed names receiver and evidence of each sending; quetzaldeck_not_run_promises counts promises by evidence.

--- a/src/quetzaldeck/entry/attempt.py
+++ b/src/quetzaldeck/entry/attempt.py
@@ -16,6 +16,7 @@
 from quetzaldeck.entry.forwarding_parameters import ForwardingParameters, Helper
 from quetzaldeck.entry.memory_reservation import MemoryReservation
 from quetzaldeck.entry.response_head import ResponseHead
+from quetzaldeck.entry.sending import find_evidence
 from quetzaldeck.entry.upstream_protocol import read_connection
 from quetzaldeck.gateway.messages import ObserveLoad
 from quetzaldeck.gateway.silence_watch import SilenceWatch
@@ -30,6 +31,7 @@
     from quetzaldeck.decisions.silence.verdict import SilenceVerdict
     from quetzaldeck.entry.call import Call
     from quetzaldeck.entry.peers.permits import HeldPermit
+    from quetzaldeck.entry.sending import Sending
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.gateway.ticket import Ticket
     from quetzaldeck.routing import Replica
@@ -63,6 +65,7 @@
     """Sends a call to the upstream of one dispatch and validates the response.
 
     :param ticket: the scheduler's handle for the admitted request
+    :param sending: records what is known of the run
     :param check: called right before the call is sent; raises if it must not be
     :param on_verdict: called with verdicts of the scheduler on a silent upstream
     """
@@ -72,6 +75,7 @@
         state: EntryState,
         call: Call,
         ticket: Ticket,
+        sending: Sending,
         *,
         check: Callable[[], None],
         on_verdict: Callable[[SilenceVerdict], None],
@@ -81,7 +85,7 @@
         self._call = call
         self._ticket = ticket
         self._on_verdict = on_verdict
-        self._may_have_run = False
+        self._sending = sending
         self._members: frozenset[str] = frozenset()
         self._incarnation = ""
         self._replica: Replica | None = None
@@ -116,11 +120,6 @@
         """:returns: incarnation of that replica; ``""`` if unknown"""
         return self._incarnation
 
-    @property
-    def may_have_run(self) -> bool:
-        """:returns: whether the replica may have run the call, or may yet run it"""
-        return self._may_have_run
-
     def watch_first_byte(self, dispatch: Dispatch) -> SilenceWatch:
         """:returns: the watch on the time to the first byte of an attempt"""
         target_ms = self._call.admitted.route.target_latency_ms
@@ -162,7 +161,8 @@
             async with self._open_response(dispatch, last_event_id) as opened:
                 yield opened
         except UpstreamError as error:
-            self._may_have_run = self._may_have_run and error.may_have_run
+            if not error.may_have_run:
+                self._sending.note_not_run(find_evidence(error))
             self._note_path_fault(dispatch.upstreams[-1], error)
             raise
         finally:
@@ -255,7 +255,7 @@
         self._incarnation = replica.incarnation
         self._replica = replica
         headers = build_request_headers(self._call.headers, parameters)
-        self._may_have_run = True
+        self._sending.note_sent()
         self._sent_ms = self._state.clock.now_ms()
         self._state.paths.note_sent(dispatch.attempt_id, name)
         self._state.rate_limits.note_sent(name)
--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -22,6 +22,7 @@
     from quetzaldeck.decisions.silence.verdict import SilenceVerdict
     from quetzaldeck.entry.attempt import OpenResponse
     from quetzaldeck.entry.call import Call
+    from quetzaldeck.entry.sending import Sending
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.entry.stream_relay import StreamRelay
     from quetzaldeck.gateway.ticket import Ticket
@@ -33,6 +34,7 @@
     Several attempts of a call may live at a time. Each claims the caller before it
     writes; the others are cancelled then.
 
+    :param sending: records what is known of the run
     :param check: called before memory is reserved and before the call is sent; raises
         if it must not be
     :param claim: awaited before the attempt writes to the caller
@@ -46,6 +48,7 @@
         ticket: Ticket,
         relay: StreamRelay,
         dispatch: Dispatch,
+        sending: Sending,
         *,
         check: Callable[[AttemptRun], None],
         claim: Callable[[AttemptRun], Awaitable[None]],
@@ -69,6 +72,7 @@
             state,
             call,
             ticket,
+            sending,
             check=lambda: check(self),
             on_verdict=lambda verdict: on_verdict(self, verdict),
         )
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -14,6 +14,7 @@
 from quetzaldeck.entry.attempt_run import AttemptRun
 from quetzaldeck.entry.call import check_call
 from quetzaldeck.entry.handover.client import NotTakenError
+from quetzaldeck.entry.sending import CallAccount
 from quetzaldeck.entry.stream_relay import StreamRelay
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Ran, Reason
@@ -72,9 +73,7 @@
         # Why nothing replaces them, and an error that a replica has sent.
         self._failure: RequestError | None = None
         self._failed_response: web.Response | None = None
-        # Of attempts that have ended; those that live are counted when asked.
-        self._may_have_run = False
-        self._n_maybe_run = 0
+        self._account = CallAccount()
         self._has_offered = False
         # When the path was first found to be back after the call had been offered.
         self._returned_ms: float | None = None
@@ -84,19 +83,9 @@
         self.predicted_first_event_ms: float | None = None
 
     @property
-    def may_have_run(self) -> bool:
-        """:returns: whether a replica may have run the call, or may yet run it"""
-        return (
-            self._may_have_run
-            or self._offer.may_have_run
-            or any(attempt.runner.may_have_run for attempt in self._living)
-        )
-
-    @property
-    def n_maybe_run(self) -> int:
-        """:returns: attempts of this VM that a replica may have run, or may yet run"""
-        living = [attempt for attempt in self._living if not attempt.is_left]
-        return self._n_maybe_run + sum(a.runner.may_have_run for a in living)
+    def account(self) -> CallAccount:
+        """:returns: what is known of the sendings of the call"""
+        return self._account
 
     @property
     def relay(self) -> StreamRelay:
@@ -109,22 +98,28 @@
         :returns: the response
         :raises RequestError: if there is none
         """
+        try:
+            return await self._run()
+        except RequestError as error:
+            failure = self._account.word(error.failure)
+            raise RequestError(failure, error.response) from error
+
+    async def _run(self) -> web.StreamResponse:
         if self._offer.is_preferred():
             try:
-                return await self._offer.hand_over(self._relay, 0)
-            except RequestError as error:
-                if error.failure.ran is not Ran.NO:
+                return await self._offer.hand_over(self._relay, self._account)
+            except RequestError:
+                if self._account.may_have_run:
                     raise
-                self._offer.may_have_run = False
         try:
             async with self._ticket:
                 return await self._run_attempts()
         except RequestError as error:
             if self._has_offered:
                 raise
-            if not self._offer.allows(error.failure, self.n_maybe_run):
+            if not self._offer.allows(error.failure, self._account):
                 raise
-        return await self._offer.hand_over(self._relay, self.n_maybe_run)
+        return await self._offer.hand_over(self._relay, self._account)
 
     async def _run_attempts(self) -> web.StreamResponse:
         """Make attempts until one yields a complete response."""
@@ -215,7 +210,6 @@
         self, attempt: AttemptRun
     ) -> web.StreamResponse | None:
         self._living.remove(attempt)
-        self._may_have_run = self._may_have_run or attempt.runner.may_have_run
         try:
             response = attempt.task.result()
         except UpstreamError as error:
@@ -254,6 +248,7 @@
             self._ticket,
             self._relay,
             dispatch,
+            self._account.open(dispatch.upstreams[-1]),
             check=self._prepare,
             claim=self._claim,
             on_verdict=self._handle_verdict,
@@ -270,7 +265,6 @@
         if not winner.is_left:
             return
         winner.is_left = False
-        self._n_maybe_run -= 1
         self._log.record_resumed(winner)
         is_tracked = await self._ticket.resume_attempt(winner.dispatch.attempt_id)
         self._may_retry = is_tracked
@@ -291,12 +285,10 @@
 
     def _give_up(self, attempt: AttemptRun) -> None:
         self._living.remove(attempt)
-        self._may_have_run = self._may_have_run or attempt.runner.may_have_run
         self._cancel(attempt.task)
         if attempt.runner.sent_ms is None and attempt.dispatch.plan is None:
             self._ticket.drop_attempt(attempt.dispatch.attempt_id)
         if not attempt.is_left:
-            self._n_maybe_run += attempt.runner.may_have_run
             self._record_left(attempt)
 
     def _drop_dispatch(self, dispatching: asyncio.Task[Dispatch]) -> None:
@@ -317,7 +309,6 @@
 
     async def _note_not_taken(self) -> None:
         """Go on with a call that no other VM has run."""
-        self._offer.may_have_run = False
         self._ticket.note_handed_over(is_over=True)
         if self._returned_ms is not None:
             self._returned_ms = self._state.clock.now_ms()
@@ -339,7 +330,6 @@
     def _replace(self, attempt: AttemptRun) -> None:
         """Wait for the attempt that replaces a silent one, which goes on meanwhile."""
         attempt.is_left = True
-        self._n_maybe_run += 1
         self._state.metrics.attempt_faults.labels(AttemptFault.SILENT.value).inc()
         attempt.runner.note_silent(attempt.dispatch)
         self._state.crash_checks.note_left(attempt.dispatch.upstreams)
@@ -353,7 +343,7 @@
         self._failure = error
         if not self._living or self._has_offered:
             return
-        if self._offer.allows(error.failure, self.n_maybe_run):
+        if self._offer.allows(error.failure, self._account):
             self._hand_over()
 
     def _request_dispatch(self) -> None:
@@ -366,7 +356,7 @@
         A caller that has received nothing is refused if no VM may take it.
         """
         failure = Failure(Reason.NO_PATH, Ran.UNKNOWN)
-        if self._offer.allows(failure, self.n_maybe_run):
+        if self._offer.allows(failure, self._account):
             self._hand_over()
         else:
             self._failure = RequestError(failure)
@@ -377,7 +367,7 @@
         self._has_offered = True
         self._ticket.note_handed_over()
         hand_over = self._offer.hand_over(
-            self._relay, self.n_maybe_run, self._claim_for_other_vm
+            self._relay, self._account, self._claim_for_other_vm
         )
         self._handing_over = asyncio.create_task(hand_over)
         self._handing_over.add_done_callback(self._ended.put_nowait)
@@ -432,17 +422,17 @@
 
     def _refuse(self, error: _RefusedError) -> None:
         """Record that the configuration in force does not allow the next attempt."""
-        ran = Ran.UNKNOWN if self.may_have_run else error.failure.ran
-        self._fail(RequestError(error.failure._replace(ran=ran)))
+        self._fail(RequestError(self._account.word(error.failure)))
 
     def _recheck(self) -> None:
-        """Check whether the configuration in force allows an attempt.
+        """Check whether the configuration and earlier sendings allow an attempt.
 
-        :raises _RefusedError: if it does not
+        :raises _RefusedError: if they do not
         """
-        failure = check_call(
-            self._call, self._state.view, may_have_run=self.may_have_run
-        )
+        may_have_run = self._account.may_have_run
+        if may_have_run and not self._call.admitted.route.is_repeatable:
+            raise _RefusedError(Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN))
+        failure = check_call(self._call, self._state.view, may_have_run=may_have_run)
         if failure is not None:
             raise _RefusedError(failure)
 
@@ -465,7 +455,6 @@
 
         An attempt that goes on while the scheduler decides drops what it decided.
         """
-        self._n_maybe_run += error.may_have_run
         if not self._may_retry:
             self._fail(RequestError(Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN)))
             return
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import uuid
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -28,6 +27,7 @@
     read_handover_head,
     remove_handover_fields,
 )
+from quetzaldeck.entry.sending import Evidence
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.settings import CallerBounds
@@ -70,7 +70,9 @@
         try:
             handover = read_handover_head(http_request.headers)
         except ValueError as error:
-            return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
+            # The other VM takes no response for its own that does not echo the id.
+            headers = {CALL_ID: http_request.headers.get(CALL_ID, "")}
+            return web.Response(status=400, text=str(error), headers=headers)
         return await self.handle(http_request, handover)
 
     async def handle(
@@ -264,10 +266,8 @@
                 async with asyncio.timeout(max(0.0, remaining_ms) / 1_000):
                     response = await run.run()
         except TimeoutError:
-            ran = Ran.UNKNOWN if run.may_have_run else Ran.NO
-            raise self._build_error(
-                call, run, Failure(Reason.DEADLINE_EXCEEDED, ran)
-            ) from None
+            failure = run.account.word(Failure(Reason.DEADLINE_EXCEEDED))
+            raise self._build_error(call, run, failure) from None
         except RequestError as error:
             raise self._build_error(call, run, error.failure) from None
         except Exception as error:
@@ -342,6 +342,9 @@
         self._state.metrics.failures.labels(*labels).inc()
         state = self._state
         run = progress.run
+        if failure.ran is Ran.NO:
+            evidence = Evidence.UNSENT if run is None else run.account.evidence
+            state.metrics.promises.labels(evidence.value).inc()
         log_event(
             "request_failed",
             request=progress.call_id,
@@ -356,6 +359,7 @@
             is_read=progress.is_read,
             n_attempts=0 if run is None else run.n_attempts,
             n_events=0 if run is None else run.relay.n_events,
+            sendings="" if run is None else run.account.render(),
             detail=failure.detail,
         )
 
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -12,6 +12,7 @@
 from quetzaldeck.decisions.paths import PeerChooser
 from quetzaldeck.decisions.request import DISCONNECT_MARGIN_MS
 from quetzaldeck.entry.handover_head import HandoverHead, read_failure
+from quetzaldeck.entry.sending import Evidence, find_evidence
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.http.answer_bounds import read_body
 from quetzaldeck.outcomes import Failure, Ran, Reason
@@ -35,6 +36,7 @@
     from quetzaldeck.clock import Clock
     from quetzaldeck.entry.call import Call
     from quetzaldeck.entry.peers import PeerTable
+    from quetzaldeck.entry.sending import CallAccount, Sending
     from quetzaldeck.entry.stream_relay import StreamRelay
     from quetzaldeck.entry.upstream_client import UpstreamClient
     from quetzaldeck.telemetry import UpstreamMetrics
@@ -120,52 +122,48 @@
         self,
         call: Call,
         relay: StreamRelay,
-        n_attempts: int,
+        account: CallAccount,
         claim: Claim,
-        check: Callable[[int], Failure | None],
+        check: Callable[[CallAccount], Failure | None],
         *,
         is_known_reachable: bool,
     ) -> web.StreamResponse:
         """Have another VM run a call.
 
         :param relay: continues the caller's stream if it has begun
-        :param n_attempts: attempts that may have run
+        :param account: the sendings of the call, to which those to VMs are added
         :param claim: awaited before the response is forwarded
-        :param check: called before a VM is asked, with the attempts that may have run;
-            returns why none may run the call
+        :param check: called before a VM is asked; returns why none may run the call
         :param is_known_reachable: whether some VM is known to reach the upstreams
         :returns: the response of an upstream
         :raises NotTakenError: if no VM has run it
         :raises RequestError: if it failed there
         """
-        n_before = n_attempts
         asked: list[str] = []
-        failure = Failure(
-            Reason.NO_PATH,
-            Ran.NO if not n_attempts else Ran.UNKNOWN,
-            detail=f"{call.admitted.service}: no VM is known that reaches an upstream",
-        )
+        detail = f"{call.admitted.service}: no VM is known that reaches an upstream"
+        failure = Failure(Reason.NO_PATH, detail=detail)
         n_tried = 0
+        is_taken = False
         max_asked = MAX_PEERS_ASKED if is_known_reachable else MAX_PEERS_TRIED
         while len(asked) < max_asked and n_tried < MAX_PEERS_TRIED:
             peer = self._choose(call.admitted.service, asked)
-            if peer is None or not self.may_send(call, n_attempts, Ran.NO):
+            if peer is None or not self.may_send(call, account.n_maybe_run, Ran.NO):
                 break
-            refusal = check(n_attempts)
+            refusal = check(account)
             if refusal is not None:
                 failure = refusal
                 break
             asked.append(peer)
             try:
                 with self._chooser.track(peer):
-                    response = await self._ask(peer, call, relay, n_attempts, claim)
+                    response = await self._ask(peer, call, relay, account, claim)
             except _RefusedError as error:
                 failure = error.failure
                 n_tried += error.has_tried
             except UpstreamError as error:
                 self._log(call, peer, f"failed: {error}")
                 self._metrics.handovers.labels("failed").inc()
-                n_attempts += 1
+                is_taken = True
                 n_tried += 1
                 if not call.admitted.route.is_repeatable:
                     ran = Ran.UNKNOWN
@@ -176,10 +174,8 @@
                 self._note_served(call.admitted.service)
                 self._log(call, peer, f"status {response.status}")
                 return response
-        failure = failure if not n_attempts else _may_have_run(failure)
-        if n_attempts == n_before:
-            raise NotTakenError(failure)
-        raise RequestError(failure)
+        failure = account.word(failure)
+        raise RequestError(failure) if is_taken else NotTakenError(failure)
 
     def _choose(self, service: str, asked: list[str]) -> str | None:
         if self._table is None:
@@ -192,7 +188,7 @@
         peer: str,
         call: Call,
         relay: StreamRelay,
-        n_attempts: int,
+        account: CallAccount,
         claim: Claim,
     ) -> web.StreamResponse:
         """Send a call to one VM.
@@ -202,9 +198,11 @@
         :raises RequestError: if it failed there and may have run
         """
         service = call.admitted.service
+        n_attempts = account.n_maybe_run
+        sending = account.open(peer)
         try:
             async with translate_faults(peer):
-                response = await self._send(peer, call, relay, n_attempts)
+                response = await self._send(peer, call, relay, n_attempts, sending)
                 try:
                     failure = _read_failure(response, peer)
                     if failure is None:
@@ -214,6 +212,7 @@
         except UpstreamError as error:
             if error.may_have_run:
                 raise
+            sending.note_not_run(find_evidence(error))
             self._chooser.note_unable(peer, service, self._clock.now_ms())
             self._log(call, peer, f"not reached: {error}")
             self._metrics.handovers.labels("unreached").inc()
@@ -223,13 +222,19 @@
         self._metrics.handovers.labels("refused").inc()
         if failure.ran is not Ran.NO:
             raise RequestError(failure)
+        sending.note_not_run(Evidence.VM)
         is_unable = failure.reason in _UNABLE_REASONS
         if is_unable:
             self._chooser.note_unable(peer, service, self._clock.now_ms())
         raise _RefusedError(failure, has_tried=not is_unable)
 
     async def _send(
-        self, peer: str, call: Call, relay: StreamRelay, n_attempts: int
+        self,
+        peer: str,
+        call: Call,
+        relay: StreamRelay,
+        n_attempts: int,
+        sending: Sending,
     ) -> aiohttp.ClientResponse:
         http_request = call.http_request
         # The other VM's refusal has to come before this VM's own timeout, which can't
@@ -246,6 +251,7 @@
             self._clock.now_ms() - call.arrived_ms,
         )
         headers.update(head.build_headers())
+        sending.note_sent()
         return await self._client.send(
             f"{peer}:{self._port}",
             http_request.method,
@@ -319,8 +325,4 @@
     return failure
 
 
-def _may_have_run(failure: Failure) -> Failure:
-    return failure._replace(ran=Ran.UNKNOWN) if failure.ran is Ran.NO else failure
-
-
 __all__ = ("Handover", "NotTakenError")
--- a/src/quetzaldeck/entry/handover/offer.py
+++ b/src/quetzaldeck/entry/handover/offer.py
@@ -14,6 +14,7 @@
     from aiohttp import web
 
     from quetzaldeck.entry.call import Call
+    from quetzaldeck.entry.sending import CallAccount
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.entry.stream_relay import StreamRelay
     from quetzaldeck.outcomes import Failure
@@ -33,8 +34,6 @@
     def __init__(self, state: EntryState, call: Call) -> None:
         self._state = state
         self._call = call
-        self.may_have_run = False
-        """Whether another VM may have run the call, or may yet run it."""
 
     def is_preferred(self) -> bool:
         """:returns: whether another VM should run the call at once"""
@@ -43,44 +42,44 @@
             self._state.handover.may_send(self._call, 0, Ran.NO)
         )
 
-    def allows(self, failure: Failure, n_attempts: int) -> bool:
+    def allows(self, failure: Failure, account: CallAccount) -> bool:
         """:returns: whether another VM may run a call that has failed here
 
-        :param n_attempts: attempts that may have run
+        :param account: the sendings of the call
         """
+        ran = account.word(failure).ran
         return (
             failure.reason in _PATH_REASONS
-            and self._state.handover.may_send(self._call, n_attempts, failure.ran)
+            and self._state.handover.may_send(self._call, account.n_maybe_run, ran)
             and self._state.paths.may_hand_over(self._call.admitted.service)
         )
 
     async def hand_over(
         self,
         relay: StreamRelay,
-        n_attempts: int,
+        account: CallAccount,
         claim: Callable[[], Awaitable[None]] = _claim_nothing,
     ) -> web.StreamResponse:
         """Have another VM run the call.
 
         :param relay: continues the caller's stream if it has begun
-        :param n_attempts: attempts that may have run
+        :param account: the sendings of the call, to which those to VMs are added
         :param claim: awaited before the response is forwarded
         :raises RequestError: if it was not answered
         """
-        self.may_have_run = True
         verdict = self._state.paths.monitor.find_verdict(self._call.admitted.service)
         return await self._state.handover.run(
             self._call,
             relay,
-            n_attempts,
+            account,
             claim,
             self._check,
             is_known_reachable=verdict not in (PathVerdict.UNREACHED, PathVerdict.DOWN),
         )
 
-    def _check(self, n_attempts: int) -> Failure | None:
+    def _check(self, account: CallAccount) -> Failure | None:
         view = self._state.view
-        return check_call(self._call, view, may_have_run=n_attempts > 0)
+        return check_call(self._call, view, may_have_run=account.may_have_run)
 
 
 __all__ = ("HandoverOffer",)
--- a/src/quetzaldeck/telemetry/gateway_metrics.py
+++ b/src/quetzaldeck/telemetry/gateway_metrics.py
@@ -61,6 +61,12 @@
             ["reason", "ran"],
             registry=self.registry,
         )
+        self.promises = Counter(
+            "quetzaldeck_not_run_promises",
+            "Refusals that state that the request was not run, by what proves it",
+            ["evidence"],
+            registry=self.registry,
+        )
         self.responses_cut_off = Counter(
             "quetzaldeck_responses_cut_off",
             "Responses that had begun and ended incomplete, by reason",
