Decode messages of other processes in one way, and skip odd entries of the VM list

What could happen: a message that nests deeply, in a field that nobody reads, raised RecursionError at eight places that expect msgspec's own errors; whoever read it ended, and with it what it followed. One odd entry made the whole list of VMs unreadable. Change: JsonDecoder raises msgspec.DecodeError for each of them and replaces msgspec.json.Decoder everywhere; the VM list is decoded entry by entry; counts of engines are at most 2^53, as larger ones overflow later. Heads that are cut off were no answer anywhere before, which is tested now at each exchange and on the callers' path. Open: an entry of the VM list that nests deeper than msgspec reads (some hundred levels) makes the list unreadable as before; the last one stays in force.

--- a/src/quetzaldeck/agent/bundle_exchange.py
+++ b/src/quetzaldeck/agent/bundle_exchange.py
@@ -15,6 +15,7 @@
     decode_answer,
     encode_answer,
 )
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.peers import PeerError
 from quetzaldeck.telemetry import log_event
 
@@ -32,7 +33,7 @@
 MAX_REFUSED = 64
 # Previous payloads kept to build patches from; peers are rarely further behind.
 MAX_PREVIOUS_PAYLOADS = 2
-_REQUEST_DECODER = msgspec.json.Decoder(BundleRequest)
+_REQUEST_DECODER = JsonDecoder(BundleRequest)
 
 
 class PeerBundle(NamedTuple):
--- a/src/quetzaldeck/agent/claim_coordinator.py
+++ b/src/quetzaldeck/agent/claim_coordinator.py
@@ -23,6 +23,7 @@
 )
 from quetzaldeck.exchange.claim_messages import ClaimDecision, ClaimVerdict
 from quetzaldeck.http import decode_body
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.outcomes import Failure, Ran, Reason
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
     from quetzaldeck.exchange.claim_messages import ClaimEnd, ClaimRequest
     from quetzaldeck.telemetry import AgentMetrics
 
-_VOTE = msgspec.json.Decoder(Vote)
+_VOTE = JsonDecoder(Vote)
 _encode = msgspec.json.encode
 
 
--- a/src/quetzaldeck/agent/claim_holds.py
+++ b/src/quetzaldeck/agent/claim_holds.py
@@ -10,6 +10,7 @@
 from quetzaldeck.claims import Claim, ClaimState, ClaimStatus
 from quetzaldeck.claims.claimant_messages import AnswerHandover, ClaimStatusRequest
 from quetzaldeck.http import decode_body
+from quetzaldeck.json_decoder import JsonDecoder
 
 if TYPE_CHECKING:
     import random
@@ -25,9 +26,9 @@
 N_ANSWER_COPIES = 2
 """VMs that receive the answers of a leaving VM; one of them may leave next."""
 
-_STATUS = msgspec.json.Decoder(ClaimStatus)
-_STATUS_REQUEST = msgspec.json.Decoder(ClaimStatusRequest)
-_HANDOVER = msgspec.json.Decoder(AnswerHandover)
+_STATUS = JsonDecoder(ClaimStatus)
+_STATUS_REQUEST = JsonDecoder(ClaimStatusRequest)
+_HANDOVER = JsonDecoder(AnswerHandover)
 _encode = msgspec.json.encode
 
 
--- a/src/quetzaldeck/agent/gossip_task.py
+++ b/src/quetzaldeck/agent/gossip_task.py
@@ -14,6 +14,7 @@
     RelayAnswer,
     RelayRequest,
 )
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.membership import Membership
 from quetzaldeck.peers import PeerError
 from quetzaldeck.telemetry import log_event
@@ -30,9 +31,9 @@
 N_URGENT_PEERS = 3
 N_LEAVE_PEERS = 16
 N_JOIN_PEERS = 3
-_GOSSIP_DECODER = msgspec.json.Decoder(GossipMessage)
-_RELAY_REQUEST_DECODER = msgspec.json.Decoder(RelayRequest)
-_RELAY_ANSWER_DECODER = msgspec.json.Decoder(RelayAnswer)
+_GOSSIP_DECODER = JsonDecoder(GossipMessage)
+_RELAY_REQUEST_DECODER = JsonDecoder(RelayRequest)
+_RELAY_ANSWER_DECODER = JsonDecoder(RelayAnswer)
 
 
 class GossipState(NamedTuple):
--- a/src/quetzaldeck/agent/reclaim_task.py
+++ b/src/quetzaldeck/agent/reclaim_task.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from quetzaldeck.bundle import Bundle
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.membership import Member, MembershipView, choose_owner
 from quetzaldeck.peers import PeerError
 from quetzaldeck.reclaim import (
@@ -61,8 +62,8 @@
     find_member: Callable[[str], Member | None]
 
 
-_QUERY_DECODER = msgspec.json.Decoder(OwnerQuery)
-_ANSWER_DECODER = msgspec.json.Decoder(OwnerAnswer)
+_QUERY_DECODER = JsonDecoder(OwnerQuery)
+_ANSWER_DECODER = JsonDecoder(OwnerAnswer)
 
 
 class ReclaimTask:
--- a/src/quetzaldeck/agent/service.py
+++ b/src/quetzaldeck/agent/service.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from aiohttp import web
 
 from quetzaldeck.agent.session import AgentSession
@@ -19,6 +18,7 @@
     json_response,
     metrics_response,
 )
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.peers.hmac_channel import MAX_BODY_BYTES, PEER_PATH
 from quetzaldeck.peers.seal import SEAL_HEADER
 
@@ -27,9 +27,9 @@
 
     from quetzaldeck.agent.settings import AgentSettings
 
-_REPORT_DECODER = msgspec.json.Decoder(GatewayReport)
-_CLAIM_REQUEST_DECODER = msgspec.json.Decoder(ClaimRequest)
-_CLAIM_END_DECODER = msgspec.json.Decoder(ClaimEnd)
+_REPORT_DECODER = JsonDecoder(GatewayReport)
+_CLAIM_REQUEST_DECODER = JsonDecoder(ClaimRequest)
+_CLAIM_END_DECODER = JsonDecoder(ClaimEnd)
 
 
 class AgentService(HttpServiceBase):
--- a/src/quetzaldeck/agent/voter_task.py
+++ b/src/quetzaldeck/agent/voter_task.py
@@ -9,6 +9,7 @@
 
 from quetzaldeck.claims import Release, SyncReply, SyncRequest, VoteRequest
 from quetzaldeck.http import BodyError, decode_body
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -24,10 +25,10 @@
 MAX_STUCK_INTERVALS = 4
 """Maximum of intervals between two rounds of an unsettled voter without progress."""
 
-_SYNC = msgspec.json.Decoder(SyncRequest)
-_REPLY = msgspec.json.Decoder(SyncReply)
-_VOTE_REQUEST = msgspec.json.Decoder(VoteRequest)
-_RELEASE = msgspec.json.Decoder(Release)
+_SYNC = JsonDecoder(SyncRequest)
+_REPLY = JsonDecoder(SyncReply)
+_VOTE_REQUEST = JsonDecoder(VoteRequest)
+_RELEASE = JsonDecoder(Release)
 _encode = msgspec.json.encode
 
 
--- a/src/quetzaldeck/bundle/codec.py
+++ b/src/quetzaldeck/bundle/codec.py
@@ -12,6 +12,7 @@
 from quetzaldeck.config.fields import Field, is_section, list_fields
 from quetzaldeck.config.finding import Finding, raise_findings
 from quetzaldeck.config.loader import load_data
+from quetzaldeck.json_decoder import JsonDecoder
 
 
 def to_plain(value: Any) -> Any:
@@ -37,6 +38,9 @@
     return msgspec.json.encode(to_plain(bundle), order="sorted")
 
 
+_ANY_DECODER = JsonDecoder(Any)
+
+
 def decode_bundle(payload: bytes, source: str = "bundle") -> Bundle:
     """Decode and check a bundle.
 
@@ -49,7 +53,7 @@
         raise_findings(source, [Finding("", message, source=source)])
     try:
         bundle = decode_fast(payload, Bundle)
-    except (msgspec.DecodeError, RecursionError):
+    except msgspec.DecodeError:
         bundle = _decode_checked(payload, source)
     raise_findings(source, check_bundle(bundle, source))
     return bundle
@@ -57,8 +61,8 @@
 
 def _decode_checked(payload: bytes, source: str) -> Bundle:
     try:
-        data = msgspec.json.decode(payload)
-    except (msgspec.DecodeError, RecursionError) as error:
+        data = _ANY_DECODER.decode(payload)
+    except msgspec.DecodeError as error:
         raise_findings(source, [Finding("", f"is not JSON: {error}", source=source)])
     return load_data(data, Bundle, source)
 
--- a/src/quetzaldeck/bundle/signing.py
+++ b/src/quetzaldeck/bundle/signing.py
@@ -16,6 +16,7 @@
 
 from quetzaldeck.bundle.check import MAX_ENVELOPE_BYTES, MAX_PAYLOAD_BYTES
 from quetzaldeck.bundle.codec import decode_bundle, encode_bundle
+from quetzaldeck.json_decoder import JsonDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -104,13 +105,16 @@
     return data
 
 
+_ENVELOPE_DECODER = JsonDecoder(Envelope)
+
+
 def decode_envelope(data: bytes) -> Envelope:
     """:returns: the envelope in ``data``, with its payload decompressed
 
     :raises SignatureError: if ``data`` is not an encoded envelope
     """
     try:
-        envelope = msgspec.json.decode(data, type=Envelope)
+        envelope = _ENVELOPE_DECODER.decode(data)
         compressed = base64.b64decode(envelope.payload, validate=True)
         return envelope._replace(payload=_decompress(compressed).decode())
     except (msgspec.DecodeError, ValueError, zlib.error) as error:
--- a/src/quetzaldeck/cli/explain_command.py
+++ b/src/quetzaldeck/cli/explain_command.py
@@ -13,6 +13,7 @@
 from quetzaldeck.cli.common import EPILOG
 from quetzaldeck.cli.exit_codes import ExitCode
 from quetzaldeck.entry.explain_query import MAX_TOKENS
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.telemetry.log import format_value
 
 HTTP_OK = 200
@@ -114,7 +115,7 @@
             while not response.content.at_eof() and len(body) < MAX_ANSWER_BYTES:
                 body += await response.content.read(MAX_ANSWER_BYTES - len(body))
             if response.status == HTTP_OK:
-                return msgspec.json.decode(body, type=dict[str, Any])
+                return JsonDecoder(dict[str, Any]).decode(body)
             raise ExplainError(_describe_error(response, body))
     except TimeoutError as error:
         raise ExplainError("no answer within 5 s") from error
@@ -125,7 +126,7 @@
 def _describe_error(response: aiohttp.ClientResponse, body: bytes) -> str:
     """:returns: what the VM says, else the status"""
     try:
-        detail = msgspec.json.decode(body, type=dict[str, str])["error"]
+        detail = JsonDecoder(dict[str, str]).decode(body)["error"]
     except (msgspec.DecodeError, KeyError):
         return f"HTTP status {response.status}"
     retry_after = response.headers.get("Retry-After")
--- a/src/quetzaldeck/cli/status_command.py
+++ b/src/quetzaldeck/cli/status_command.py
@@ -8,11 +8,11 @@
 
 import aiohttp
 import click
-import msgspec
 import uvloop
 
 from quetzaldeck.cli.common import EPILOG
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.telemetry.log import format_value
 
 if TYPE_CHECKING:
@@ -68,7 +68,7 @@
             body = await response.read()
             if response.status != HTTP_OK:
                 return StatusError(f"HTTP status {response.status}")
-            return msgspec.json.decode(body, type=dict[str, Any])
+            return JsonDecoder(dict[str, Any]).decode(body)
     except (aiohttp.ClientError, ValueError, OSError) as error:
         return StatusError(str(error) or type(error).__name__)
 
--- a/src/quetzaldeck/config/compiled.py
+++ b/src/quetzaldeck/config/compiled.py
@@ -16,6 +16,7 @@
 
 from quetzaldeck.config.fields import REQUIRED, is_section, list_fields
 from quetzaldeck.config.option import Option
+from quetzaldeck.json_decoder import JsonDecoder
 
 T = TypeVar("T")
 
@@ -34,8 +35,8 @@
 
 
 @cache
-def _decoder_of(cls: Any) -> msgspec.json.Decoder[Any]:
-    return msgspec.json.Decoder(_struct_of(cls))
+def _decoder_of(cls: Any) -> JsonDecoder[Any]:
+    return JsonDecoder(_struct_of(cls))
 
 
 @cache
--- a/src/quetzaldeck/directory/http.py
+++ b/src/quetzaldeck/directory/http.py
@@ -14,7 +14,9 @@
     vm_lists,
 )
 from quetzaldeck.directory.vm_entry import VmEntry
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.running_timeout import RunningTimeout
+from quetzaldeck.telemetry import log_event
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -22,7 +24,9 @@
 REVISION_HEADER = "X-Revision"
 READ_TIMEOUT_MS = 2_000.0
 WATCH_TIMEOUT_MARGIN_MS = 1_000.0
-_VMS_DECODER = msgspec.json.Decoder(tuple[VmEntry, ...])
+MAX_LOGGED_BYTES = 200
+_LIST_DECODER = JsonDecoder(list[msgspec.Raw])
+_ENTRY_DECODER = JsonDecoder(VmEntry)
 
 
 @configuration_services.register("http")
@@ -67,7 +71,7 @@
 
 @vm_lists.register("http")
 class HttpVmList(VmList):
-    """Reads the list of VMs by GET."""
+    """Reads the list of VMs by GET; leaves out entries that are not valid."""
 
     async def read(self) -> tuple[VmEntry, ...]:
         """Read the list; see :meth:`VmList.read`."""
@@ -79,7 +83,7 @@
                 if response.status != HTTP_OK:
                     msg = f"VM list: HTTP status {response.status}"
                     raise PlatformError(msg)
-                return _VMS_DECODER.decode(await response.read())
+                return _decode_list(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             msg = f"VM list: {error!r}"
             raise PlatformError(msg) from error
@@ -88,4 +92,16 @@
             raise PlatformError(msg) from error
 
 
+def _decode_list(data: bytes) -> tuple[VmEntry, ...]:
+    """:raises msgspec.DecodeError: if it is no list"""
+    entries = []
+    for raw in _LIST_DECODER.decode(data):
+        try:
+            entries.append(_ENTRY_DECODER.decode(bytes(raw)))
+        except msgspec.DecodeError as error:
+            text = bytes(raw)[:MAX_LOGGED_BYTES].decode(errors="replace")
+            log_event("vm_entry_invalid", level="WARNING", entry=text, error=error)
+    return tuple(entries)
+
+
 __all__ = ("REVISION_HEADER", "HttpConfigurationService", "HttpVmList")
--- a/src/quetzaldeck/dissemination/bundle_answer.py
+++ b/src/quetzaldeck/dissemination/bundle_answer.py
@@ -19,6 +19,7 @@
     apply_patch,
     make_patch,
 )
+from quetzaldeck.json_decoder import JsonDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -47,7 +48,7 @@
     patch: BundlePatch
 
 
-_PATCHED_DECODER = msgspec.json.Decoder(PatchedEnvelope)
+_PATCHED_DECODER = JsonDecoder(PatchedEnvelope)
 
 
 def encode_answer(
--- a/src/quetzaldeck/entry/peers/belief_source.py
+++ b/src/quetzaldeck/entry/peers/belief_source.py
@@ -77,7 +77,7 @@
             raise SourceError(f"{self._url}: status {status}")
         try:
             return decode_belief_update(body).translate()
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except msgspec.DecodeError as error:
             raise SourceError(f"{self._url}: {error}") from error
 
 
--- a/src/quetzaldeck/entry/peers/belief_update.py
+++ b/src/quetzaldeck/entry/peers/belief_update.py
@@ -12,6 +12,7 @@
     SourceAnswer,
     ZoneEvacuated,
 )
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.routing import Replica, RoutingConfiguration
 
 BELIEF_PATH = "/belief"
@@ -63,7 +64,7 @@
         )
 
 
-_DECODER = msgspec.json.Decoder(BeliefUpdate)
+_DECODER = JsonDecoder(BeliefUpdate)
 
 
 def decode_belief_update(data: bytes) -> BeliefUpdate:
--- a/src/quetzaldeck/entry/peers/messages.py
+++ b/src/quetzaldeck/entry/peers/messages.py
@@ -11,6 +11,7 @@
 from quetzaldeck.decisions.loads.peer_load import VmLoad
 from quetzaldeck.decisions.poison import CrashSighting, RunSighting, RunState
 from quetzaldeck.decisions.rate_limits import Permit, RateLimitStatement
+from quetzaldeck.json_decoder import JsonDecoder
 
 if TYPE_CHECKING:
     from quetzaldeck.decisions.cold_replicas import ColdClaim
@@ -228,7 +229,7 @@
 N_AGE_DIGITS = 1
 """Decimal places of ages in milliseconds."""
 
-_DECODER = msgspec.json.Decoder(PeerMessage)
+_DECODER = JsonDecoder(PeerMessage)
 
 
 def encode_message(message: PeerMessage) -> bytes:
--- a/src/quetzaldeck/entry/peers/task.py
+++ b/src/quetzaldeck/entry/peers/task.py
@@ -136,7 +136,7 @@
         """Handle a datagram; one that cannot be decoded is only counted and logged."""
         try:
             message = decode_message(data)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except msgspec.DecodeError as error:
             self._note_undecodable(addr[0], error)
             return
         if message.vm == self._vm:
--- a/src/quetzaldeck/gateway/claimed_call.py
+++ b/src/quetzaldeck/gateway/claimed_call.py
@@ -16,6 +16,7 @@
     ClaimRequest,
 )
 from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.pauses import PauseError, PauseGuard
 from quetzaldeck.upstreams import ServiceAnswer
@@ -32,7 +33,7 @@
 """Added to the timeout of the request for a claim, for the round trip between gateway
 and agent."""
 
-_DECISION = msgspec.json.Decoder(ClaimDecision)
+_DECISION = JsonDecoder(ClaimDecision)
 _AGENT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError)
 
 
--- a/src/quetzaldeck/gateway/exchange_task.py
+++ b/src/quetzaldeck/gateway/exchange_task.py
@@ -15,6 +15,7 @@
 from quetzaldeck.gateway.messages import Observe
 from quetzaldeck.gateway.record_exchange import RecordExchange
 from quetzaldeck.gateway.usage_records import USAGE_KIND, UsageRecords
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
@@ -25,7 +26,7 @@
 """Timeout of one exchange. The agent on the same VM responds within milliseconds, but
 may be busy."""
 EXCHANGE_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError)
-_VIEW_DECODER = msgspec.json.Decoder(AgentView)
+_VIEW_DECODER = JsonDecoder(AgentView)
 
 
 class ExchangeTask:
--- a/src/quetzaldeck/http/json.py
+++ b/src/quetzaldeck/http/json.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from quetzaldeck.json_decoder import JsonDecoder
+
 T = TypeVar("T")
 
 JSON_TYPE = "application/json"
@@ -28,14 +31,14 @@
     )
 
 
-def decode_body(data: bytes, decoder: msgspec.json.Decoder[T]) -> T:
+def decode_body(data: bytes, decoder: JsonDecoder[T]) -> T:
     """:returns: the message in ``data``
 
     :raises BodyError: naming the field that is not valid
     """
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         raise BodyError(str(error)) from error
 
 
--- a/src/quetzaldeck/peers/seal.py
+++ b/src/quetzaldeck/peers/seal.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.peers.errors import PeerRefusal, RefusedMessageError
 
 SEAL_HEADER = "X-Quetzaldeck-Seal"
@@ -42,14 +43,17 @@
     return msgspec.json.encode(seal).decode()
 
 
+_DECODER = JsonDecoder(Seal)
+
+
 def decode_seal(value: str) -> Seal:
     """:returns: the seal in a header's value
 
     :raises RefusedMessageError: if the value is not a seal
     """
     try:
-        return msgspec.json.decode(value, type=Seal)
-    except (msgspec.DecodeError, UnicodeError) as error:
+        return _DECODER.decode(value)
+    except msgspec.DecodeError as error:
         raise RefusedMessageError(PeerRefusal.UNREADABLE, str(error)) from error
 
 
--- a/src/quetzaldeck/platform/reports.py
+++ b/src/quetzaldeck/platform/reports.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from quetzaldeck.decisions import AttemptFault
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.platform.headers import (
     EXPECTED_REPLICA,
     ignore_head,
@@ -42,6 +43,9 @@
     """Start time in Unix milliseconds; not every engine reports it."""
 
 
+_DECODER = JsonDecoder(_Report)
+
+
 class ReplicaReports:
     """Requests reports from engines.
 
@@ -76,8 +80,8 @@
         if response.status != OK_STATUS:
             raise _fault(name, f"report request answered with status {response.status}")
         try:
-            report = msgspec.json.decode(body, type=_Report)
-        except (msgspec.DecodeError, RecursionError) as error:
+            report = _DECODER.decode(body)
+        except msgspec.DecodeError as error:
             raise _fault(name, f"invalid report: {error}") from error
         is_known_incarnation = report.born in (0, replica.started_ms)
         return report.pace if is_known_incarnation else None
--- a/src/quetzaldeck/platform/store.py
+++ b/src/quetzaldeck/platform/store.py
@@ -26,6 +26,7 @@
     log_over_bound,
     read_body,
 )
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.platform.wire_configuration import decode_configuration
 from quetzaldeck.platform.wire_replica import decode_replica
 from quetzaldeck.running_timeout import RunningTimeout
@@ -73,8 +74,8 @@
     at: int
 
 
-_PAGE_DECODER = msgspec.json.Decoder(_Page)
-_EVENTS_DECODER = msgspec.json.Decoder(_Events)
+_PAGE_DECODER = JsonDecoder(_Page)
+_EVENTS_DECODER = JsonDecoder(_Events)
 
 
 class PlatformStore(BeliefSource):
@@ -150,7 +151,7 @@
         return body
 
 
-def _decode(path: str, body: bytes, decoder: msgspec.json.Decoder[T]) -> T:
+def _decode(path: str, body: bytes, decoder: JsonDecoder[T]) -> T:
     try:
         return decoder.decode(body)
     except msgspec.DecodeError as error:
@@ -174,7 +175,7 @@
             return ReplicaRemoved(replica_id)
         if is_replica:
             return ReplicaRead(decode_replica(replica_id, item.value))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except msgspec.DecodeError as error:
         return UndecodableEntry(
             item.key, str(error), replica_id if is_replica else None
         )
--- a/src/quetzaldeck/platform/wire_configuration.py
+++ b/src/quetzaldeck/platform/wire_configuration.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from quetzaldeck.bundle.engine_figures import EngineFigures
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.routing import (
     CallerLimits,
     ColdStart,
@@ -174,7 +175,7 @@
         )
 
 
-_DECODER = msgspec.json.Decoder(_WireConfiguration)
+_DECODER = JsonDecoder(_WireConfiguration)
 
 
 def decode_configuration(value: bytes) -> RoutingConfiguration:
--- a/src/quetzaldeck/platform/wire_replica.py
+++ b/src/quetzaldeck/platform/wire_replica.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.routing import Replica
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -33,7 +34,7 @@
     """Start time in Unix milliseconds; not every replica reports it."""
 
 
-_DECODER = msgspec.json.Decoder(_WireReplica)
+_DECODER = JsonDecoder(_WireReplica)
 
 _ID = re.compile(r"[!-~]{1,200}")
 """Ids are sent in headers, so they have no whitespace and no line breaks."""
@@ -45,8 +46,6 @@
     """:returns: the replica in ``value``
 
     :raises msgspec.DecodeError: if it is not valid; the message names the faulty field
-    :raises UnicodeDecodeError: if a string in it is not valid UTF-8
-    :raises RecursionError: if it is nested too deeply
     """
     if not _ID.fullmatch(replica_id):
         msg = f"{replica_id!r} is not a valid replica id"
--- a/src/quetzaldeck/upstreams/openai_engine.py
+++ b/src/quetzaldeck/upstreams/openai_engine.py
@@ -13,6 +13,7 @@
 from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.decisions.placement.cache_events import CacheEvent, CacheEvents
 from quetzaldeck.http.answer_bounds import ByteBound, read_body
+from quetzaldeck.json_decoder import JsonDecoder
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.upstreams.api import EngineUpstream, engine_protocols
 from quetzaldeck.upstreams.attempt import Chunk, Export, Owner, RunningSequence
@@ -45,11 +46,11 @@
     )
     from quetzaldeck.upstreams.watch import Watch
 
-_CHUNK_DECODER = msgspec.json.Decoder(ChunkBody)
-_LOAD_DECODER = msgspec.json.Decoder(LoadBody)
-_RESERVATION_DECODER = msgspec.json.Decoder(ReservationState)
-_EXPORT_DECODER = msgspec.json.Decoder(ExportBody)
-_SEQUENCES_DECODER = msgspec.json.Decoder(list[SequenceBody])
+_CHUNK_DECODER = JsonDecoder(ChunkBody)
+_LOAD_DECODER = JsonDecoder(LoadBody)
+_RESERVATION_DECODER = JsonDecoder(ReservationState)
+_EXPORT_DECODER = JsonDecoder(ExportBody)
+_SEQUENCES_DECODER = JsonDecoder(list[SequenceBody])
 CONTROL_TIMEOUT_MS = 2_000.0
 MAX_CONTROL_BYTES = 1 << 20
 """Limit on an answer that is no completion; a list of sequences has some 200 bytes for
--- a/src/quetzaldeck/upstreams/wire.py
+++ b/src/quetzaldeck/upstreams/wire.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Any, NotRequired, TypedDict
+from typing import Annotated, Any, NotRequired, TypedDict
+
+import msgspec
+
+MAX_COUNT = 1 << 53
+"""Largest whole number that a float holds exactly; larger ones overflow later."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 class ControlFields(TypedDict):
@@ -51,7 +58,7 @@
 
     export_id: str
     address: str
-    n_tokens: int
+    n_tokens: Count
 
 
 class ReservationBody(TypedDict):
@@ -70,7 +77,7 @@
     attempt_id: str
     vm: str
     incarnation: str
-    n_kv_tokens: int
+    n_kv_tokens: Count
     age_ms: float
     kind: str
 
@@ -119,9 +126,9 @@
 
     id: str
     choices: list[ChunkChoice]
-    offset: int
-    n_output_tokens: NotRequired[int]
-    n_prompt_tokens: NotRequired[int]
+    offset: Count
+    n_output_tokens: NotRequired[Count]
+    n_prompt_tokens: NotRequired[Count]
     cache_events: NotRequired[CacheEventsBody]
 
 
@@ -135,12 +142,12 @@
     """Response of ``GET /v1/load``."""
 
     incarnation: str
-    sequence: int
+    sequence: Count
     age_ms: float
-    n_running: int
-    n_waiting: int
-    n_kv_tokens_used: int
-    n_prefill_tokens: int
+    n_running: Count
+    n_waiting: Count
+    n_kv_tokens_used: Count
+    n_prefill_tokens: Count
     models: list[str]
     role: NotRequired[str]
 
--- /dev/null
+++ b/tests/test_odd_answers.py
@@ -0,0 +1,154 @@
+"""Answers that are odd or cut off, at each place that reads from another process."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import pkgutil
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+import pytest
+import uvloop
+from aiohttp import web
+from tests.support.held_server import HeldServer
+from tests.support.platform.site import BOOK_PATH, LOOK_PATH, PLAN_PATH, run_site
+from tests.test_late_event_loop import exchanges
+
+import quetzaldeck
+from quetzaldeck.directory.http import HttpVmList
+from quetzaldeck.json_decoder import JsonDecoder
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.support.platform.replica import Arrival, Connection
+    from tests.support.platform.site import Site
+    from tests.test_late_event_loop import Exchange
+
+DIGITS = b"9" * 4_000
+"""More than any float holds, and fewer than Python refuses to read."""
+
+ODD = {
+    "nested": b"[" * 100_000 + b"]" * 100_000,
+    "nested_field": b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    "digits": DIGITS,
+    "digits_past_a_limit": b"9" * 5_000,
+    "not_utf8": b'{"x":"\xff"}',
+    "a_list": b"[1]",
+    "cut": b'{"x":',
+}
+VM = b'["vm-1","entry","http://127.0.0.1:1"]'
+ODD_ENTRIES = (b'["vm-2"]', b'["vm-2","entry",99999]', b"[" * 20 + b"]" * 20, DIGITS)
+
+
+def list_decoders() -> Iterator[tuple[str, JsonDecoder[object]]]:
+    """:returns: name and decoder, for each message that some module reads"""
+    for module in pkgutil.walk_packages(quetzaldeck.__path__, "quetzaldeck."):
+        if module.name.endswith("__main__"):
+            continue
+        for name, value in vars(importlib.import_module(module.name)).items():
+            if isinstance(value, JsonDecoder):
+                yield f"{module.name}.{name}", value
+
+
+def faults_of(exchange: Exchange) -> tuple[type[Exception], ...]:
+    """:returns: errors that whoever makes an exchange expects of it"""
+    return (exchange.error, aiohttp.ClientError, msgspec.DecodeError)
+
+
+def test_odd_message_is_not_valid_and_nothing_else() -> None:
+    """Guards against a task that ends, and with it what it reads, for one odd message.
+
+    Nesting, digits and bytes that are not UTF-8 raise errors of their own.
+    """
+    decoders = dict(list_decoders())
+    assert len(decoders) > 25
+    for data in ODD.values():
+        for decoder in decoders.values():
+            try:
+                decoder.decode(data)
+            except msgspec.DecodeError:
+                continue
+
+
+@pytest.mark.parametrize("odd", ODD)
+@pytest.mark.parametrize("name", exchanges.names)
+def test_odd_answer_is_a_fault_like_any_other(name: str, odd: str) -> None:
+    """Guards against an answer that ends who asked for it."""
+    exchange = exchanges.get(name)()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        event = b"data: " + ODD[odd] + b"\n\n" if name == "prefill" else ODD[odd]
+        return web.Response(body=event, headers=exchange.headers)
+
+    async def test(server: HeldServer) -> None:
+        try:
+            await exchange.send(server.address)
+        except faults_of(exchange):
+            return
+
+    with HeldServer(answer) as server:
+        uvloop.run(test(server))
+
+
+@pytest.mark.parametrize("name", exchanges.names)
+def test_head_that_is_cut_off_is_no_answer(name: str) -> None:
+    """Guards against a success without a body, made of the beginning of a head."""
+    exchange = exchanges.get(name)()
+    fields = "".join(f"{k}: {v}\r\n" for k, v in exchange.headers.items())
+    head = f"HTTP/1.1 200 OK\r\n{fields}Content-Length: 12\r\n\r\n".encode()
+    cut_heads = [head[:n_bytes] for n_bytes in range(1, len(head), 3)]
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(cut_heads[-1])
+        writer.close()
+
+    async def test() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        async with server:
+            while cut_heads:
+                with pytest.raises(faults_of(exchange)):
+                    await exchange.send(f"{host}:{port}")
+                cut_heads.pop()
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("path", [BOOK_PATH, LOOK_PATH, PLAN_PATH])
+def test_head_of_a_replica_that_is_cut_off_is_no_answer(path: str) -> None:
+    """Guards against a caller that gets a success without a body, framed as whole."""
+    n_left = 80
+
+    async def cut(arrival: Arrival, connection: Connection) -> None:
+        head = connection.build_head(arrival, 200, "Content-Length: 2")
+        await connection.send(head[:n_left])
+        connection.close()
+
+    async def test(site: Site) -> None:
+        nonlocal n_left
+        while n_left > 0:
+            answer = await site.call(path, deadline_ms=500)
+            assert answer.status in (502, 504)
+            n_left -= 4
+
+    run_site(test, desks=(cut,), engines=(cut,))
+
+
+def test_list_of_vms_is_followed_beside_an_odd_entry() -> None:
+    """Guards against VMs that keep an old list, as another writer left an entry."""
+    for odd in ODD_ENTRIES:
+
+        async def answer(request: web.Request, odd: bytes = odd) -> web.Response:
+            return web.Response(body=b"[" + odd + b"," + VM + b"]")
+
+        async def test(server: HeldServer) -> None:
+            async with aiohttp.ClientSession() as session:
+                vms = await HttpVmList(f"http://{server.address}", session).read()
+            assert [entry.vm for entry in vms] == ["vm-1"]
+
+        with HeldServer(answer) as server:
+            uvloop.run(test(server))
