--- a/src/quetzaldeck/json_decoder.py
+++ b/src/quetzaldeck/json_decoder.py
@@ -29,6 +29,8 @@
         """
         try:
             return self._decoder.decode(data)
+        except msgspec.DecodeError:
+            raise
         except (RecursionError, ValueError) as error:
             raise msgspec.DecodeError(str(error)) from error
 
