Let the soak mislead VMs, and check promises from both ends

Cause: soaks repeated answers and refused requests, but no replica sent a word that could be taken for one on another sending, callers never came back with one id, and bookings of callers who left were not counted. Change: the fault mislead (copies of rejections on their connection, rejections without an id, own statuses after a run, heads that are cut off; refused callers return with the same id); at_most_once counts all bookings; true_refusals tells what ran before the caller sent the request again from what ran after it.

--- a/tests/soak/entry/callers.py
+++ b/tests/soak/entry/callers.py
@@ -4,10 +4,15 @@
 
 import asyncio
 from contextlib import AsyncExitStack
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
-from tests.soak.entry.history import CallRecord, RequestKind, now_ms
+from tests.soak.entry.history import (
+    NOT_RUN_STATUSES,
+    CallRecord,
+    RequestKind,
+    now_ms,
+)
 from tests.soak.entry.replicas import LONG_CALL_PREFIX
 from tests.support.platform.site import HOST
 
@@ -32,6 +37,9 @@
 DISCONNECT_PROBABILITY = 0.05
 """Share of callers that disconnect before their response is complete."""
 
+MAX_RETURNS = 3
+"""How often a refused caller sends its request again, while a fault asks for it."""
+
 READINESS_INTERVAL_S = 0.25
 """Interval and timeout of readiness checks."""
 
@@ -39,6 +47,17 @@
 """Failed checks in a row that take a VM out of rotation."""
 
 
+class _OwnCall(NamedTuple):
+    """What a caller sends, again with the same id if it is refused."""
+
+    call_id: str
+    kind: RequestKind
+    vm: str
+    key: str
+    deadline_ms: float
+    is_in_rotation: bool
+
+
 class Callers:
     """Sends requests to ready VMs over connections that stay open until they fail."""
 
@@ -118,15 +137,29 @@
         }
         if kind is RequestKind.PLAN:
             headers["Quetzaldeck-Token-Counts"] = f"{n_prompt_tokens},100"
+        if kind is RequestKind.BOOK:
+            world.history.bookings.add(call_id)
         disconnects = random_state.random() < DISCONNECT_PROBABILITY
-        timeout_s = 0.05 if disconnects else (deadline_ms + 6_000) / 1_000
+        call = _OwnCall(call_id, kind, vm.name, key, deadline_ms, is_in_rotation)
+        status = await self._send(call, headers, disconnects=disconnects)
+        if kind is RequestKind.BOOK and world.n_wanting_returns:
+            for _ in range(MAX_RETURNS):
+                if status not in NOT_RUN_STATUSES:
+                    break
+                status = await self._send(call, headers)
+
+    async def _send(
+        self, call: _OwnCall, headers: dict[str, str], *, disconnects: bool = False
+    ) -> int:
+        """:returns: the status of the response; 0: none"""
+        timeout_s = 0.05 if disconnects else (call.deadline_ms + 6_000) / 1_000
         sent_ms = now_ms()
         status, body, is_complete = 0, b"", False
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._clients[vm.name].post(
-                    PATHS[kind], data=call_id, headers=headers
+                self._clients[call.vm].post(
+                    PATHS[call.kind], data=call.call_id, headers=headers
                 ) as response,
             ):
                 status = response.status
@@ -136,21 +169,22 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             pass
         if disconnects and not is_complete:
-            return
+            return 0
         record = CallRecord(
-            call_id,
-            kind,
-            vm.name,
-            key,
+            call.call_id,
+            call.kind,
+            call.vm,
+            call.key,
             sent_ms,
             now_ms(),
-            deadline_ms,
+            call.deadline_ms,
             status,
             body,
             is_complete,
-            is_in_rotation,
+            call.is_in_rotation,
         )
-        world.history.calls.append(record)
+        self._world.history.calls.append(record)
+        return status
 
 
 async def is_ready(client: aiohttp.ClientSession, vm: SoakVm) -> bool:
--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import math
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from tests.soak.entry.culprits import REFUSED
 from tests.soak.entry.endless import check_flood
-from tests.soak.entry.history import RequestKind
+from tests.soak.entry.history import NOT_RUN_STATUSES, RequestKind
 from tests.soak.entry.replicas import build_complete_stream
 from tests.soak.entry.world import EVACUATION_MS, LEAVING_MS, REVOCATION_MS
 from tests.soak.own.link import PathMode
@@ -27,7 +28,6 @@
     Check = Callable[[History], Iterator[str]]
 
 CHECKS: dict[str, Check] = {}
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 DEADLINE_TOLERANCE_MS = 1_000.0
 LEAVING_TOLERANCE_MS = 400.0
 """Covers a request that was already on its way, on a busy machine."""
@@ -91,9 +91,8 @@
 @register
 def at_most_once(history: History) -> Iterator[str]:
     """A booking runs at most once; look-ups and resumable streams may run again."""
-    bookings = {call.call_id for call in history.calls if call.kind is RequestKind.BOOK}
     counts = Counter(execution.call_id for execution in history.executions)
-    for call_id in bookings:
+    for call_id in history.bookings:
         if counts[call_id] > 1:
             yield f"{call_id} ran {counts[call_id]} times"
 
@@ -101,13 +100,19 @@
 @register
 def true_refusals(history: History) -> Iterator[str]:
     """A booking that was refused as not run has not run and does not run later."""
-    ran = {execution.call_id for execution in history.executions}
+    ran_ms: dict[str, list[float]] = defaultdict(list)
+    for execution in history.executions:
+        ran_ms[execution.call_id].append(execution.at_ms)
+    sent_ms: dict[str, list[float]] = defaultdict(list)
+    for call in history.calls:
+        sent_ms[call.call_id].append(call.sent_ms)
     for call in history.calls:
-        if (
-            call.kind is RequestKind.BOOK
-            and call.status in NOT_RUN_STATUSES
-            and call.call_id in ran
-        ):
+        if call.kind is not RequestKind.BOOK or call.status not in NOT_RUN_STATUSES:
+            continue
+        # The caller may have sent it again since, with the same id.
+        later_ms = [at_ms for at_ms in sent_ms[call.call_id] if at_ms > call.sent_ms]
+        end_ms = min(later_ms, default=math.inf)
+        if any(at_ms < end_ms for at_ms in ran_ms[call.call_id]):
             yield f"{call.call_id} was answered {call.status} and ran"
 
 
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -19,6 +19,7 @@
     Skew,
     now_ms,
 )
+from tests.soak.entry.misleading import Misleading
 from tests.soak.entry.world import GRACE_S, LEAVING_MS
 from tests.soak.own.link import LinkMode, PathMode
 from tests.support.platform.site import DESK, ENGINES, build_configuration
@@ -245,6 +246,27 @@
         world.replicas[name].rest_s = 0.0
 
 
+@register
+async def mislead(world: SoakWorld, random_state: random.Random) -> None:
+    """Replicas send what may be taken for another answer; refused callers return.
+
+    A returning caller sends the same request with the same id.
+    """
+    kind = random_state.choice(list(Misleading))
+    names = random_state.sample(world.serving, random_state.randint(1, 3))
+    p_refused = random_state.choice([0.0, 0.4]) if kind is not Misleading.COPY else 0.6
+    async with record_fault(world, "mislead", ""):
+        world.n_wanting_returns += 1
+        for name in names:
+            world.replicas[name].mislead(kind)
+            world.replicas[name].p_refused = p_refused
+        await asyncio.sleep(random_state.uniform(*REST_S))
+        for name in names:
+            world.replicas[name].misleader = None
+            world.replicas[name].p_refused = 0.0
+        world.n_wanting_returns -= 1
+
+
 @register
 async def announce_leaving(world: SoakWorld, random_state: random.Random) -> None:
     """A replica says in its responses that it leaves, well before its entry does."""
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -16,6 +16,9 @@
 
 LOOP_CHECK_INTERVAL_MS = 50.0
 
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses after which callers send a request again that must run only once."""
+
 VM_FAULTS = ("kill_vm", "kill_all", "stop_vm", "freeze_vm")
 """Faults that restart or freeze VMs."""
 
@@ -133,6 +136,7 @@
 class History:
     """Everything that the checks read.
 
+    ``bookings`` has the ids of all bookings sent, also of callers who left,
     ``revoked_ms`` has the time of revocation by API key, ``leaving_ms`` the time at
     which a replica was marked as leaving, by replica, ``injections`` when each fault
     acted, excused or not, ``work_ends`` when replicas ended their work on each call,
@@ -144,6 +148,7 @@
 
     def __init__(self) -> None:
         self.executions: list[Execution] = []
+        self.bookings: set[str] = set()
         self.calls: list[CallRecord] = []
         self.fault_intervals: list[FaultInterval] = []
         self.injections: list[FaultInterval] = []
@@ -218,6 +223,7 @@
 
 
 __all__ = (
+    "NOT_RUN_STATUSES",
     "CallRecord",
     "Culprit",
     "Evacuation",
--- a/tests/soak/entry/replicas.py
+++ b/tests/soak/entry/replicas.py
@@ -8,6 +8,7 @@
 
 from tests.soak.entry.endless import Endless, pour
 from tests.soak.entry.history import Culprit, Execution, Rest, now_ms
+from tests.soak.entry.misleading import Misleader, Misleading
 from tests.support.platform.crash_check import Sending
 from tests.support.platform.rate_limit_check import Naming, Received
 from tests.support.platform.replica import StandInReplica, event
@@ -46,6 +47,7 @@
         self.p_refused = 0.0
         self.rest_s = 0.0
         self.endless: Endless | None = None
+        self.misleader: Misleader | None = None
         self._pace = 1.0
         self._has_crashed = False
         self.reserved_until_ms: dict[str, float] = {}
@@ -85,6 +87,9 @@
         if self.server.is_leaving:
             told = self._history.told_leaving[self.replica_id]
             told.setdefault(read_vm(arrival.call_id), now_ms())
+        misleader = self.misleader
+        if misleader is not None and await misleader.spoil(arrival, connection):
+            return
         if self._draw(self.p_refused):
             await self._refuse(arrival, connection)
             return
@@ -97,15 +102,29 @@
             return
         if await self._crash_on_parts(arrival, connection):
             return
-        execution = Execution(arrival.call_id, self.replica_id, now_ms(), owner, after)
-        self._history.executions.append(execution)
+        self._note_execution(arrival, after)
         try:
             await self._run(arrival, connection, after)
         finally:
             ended = (self.replica_id, now_ms())
             self._history.work_ends[arrival.call_id].append(ended)
 
+    def mislead(self, kind: Misleading) -> None:
+        """Begin to spoil answers."""
+        self.misleader = Misleader(kind, self._random_state, self._run_unanswered)
+
+    async def _run_unanswered(self, arrival: Arrival) -> None:
+        self._note_execution(arrival, arrival.headers.get("last-event-id", ""))
+        await asyncio.sleep(RUN_MS / 1_000)
+
+    def _note_execution(self, arrival: Arrival, after: str) -> None:
+        owner = arrival.headers.get("quetzaldeck-tenant", "")
+        execution = Execution(arrival.call_id, self.replica_id, now_ms(), owner, after)
+        self._history.executions.append(execution)
+
     async def _refuse(self, arrival: Arrival, connection: Connection) -> None:
+        if self.misleader is not None:
+            self.misleader.note_rejected(arrival, connection)
         if not self.rest_s:
             await connection.answer_not_executed(arrival)
             return
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -47,6 +47,7 @@
         "evacuate_zone",
         "ask_for_rest",
         "announce_leaving",
+        "mislead",
     }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
@@ -158,6 +159,23 @@
     assert result.n_calls > 200
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_promises_hold_while_replicas_mislead_and_vms_freeze(seed: int) -> None:
+    """A refused booking has run, or one runs twice, by a word on another sending."""
+    plan = (
+        PlannedFault(0.2, "mislead", 10 * seed),
+        PlannedFault(0.4, "mislead", 10 * seed + 1),
+        PlannedFault(1.5, "freeze_vm", 2),
+        PlannedFault(2.5, "partition_vms", 4),
+        PlannedFault(3.0, "mislead", 10 * seed + 2),
+        PlannedFault(4.0, "kill_vm", 1),
+        PlannedFault(5.0, "mislead", 10 * seed + 3),
+    )
+    result = uvloop.run(run_soak(seed, duration_s=10.0, n_vms=4, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 200
+
+
 def test_requests_in_a_rest_and_after_leaving_are_found() -> None:
     """Guards against checks that find nothing, whatever replicas receive."""
     history = History()
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -124,6 +124,7 @@
         self.keys = {f"key{number}": f"gym{number % 3}" for number in range(30)}
         self.version = 0
         self.n_wanting_long_calls = 0
+        self.n_wanting_returns = 0
         self.n_endless = 0
 
     async def __aenter__(self) -> SoakWorld:
