Ignore SIGHUP until the settings are watched, and apply a change made meanwhile

Cause: the signal had its default action until the watch of the settings had its handler, after all imports, and again once the watch had ended; the watch also took the file for unchanged if it changed between the reading of the settings and its start. Change: the first statement of the program ignores the signal, most imports come after it; the watch looks at the file when it starts; the signal is ignored again when it ends. Open: the interpreter's own start, before the first statement, ends as before.

--- a/src/quetzaldeck/cli/start_entry.py
+++ b/src/quetzaldeck/cli/start_entry.py
@@ -6,13 +6,9 @@
 
 from __future__ import annotations
 
-import argparse
 import gc
 import os
-from pathlib import Path
-
-from quetzaldeck.cli.certificates import no_default_certificates
-from quetzaldeck.early_listener import open_early_listener
+import signal
 
 
 def main() -> None:
@@ -20,9 +16,18 @@
 
     Imports create many objects and free hardly any. Collecting garbage meanwhile would
     take a sixth of the processor time until the first request can be served.
+
+    SIGHUP is ignored until the settings are watched: by default it ends the process.
+    The watch notices a change whenever it was made. So most imports come after that.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
-    path = _read_arguments().settings
+    from pathlib import Path
+
+    from quetzaldeck.cli.certificates import no_default_certificates
+    from quetzaldeck.early_listener import open_early_listener
+
+    path = _read_settings_path()
     listener = open_early_listener(path)
     with no_default_certificates():
         from quetzaldeck.cli.entry_program import run_entry
@@ -32,11 +37,14 @@
     run_entry(Path(path), listener)
 
 
-def _read_arguments() -> argparse.Namespace:
+def _read_settings_path() -> str:
+    import argparse
+
     default = os.environ.get("QUETZALDECK_SETTINGS")
     parser = argparse.ArgumentParser("quetzaldeck-entry")
     parser.add_argument("--settings", default=default, required=default is None)
-    return parser.parse_args()
+    path: str = parser.parse_args().settings
+    return path
 
 
 if __name__ == "__main__":
--- a/src/quetzaldeck/entry/settings_watch.py
+++ b/src/quetzaldeck/entry/settings_watch.py
@@ -35,7 +35,8 @@
         self._cls = cls
         self._settings = settings
         self._apply = apply
-        self._last_data = self._read()
+        # The file may have changed since the settings were read, so it is read again.
+        self._last_data: bytes | None = None
         self._reload_requested = asyncio.Event()
 
     async def run(self) -> None:
@@ -43,6 +44,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
         try:
+            self.reload_if_changed()
             while True:
                 try:
                     async with asyncio.timeout(POLL_INTERVAL_MS / 1_000):
@@ -53,7 +55,9 @@
                 self._reload_requested.clear()
                 self.reload_if_changed()
         finally:
+            # The default action would end a process that is shutting down.
             loop.remove_signal_handler(signal.SIGHUP)
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def reload_if_changed(self) -> None:
         """Load the file and apply its settings if its content has changed."""
