Count a response as in progress until the kernel has all of it

Cause: only the making of a response was tracked, so that the shutdown did not wait for its writing; and aiohttp returns while some kilobytes wait in this process. Change: a response is written inside of what is tracked, until the buffer of its connection is empty; one that is still written at the end of the grace period is cut off, logged and counted. The same for the gateway of the own interface. Tests: test_vm_waits_for_answers_that_are_being_written, both cells fail before.

--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -32,6 +32,7 @@
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.settings import CallerBounds
 from quetzaldeck.http.socket_wait import read_wait_ms
+from quetzaldeck.http.written import write_whole
 from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.platform import CALL_ID, read_call_head
 from quetzaldeck.telemetry import locate_error, log_event
@@ -90,8 +91,33 @@
         progress = CallProgress(call_id, arrived_ms)
         kind = "call" if handover is None else "handed_over"
         self._state.metrics.requests.labels(kind).inc()
+        response: web.StreamResponse | None = None
         try:
+            # A response that is still being written is in progress, too.
             with self._state.in_flight.track(request_id, call_id=call_id):
+                response = await self._respond(
+                    http_request, request_id, progress, handover
+                )
+                await self._write(http_request, response, progress)
+        except RequestError as error:
+            assert response is not None
+            reason = error.failure.reason.value
+            self._state.metrics.responses_cut_off.labels(reason).inc()
+            if http_request.transport is not None:
+                http_request.transport.abort()
+        return response
+
+    async def _respond(
+        self,
+        http_request: web.Request,
+        request_id: str,
+        progress: CallProgress,
+        handover: HandoverHead | None,
+    ) -> web.StreamResponse:
+        """:returns: the response to one request, whatever becomes of it"""
+        call_id = progress.call_id
+        try:
+            with self._state.in_flight.translate_abort(request_id):
                 response = await self._serve(
                     http_request, request_id, progress, handover
                 )
@@ -118,7 +144,6 @@
             # The load balancer redirects new connections only: the next request on a
             # connection that stays open would be refused by this VM again.
             response.force_close()
-        await self._write(http_request, response, progress)
         return response
 
     async def _write(
@@ -127,10 +152,12 @@
         response: web.StreamResponse,
         progress: CallProgress,
     ) -> None:
-        """Write a response that is not a stream, and record it if that fails."""
+        """Write a response, or the rest of a stream, and record it if that fails."""
+        transport = http_request.transport
+        if response.prepared and (transport is None or transport.is_closing()):
+            return
         try:
-            await response.prepare(http_request)
-            await response.write_eof()
+            await write_whole(http_request, response)
         except ConnectionError as error:
             # The HTTP server meets the same error and closes the connection.
             self._record_unsent(response, progress, error)
--- a/src/quetzaldeck/gateway/service.py
+++ b/src/quetzaldeck/gateway/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import uuid
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -26,6 +27,7 @@
     json_response,
     metrics_response,
 )
+from quetzaldeck.http.written import write_whole
 from quetzaldeck.outcomes import Failure, Ran, Reason
 from quetzaldeck.telemetry import log_event
 
@@ -131,8 +133,23 @@
 
         async def serve(request: web.Request) -> web.StreamResponse:
             request_id = uuid.uuid4().hex
+            self._session.metrics.requests.labels(kind).inc()
+            response: web.StreamResponse | None = None
+            try:
+                # A response that is still being written is in progress, too.
+                with self._session.state.in_flight.track(request_id):
+                    response = await respond(request, request_id)
+                    with suppress(ConnectionError):
+                        await write_whole(request, response)
+            except RequestError as error:
+                assert response is not None
+                self._note_failure(error.failure, request_id)
+                if request.transport is not None:
+                    request.transport.abort()
+            return response
+
+        async def respond(request: web.Request, request_id: str) -> web.StreamResponse:
             metrics = self._session.metrics
-            metrics.requests.labels(kind).inc()
             try:
                 response = await self._serve(handler, request, request_id)
             except RequestError as error:
@@ -160,7 +177,7 @@
             failure = Failure(Reason.SHUTTING_DOWN, retry_after_ms=RETRY_AFTER_MS)
             raise RequestError(failure)
         try:
-            with state.in_flight.track(request_id):
+            with state.in_flight.translate_abort(request_id):
                 await self._wait_for_bundle(request)
                 response = await handler(request, request_id)
         except RequestError:
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import socket
+from typing import TYPE_CHECKING, cast
 
 import pytest
 from tests.support.platform.replica import event
-from tests.support.platform.site import PLAN_PATH, run_site
+from tests.support.platform.site import HOST, KEY, LOOK_PATH, PLAN_PATH, run_site
 
 from quetzaldeck.entry.settings import EntryBounds
 from quetzaldeck.entry.state import build_shutdown
@@ -27,6 +28,7 @@
 N_EVENTS = 20
 EVENT_S = 0.1
 SILENCE_S = 1.2
+LONG_BODY = b"x" * 900_000
 
 
 class Streams:
@@ -159,3 +161,82 @@
         assert answer.body.endswith(b"data: b\n\n")
 
     run_site(test, engines=(behave,), bounds=EntryBounds(grace_s=1.5))
+
+
+class SlowCaller:
+    """Sends one request, and reads the answer in small pieces at first.
+
+    :param pause_s: between two pieces while it is slow
+    :param n_pieces: how many it reads slowly
+    """
+
+    def __init__(self, site: Site, pause_s: float, n_pieces: int) -> None:
+        self._site = site
+        self._pause_s = pause_s
+        self._n_pieces = n_pieces
+        self.n_bytes = 0
+
+    async def call(self) -> None:
+        """Read until the end of the connection, or of the answer."""
+        loop = asyncio.get_running_loop()
+        host, _, port = self._site.entry_address.rpartition(":")
+        head = (
+            f"POST {LOOK_PATH} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+            f"Quetzaldeck-Key: {KEY}\r\nQuetzaldeck-Deadline-Ms: 9000\r\n\r\n"
+        )
+        with socket.socket() as sock:
+            sock.setblocking(False)  # noqa: FBT003 - interface of the standard library
+            # Loopback's own segments are so large that the kernel takes a whole body.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_460)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+            await loop.sock_connect(sock, (host, int(port)))
+            await loop.sock_sendall(sock, head.encode())
+            while self.n_bytes < len(LONG_BODY):
+                self._n_pieces -= 1
+                is_slow = self._n_pieces >= 0
+                data = await loop.sock_recv(sock, 2_048 if is_slow else 65_536)
+                if not data:
+                    return
+                self.n_bytes += len(data)
+                if is_slow:
+                    await asyncio.sleep(self._pause_s)
+
+
+def count_unwritten(site: Site) -> int:
+    """:returns: bytes of responses that are still in this process"""
+    assert site.entry._runner is not None
+    assert site.entry._runner.server is not None
+    connections = site.entry._runner.server.connections
+    transports = [cast("asyncio.Transport", c.transport) for c in connections]
+    return sum(t.get_write_buffer_size() for t in transports)
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "n_pieces", "n_aborted"), [(8.0, 35, 0), (GRACE_S, 500, 1)]
+)
+def test_vm_waits_for_answers_that_are_being_written(
+    grace_s: float, n_pieces: int, n_aborted: int
+) -> None:
+    """Guards against complete answers that a stopping VM cuts off at a slow reader.
+
+    One that is still read at the end of the grace period is cut off, and counted.
+    """
+
+    async def answer(arrival: Arrival, connection: Connection) -> None:
+        await connection.answer(arrival, body=LONG_BODY)
+
+    async def test(site: Site) -> None:
+        caller = SlowCaller(site, 0.1, n_pieces)
+        calling = asyncio.create_task(caller.call())
+        await site.wait(lambda: caller.n_bytes > 0)
+        assert count_unwritten(site) > 0
+        assert await site.entry.drain() == n_aborted
+        assert count_unwritten(site) == 0
+        if n_aborted:
+            calling.cancel()
+        else:
+            await calling
+            assert caller.n_bytes >= len(LONG_BODY)
+
+    bounds = EntryBounds(grace_s=grace_s)
+    run_site(test, desks=(answer,), bounds=bounds, is_virtual=False)
