Bound the bodies of all requests in progress together

Cause: bodies were bounded one by one. Change: a quarter of the memory is for bodies (bounds.memory_mb, filled in from the platform's settings; callers.max_bodies_bytes at the gateway). A body whose length is known waits for its turn for half a second at most, before a byte is read; one that grows takes what is free. Otherwise the request is refused as not run. Tests: three in tests/gateway/test_body.py and two cells in tests/entry/test_overload.py, of parts that did not exist before. Open: responses of plain services, 1 MiB each at most, are not counted.

--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -201,24 +201,15 @@
             raise RequestError(Failure(Reason.NO_BUNDLE, detail=detail))
         admitted = self._admit(view, http_request, head, arrived_ms, handover)
         progress.route = admitted.route.name
-        body = await read_body(http_request, _caller_bounds(view))
-        progress.is_read = True
-        call = Call(
-            request_id,
-            http_request,
-            head,
-            admitted,
-            body if http_request.body_exists else None,
-            arrived_ms,
-            _fingerprint(http_request, admitted.customer, body),
-            remove_handover_fields(http_request.headers)
-            if handover is not None
-            else CIMultiDict(http_request.headers),
-            handover,
-        )
-        if handover is not None:
-            await self._confirm_path(admitted)
-        return await self._run(call, view, progress)
+        with self._state.bodies.open() as held:
+            body = await read_body(http_request, _caller_bounds(view), held)
+            progress.is_read = True
+            call = _build_call(
+                request_id, http_request, head, admitted, body, arrived_ms, handover
+            )
+            if handover is not None:
+                await self._confirm_path(admitted)
+            return await self._run(call, view, progress)
 
     async def _confirm_path(self, admitted: Admitted) -> None:
         """Check that this VM reaches the service of a request.
@@ -399,6 +390,30 @@
         raise RequestError(failure) from error
 
 
+def _build_call(
+    request_id: str,
+    http_request: web.Request,
+    head: CallHead,
+    admitted: Admitted,
+    body: bytes,
+    arrived_ms: float,
+    handover: HandoverHead | None,
+) -> Call:
+    return Call(
+        request_id,
+        http_request,
+        head,
+        admitted,
+        body if http_request.body_exists else None,
+        arrived_ms,
+        _fingerprint(http_request, admitted.customer, body),
+        remove_handover_fields(http_request.headers)
+        if handover is not None
+        else CIMultiDict(http_request.headers),
+        handover,
+    )
+
+
 def _fingerprint(http_request: web.Request, customer: str, body: bytes) -> int:
     """:returns: a hash of what a replica is sent; equal for repeated requests"""
     return compute_fingerprint(
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -28,6 +28,12 @@
 _ADDRESS_PATTERN = rf"[^\s:/]{{1,90}}:{_PORT_PATTERN}"
 
 
+BYTES_PER_MB = 1_000_000
+BODIES_SHARE = 0.25
+"""Share of the memory that bodies of requests may have together. They need about twice
+as much while they are read and sent, and a VM needs a sixth without any."""
+
+
 def _address(description: str, *, may_be_empty: bool = False) -> Option:
     if may_be_empty:
         pattern = rf"({_ADDRESS_PATTERN})?"
@@ -90,12 +96,20 @@
         int,
         Option("Longest response of an upstream, if it is not a stream.", unit="bytes"),
     ] = MAX_ANSWER_BYTES
+    memory_mb: Annotated[
+        float, Option("Memory of the process.", unit="MB", minimum=1)
+    ] = 300.0
 
     @property
     def entry_expiry_ms(self) -> float:
         """:returns: time after which the entry of a replica that has ended is gone"""
         return self.heartbeat_ms * N_MISSED_HEARTBEATS + EXPIRY_MARGIN_MS
 
+    @property
+    def max_bodies_bytes(self) -> int:
+        """:returns: bytes that the bodies of all requests in progress may have"""
+        return round(self.memory_mb * BYTES_PER_MB * BODIES_SHARE)
+
     @property
     def reservation_hold_ms(self) -> float:
         """:returns: how long one order reserves memory
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -26,6 +26,7 @@
     list_leaving,
 )
 from quetzaldeck.entry.view import build_view
+from quetzaldeck.gateway.body_memory import BodyMemory
 from quetzaldeck.gateway.drain import Drain
 from quetzaldeck.gateway.in_flight import InFlightRequests
 from quetzaldeck.gateway.messages import ApplyBundle, Observe, ObserveIncarnations
@@ -140,6 +141,7 @@
         )
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.in_flight = InFlightRequests()
+        self.bodies = BodyMemory(settings.bounds.max_bodies_bytes)
         metrics.in_flight.set_function(self.in_flight.__len__)
         metrics.placements.watch_slots(dispatch.list_slots_in_use)
         self.drain = Drain(self.in_flight, build_shutdown(settings.bounds), metrics)
--- a/src/quetzaldeck/gateway/body.py
+++ b/src/quetzaldeck/gateway/body.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.gateway.body_memory import BodyMemoryError
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.outcomes import Failure, Reason
 from quetzaldeck.running_timeout import RunningTimeout
@@ -11,21 +12,36 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
+    from quetzaldeck.gateway.body_memory import HeldBody
     from quetzaldeck.gateway.settings import CallerBounds
 
 
-async def read_body(request: web.Request, bounds: CallerBounds) -> bytes:
+async def read_body(
+    request: web.Request, bounds: CallerBounds, held: HeldBody
+) -> bytes:
     """Read a body.
 
     A caller that stops sending midway would occupy memory forever without any error.
     So the time without data and the total time are limited, and the length is checked
     before the bytes are stored.
 
-    :raises RequestError: if the body is too long or does not arrive in time
+    :param held: memory of the body; open until it is not needed any more
+    :raises RequestError: if the body is too long or does not arrive in time, or if
+        there is no memory for it
     """
+    try:
+        return await _read(request, bounds, held)
+    except BodyMemoryError as error:
+        raise RequestError(Failure(Reason.QUEUE_FULL, detail=str(error))) from None
+
+
+async def _read(request: web.Request, bounds: CallerBounds, held: HeldBody) -> bytes:
+    """:raises BodyMemoryError: if there is no memory for the body"""
     n_declared = request.content_length
     if n_declared is not None and n_declared > bounds.max_body_bytes:
         raise RequestError(_build_size_failure(bounds))
+    if n_declared:
+        await held.reserve(n_declared)
     parts: list[bytes] = []
     n_bytes = 0
     try:
@@ -38,6 +54,7 @@
                 n_bytes += len(part)
                 if n_bytes > bounds.max_body_bytes:
                     raise RequestError(_build_size_failure(bounds))
+                held.grow_to(n_bytes)
                 parts.append(part)
     except TimeoutError:
         detail = f"received only {n_bytes} bytes of the body in time"
--- a/src/quetzaldeck/gateway/completions.py
+++ b/src/quetzaldeck/gateway/completions.py
@@ -31,6 +31,7 @@
     from aiohttp import web
 
     from quetzaldeck.bundle import CustomerSpec
+    from quetzaldeck.gateway.body_memory import HeldBody
     from quetzaldeck.gateway.state import GatewayState
     from quetzaldeck.upstreams import CompletionCall
 
@@ -49,11 +50,17 @@
         :raises RequestError: if the call is refused or fails; the error holds the
             streamed response if it was started
         """
+        with self._state.bodies.open() as held:
+            return await self._handle(http_request, request_id, held)
+
+    async def _handle(
+        self, http_request: web.Request, request_id: str, held: HeldBody
+    ) -> web.StreamResponse:
         arrived_ms = self._state.clock.now_ms()
         headers = http_request.headers
         customer = self._state.customers.authenticate(headers.get("Authorization"))
         deadline_ms = arrived_ms + read_deadline_ms(headers, customer.deadline_ms)
-        body = await read_body(http_request, self._state.settings.callers)
+        body = await read_body(http_request, self._state.settings.callers, held)
         is_chat = http_request.path.endswith("/chat/completions")
         call = parse_call(body, self._state.settings.callers, is_chat=is_chat)
         fingerprint = xxhash.xxh3_64_intdigest(body)
--- a/src/quetzaldeck/gateway/services.py
+++ b/src/quetzaldeck/gateway/services.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from quetzaldeck.bundle import CustomerSpec, ServiceSpec
+    from quetzaldeck.gateway.body_memory import HeldBody
     from quetzaldeck.gateway.state import GatewayState
     from quetzaldeck.upstreams import ServiceAnswer
 
@@ -44,6 +45,12 @@
 
         :raises RequestError: if the call is refused or fails
         """
+        with self._state.bodies.open() as held:
+            return await self._handle(http_request, request_id, held)
+
+    async def _handle(
+        self, http_request: web.Request, request_id: str, held: HeldBody
+    ) -> web.StreamResponse:
         arrived_ms = self._state.clock.now_ms()
         headers = http_request.headers
         customer = self._state.customers.authenticate(headers.get("Authorization"))
@@ -54,7 +61,7 @@
         if not is_repeatable and not key:
             raise RequestError(Failure(Reason.KEY_REQUIRED))
         deadline_ms = arrived_ms + read_deadline_ms(headers, service.deadline_ms)
-        body = await read_body(http_request, self._state.settings.callers)
+        body = await read_body(http_request, self._state.settings.callers, held)
         forwarded_headers = (
             *_list_forwarded_headers(http_request),
             (REQUEST_ID_HEADER, request_id),
--- a/src/quetzaldeck/gateway/settings.py
+++ b/src/quetzaldeck/gateway/settings.py
@@ -19,6 +19,10 @@
     body_idle_ms: Annotated[
         int, Option("Idle timeout while reading a body.", unit="ms", minimum=10)
     ] = 5_000
+    max_bodies_bytes: Annotated[
+        int,
+        Option("Bodies of all requests in progress.", unit="bytes", minimum=1),
+    ] = 67_108_864
     body_total_ms: Annotated[
         int, Option("Timeout for reading a whole body.", unit="ms", minimum=10)
     ] = 60_000
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import pytest
 from tests.support.platform.replica import event
-from tests.support.platform.site import PLAN_PATH, run_site
+from tests.support.platform.site import BOOK_PATH, PLAN_PATH, run_site
 
 from quetzaldeck.entry.service import SHED_LOG_INTERVAL_MS
+from quetzaldeck.entry.settings import EntryBounds
 
 if TYPE_CHECKING:
-    import pytest
+    from collections.abc import AsyncIterator
+
     from tests.support.platform.replica import Arrival, Connection
     from tests.support.platform.site import Answer, Site
 
@@ -87,3 +90,38 @@
         assert lines == [1, 3]
 
     run_site(test)
+
+
+@pytest.mark.parametrize("has_length", [True, False], ids=["length", "chunks"])
+def test_callers_of_many_long_bodies_are_all_answered(*, has_length: bool) -> None:
+    """Guards against a process that ends as bodies, each allowed, fill its memory."""
+    body = b"x" * 90_000
+    bounds = EntryBounds(memory_mb=1.0)
+
+    async def send_parts() -> AsyncIterator[bytes]:
+        for begin in range(0, len(body), 10_000):
+            yield body[begin : begin + 10_000]
+            await asyncio.sleep(0.01)
+
+    async def answer(arrival: Arrival, connection: Connection) -> None:
+        await asyncio.sleep(0.05)
+        await connection.answer(arrival)
+
+    async def test(site: Site) -> None:
+        memory = site.entry.session.state.bodies
+        most = 0
+
+        async def call() -> int:
+            nonlocal most
+            sent: Any = body if has_length else send_parts()
+            answer = await site.call(BOOK_PATH, body=sent, deadline_ms=2_000)
+            most = max(most, memory.n_held)
+            return answer.status
+
+        statuses = await asyncio.gather(*(call() for _ in range(20)))
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= 2
+        assert 0 < most <= bounds.max_bodies_bytes
+        assert memory.n_held == 0
+
+    run_site(test, desks=(answer,), bounds=bounds)
--- a/tests/gateway/test_body.py
+++ b/tests/gateway/test_body.py
@@ -12,8 +12,14 @@
 import uvloop
 from aiohttp import web
 from tests.support.held_server import check_silence_found, stall_s
+from tests.support.virtual_time import run_virtual
 
 from quetzaldeck.gateway.body import read_body
+from quetzaldeck.gateway.body_memory import (
+    MAX_WAIT_MS,
+    BodyMemory,
+    BodyMemoryError,
+)
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.settings import CallerBounds
 from quetzaldeck.outcomes import Reason
@@ -44,7 +50,8 @@
     async def handle(request: web.Request) -> web.StreamResponse:
         has_begun.set_result(time.monotonic())
         try:
-            reading.set_result(await read_body(request, bounds))
+            with BodyMemory(1_000).open() as held:
+                reading.set_result(await read_body(request, bounds, held))
         except RequestError as error:
             reading.set_exception(error)
         return web.Response()
@@ -92,3 +99,40 @@
             check_silence_found(began_s, TIMEOUT_MS)
 
     uvloop.run(test())
+
+
+@pytest.mark.parametrize("hold_s", [0.1, 2.0])
+def test_bodies_wait_for_memory_and_are_refused_in_time(hold_s: float) -> None:
+    """Guards against bodies that exceed the memory together, and a long wait."""
+    memory = BodyMemory(100)
+
+    async def hold(n_bytes: int) -> int:
+        with memory.open() as held:
+            await held.reserve(n_bytes)
+            n_held = memory.n_held
+            await asyncio.sleep(hold_s)
+        return n_held
+
+    async def test() -> None:
+        results = await asyncio.gather(
+            *(hold(60) for _ in range(3)), return_exceptions=True
+        )
+        n_refused = sum(isinstance(result, BodyMemoryError) for result in results)
+        assert n_refused == (0 if hold_s < MAX_WAIT_MS / 1_000 else 2)
+        assert {r for r in results if not isinstance(r, Exception)} == {60}
+        assert memory.n_held == 0
+
+    run_virtual(test())
+
+
+def test_body_that_grows_never_waits_for_others() -> None:
+    """Guards against bodies that each wait for the memory of the others."""
+    memory = BodyMemory(100)
+    with memory.open() as first, memory.open() as second:
+        first.grow_to(50)
+        second.grow_to(50)
+        with pytest.raises(BodyMemoryError, match="100 of 100 are held"):
+            first.grow_to(51)
+    with memory.open() as alone:
+        alone.grow_to(500)
+    assert memory.n_held == 0
