--- a/src/quetzaldeck/outcomes/ran.py
+++ b/src/quetzaldeck/outcomes/ran.py
@@ -8,7 +8,8 @@
 class Ran(StrEnum):
     """What is known about the execution of a request that failed.
 
-    ``NO`` is a guarantee: no byte of the request can have reached an upstream.
+    ``NO`` is a guarantee: no byte of the request can have reached an upstream, or each
+    one that it reached has stated that it did not run it.
     """
 
     NO = "no"
