--- a/src/quetzaldeck/agent/build_tasks.py
+++ b/src/quetzaldeck/agent/build_tasks.py
@@ -14,11 +14,11 @@
 if TYPE_CHECKING:
     import aiohttp
 
-    from quetzaldeck.agent.session import AgentSession
+    from quetzaldeck.agent.session_parts import SessionParts
 
 
 def build_bundle_task(
-    session: AgentSession, client: aiohttp.ClientSession
+    session: SessionParts, client: aiohttp.ClientSession
 ) -> BundleTask:
     """:returns: the task that reads the configuration service"""
     platform = session.settings.platform
@@ -35,7 +35,7 @@
 
 
 def build_vm_list_task(
-    session: AgentSession, client: aiohttp.ClientSession
+    session: SessionParts, client: aiohttp.ClientSession
 ) -> VmListTask:
     """:returns: the task that reads the platform's list of VMs"""
     platform = session.settings.platform
@@ -50,7 +50,7 @@
     )
 
 
-def build_load_task(session: AgentSession, client: aiohttp.ClientSession) -> LoadTask:
+def build_load_task(session: SessionParts, client: aiohttp.ClientSession) -> LoadTask:
     """:returns: the task that reads the load reports of upstreams"""
     return LoadTask(
         session.store,
@@ -65,7 +65,7 @@
 
 
 def build_command_task(
-    session: AgentSession, client: aiohttp.ClientSession
+    session: SessionParts, client: aiohttp.ClientSession
 ) -> CommandTask:
     """:returns: the task that sends commands to engines"""
     sources = CommandSources(
@@ -88,7 +88,7 @@
 
 
 def build_reclaim_task(
-    session: AgentSession, client: aiohttp.ClientSession
+    session: SessionParts, client: aiohttp.ClientSession
 ) -> ReclaimTask:
     """:returns: the task that releases orphaned memory on engines"""
     sources = ReclaimSources(
--- a/src/quetzaldeck/entry/attempt_log.py
+++ b/src/quetzaldeck/entry/attempt_log.py
@@ -1,9 +1,10 @@
-"""Writes the log lines and metrics of one call's attempts."""
+"""Records the attempts of one call, and has replicas checked that may have crashed."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.poison import format_fingerprint
 from quetzaldeck.entry.sending import find_evidence
 from quetzaldeck.telemetry import log_event
@@ -20,7 +21,11 @@
 
 
 class AttemptLog:
-    """Records what becomes of the attempts of one call."""
+    """Records what becomes of the attempts of one call, and what it says of replicas.
+
+    A replica to which a connection broke, or which may run a request for which nobody
+    waits, is checked.
+    """
 
     def __init__(self, state: EntryState, call: Call) -> None:
         self._state = state
@@ -48,6 +53,9 @@
     def record_fault(self, attempt: AttemptRun, error: UpstreamError) -> None:
         """Record that the upstream of an attempt has failed."""
         self._state.metrics.attempt_faults.labels(error.fault.value).inc()
+        if error.fault is AttemptFault.EVACUATED:
+            kind = attempt.runner.stage.value
+            self._state.metrics.upstreams.diverted.labels(kind).inc()
         log_event(
             "attempt_failed",
             level="WARNING",
@@ -73,11 +81,17 @@
             upstream=attempt.upstream,
         )
 
-    def record_left(self, attempt: AttemptRun, sent_ms: float) -> None:
-        """Record an attempt that is not awaited any more.
-
-        :param sent_ms: when it was sent
-        """
+    def record_replaced(self, attempt: AttemptRun) -> None:
+        """Record an attempt that is silent, and that another one is to replace."""
+        self._state.metrics.attempt_faults.labels(AttemptFault.SILENT.value).inc()
+        attempt.runner.note_silent(attempt.dispatch)
+        self._state.crash_checks.note_left(attempt.dispatch.upstreams)
+
+    def record_left(self, attempt: AttemptRun) -> None:
+        """Record an attempt that is not awaited any more; its replica may run it."""
+        sent_ms = attempt.runner.sent_ms
+        if sent_ms is None:
+            return
         self._state.metrics.upstreams.attempts_left.inc()
         log_event(
             "attempt_left",
@@ -88,6 +102,17 @@
             run_ms=self._state.clock.now_ms() - sent_ms,
             parts=self._list_parts(),
         )
+        self._state.crash_checks.note_left(attempt.dispatch.upstreams)
+
+    def check_replica(self, attempt: AttemptRun, error: UpstreamError) -> None:
+        """Find out whether the replica of a failed attempt lives."""
+        replica = attempt.runner.replica
+        checks = self._state.crash_checks
+        if error.fault is AttemptFault.BROKEN and replica is not None:
+            checks.note_broken(replica)
+            checks.note_left(attempt.dispatch.upstreams[:-1])
+        elif error.fault is AttemptFault.SILENT:
+            checks.note_left(attempt.dispatch.upstreams)
 
     def _list_parts(self) -> str:
         """:returns: the shared parts of the prompt, the first ones if there are many"""
--- a/src/quetzaldeck/entry/call_run.py
+++ b/src/quetzaldeck/entry/call_run.py
@@ -7,13 +7,12 @@
 from typing import TYPE_CHECKING
 
 from quetzaldeck.clock.clock import round_timer_s
-from quetzaldeck.decisions import AttemptFault
 from quetzaldeck.decisions.silence.verdict import SilenceVerdict
 from quetzaldeck.decisions.silence_thresholds import SILENCE_RECHECK_MS
 from quetzaldeck.entry.attempt_log import AttemptLog
 from quetzaldeck.entry.attempt_run import AttemptRun
-from quetzaldeck.entry.call import check_call
 from quetzaldeck.entry.handover.client import NotTakenError
+from quetzaldeck.entry.send_check import NotAllowedError, SendCheck
 from quetzaldeck.entry.sending import CallAccount
 from quetzaldeck.entry.stream_relay import StreamRelay
 from quetzaldeck.gateway.errors import RequestError
@@ -30,14 +29,6 @@
     from quetzaldeck.gateway.ticket import Ticket
 
 
-class _RefusedError(Exception):
-    """An attempt must not be sent any more."""
-
-    def __init__(self, failure: Failure) -> None:
-        super().__init__(failure.detail)
-        self.failure = failure
-
-
 class CallRun:
     """Runs one call; an attempt that is silent goes on until another one writes.
 
@@ -74,6 +65,7 @@
         self._failure: RequestError | None = None
         self._failed_response: web.Response | None = None
         self._account = CallAccount()
+        self._send_check = SendCheck(state, call, self._account)
         self._has_offered = False
         # When the path was first found to be back after the call had been offered.
         self._returned_ms: float | None = None
@@ -216,7 +208,7 @@
             self._failed_response = attempt.failed_response or self._failed_response
             await self._report_fault(attempt, error)
             return None
-        except _RefusedError as error:
+        except NotAllowedError as error:
             self._ticket.drop_attempt(attempt.dispatch.attempt_id)
             self._refuse(error)
             return None
@@ -289,7 +281,7 @@
         if attempt.runner.sent_ms is None and attempt.dispatch.plan is None:
             self._ticket.drop_attempt(attempt.dispatch.attempt_id)
         if not attempt.is_left:
-            self._record_left(attempt)
+            self._log.record_left(attempt)
 
     def _drop_dispatch(self, dispatching: asyncio.Task[Dispatch]) -> None:
         self._dispatching = None
@@ -330,9 +322,7 @@
     def _replace(self, attempt: AttemptRun) -> None:
         """Wait for the attempt that replaces a silent one, which goes on meanwhile."""
         attempt.is_left = True
-        self._state.metrics.attempt_faults.labels(AttemptFault.SILENT.value).inc()
-        attempt.runner.note_silent(attempt.dispatch)
-        self._state.crash_checks.note_left(attempt.dispatch.upstreams)
+        self._log.record_replaced(attempt)
         self._request_dispatch()
 
     def _fail(self, error: RequestError) -> None:
@@ -378,9 +368,9 @@
         A long prompt may fit into the replicas only once: attempts that hold memory for
         it are given up for one that has to reserve it.
 
-        :raises _RefusedError: if the configuration in force does not allow it
+        :raises NotAllowedError: if the configuration in force does not allow it
         """
-        self._recheck()
+        self._send_check.run()
         if attempt.dispatch.plan is None:
             return
         for other in tuple(self._living):
@@ -401,8 +391,8 @@
         if self._living or self._handing_over is not None:
             return
         try:
-            self._recheck()
-        except _RefusedError as error:
+            self._send_check.run()
+        except NotAllowedError as error:
             self._drop_dispatch(self._dispatching)
             self._refuse(error)
             self._ended.put_nowait(None)
@@ -414,41 +404,26 @@
 
     def _end_if_refused(self, attempt: AttemptRun) -> None:
         try:
-            self._recheck()
-        except _RefusedError as error:
+            self._send_check.run()
+        except NotAllowedError as error:
             self._give_up(attempt)
             self._ticket.drop_attempt(attempt.dispatch.attempt_id)
             self._refuse(error)
 
-    def _refuse(self, error: _RefusedError) -> None:
+    def _refuse(self, error: NotAllowedError) -> None:
         """Record that the configuration in force does not allow the next attempt."""
         self._fail(RequestError(self._account.word(error.failure)))
 
-    def _recheck(self) -> None:
-        """Check whether the configuration and earlier sendings allow an attempt.
-
-        :raises _RefusedError: if they do not
-        """
-        may_have_run = self._account.may_have_run
-        if may_have_run and not self._call.admitted.route.is_repeatable:
-            raise _RefusedError(Failure(Reason.UPSTREAM_FAILED, Ran.UNKNOWN))
-        failure = check_call(self._call, self._state.view, may_have_run=may_have_run)
-        if failure is not None:
-            raise _RefusedError(failure)
-
     async def _report_fault(self, attempt: AttemptRun, error: UpstreamError) -> None:
         """Record the fault of an attempt; one that is not replaced yet is retried."""
         self._log.record_fault(attempt, error)
-        if error.fault is AttemptFault.EVACUATED:
-            kind = attempt.runner.stage.value
-            self._state.metrics.upstreams.diverted.labels(kind).inc()
         try:
             if not attempt.is_left:
                 await self._retry(attempt, error)
             elif self._is_kept():
                 await self._ask_again()
         finally:
-            self._check_replica(attempt, error)
+            self._log.check_replica(attempt, error)
 
     async def _retry(self, attempt: AttemptRun, error: UpstreamError) -> None:
         """Ask the scheduler for the next attempt.
@@ -482,9 +457,9 @@
     async def _ask_again(self) -> None:
         """Ask whether another attempt may be made by now."""
         try:
-            self._recheck()
+            self._send_check.run()
             await self._ticket.retry_kept()
-        except _RefusedError:
+        except NotAllowedError:
             return
         except RequestError as error:
             if self._has_resumed():
@@ -506,23 +481,5 @@
     def _has_resumed(self) -> bool:
         return any(not attempt.is_left for attempt in self._living)
 
-    def _check_replica(self, attempt: AttemptRun, error: UpstreamError) -> None:
-        """Find out whether the replica of a failed attempt lives."""
-        replica = attempt.runner.replica
-        checks = self._state.crash_checks
-        if error.fault is AttemptFault.BROKEN and replica is not None:
-            checks.note_broken(replica)
-            checks.note_left(attempt.dispatch.upstreams[:-1])
-        elif error.fault is AttemptFault.SILENT:
-            checks.note_left(attempt.dispatch.upstreams)
-
-    def _record_left(self, attempt: AttemptRun) -> None:
-        """Record an attempt that nobody waits for any more; its replica may run it."""
-        sent_ms = attempt.runner.sent_ms
-        if sent_ms is None:
-            return
-        self._log.record_left(attempt, sent_ms)
-        self._state.crash_checks.note_left(attempt.dispatch.upstreams)
-
 
 __all__ = ("CallRun",)
--- a/src/quetzaldeck/gateway/dispatch_task.py
+++ b/src/quetzaldeck/gateway/dispatch_task.py
@@ -44,22 +44,15 @@
     Withdraw,
 )
 from quetzaldeck.gateway.passed_over_log import PassedOverLog
+from quetzaldeck.gateway.scheduler_reader import SchedulerReader
 from quetzaldeck.gateway.ticket import Ticket
 
 if TYPE_CHECKING:
-    import random
-
     from quetzaldeck.clock import Clock
     from quetzaldeck.decisions import Decision, Request, Scheduler
-    from quetzaldeck.decisions.availability import Closure, UpstreamStatements
     from quetzaldeck.decisions.explanations import Explanation
-    from quetzaldeck.decisions.fair_shares import ShareSum
-    from quetzaldeck.decisions.limits import UsageUpdate
-    from quetzaldeck.decisions.loads.peer_load import VmLoad
     from quetzaldeck.decisions.poison import (
         CrashSighting,
-        PoisonBounds,
-        PresumedCrash,
         RunSighting,
     )
     from quetzaldeck.gateway.messages import Message
@@ -75,14 +68,13 @@
 queue used most of the CPU time of a VM with one request a second."""
 
 
-class DispatchTask:
+class DispatchTask(SchedulerReader):
     """Passes messages to the scheduler and delivers its decisions."""
 
     def __init__(
         self, scheduler: Scheduler, metrics: GatewayMetrics, clock: Clock
     ) -> None:
-        self._scheduler = scheduler
-        self._clock = clock
+        super().__init__(scheduler, clock)
         self._metrics = metrics
         self._degraded_log = DegradedUpstreamsLog(scheduler)
         self._crash_log = CrashLog(scheduler.poison, clock, metrics.upstreams)
@@ -93,31 +85,6 @@
         self._crash_seen = asyncio.Event()
         self._load_changed = asyncio.Event()
 
-    @property
-    def n_queued(self) -> int:
-        """:returns: number of queued requests"""
-        return self._scheduler.n_queued
-
-    @property
-    def n_running(self) -> int:
-        """:returns: number of running attempts"""
-        return self._scheduler.n_running
-
-    @property
-    def statements(self) -> UpstreamStatements:
-        """:returns: what upstreams have said of themselves in responses"""
-        return self._scheduler.upstreams.statements
-
-    def find_closure(self, upstream: str) -> Closure | None:
-        """:returns: why an upstream gets nothing new now; ``None``: it may"""
-        state = self._scheduler.upstreams.get(upstream)
-        return None if state is None else state.find_closure(self._clock.now_ms())
-
-    @property
-    def poison_bounds(self) -> PoisonBounds:
-        """:returns: parameters of the detection of requests that crash engines"""
-        return self._scheduler.poison.bounds
-
     async def wait_for_crash(self) -> None:
         """Wait until an attempt ends with a broken connection, as after a crash."""
         await self._crash_seen.wait()
@@ -128,81 +95,20 @@
         await self._load_changed.wait()
         self._load_changed.clear()
 
-    def pop_crash_sightings(self) -> list[tuple[CrashSighting, ...]]:
-        """:returns: crash sightings to be sent to the other VMs, grouped by request"""
-        return self._scheduler.fleet.pop_crash_sightings()
-
-    def list_crash_state(
-        self, max_sightings: int, *, random_state: random.Random
-    ) -> list[CrashSighting]:
-        """:returns: what a VM has to know that missed what others announced"""
-        return self._scheduler.fleet.list_crash_state(
-            max_sightings, random_state=random_state
-        )
-
     def observe_crashes(self, sightings: tuple[CrashSighting, ...]) -> None:
         """Apply what another VM knows of crashes, before the next request is placed."""
         self.send_deferrable(ObserveCrashes(sightings))
 
-    def pop_run_sightings(self) -> list[RunSighting]:
-        """:returns: runs that have to be reported to the other VMs"""
-        return self._scheduler.poison.ends.pop_changed_runs()
-
-    def list_run_state(self, max_runs: int) -> list[RunSighting]:
-        """:returns: what a VM has to know of runs that missed what others announced"""
-        return self._scheduler.poison.ends.list_runs(max_runs, self._clock.now_ms())
-
     def observe_runs(self, sightings: tuple[RunSighting, ...]) -> None:
         """Apply what another VM knows of runs, before the next request is placed."""
         self.send_deferrable(ObserveRuns(sightings))
 
-    def list_presumed(self) -> list[PresumedCrash]:
-        """:returns: crashes that are presumed, as upstreams do not answer checks"""
-        return self._scheduler.poison.ends.list_presumed()
-
-    def find_due_check_ms(self, upstream: str) -> float | None:
-        """:returns: when the first run on an upstream ends that nobody waits for
-
-        ``None``: there is none of which it is not known whether the upstream survived.
-        """
-        return self._scheduler.poison.find_due_check_ms(upstream)
-
     def find_peer_answered_ms(self, upstream: str) -> float:
         """:returns: when another VM last reported an answer of an upstream"""
         self._handle_deferred()
         state = self._scheduler.upstreams.get(upstream)
         return -math.inf if state is None else state.peers.outcomes.answered_ms
 
-    def list_slots_in_use(self) -> list[tuple[str, int]]:
-        """:returns: requests of all VMs on each engine, as known here"""
-        now_ms = self._clock.now_ms()
-        return [
-            (state.spec.name, state.n_requests(now_ms))
-            for state in self._scheduler.upstreams
-            if state.spec.figures is not None
-        ]
-
-    def list_own_loads(self) -> list[tuple[str, VmLoad]]:
-        """:returns: load of this VM on each upstream"""
-        now_ms = self._clock.now_ms()
-        return [
-            (state.spec.name, state.own_load(now_ms))
-            for state in self._scheduler.upstreams
-        ]
-
-    def take_usage_updates(self) -> list[UsageUpdate]:
-        """:returns: usage of limited customers to be sent to the other VMs"""
-        return self._scheduler.limits.take_updates(self._clock.now_ms())
-
-    def take_share_changes(self, n_vms: int) -> list[ShareSum]:
-        """:returns: tokens dispatched by customer, to be sent to the other VMs now
-
-        :param n_vms: number of VMs that announce them to each other
-        """
-        if self._scheduler.shares is None:
-            return []
-        return self._scheduler.shares.take_changes(self._clock.now_ms(), n_vms)
-
     def send(self, message: Message) -> None:
         """Add a message to the task's mailbox."""
         self._mailbox.put_nowait(message)
--- a/src/quetzaldeck/gateway/settings.py
+++ b/src/quetzaldeck/gateway/settings.py
@@ -7,7 +7,7 @@
 from quetzaldeck.config.option import Option
 from quetzaldeck.decisions.policies import Policies
 from quetzaldeck.http.address import ListenAddress
-from quetzaldeck.upstreams.api import MAX_ANSWER_BYTES
+from quetzaldeck.upstreams.timeouts import MAX_ANSWER_BYTES
 
 
 class CallerBounds(NamedTuple):
--- a/src/quetzaldeck/upstreams/api.py
+++ b/src/quetzaldeck/upstreams/api.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from quetzaldeck.registry import Registry
 from quetzaldeck.upstreams.http import read_said
+from quetzaldeck.upstreams.timeouts import UpstreamTimeouts
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Callable
@@ -38,24 +39,6 @@
     """Nobody acts on what an upstream says of itself."""
 
 
-MAX_ANSWER_BYTES = 8 << 20
-"""An answer is held until it is complete: a few endless ones have to fit into the
-memory of a VM."""
-
-
-class UpstreamTimeouts(NamedTuple):
-    """Limits of requests to an upstream.
-
-    :param connect_ms: for opening a connection
-    :param idle_ms: for the next byte, heartbeats included
-    :param max_answer_bytes: of an answer that is not a stream
-    """
-
-    connect_ms: float = 1_000.0
-    idle_ms: float = 5_000.0
-    max_answer_bytes: int = MAX_ANSWER_BYTES
-
-
 class Upstream(ABC):
     """Base class of all adapters.
 
--- a/src/quetzaldeck/upstreams/http.py
+++ b/src/quetzaldeck/upstreams/http.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from quetzaldeck.upstreams.api import UpstreamTimeouts
+    from quetzaldeck.upstreams.timeouts import UpstreamTimeouts
 
 HTTP_CLIENT_ERROR = 400
 HTTP_CONFLICT = 409
