Read no number of thousands of digits from a response

What callers could see: a booking that was answered 200 ended as an internal error beside a Keep-Alive time of 5,000 digits, and a stream was cut off at an event whose id has as many or is a digit of another script. Cause: Python refuses such numbers with a ValueError that nobody on these paths expects. Change: both are compared only if they are numbers of a few ASCII digits. Tests: two cells each of test_connection_is_not_reused_near_the_end_of_its_keep_alive_time and test_stream_with_odd_ids_of_events_is_whole fail before. Result: tests/test_odd_answers.py, test_streams.py and test_upstream_protocol.py pass.

--- a/src/quetzaldeck/agent/session_parts.py
+++ b/src/quetzaldeck/agent/session_parts.py
@@ -51,7 +51,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """:returns: whether the bundle is as new as that of the peers"""
+        """:returns: whether the gateway may serve with the bundle in force"""
 
     def is_watcher(self) -> bool:
         """:returns: whether this VM watches the configuration service"""
--- a/src/quetzaldeck/entry/sending.py
+++ b/src/quetzaldeck/entry/sending.py
@@ -96,7 +96,10 @@
 
     @property
     def evidence(self) -> Evidence:
-        """:returns: the least that is known of the sendings"""
+        """:returns: what proves that the last sending was not run
+
+        ``NONE`` if any sending may have run, ``UNSENT`` if nothing was sent.
+        """
         if self.may_have_run:
             return Evidence.NONE
         sent = [s.evidence for s in self._sendings if s.evidence is not Evidence.UNSENT]
--- a/src/quetzaldeck/entry/stream_relay.py
+++ b/src/quetzaldeck/entry/stream_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import re
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -73,6 +74,10 @@
         return held
 
 
+_NUMBER = re.compile(r"[0-9]{1,18}")
+"""Ids that can be compared; Python refuses to read thousands of digits."""
+
+
 class StreamRelay:
     """The response stream of one caller.
 
@@ -268,7 +273,8 @@
 def _is_duplicate(event: StreamEvent, last_event_id: str) -> bool:
     """:returns: whether an event was sent before another one, judged by numeric ids"""
     last, new = last_event_id, event.event_id
-    return last.isdigit() and new.isdigit() and int(new) <= int(last)
+    are_numbers = _NUMBER.fullmatch(last) and _NUMBER.fullmatch(new)
+    return bool(are_numbers) and int(new) <= int(last)
 
 
 __all__ = ("StreamRelay",)
--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -10,7 +10,7 @@
 import aiohttp
 from aiohttp.client_reqrep import ClientRequest, ClientResponse
 
-from quetzaldeck.http.answer_bounds import BoundedResponseHandler
+from quetzaldeck.http.answer_bounds import MIN_FINAL_STATUS, BoundedResponseHandler
 from quetzaldeck.running_timeout import RunningTimeout
 from quetzaldeck.telemetry import log_event
 
@@ -50,14 +50,13 @@
 sent just as the upstream closes the connection, it cannot be determined whether the
 request ran."""
 
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,9})")
+"""Python refuses to read numbers of thousands of digits."""
 
 
 MAX_REQUESTS = 256
 """Requests after which a connection is closed, as it remembers each of them."""
 
-MIN_FINAL_STATUS = 200
-
 
 class UpstreamProtocol(BoundedResponseHandler):
     """One connection to an upstream, guarded against four faults.
@@ -98,6 +97,11 @@
         address = self.transport.get_extra_info("sockname")
         return f"{address[1]}/{self._n_requests}" if address else ""
 
+    @property
+    def should_close(self) -> bool:
+        """:returns: whether no further request may be sent; see the base class"""
+        return super().should_close or self._n_requests >= MAX_REQUESTS
+
     def expect_response_to(self, request_id: str | None) -> None:
         """Set the id of the request about to be sent; ``None`` if it has none."""
         self._expected_id = request_id or None
@@ -110,11 +114,6 @@
         """:returns: whether a request with this id was sent on the connection"""
         return hash(request_id) in self._sent_ids
 
-    @property
-    def should_close(self) -> bool:
-        """:returns: whether no further request may be sent; see the base class"""
-        return super().should_close or self._n_requests >= MAX_REQUESTS
-
     def is_connected(self) -> bool:
         """:returns: whether the connection may be used for another request"""
         if self._buffer or self._tail:
--- a/src/quetzaldeck/http/answer_bounds.py
+++ b/src/quetzaldeck/http/answer_bounds.py
@@ -258,6 +258,7 @@
 
 __all__ = (
     "MAX_HEAD_BYTES",
+    "MIN_FINAL_STATUS",
     "BoundedConnector",
     "BoundedResponseHandler",
     "ByteBound",
--- a/tests/entry/test_upstream_protocol.py
+++ b/tests/entry/test_upstream_protocol.py
@@ -50,7 +50,11 @@
 
 
 @pytest.mark.parametrize("is_virtual", [False, True], ids=["real", "virtual"])
-@pytest.mark.parametrize(("keep_alive", "is_kept"), [("timeout=1", False), ("", True)])
+@pytest.mark.parametrize(
+    ("keep_alive", "is_kept"),
+    [("timeout=1", False), ("", True), (f"timeout={'9' * 5_000}", True)],
+    ids=["one", "none", "huge"],
+)
 def test_connection_is_not_reused_near_the_end_of_its_keep_alive_time(
     keep_alive: str,
     *,
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -152,3 +152,20 @@
 
         with HeldServer(answer) as server:
             uvloop.run(test(server))
+
+
+@pytest.mark.parametrize("event_id", ["9" * 5_000, "\u00b2", "-1"])
+def test_stream_with_odd_ids_of_events_is_whole(event_id: str) -> None:
+    """Guards against a stream that its VM cuts off, as an id is no number it reads."""
+    events = f"id: {event_id}\ndata: a\n\nid: {event_id}0\ndata: b\n\n".encode()
+
+    async def stream(arrival: Arrival, connection: Connection) -> None:
+        await connection.begin_stream(arrival)
+        await connection.send_chunk(events)
+        await connection.end_stream()
+
+    async def test(site: Site) -> None:
+        answer = await site.call(PLAN_PATH)
+        assert (answer.status, answer.body, answer.is_whole) == (200, events, True)
+
+    run_site(test, engines=(stream,))
