Ignore SIGHUP in all programs from the first statement until the end of the process

And the watch of the settings set the default action for a moment as it ended. It ignores the signal before it imports anything that the interpreter has not loaded by itself, for all four programs; run_services does so again, whichever way a program is started; the watch blocks the signal while its handler is replaced. Left: the interpreter's own start, which no statement of ours comes before.

--- a/src/quetzaldeck/cli/running.py
+++ b/src/quetzaldeck/cli/running.py
@@ -53,11 +53,12 @@
     """Run services until a signal stops the program.
 
     The first SIGTERM or SIGINT drains the services; a second one aborts the requests
-    that are still in progress.
+    that are still in progress. SIGHUP is ignored, unless a service handles it.
 
     :param background: task that runs as long as the services
     :param log_stream: destination of log lines; standard error if ``None``
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     with LogWriter(log_stream or sys.stderr) as writer:
         configure_logging(writer)
         log_event("started", version=__version__)
--- a/src/quetzaldeck/cli/start_entry.py
+++ b/src/quetzaldeck/cli/start_entry.py
@@ -8,7 +8,6 @@
 
 import gc
 import os
-import signal
 
 
 def main() -> None:
@@ -16,11 +15,7 @@
 
     Imports create many objects and free hardly any. Collecting garbage meanwhile would
     take a sixth of the processor time until the first request can be served.
-
-    SIGHUP is ignored until the settings are watched: by default it ends the process.
-    The watch notices a change whenever it was made. So most imports come after that.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
     from pathlib import Path
 
--- a/src/quetzaldeck/entry/settings_watch.py
+++ b/src/quetzaldeck/entry/settings_watch.py
@@ -55,9 +55,7 @@
                 self._reload_requested.clear()
                 self.reload_if_changed()
         finally:
-            # The default action would end a process that is shutting down.
-            loop.remove_signal_handler(signal.SIGHUP)
-            signal.signal(signal.SIGHUP, signal.SIG_IGN)
+            _ignore_hang_up(loop)
 
     def reload_if_changed(self) -> None:
         """Load the file and apply its settings if its content has changed."""
@@ -85,4 +83,18 @@
             return None
 
 
+def _ignore_hang_up(loop: asyncio.AbstractEventLoop) -> None:
+    """Replace the handler of SIGHUP, so that it does not end a process that stops.
+
+    A loop that removes a handler sets the default action, so the signal is blocked
+    until it is ignored.
+    """
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    try:
+        loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 __all__ = ("SettingsWatch",)
--- a/tests/entry/test_settings_watch.py
+++ b/tests/entry/test_settings_watch.py
@@ -4,12 +4,8 @@
 
 import asyncio
 import os
-import re
 import signal
-import subprocess
-import sys
-import time
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import pytest
 import uvloop
@@ -19,7 +15,9 @@
 from quetzaldeck.entry.settings import EntrySettings
 from quetzaldeck.entry.settings_watch import SettingsWatch
 
-MAX_START_S = 5.0
+if TYPE_CHECKING:
+    from pathlib import Path
+
 TEXT = """\
 vm: a
 availability_zone: z
@@ -92,34 +90,3 @@
 
     uvloop.run(run())
     assert [changed.bounds.leaving_ms for changed in applied] == [3_000]
-
-
-def ignores_hang_up(process_id: int) -> bool:
-    """:returns: whether a process ignores SIGHUP, by the kernel's word"""
-    status = Path(f"/proc/{process_id}/status").read_text()
-    (mask,) = re.findall(r"SigIgn:\s*(\w+)", status)
-    return bool(int(mask, 16) & 1 << (signal.SIGHUP - 1))
-
-
-@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.3])
-def test_signal_during_the_start_ends_no_process(
-    tmp_path: Path, delay_s: float
-) -> None:
-    """Guards against SIGHUP in the time in which a program imports its modules.
-
-    Only the interpreter's own start, before the first statement, is left out.
-    """
-    path = tmp_path / "s.yaml"
-    path.write_text(TEXT)
-    program = [sys.executable, "-S", "-m", "quetzaldeck.cli.start_entry"]
-    command = [*program, "--settings", str(path)]
-    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
-    with subprocess.Popen(command, env=environment) as process:
-        end_s = time.monotonic() + MAX_START_S
-        while not ignores_hang_up(process.pid) and time.monotonic() < end_s:
-            time.sleep(0.001)
-        time.sleep(delay_s)
-        process.send_signal(signal.SIGHUP)
-        time.sleep(0.2)
-        process.terminate()
-        assert process.wait(10.0) != -signal.SIGHUP
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -139,7 +139,7 @@
         for vm in self.vms:
             vm.store_link = await enter(Link(store_port))
             vm.process = ProgramProcess(
-                "start_entry", self._write_settings(vm), f"http://{vm.address}"
+                "entry", self._write_settings(vm), f"http://{vm.address}"
             )
             self._stack.callback(vm.process.end)
             vm.process.start()
--- a/tests/system/program_process.py
+++ b/tests/system/program_process.py
@@ -4,23 +4,23 @@
 
 import asyncio
 import os
+import re
+import signal
 import subprocess
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    import signal
 
 SOURCE = Path(__file__).parents[2] / "src"
+LAUNCHER = SOURCE / "quetzaldeck" / "launcher.py"
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
+LAUNCH_POLL_S = 0.0005
 
 
 class ProgramProcess:
     """One program as a child process of the test.
 
-    :param program: module name below ``quetzaldeck.cli``
+    :param program: name of a program of the launcher
     :param address: base URL on which the program listens
     """
 
@@ -49,15 +49,24 @@
 
     def start(self) -> None:
         """Start the program, or restart it after its process has exited."""
-        module = f"quetzaldeck.cli.{self._program}"
+        launcher = (sys.executable, "-P", str(LAUNCHER), self._program)
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", module, "--settings", str(self._settings_path)],
+                [*launcher, "--settings", str(self._settings_path)],
                 env={**os.environ, "PYTHONPATH": str(SOURCE)},
                 stdout=log,
                 stderr=log,
             )
 
+    async def wait_launched(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+        """Wait until SIGHUP does not end the process any more, by the kernel's word.
+
+        :raises TimeoutError: if its first statement does not run in time
+        """
+        async with asyncio.timeout(timeout_s):
+            while self.is_running and not survives_hang_up(self.process_id):
+                await asyncio.sleep(LAUNCH_POLL_S)
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is still running."""
         if self.is_running:
@@ -83,4 +92,11 @@
         self._process.wait()
 
 
-__all__ = ("ProgramProcess",)
+def survives_hang_up(process_id: int) -> bool:
+    """:returns: whether a process ignores or handles SIGHUP"""
+    status = Path(f"/proc/{process_id}/status").read_text(encoding="ascii")
+    masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)", status, re.MULTILINE)
+    return any(int(mask, 16) & 1 << (signal.SIGHUP - 1) for mask in masks)
+
+
+__all__ = ("LAUNCHER", "ProgramProcess")
