Drain the services if a stop signal comes while they start

What callers saw: a request whose connection closed without an answer, if SIGTERM came between the first listening service of a program and the handlers of its signals, which were set after all services had started (by the code; the default action ends the process). Change: the signals are collected before the first service starts; one that comes meanwhile drains them once they run. Test: test_stop_while_services_start_drains_them; on the code before, the process ends by the signal and drains nothing.

--- a/src/quetzaldeck/cli/running.py
+++ b/src/quetzaldeck/cli/running.py
@@ -71,18 +71,26 @@
     services: Sequence[HttpServiceBase],
     background: Callable[[], Coroutine[Any, Any, None]] | None,
 ) -> int:
+    # A signal that comes while the services start finds requests in progress already.
+    signals = _collect_stop_signals()
     async with AsyncExitStack() as stack:
         await asyncio.gather(*map(stack.enter_async_context, services))
         tasks = () if background is None else (background(),)
         await stack.enter_async_context(run_tasks(*tasks))
-        return await _wait_for_stop(services)
+        return await _drain_when_stopped(signals, services)
 
 
-async def _wait_for_stop(services: Sequence[HttpServiceBase]) -> int:
+def _collect_stop_signals() -> asyncio.Queue[signal.Signals]:
     signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, signals.put_nowait, number)
+    return signals
+
+
+async def _drain_when_stopped(
+    signals: asyncio.Queue[signal.Signals], services: Sequence[HttpServiceBase]
+) -> int:
     received = await signals.get()
     log_event("stopping", signal=received.name)
     aborting = asyncio.create_task(_abort_on_signal(signals, services))
--- a/tests/system/test_hang_up.py
+++ b/tests/system/test_signals.py
@@ -1,4 +1,4 @@
-"""SIGHUP, which announces changed settings, ends no program at any time of its life."""
+"""Signals in the whole life of a process: SIGHUP never ends it, SIGTERM drains it."""
 
 from __future__ import annotations
 
@@ -102,3 +102,24 @@
             assert await hang_up_all_its_life(processes[program]) == 0
 
     uvloop.run(test())
+
+
+STOP_WHILE_STARTING = """
+import os, signal
+from quetzaldeck.cli.running import run_services
+class Service:
+    async def __aenter__(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+    async def __aexit__(self, *exc): pass
+    async def drain(self):
+        print("drained")
+        return 0
+run_services(Service())
+"""
+
+
+def test_stop_while_services_start_drains_them() -> None:
+    """Guards against SIGTERM that cuts off the first requests of a program."""
+    command = [sys.executable, "-c", STOP_WHILE_STARTING]
+    done = subprocess.run(command, capture_output=True, check=True, text=True)
+    assert done.stdout == "drained\n"
