Load changed settings from the text that was compared, not from a second read

What callers saw: nothing yet; a VM that keeps settings that its operator has changed. Cause: the watch read the file, noted its content as seen, and read it once more to load it. If the file was being written again just then, the second read found half a file, and the content that had been noted was never loaded, though the file holds it. Change: the text that was read is the text that is loaded. Test: READS in tests/entry/test_settings_watch.py, what the file holds at each read, with SIGHUP after each; the case written_twice fails on the code before, five others hold.

--- a/src/quetzaldeck/config/loader.py
+++ b/src/quetzaldeck/config/loader.py
@@ -41,18 +41,19 @@
     return None if findings else value
 
 
-def load_text(text: str, cls: type[T], source: str) -> T:
+def load_text(text: str, cls: type[T], source: str, *, base: Path | None = None) -> T:
     """Load YAML or JSON text.
 
     :param cls: ``NamedTuple`` class that declares the options
     :param source: name of the document, shown in findings
+    :param base: folder against which relative file paths are resolved
     :raises FindingsError: with every fault of the text
     """
     findings: list[Finding] = []
     document = parse_document(text, source, findings)
     value = None
     if document is not None:
-        value = Converter(document, findings).convert(cls)
+        value = Converter(document, findings, base=base).convert(cls)
     raise_findings(source, findings)
     assert value is not None
     return value
--- a/src/quetzaldeck/entry/settings_watch.py
+++ b/src/quetzaldeck/entry/settings_watch.py
@@ -6,7 +6,7 @@
 import signal
 from typing import TYPE_CHECKING, TypeVar
 
-from quetzaldeck.config import FindingsError, load_file
+from quetzaldeck.config import FindingsError, load_text
 from quetzaldeck.telemetry import log_event
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
         self._settings = settings
         self._apply = apply
         # The file may have changed since the settings were read, so it is read again.
-        self._last_data: bytes | None = None
+        self._last_text: str | None = None
         self._reload_requested = asyncio.Event()
 
     async def run(self) -> None:
@@ -59,12 +59,15 @@
 
     def reload_if_changed(self) -> None:
         """Load the file and apply its settings if its content has changed."""
-        data = self._read()
-        if data is None or data == self._last_data:
+        text = self._read()
+        if text is None or text == self._last_text:
             return
-        self._last_data = data
+        self._last_text = text
         try:
-            settings = load_file(self._path, self._cls)
+            # The file is not read again: it may hold another text by now.
+            settings = load_text(
+                text, self._cls, self._path.name, base=self._path.parent
+            )
         except FindingsError as error:
             for finding in error.findings:
                 log_event("settings_faulty", level="ERROR", finding=finding.render())
@@ -74,11 +77,11 @@
             log_event("settings_reloaded", path=self._path.name)
             self._apply(settings)
 
-    def _read(self) -> bytes | None:
+    def _read(self) -> str | None:
         """:returns: the content of the file; ``None`` if it cannot be read"""
         try:
-            return self._path.read_bytes()
-        except OSError as error:
+            return self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
             log_event("settings_unreadable", level="WARNING", error=repr(error))
             return None
 
--- a/tests/entry/test_settings_watch.py
+++ b/tests/entry/test_settings_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 import os
 import signal
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 import pytest
 import uvloop
@@ -15,9 +15,6 @@
 from quetzaldeck.entry.settings import EntrySettings
 from quetzaldeck.entry.settings_watch import SettingsWatch
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 TEXT = """\
 vm: a
 availability_zone: z
@@ -90,3 +87,50 @@
 
     uvloop.run(run())
     assert [changed.bounds.leaving_ms for changed in applied] == [3_000]
+
+
+CHANGED = TEXT.replace("2000", "3000")
+LATER = TEXT.replace("2000", "4000")
+READS: dict[str, list[str | None]] = {
+    "written_twice": [CHANGED, "", CHANGED],
+    "missing": [None, CHANGED],
+    "half_written": [TEXT[:40], CHANGED],
+    "half_written_twice": ["", CHANGED[:-9], "", CHANGED],
+    "invalid": [TEXT.replace("2000", "soon"), CHANGED],
+    "changed_again": [LATER, "", CHANGED[:40], CHANGED],
+}
+"""What the file holds each time it is read; ``None``: it does not exist."""
+
+
+@pytest.mark.parametrize("name", READS)
+def test_change_is_applied_whatever_the_file_held_while_it_was_written(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str
+) -> None:
+    """Guards against a change that is never applied, as the file was being written.
+
+    SIGHUP comes after each read, so that several changes follow each other.
+    """
+    path = tmp_path / "s.yaml"
+    path.write_text(TEXT)
+    settings = load_file(path, EntrySettings)
+    texts = list(READS[name])
+
+    def read_text(_: Path, encoding: str = "") -> str:
+        os.kill(os.getpid(), signal.SIGHUP)
+        text = texts.pop(0) if len(texts) > 1 else texts[0]
+        if text is None:
+            raise FileNotFoundError(path)
+        return text
+
+    monkeypatch.setattr(Path, "read_text", read_text)
+    monkeypatch.setattr(Path, "read_bytes", lambda self: read_text(self).encode())
+    applied: list[EntrySettings] = []
+
+    async def run() -> None:
+        watch = SettingsWatch(path, EntrySettings, settings, applied.append)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.1)
+        task.cancel()
+
+    uvloop.run(run())
+    assert applied[-1].bounds.leaving_ms == 3_000
