Read the settings of an entry VM again if they are written while it starts

What callers saw: a VM that ended with status 3 at its start. Cause: the program read its settings once, half a second after its start, and exited if the file was missing, half written or invalid just then; the platform writes the file at each start and at changes. Change: faulty settings are read again for a second, then reported as before. Test: test_program_starts_while_its_settings_are_written, four cells of real processes with SIGHUP meanwhile; all four fail on the code before. Left: a cut file that is valid YAML and lacks only optional lines is taken; the watch takes the rest a second later, except listen addresses and ports.

--- a/src/quetzaldeck/cli/entry_program.py
+++ b/src/quetzaldeck/cli/entry_program.py
@@ -18,12 +18,19 @@
     from socket import socket
 
 
+SETTINGS_PATIENCE_MS = 1_000.0
+"""The platform writes the file at each start and whenever the settings change. A VM
+that exits meanwhile is down for a second or more, and may meet the same again."""
+
+
 def run_entry(settings_path: Path, listener: socket | None = None) -> NoReturn:
     """Run an entry VM until SIGTERM or SIGINT.
 
     :param listener: socket for callers that is open already
     """
-    settings = load_settings(settings_path, EntrySettings)
+    settings = load_settings(
+        settings_path, EntrySettings, patience_ms=SETTINGS_PATIENCE_MS
+    )
     entry = EntryService(settings, listener=listener)
     watch = SettingsWatch(settings_path, EntrySettings, settings, entry.apply_settings)
     services: list[HttpServiceBase] = [entry, ReadinessService(settings, entry)]
--- a/src/quetzaldeck/cli/running.py
+++ b/src/quetzaldeck/cli/running.py
@@ -9,12 +9,14 @@
 import asyncio
 import signal
 import sys
+import time
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any, NoReturn, TextIO, TypeVar
 
 import uvloop
 
 from quetzaldeck.cli.exit_codes import ExitCode
+from quetzaldeck.clock.clock import MS_PER_SECOND, Clock
 from quetzaldeck.config import FindingsError, load_file
 from quetzaldeck.tasks import run_tasks
 from quetzaldeck.telemetry import LogWriter, configure_logging, log_event
@@ -28,6 +30,9 @@
 
 T = TypeVar("T")
 
+READ_AGAIN_MS = 20.0
+"""Interval between two reads of a file that is being written."""
+
 
 def print_findings(error: FindingsError) -> None:
     """Print all findings of a document to standard error, one per line."""
@@ -36,13 +41,22 @@
     print(f"{len(error.findings)} findings", file=sys.stderr)
 
 
-def load_settings(path: Path, cls: type[T]) -> T:
-    """:returns: the settings in ``path``; exits the program if they have faults"""
-    try:
-        return load_file(path, cls)
-    except FindingsError as error:
-        print_findings(error)
-        sys.exit(ExitCode.BAD_SETTINGS)
+def load_settings(path: Path, cls: type[T], *, patience_ms: float = 0.0) -> T:
+    """Load the settings of a program, or exit the program if they have faults.
+
+    :param patience_ms: time for which a faulty file is read again, as it may be written
+        while the program starts
+    """
+    clock = Clock()
+    given_up_ms = clock.now_ms() + patience_ms
+    while True:
+        try:
+            return load_file(path, cls)
+        except FindingsError as error:
+            if clock.now_ms() >= given_up_ms:
+                print_findings(error)
+                sys.exit(ExitCode.BAD_SETTINGS)
+        time.sleep(READ_AGAIN_MS / MS_PER_SECOND)
 
 
 def run_services(
--- a/tests/system/test_signals.py
+++ b/tests/system/test_signals.py
@@ -13,6 +13,7 @@
 import pytest
 import uvloop
 from tests.ports import LOOPBACK, choose_port
+from tests.system.probes import wait_listening
 from tests.system.processes import ProcessFleet
 from tests.system.program_process import LAUNCHER, ProgramProcess
 
@@ -21,6 +22,7 @@
 ROOT = Path(__file__).parents[2]
 LIFE_S = 1.5
 INTERVAL_S = 0.001
+WRITE_S = 0.9
 
 LIST_IMPORTS = f"""
 import _signal, os, sys
@@ -104,6 +106,35 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("share", [None, 0.0, 0.4, 0.9])
+def test_program_starts_while_its_settings_are_written(
+    tmp_path: Path, share: float | None
+) -> None:
+    """Guards against a start that fails as its settings are missing or half written.
+
+    ``share`` is how much of the file is there; it is complete a moment later.
+    """
+
+    async def test() -> None:
+        process = build_entry(tmp_path)
+        path = tmp_path / "entry.yaml"
+        text = path.read_text()
+        path.unlink()
+        if share is not None:
+            path.write_text(text[: int(share * len(text))])
+        process.start()
+        await process.wait_launched()
+        process.send(signal.SIGHUP)
+        await asyncio.sleep(WRITE_S)
+        path.write_text(text)
+        process.send(signal.SIGHUP)
+        await wait_listening(process.address)
+        process.send(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    uvloop.run(test())
+
+
 STOP_WHILE_STARTING = """
 import os, signal
 from quetzaldeck.cli.running import run_services
