Tell the answers to two orders on one connection apart, and keep idle connections

What callers saw: a long prompt that was sent though its memory was refused, and rejected by the replica; no booking is at stake. Cause: orders and reports have no id, so that a late copy of the answer to one of them counted as the answer to the next one on the connection. Change: a connection that has served a request without an id next serves one that has an id, where the copy shows; another order takes another connection. A connection that can't be used for a request is passed over and stays idle, where it was closed before. Left: a copy that comes later than at the next response.

--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -69,6 +69,8 @@
       the next response is awaited.
     - All sendings of a request have one id, so a late response to the first one would
       count as the response to the second. No request is sent twice on a connection.
+    - Requests without an id, such as orders, can't be told apart. Between two of them
+      the connection serves one that has an id, where a late response shows.
     - A connection is reused only within the keep-alive time that the upstream states,
       as it may be closed at any moment after that.
     """
@@ -80,6 +82,7 @@
         self._clock = clock
         self._echo_header = echo_header
         self._expected_id: str | None = None
+        self._has_sent_without_id = False
         self._n_requests = 0
         self._sent_ids: set[int] = set()
         self._reusable_until_ms: float | None = None
@@ -105,14 +108,20 @@
     def expect_response_to(self, request_id: str | None) -> None:
         """Set the id of the request about to be sent; ``None`` if it has none."""
         self._expected_id = request_id or None
+        self._has_sent_without_id = not request_id
         self._n_requests += 1
         if request_id:
             # Callers choose the ids, and long ones would fill the memory.
             self._sent_ids.add(hash(request_id))
 
-    def has_sent(self, request_id: str) -> bool:
-        """:returns: whether a request with this id was sent on the connection"""
-        return hash(request_id) in self._sent_ids
+    def can_tell_apart(self, request_id: str | None) -> bool:
+        """:returns: whether a response to an earlier request can't be taken for its own
+
+        :param request_id: id of a request to be sent; ``None`` if it has none
+        """
+        if not request_id:
+            return not self._has_sent_without_id
+        return hash(request_id) not in self._sent_ids
 
     def is_connected(self) -> bool:
         """:returns: whether the connection may be used for another request"""
@@ -219,6 +228,7 @@
             use_dns_cache=False,
         )
         self._echo_header = echo_header
+        self._connecting_id: str | None = None
         # aiohttp annotates this attribute with its own class; a subclass works as well.
         self._factory = functools.partial(  # type: ignore[assignment]
             UpstreamProtocol, loop=self._loop, clock=clock, echo_header=echo_header
@@ -227,23 +237,30 @@
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
-        """Get a connection on which the request was not sent; see the base class."""
-        if request_id := req.headers.get(self._echo_header):
-            self._close_used(req.connection_key, request_id)
+        """Get a connection that tells responses apart; see the base class."""
+        # The base class calls _get before it awaits anything.
+        self._connecting_id = req.headers.get(self._echo_header)
         return await super().connect(req, traces, timeout)
 
-    def _close_used(self, key: ConnectionKey, request_id: str) -> None:
-        """Close idle connections on which a request was sent before."""
+    async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
+        """Take a suitable idle connection; others stay idle. See the base class.
+
+        :returns: ``None`` if a new connection is to be opened
+        """
+        request_id = self._connecting_id
         idle = self._conns.get(key)
         if not idle:
-            return
-        for item in tuple(idle):
-            protocol = item[0]
-            if isinstance(protocol, UpstreamProtocol) and protocol.has_sent(request_id):
-                idle.remove(item)
-                protocol.close()
-        if not idle:
-            del self._conns[key]
+            return None
+        for index, (protocol, _) in enumerate(idle):
+            if _can_tell_apart(protocol, request_id):
+                idle.rotate(-index)
+                break
+        connection = await super()._get(key, traces)
+        # The base class passes over connections that have been idle for too long.
+        if connection is None or _can_tell_apart(connection.protocol, request_id):
+            return connection
+        connection.release()
+        return None
 
     async def _create_connection(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
@@ -256,6 +273,12 @@
             return await super()._create_connection(req, traces, timeout)
 
 
+def _can_tell_apart(protocol: ResponseHandler | None, request_id: str | None) -> bool:
+    return not isinstance(protocol, UpstreamProtocol) or protocol.can_tell_apart(
+        request_id
+    )
+
+
 def open_socket(address: AddrInfoType) -> socket.socket:
     """:returns: a socket on which the kernel detects that the other end is gone"""
     family, kind, protocol, _, _ = address
--- a/tests/entry/test_promises.py
+++ b/tests/entry/test_promises.py
@@ -178,3 +178,31 @@
         assert not prompts
 
     run_site(test, engines=(behave,) * 8)
+
+
+def test_order_does_not_take_the_copy_of_an_answer_to_an_order() -> None:
+    """Guards against memory that counts as reserved by the answer to a release."""
+    prompts: list[str] = []
+    copies: set[Connection] = set()
+
+    async def behave(arrival: Arrival, connection: Connection) -> None:
+        if connection in copies:
+            copies.discard(connection)
+            await connection.answer(arrival._replace(headers={}), body=b'{"free":1}')
+        if arrival.target != "/order":
+            prompts.append(arrival.call_id)
+            await connection.answer_not_executed(arrival)
+            return
+        is_release = b"release" in arrival.body
+        is_refused = bool(prompts) and not is_release
+        await connection.answer(arrival, status=409 if is_refused else 200)
+        if is_release:
+            copies.add(connection)
+
+    async def test(site: Site) -> None:
+        answer = await site.call(PLAN_PATH, prompt=HUGE, deadline_ms=5_000)
+        assert answer.status == 503
+        assert copies
+        assert len(prompts) == 1
+
+    run_site(test, engines=(behave,) * 8)
