Let the soak signal VMs from the first statement of their start on

A fault of the soak of entry VMs: a VM is killed and started, gets SIGHUP again and again from its first statement on, and its settings file changes meanwhile and is half written at times; it overlaps with restarts, stops and changes. A process that ends by itself is a finding.

--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -25,6 +25,8 @@
 from tests.support.platform.site import DESK, ENGINES, build_configuration
 from tests.support.platform.skewed_callers import SkewedCallers
 
+from quetzaldeck.cli.exit_codes import ExitCode
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
@@ -52,6 +54,10 @@
 VERSION_INTERVAL_S = (0.5, 1.5)
 N_ADDED_ROUTES = 20
 MAX_CHANGES = 4
+N_HANG_UPS = (4, 20)
+HANG_UP_INTERVAL_S = 0.2
+OWN_ENDS = (-signal.SIGHUP, ExitCode.FAILED, ExitCode.BAD_SETTINGS)
+"""Exit codes of a process that no other fault has ended."""
 STOP_TIMEOUT_S = GRACE_S + 2 * MAX_PAUSE_S + 2.0
 """Longer than the grace period, since another fault may pause the stopping VM."""
 
@@ -145,6 +151,37 @@
     choose_vm(world, random_state).process.send(signal.SIGHUP)
 
 
+@register
+async def hang_up_while_starting(world: SoakWorld, random_state: random.Random) -> None:
+    """A VM restarts, and gets SIGHUP from its first statement on, again and again.
+
+    Its settings change meanwhile, and are half written at times.
+    """
+    vm = choose_vm(world, random_state)
+    path = vm.process.settings_path
+    text = path.read_text(encoding="utf-8")
+    async with record_fault(world, "kill_vm", vm.name):
+        vm.process.end()
+        vm.start()
+        process_id = vm.process_id
+        await vm.process.wait_launched()
+        for number in range(random_state.randint(*N_HANG_UPS)):
+            if vm.process_id != process_id or not vm.process.is_running:
+                break
+            changed = f"{text}random_state: {number + 1}\n"
+            n_written = random_state.choice([len(changed), random_state.randrange(200)])
+            path.write_text(changed[:n_written], encoding="utf-8")
+            vm.process.send(signal.SIGHUP)
+            await sleep_randomly(random_state, HANG_UP_INTERVAL_S)
+            path.write_text(changed, encoding="utf-8")
+            vm.process.send(signal.SIGHUP)
+        exit_code = vm.process.exit_code
+        if vm.process_id == process_id and exit_code in OWN_ENDS:
+            ended = f"{vm.name} ended by itself as it started, status {exit_code}"
+            world.history.stop_failures.append(ended)
+        vm.start()
+
+
 @register
 async def store_down(world: SoakWorld, random_state: random.Random) -> None:
     async with record_fault(world, "store_down", ""):
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -48,6 +48,7 @@
         "ask_for_rest",
         "announce_leaving",
         "mislead",
+        "hang_up_while_starting",
     }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
@@ -310,6 +311,20 @@
     assert result.n_calls > 100
 
 
+def test_invariants_hold_while_starting_vms_get_signals() -> None:
+    """Guards against VMs that SIGHUP ends as they start, among restarts and changes."""
+    plan = (
+        PlannedFault(0.3, "hang_up_while_starting", 1),
+        PlannedFault(0.9, "change_routes", 1),
+        PlannedFault(1.4, "stop_vm", 2),
+        PlannedFault(1.6, "hang_up_while_starting", 3),
+        PlannedFault(3.0, "hang_up_while_starting", 4),
+    )
+    result = uvloop.run(run_soak(1, duration_s=4.0, plan=plan))
+    assert result.findings == ()
+    assert result.n_calls > 100
+
+
 @pytest.mark.parametrize("kind", ENDLESS_SEEDS)
 def test_callers_are_served_while_replicas_send_bytes_without_end(kind: str) -> None:
     """Guards against VMs that spend their time and memory on bytes without end."""
--- a/tests/system/program_process.py
+++ b/tests/system/program_process.py
@@ -42,6 +42,16 @@
         """:returns: whether the process runs"""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def settings_path(self) -> Path:
+        """:returns: the file that the program reads its settings from"""
+        return self._settings_path
+
+    @property
+    def exit_code(self) -> int | None:
+        """:returns: exit code, negative for a signal; ``None`` while it runs"""
+        return None if self._process is None else self._process.poll()
+
     @property
     def log(self) -> str:
         """:returns: the log of all processes started so far"""
