Open no connection for a report whose answer an earlier one may be taken for

Reports have no id and follow each other, ten of them for one order; a report that is taken for the next one is only older. Orders keep the rule.

--- a/src/quetzaldeck/entry/upstream_protocol.py
+++ b/src/quetzaldeck/entry/upstream_protocol.py
@@ -69,8 +69,9 @@
       the next response is awaited.
     - All sendings of a request have one id, so a late response to the first one would
       count as the response to the second. No request is sent twice on a connection.
-    - Requests without an id, such as orders, can't be told apart. Between two of them
-      the connection serves one that has an id, where a late response shows.
+    - Requests without an id can't be told apart. No order follows another one, or a
+      report, on a connection; after a request with an id it may, as a late response
+      shows there.
     - A connection is reused only within the keep-alive time that the upstream states,
       as it may be closed at any moment after that.
     """
@@ -114,14 +115,15 @@
             # Callers choose the ids, and long ones would fill the memory.
             self._sent_ids.add(hash(request_id))
 
-    def can_tell_apart(self, request_id: str | None) -> bool:
+    def can_tell_apart(self, request_id: str | None, method: str) -> bool:
         """:returns: whether a response to an earlier request can't be taken for its own
 
         :param request_id: id of a request to be sent; ``None`` if it has none
+        :param method: method of the request; what is only read may be of an earlier one
         """
-        if not request_id:
-            return not self._has_sent_without_id
-        return hash(request_id) not in self._sent_ids
+        if request_id:
+            return hash(request_id) not in self._sent_ids
+        return method == "GET" or not self._has_sent_without_id
 
     def is_connected(self) -> bool:
         """:returns: whether the connection may be used for another request"""
@@ -228,7 +230,7 @@
             use_dns_cache=False,
         )
         self._echo_header = echo_header
-        self._connecting_id: str | None = None
+        self._connecting: ClientRequest | None = None
         # aiohttp annotates this attribute with its own class; a subclass works as well.
         self._factory = functools.partial(  # type: ignore[assignment]
             UpstreamProtocol, loop=self._loop, clock=clock, echo_header=echo_header
@@ -239,7 +241,7 @@
     ) -> Connection:
         """Get a connection that tells responses apart; see the base class."""
         # The base class calls _get before it awaits anything.
-        self._connecting_id = req.headers.get(self._echo_header)
+        self._connecting = req
         return await super().connect(req, traces, timeout)
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
@@ -247,21 +249,28 @@
 
         :returns: ``None`` if a new connection is to be opened
         """
-        request_id = self._connecting_id
         idle = self._conns.get(key)
         if not idle:
             return None
         for index, (protocol, _) in enumerate(idle):
-            if _can_tell_apart(protocol, request_id):
+            if self._suits(protocol):
                 idle.rotate(-index)
                 break
         connection = await super()._get(key, traces)
         # The base class passes over connections that have been idle for too long.
-        if connection is None or _can_tell_apart(connection.protocol, request_id):
+        if connection is None or self._suits(connection.protocol):
             return connection
         connection.release()
         return None
 
+    def _suits(self, protocol: ResponseHandler | None) -> bool:
+        """:returns: whether the request that is to be sent may use a connection"""
+        request = self._connecting
+        if request is None or not isinstance(protocol, UpstreamProtocol):
+            return True
+        request_id = request.headers.get(self._echo_header)
+        return protocol.can_tell_apart(request_id, request.method)
+
     async def _create_connection(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> ResponseHandler:
@@ -273,12 +282,6 @@
             return await super()._create_connection(req, traces, timeout)
 
 
-def _can_tell_apart(protocol: ResponseHandler | None, request_id: str | None) -> bool:
-    return not isinstance(protocol, UpstreamProtocol) or protocol.can_tell_apart(
-        request_id
-    )
-
-
 def open_socket(address: AddrInfoType) -> socket.socket:
     """:returns: a socket on which the kernel detects that the other end is gone"""
     family, kind, protocol, _, _ = address
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -159,7 +159,7 @@
     """
     vm = choose_vm(world, random_state)
     path = vm.process.settings_path
-    text = path.read_text(encoding="utf-8")
+    text = vm.settings_text
     async with record_fault(world, "kill_vm", vm.name):
         vm.process.end()
         vm.start()
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -66,6 +66,7 @@
         self.readiness = f"{host}:{ports[1]}"
         self.peer_port = ports[2]
         self.handover_port = ports[3]
+        self.settings_text = ""
         self.store_link: Link
         self.process: ProgramProcess
         self.is_in_rotation = False
@@ -287,7 +288,8 @@
             },
         }
         path = self._directory / f"{vm.name}.yaml"
-        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        vm.settings_text = yaml.safe_dump(settings)
+        path.write_text(vm.settings_text, encoding="utf-8")
         return path
 
 
