Move the pool of connections out of the module of one connection

No change of behaviour: entry/upstream_protocol.py says what a connection accepts, entry/upstream_connector.py which connection a request is sent on.

--- a/src/quetzaldeck/entry/upstream_client.py
+++ b/src/quetzaldeck/entry/upstream_client.py
@@ -7,11 +7,8 @@
 import aiohttp
 from yarl import URL
 
-from quetzaldeck.entry.upstream_protocol import (
-    UpstreamConnector,
-    UpstreamRequest,
-    UpstreamResponse,
-)
+from quetzaldeck.entry.upstream_connector import UpstreamConnector
+from quetzaldeck.entry.upstream_protocol import UpstreamRequest, UpstreamResponse
 from quetzaldeck.upstreams.send_once import send_once
 
 if TYPE_CHECKING:
--- a/tests/entry/test_upstream_client.py
+++ b/tests/entry/test_upstream_client.py
@@ -14,7 +14,7 @@
 
 from quetzaldeck.clock import Clock
 from quetzaldeck.entry.upstream_client import UpstreamClient
-from quetzaldeck.entry.upstream_protocol import CONNECT_TIMEOUT_MS
+from quetzaldeck.entry.upstream_connector import CONNECT_TIMEOUT_MS
 
 STALL_S = CONNECT_TIMEOUT_MS / 1_000 * 1.2
 MAX_LATE_S = 1.0
--- a/tests/entry/test_upstream_protocol.py
+++ b/tests/entry/test_upstream_protocol.py
@@ -10,7 +10,7 @@
 from tests.support.platform.site import BOOK_PATH, run_site
 
 from quetzaldeck.entry import upstream_protocol
-from quetzaldeck.entry.upstream_protocol import (
+from quetzaldeck.entry.upstream_connector import (
     N_PROBES,
     PROBE_IDLE_S,
     PROBE_INTERVAL_S,
