Give each call of the own interface an id that upstreams may echo

What callers saw: the answer to another caller's call. Cause: calls of the own interface had no id, so that an answer which came twice counted as the answer to the next call on its connection. Change: each call carries Quetzaldeck-Call-Id; once an upstream has echoed one on a connection, a response without the id of the call is dropped and the next one is awaited. The stand-ins echo it; upstreams that don't are believed as before.

--- a/src/quetzaldeck/standin/base.py
+++ b/src/quetzaldeck/standin/base.py
@@ -11,6 +11,7 @@
 
 from quetzaldeck.config import FindingsError, load_data
 from quetzaldeck.http import HttpServiceBase, json_response
+from quetzaldeck.http.echoed_calls import CALL_ID_HEADER
 from quetzaldeck.standin.connection_faults import ConnectionFaults
 from quetzaldeck.standin.fault_request import FaultRequest
 
@@ -86,6 +87,7 @@
         application = web.Application(
             client_max_size=MAX_BODY_BYTES, middlewares=[self._apply_connection_faults]
         )
+        application.on_response_prepare.append(_echo_call_id)
         application.add_routes([web.post(FAULTS_PATH, self._handle_faults), *routes])
         return application
 
@@ -128,4 +130,10 @@
         return json_response({})
 
 
+async def _echo_call_id(request: web.Request, response: web.StreamResponse) -> None:
+    call_id = request.headers.get(CALL_ID_HEADER)
+    if call_id is not None:
+        response.headers[CALL_ID_HEADER] = call_id
+
+
 __all__ = ("FAULTS_PATH", "StandinBase")
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -7,6 +7,7 @@
 
 from quetzaldeck.decisions.loads.load_report import LoadReport
 from quetzaldeck.http.answer_bounds import read_body
+from quetzaldeck.http.echoed_calls import CALL_ID_HEADER
 from quetzaldeck.upstreams.api import ServiceUpstream, service_protocols
 from quetzaldeck.upstreams.call import ServiceAnswer
 from quetzaldeck.upstreams.http import build_timeout, translate_faults
@@ -25,6 +26,7 @@
         "content-length",
         "host",
         "keep-alive",
+        CALL_ID_HEADER.lower(),
         "te",
         "trailer",
         "transfer-encoding",
--- a/src/quetzaldeck/upstreams/pools.py
+++ b/src/quetzaldeck/upstreams/pools.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.http.answer_bounds import BoundedConnector
+from quetzaldeck.http.echoed_calls import EchoedConnector, IdentifiedRequest
 from quetzaldeck.running_timeout import RunningTimeout
 
 if TYPE_CHECKING:
@@ -24,7 +24,7 @@
 """Idle time after which a connection is closed; it is unlikely to be used again."""
 
 
-class PoolConnector(BoundedConnector):
+class PoolConnector(EchoedConnector):
     """Opens connections; stalls of this process do not count as connect time."""
 
     async def _create_connection(
@@ -49,7 +49,11 @@
 
     def __init__(self, generation: int) -> None:
         connector = PoolConnector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S)
-        self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            request_class=IdentifiedRequest,
+            auto_decompress=False,
+        )
         self.generation = generation
         self.n_users = 0
         self.n_silent = 0
