--- a/tests/upstreams/test_late_copies.py
+++ b/tests/upstreams/test_late_copies.py
@@ -21,7 +21,8 @@
 async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Answer each request with its path, after a copy of the answer before."""
     answer = b""
-    while head := await reader.readuntil(b"\r\n\r\n"):
+    for _ in range(N_CALLS):
+        head = await reader.readuntil(b"\r\n\r\n")
         path, fields = head.split()[1], head.split(b"\r\n")
         (call_id,) = (field for field in fields if field.startswith(ID_FIELD))
         writer.write(answer)
