--- a/src/quetzaldeck/decisions/poison/registry.py
+++ b/src/quetzaldeck/decisions/poison/registry.py
@@ -47,22 +47,17 @@
 from quetzaldeck.decisions.poison.open_runs import OpenRun, OpenRuns
 from quetzaldeck.decisions.poison.recent_times import RecentTimes
 from quetzaldeck.decisions.poison.sighting import CrashSighting, RunState
+from quetzaldeck.decisions.poison.sighting_lists import SightingLists
 from quetzaldeck.decisions.poison.upstream_ends import UpstreamEnds
 from quetzaldeck.decisions.poison.verdict import Verdict
 from quetzaldeck.decisions.poison.verdicts import CrashVerdicts
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
+    from collections.abc import Callable, Collection, Iterable, Sequence
 
     from quetzaldeck.decisions.poison.blocked_request import BlockedRequest
 
-CLEARANCE_REPEAT_MS = 10_000.0
-"""How long a clearance is repeated to VMs that may have missed it."""
-
-MAX_SAMPLED = 200
-"""Requests that are judged at a time to choose those to tell of."""
-
 
 class PoisonRegistry:
     """Judges requests by the crashes in which they ran.
@@ -384,7 +379,8 @@
         self._unannounced.clear()
         for fingerprint in filter(is_part, unannounced):
             self._announced_parts.note(fingerprint, now_ms)
-        by_request = [tuple(self._list_sightings(item, now_ms)) for item in unannounced]
+        lists = SightingLists(self._table, self.verdict)
+        by_request = [tuple(lists.list_all(item, now_ms)) for item in unannounced]
         return [sightings for sightings in by_request if sightings]
 
     def list_state(
@@ -398,38 +394,8 @@
         :param max_sightings: maximum number; all sightings of a request, or none, but
             the latest ones of a request that was in more crashes than that
         """
-        listed = [f for f in self._table if self._table.n_counted(f)]
-        listed += self._table.cleared.list_since(now_ms - CLEARANCE_REPEAT_MS)
-        listed = random_state.sample(listed, min(len(listed), MAX_SAMPLED))
-        verdicts = {item: self.verdict(item, now_ms) for item in listed}
-        sightings: list[CrashSighting] = []
-        for fingerprint, verdict in sorted(verdicts.items(), key=_urgency):
-            of_request = list(self._list_sightings(fingerprint, now_ms))
-            if is_part(fingerprint) and verdict is Verdict.CLEAR:
-                # That it is sound says enough: it is in almost every crash.
-                of_request = [item for item in of_request if not item.upstream]
-            if len(of_request) > max_sightings:
-                of_request = sorted(of_request, key=_age_ms_of)[:max_sightings]
-            if len(sightings) + len(of_request) <= max_sightings:
-                sightings += of_request
-        return sightings
-
-    def _list_sightings(
-        self, fingerprint: int, now_ms: float
-    ) -> Iterator[CrashSighting]:
-        for crash, involvement in self._table.find(fingerprint).items():
-            if crash.is_certain:
-                yield CrashSighting(
-                    fingerprint,
-                    crash.upstream,
-                    crash.incarnation,
-                    now_ms - involvement.seen_ms,
-                    involvement.run_ms,
-                    involvement.was_answered,
-                )
-        cleared_ms = self._table.cleared.find(fingerprint)
-        if math.isfinite(cleared_ms):
-            yield CrashSighting(fingerprint, "", "", now_ms - cleared_ms)
+        lists = SightingLists(self._table, self.verdict)
+        return lists.list_state(max_sightings, now_ms, random_state=random_state)
 
     def observe(self, sightings: Iterable[CrashSighting], now_ms: float) -> None:
         """Merge sightings of other VMs, which may be late, repeated or known."""
@@ -470,14 +436,4 @@
         return answered_ms >= now_ms - self._bounds.answered_ms
 
 
-def _age_ms_of(sighting: CrashSighting) -> float:
-    return sighting.age_ms
-
-
-def _urgency(item: tuple[int, Verdict]) -> tuple[bool, bool]:
-    fingerprint, verdict = item
-    is_clear_part = is_part(fingerprint) and verdict is Verdict.CLEAR
-    return is_clear_part, verdict is not Verdict.REFUSED
-
-
 __all__ = ("PoisonRegistry", "Verdict")
