--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -102,6 +102,12 @@
     return random_state.choice(world.serving)
 
 
+def send_hang_up(vm: SoakVm) -> None:
+    """Send SIGHUP, but not in the interpreter's own start, which ends by it."""
+    if vm.process.is_launched:
+        vm.process.send(signal.SIGHUP)
+
+
 async def sleep_randomly(
     random_state: random.Random, max_s: float = MAX_PAUSE_S
 ) -> None:
@@ -148,7 +154,7 @@
 
 @register
 async def hang_up(world: SoakWorld, random_state: random.Random) -> None:
-    choose_vm(world, random_state).process.send(signal.SIGHUP)
+    send_hang_up(choose_vm(world, random_state))
 
 
 @register
@@ -171,10 +177,10 @@
             changed = f"{text}random_state: {number + 1}\n"
             n_written = random_state.choice([len(changed), random_state.randrange(200)])
             path.write_text(changed[:n_written], encoding="utf-8")
-            vm.process.send(signal.SIGHUP)
+            send_hang_up(vm)
             await sleep_randomly(random_state, HANG_UP_INTERVAL_S)
             path.write_text(changed, encoding="utf-8")
-            vm.process.send(signal.SIGHUP)
+            send_hang_up(vm)
         exit_code = vm.process.exit_code
         if vm.process_id == process_id and exit_code in OWN_ENDS:
             ended = f"{vm.name} ended by itself as it started, status {exit_code}"
--- a/tests/system/program_process.py
+++ b/tests/system/program_process.py
@@ -42,6 +42,11 @@
         """:returns: whether the process runs"""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def is_launched(self) -> bool:
+        """:returns: whether the process runs, and SIGHUP does not end it any more"""
+        return self.is_running and survives_hang_up(self.process_id)
+
     @property
     def settings_path(self) -> Path:
         """:returns: the file that the program reads its settings from"""
@@ -74,7 +79,7 @@
         :raises TimeoutError: if its first statement does not run in time
         """
         async with asyncio.timeout(timeout_s):
-            while self.is_running and not survives_hang_up(self.process_id):
+            while self.is_running and not self.is_launched:
                 await asyncio.sleep(LAUNCH_POLL_S)
 
     def send(self, number: signal.Signals) -> None:
