--- a/tests/system/test_signals.py
+++ b/tests/system/test_signals.py
@@ -20,7 +20,7 @@
 from quetzaldeck.launcher import PROGRAMS
 
 ROOT = Path(__file__).parents[2]
-LIFE_S = 1.5
+SERVING_S = 0.3
 INTERVAL_S = 0.001
 WRITE_S = 0.9
 
@@ -66,7 +66,8 @@
     process.start()
     await process.wait_launched()
     signals = asyncio.create_task(hang_up())
-    await asyncio.sleep(LIFE_S)
+    await wait_listening(process.address)
+    await asyncio.sleep(SERVING_S)
     process.send(signal.SIGTERM)
     exit_code = await process.wait()
     await signals
