--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -325,6 +325,14 @@
     assert result.n_calls > 100
 
 
+def test_callers_are_served_while_partitions_and_misleading_replicas_overlap() -> None:
+    """Guards against VMs that refuse most callers once a partition has ended."""
+    names = ("mislead", "freeze_vm", "partition_vms", "fail_in_part", "cut_replica")
+    plan = plan_faults(random.Random(7307), 6.0, names)
+    result = uvloop.run(run_soak(7307, duration_s=6.0, plan=plan))
+    assert result.findings == ()
+
+
 @pytest.mark.parametrize("kind", ENDLESS_SEEDS)
 def test_callers_are_served_while_replicas_send_bytes_without_end(kind: str) -> None:
     """Guards against VMs that spend their time and memory on bytes without end."""
