Test crowds of clients that keep no limit, at each address of the programs

Cause: a VM bounds each connection, but not all of them together, neither in memory nor in descriptors, at any address.

Change: tests of the real processes on loopback, with a VM of 100 MB (300 MB for gateway and agent) or 400 descriptors. They check the life of the process, its memory with what lies unread in its sockets, its descriptors, and one ordinary request. `make test` runs them one at a time after the others.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 # using all cores.
 N_TEST_WORKERS ?= 4
 test: install
-	$(BIN)/python -m pytest -n $(N_TEST_WORKERS) --dist worksteal -rxXEf --xfail-tb
+	$(BIN)/python -m pytest -n $(N_TEST_WORKERS) --dist worksteal -rxXEf --xfail-tb -m "not crowd"
+	$(BIN)/python -m pytest -rxXEf --xfail-tb -m crowd
 
 # Tests of sites, and of some fleets, run in virtual time in "make test": processor time
 # costs nothing. Here they run in real time, on a machine with nothing else to do.
