Write one line a second about the same event of a library

Cause: aiohttp reports each malformed request, so a crowd of them writes as many lines, and lines about ordinary requests are dropped for them.

Change: a line a second for each place and kind of error, with the number of those left out in between (`n_left_out`).

--- a/src/quetzaldeck/telemetry/log.py
+++ b/src/quetzaldeck/telemetry/log.py
@@ -10,6 +10,8 @@
 
 from loguru import logger
 
+from quetzaldeck.clock import Clock
+
 if TYPE_CHECKING:
     from loguru import Writable
 
@@ -19,6 +21,7 @@
 )
 MAX_VALUE_LENGTH = 500
 """Longer values are truncated: a caller may send a model name of megabytes."""
+LIBRARY_LOG_INTERVAL_MS = 1_000.0
 _NEEDS_QUOTES = frozenset(' "=\\')
 
 
@@ -36,24 +39,47 @@
     logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
 
 
+class _Written:
+    """When an event of a library was written last, and how often it came since."""
+
+    def __init__(self) -> None:
+        self.at_ms = float("-inf")
+        self.n_left_out = 0
+
+
 class LibraryHandler(logging.Handler):
     """Writes one ``library_log`` event per log record of a library, without its text.
 
     The text may quote what a caller sent, including its API key, over several lines.
     The library, the place in its code and the type of error are enough to investigate.
+    Callers can cause some of them as often as they like: of the same event, one line a
+    second is written, with the number of those that were left out before it.
     """
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._clock = Clock()
+        self._written: dict[tuple[str, str], _Written] = {}
+
     def emit(self, record: logging.LogRecord) -> None:
         """Write the event of a record; see :meth:`logging.Handler.emit`."""
         kind = record.exc_info[0] if record.exc_info else None
         error = "" if kind is None else kind.__name__
         place = f"{record.module}:{record.lineno}"
+        written = self._written.setdefault((place, error), _Written())
+        now_ms = self._clock.now_ms()
+        if now_ms - written.at_ms < LIBRARY_LOG_INTERVAL_MS:
+            written.n_left_out += 1
+            return
+        left_out = {"n_left_out": written.n_left_out} if written.n_left_out else {}
+        written.at_ms, written.n_left_out = now_ms, 0
         log_event(
             "library_log",
             level=record.levelname,
             logger=record.name,
             place=place,
             error=error,
+            **left_out,
         )
 
 
