Bound the connections of a process all together, in memory and descriptors

What was seen: clients that each stay inside the limits of one connection end a process by their number, at any of its addresses: 100 held heads take 99 MB, and as many connections as there are descriptors keep out every other caller, the upstreams and the store.

Cause: nothing counts connections together. aiohttp reads 32 requests ahead, and holds a head several times; a connection in calm costs 6 kB, and what the kernel holds for it is not bounded. maxHeaderBytes and idleTimeoutMs were never applied.

Change: what a process may take is shared out (http/process_limits.py): a number of connections, half of the sockets and what memory allows, with a receive buffer of 16 KiB each until a body has memory; memory for incomplete heads, for requests in progress and for bodies. http/open_connections.py counts all addresses together. When there is no room, the connection goes that has sent least of a request for the longest, at the address that has most for its part; never one whose request has arrived whole. A request without memory is refused as not run. What arrives behind a request in progress is not parsed, and begins one request a pass of the event loop. Empty lines before a request are counted. A head over maxHeaderBytes gets 431; a connection is idle for idleTimeoutMs. Lines about closed connections are written once a second for each bound, with their number (n_requests is no longer among the fields).

Tests changed: the log names `empty_lines`, `head_bytes` or `unused_bytes` with its bound (was 262,144 unused bytes for all); connections_shed is checked with the timer of the event loop; the bodies of test_overload.py have the 300,000 bytes that they had, set directly, as a VM of 2 MB has room for no caller now. The crowds read nothing where they said so: the transport ignored a pause before it was connected, so the answers had been read. Descriptors of gateway and agent are limited from their start on.

--- a/src/quetzaldeck/agent/service.py
+++ b/src/quetzaldeck/agent/service.py
@@ -14,6 +14,8 @@
 from quetzaldeck.http import (
     BodyError,
     HttpServiceBase,
+    OpenConnections,
+    RequestLimits,
     decode_body,
     json_response,
     metrics_response,
@@ -48,9 +50,15 @@
         middlewares: tuple[Middleware, ...] = (),
         **kwargs: Any,
     ) -> None:
-        super().__init__(settings.listen, **kwargs)
+        clock = clock or Clock()
+        super().__init__(
+            settings.listen,
+            open_connections=OpenConnections(settings.process_limits, clock),
+            **kwargs,
+        )
+        self._settings = settings
         self._middlewares = middlewares
-        self._session = AgentSession(settings, clock or Clock())
+        self._session = AgentSession(settings, clock)
         self.leaves_on_stop = True
 
     @property
@@ -78,6 +86,15 @@
         )
         return application
 
+    def read_request_limits(self) -> RequestLimits:
+        """:returns: the limits in the settings; see the base class"""
+        connections = self._settings.connections
+        return RequestLimits(
+            self.max_body_bytes,
+            max_empty_lines=connections.max_empty_lines,
+            unread_answer_ms=connections.unread_answer_ms,
+        )
+
     async def drain(self) -> int:
         """Wait for the gateway to finish, then leave the fleet.
 
--- a/src/quetzaldeck/agent/settings.py
+++ b/src/quetzaldeck/agent/settings.py
@@ -8,6 +8,12 @@
 from quetzaldeck.commands.settings import CommandSettings
 from quetzaldeck.config.option import Option
 from quetzaldeck.http.address import ListenAddress
+from quetzaldeck.http.process_limits import (
+    ConnectionSettings,
+    ProcessLimits,
+    ProcessSettings,
+    share_out,
+)
 from quetzaldeck.membership.settings import MembershipSettings
 from quetzaldeck.peers.settings import PeerSettings
 from quetzaldeck.reclaim.settings import ReclaimSettings
@@ -100,6 +106,21 @@
         int,
         Option("Longest wait of a new agent for peers before it is ready.", unit="ms"),
     ] = 5_000
+    process: Annotated[
+        ProcessSettings, Option("What the process may take of its machine.")
+    ] = ProcessSettings()
+    connections: Annotated[
+        ConnectionSettings, Option("Limits on accepted connections.")
+    ] = ConnectionSettings()
+
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """:returns: what all connections may take together"""
+        return share_out(
+            self.process.memory_mb,
+            self.process.max_descriptors,
+            max_connections=self.connections.max_connections,
+        )
 
 
 __all__ = ("AgentSettings", "PlatformSettings")
--- a/src/quetzaldeck/cli/entry_program.py
+++ b/src/quetzaldeck/cli/entry_program.py
@@ -40,11 +40,23 @@
         listen = ListenAddress(
             parse_listen_address(settings.listen.callers).host, settings.peer_port
         )
-        services.append(BeliefService(listen, lambda: entry.session.feed))
+        services.append(
+            BeliefService(
+                listen,
+                lambda: entry.session.feed,
+                open_connections=entry.open_connections,
+            )
+        )
     if settings.handover_port:
         host = parse_listen_address(settings.listen.callers).host
         listen = ListenAddress(host, settings.handover_port)
-        services.append(HandoverService(listen, lambda: entry.session.state))
+        services.append(
+            HandoverService(
+                listen,
+                lambda: entry.session.state,
+                open_connections=entry.open_connections,
+            )
+        )
     run_services(
         *services,
         background=watch.run,
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -55,6 +55,7 @@
     def __init__(self, call_id: str, arrived_ms: float) -> None:
         self.call_id = call_id
         self.arrived_ms = arrived_ms
+        self.deadline_ms = arrived_ms
         self.route = ""
         self.is_read = False
         self.run: CallRun | None = None
@@ -152,12 +153,17 @@
         response: web.StreamResponse,
         progress: CallProgress,
     ) -> None:
-        """Write a response, or the rest of a stream, and record it if that fails."""
+        """Write a response, or the rest of a stream, and record it if that fails.
+
+        A caller does not wait longer than its deadline, and may be slow for a while.
+        """
         transport = http_request.transport
         if response.prepared and (transport is None or transport.is_closing()):
             return
+        remaining_ms = max(0.0, progress.deadline_ms - self._state.clock.now_ms())
+        unread_ms = self._state.settings.connections.unread_answer_ms
         try:
-            await write_whole(http_request, response)
+            await write_whole(http_request, response, remaining_ms + unread_ms)
         except ConnectionError as error:
             # The HTTP server meets the same error and closes the connection.
             self._record_unsent(response, progress, error)
@@ -201,11 +207,12 @@
             raise RequestError(Failure(Reason.NO_BUNDLE, detail=detail))
         admitted = self._admit(view, http_request, head, arrived_ms, handover)
         progress.route = admitted.route.name
+        progress.deadline_ms = admitted.deadline_ms
         with self._state.bodies.open() as held:
             body = await read_body(http_request, _caller_bounds(view), held)
             progress.is_read = True
             call = _build_call(
-                request_id, http_request, head, admitted, body, arrived_ms, handover
+                request_id, http_request, head, admitted, body, progress, handover
             )
             if handover is not None:
                 await self._confirm_path(admitted)
@@ -382,6 +389,33 @@
         )
 
 
+def refuse_request(
+    state: EntryState, http_request: web.BaseRequest
+) -> web.StreamResponse:
+    """Refuse a request that is not read, as there is no memory for it.
+
+    :returns: a response which states that it was not run
+    """
+    call_id = http_request.headers.get(CALL_ID, "")
+    detail = "no memory for another request in progress"
+    failure = Failure(
+        Reason.QUEUE_FULL, retry_after_ms=RETRY_ELSEWHERE_MS, detail=detail
+    )
+    state.metrics.failures.labels(failure.reason.value, failure.ran.value).inc()
+    state.metrics.promises.labels(Evidence.UNSENT.value).inc()
+    log_event(
+        "request_failed",
+        request=call_id,
+        reason=failure.reason.value,
+        ran=failure.ran.value,
+        status=http_status(failure),
+        detail=detail,
+    )
+    response = error_response(failure, call_id, CALL_ID)
+    response.force_close()
+    return response
+
+
 def _read_head(http_request: web.Request) -> CallHead:
     try:
         return read_call_head(http_request.headers)
@@ -396,7 +430,7 @@
     head: CallHead,
     admitted: Admitted,
     body: bytes,
-    arrived_ms: float,
+    progress: CallProgress,
     handover: HandoverHead | None,
 ) -> Call:
     return Call(
@@ -405,7 +439,7 @@
         head,
         admitted,
         body if http_request.body_exists else None,
-        arrived_ms,
+        progress.arrived_ms,
         _fingerprint(http_request, admitted.customer, body),
         remove_handover_fields(http_request.headers)
         if handover is not None
@@ -430,4 +464,4 @@
     return CallerBounds(max_body_bytes=view.limits.max_body_bytes)
 
 
-__all__ = ("CallHandler",)
+__all__ = ("CallHandler", "refuse_request")
--- a/src/quetzaldeck/entry/handover_head.py
+++ b/src/quetzaldeck/entry/handover_head.py
@@ -21,6 +21,9 @@
 FAILURE = "Handover-Failure"
 """Present if the response is the failure of the other VM, not that of an upstream."""
 
+MAX_HANDOVER_BYTES = 1_024
+"""What the fields add to the head of a caller at most."""
+
 _FIELDS = (VERSION, N_ATTEMPTS, SERVICE, AGE, FAILURE)
 
 
--- a/src/quetzaldeck/entry/handover_service.py
+++ b/src/quetzaldeck/entry/handover_service.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
-from quetzaldeck.entry.handler import CallHandler
-from quetzaldeck.entry.view import read_caller_limits
+from quetzaldeck.entry.handler import CallHandler, refuse_request
+from quetzaldeck.entry.handover_head import MAX_HANDOVER_BYTES
 from quetzaldeck.http import (
     SHORT_SHUTDOWN_TIMEOUT_S,
     HttpServiceBase,
@@ -31,11 +31,12 @@
     """
 
     shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
+    serves_callers = True
 
     def __init__(
-        self, listen: ListenAddress, read_state: Callable[[], EntryState]
+        self, listen: ListenAddress, read_state: Callable[[], EntryState], **kwargs: Any
     ) -> None:
-        super().__init__(listen)
+        super().__init__(listen, **kwargs)
         self._read_state = read_state
 
     async def open(self) -> web.Application:
@@ -47,7 +48,13 @@
 
     def read_request_limits(self) -> RequestLimits:
         """:returns: the limits of the configuration in force; see the base class"""
-        return read_caller_limits(self._read_state().view)
+        limits = self._read_state().request_limits
+        max_header_bytes = limits.max_header_bytes + MAX_HANDOVER_BYTES
+        return limits._replace(max_header_bytes=max_header_bytes)
+
+    def refuse(self, request: web.BaseRequest) -> web.StreamResponse:
+        """:returns: a response which states that the request was not run"""
+        return refuse_request(self._read_state(), request)
 
     async def close(self) -> None:
         """Do nothing: the socket, the only resource, is closed already."""
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -2,29 +2,27 @@
 
 from __future__ import annotations
 
-import asyncio
-import math
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
 from quetzaldeck.clock import Clock
-from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.entry.explain_endpoint import EXPLAIN_PATH, ExplainEndpoint
-from quetzaldeck.entry.handler import CallHandler
+from quetzaldeck.entry.handler import CallHandler, refuse_request
 from quetzaldeck.entry.session import EntrySession
-from quetzaldeck.entry.view import read_caller_limits
 from quetzaldeck.http import (
     SHORT_SHUTDOWN_TIMEOUT_S,
     Bound,
     ConnectionShedder,
     HttpServiceBase,
+    OpenConnections,
     RequestLimits,
     metrics_response,
     parse_listen_address,
 )
 from quetzaldeck.platform import CALL_ID
 from quetzaldeck.telemetry import log_event
+from quetzaldeck.telemetry.repeated_event import RepeatedEvent
 
 if TYPE_CHECKING:
     from multidict import CIMultiDictProxy
@@ -32,25 +30,28 @@
     from quetzaldeck.entry.settings import EntrySettings
 
 
-SHED_LOG_INTERVAL_MS = 1_000.0
-"""A VM that closes connections is short of time, also for a line about each."""
+CALLERS_WEIGHT = 8.0
+"""Part of the connections that callers have, relative to each other address."""
 
 
 class EntryService(HttpServiceBase):
     """Serves the requests of callers and owns the session behind it."""
 
     shutdown_timeout_s = SHORT_SHUTDOWN_TIMEOUT_S
+    serves_callers = True
+    weight = CALLERS_WEIGHT
 
     def __init__(
         self, settings: EntrySettings, *, clock: Clock | None = None, **kwargs: Any
     ) -> None:
-        super().__init__(parse_listen_address(settings.listen.callers), **kwargs)
         clock = clock or Clock()
+        super().__init__(
+            parse_listen_address(settings.listen.callers),
+            open_connections=OpenConnections(settings.process_limits, clock),
+            **kwargs,
+        )
         self._session = EntrySession(settings, clock)
-        self._clock = clock
-        self._n_shed = 0
-        self._shed_logged_ms = -math.inf
-        self._shed_timer: asyncio.TimerHandle | None = None
+        self._shed = RepeatedEvent("connections_shed")
         self.shedder = ConnectionShedder(clock)
 
     @property
@@ -67,42 +68,29 @@
         return application
 
     def note_shed(self) -> None:
-        """Record that a new connection was closed unread.
+        """Record that a new connection was closed unread; see the base class.
 
-        Its request is recorded nowhere else. The first one is logged at once, later
-        ones together.
+        Its request is recorded nowhere else.
         """
         self._session.metrics.connections_shed.inc()
-        self._n_shed += 1
-        now_ms = self._clock.now_ms()
-        if now_ms - self._shed_logged_ms >= SHED_LOG_INTERVAL_MS:
-            self._log_shed()
-        elif self._shed_timer is None:
-            self._shed_timer = asyncio.get_running_loop().call_later(
-                SHED_LOG_INTERVAL_MS / MS_PER_SECOND, self._log_shed
-            )
+        self._shed.note("")
 
     def note_unhandled(self, headers: CIMultiDictProxy[str]) -> None:
         """Record that a request was read and never handled, as its caller had left."""
         log_event("request_unhandled", request=headers.get(CALL_ID, ""))
 
-    def _log_shed(self) -> None:
-        """Log the connections that were closed since the last line."""
-        if self._shed_timer is not None:
-            self._shed_timer.cancel()
-            self._shed_timer = None
-        if self._n_shed:
-            log_event("connections_shed", level="WARNING", n_connections=self._n_shed)
-            self._shed_logged_ms = self._clock.now_ms()
-            self._n_shed = 0
+    def refuse(self, request: web.BaseRequest) -> web.StreamResponse:
+        """:returns: a response which states that the request was not run"""
+        return refuse_request(self._session.state, request)
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply settings that changed while the program runs."""
+        self.open_connections.limits = settings.process_limits
         self._session.apply_settings(settings)
 
     def read_request_limits(self) -> RequestLimits:
         """:returns: the limits of the configuration in force; see the base class"""
-        return read_caller_limits(self._session.state.view)
+        return self._session.state.request_limits
 
     def note_over_bound(self, bound: Bound) -> None:
         """Count the connection that was closed; see the base class."""
@@ -118,7 +106,7 @@
 
     async def close(self) -> None:
         """End the session."""
-        self._log_shed()
+        self._shed.flush()
         await self._session.__aexit__(None, None, None)
 
 
@@ -133,7 +121,11 @@
     def __init__(
         self, settings: EntrySettings, entry: EntryService, **kwargs: Any
     ) -> None:
-        super().__init__(parse_listen_address(settings.listen.metrics), **kwargs)
+        super().__init__(
+            parse_listen_address(settings.listen.metrics),
+            open_connections=entry.open_connections,
+            **kwargs,
+        )
         self._entry = entry
 
     async def open(self) -> web.Application:
@@ -166,7 +158,11 @@
     def __init__(
         self, settings: EntrySettings, entry: EntryService, **kwargs: Any
     ) -> None:
-        super().__init__(parse_listen_address(settings.listen.readiness), **kwargs)
+        super().__init__(
+            parse_listen_address(settings.listen.readiness),
+            open_connections=entry.open_connections,
+            **kwargs,
+        )
         self._entry = entry
 
     async def open(self) -> web.Application:
--- a/src/quetzaldeck/entry/settings.py
+++ b/src/quetzaldeck/entry/settings.py
@@ -6,6 +6,11 @@
 
 from quetzaldeck.config.option import Option
 from quetzaldeck.decisions.policies import ENTRY_POLICIES, Policies
+from quetzaldeck.http.process_limits import (
+    ConnectionSettings,
+    ProcessLimits,
+    share_out,
+)
 
 HOLD_SHARE = 0.85
 """Share of ``free_ms`` for which one order reserves memory."""
@@ -28,12 +33,6 @@
 _ADDRESS_PATTERN = rf"[^\s:/]{{1,90}}:{_PORT_PATTERN}"
 
 
-BYTES_PER_MB = 1_000_000
-BODIES_SHARE = 0.15
-"""Share of the memory that bodies of requests may have together. They need about three
-times as much while they are read and sent, and a VM needs up to a third without any."""
-
-
 def _address(description: str, *, may_be_empty: bool = False) -> Option:
     if may_be_empty:
         pattern = rf"({_ADDRESS_PATTERN})?"
@@ -99,17 +98,16 @@
     memory_mb: Annotated[
         float, Option("Memory of the process.", unit="MB", minimum=1)
     ] = 300.0
+    max_descriptors: Annotated[
+        int,
+        Option("Descriptors of the process; 0: as many as the kernel allows."),
+    ] = 0
 
     @property
     def entry_expiry_ms(self) -> float:
         """:returns: time after which the entry of a replica that has ended is gone"""
         return self.heartbeat_ms * N_MISSED_HEARTBEATS + EXPIRY_MARGIN_MS
 
-    @property
-    def max_bodies_bytes(self) -> int:
-        """:returns: bytes that the bodies of all requests in progress may have"""
-        return round(self.memory_mb * BYTES_PER_MB * BODIES_SHARE)
-
     @property
     def reservation_hold_ms(self) -> float:
         """:returns: how long one order reserves memory
@@ -166,6 +164,9 @@
         EntryProcessor()
     )
     bounds: Annotated[EntryBounds, Option("Guaranteed bounds.")] = EntryBounds()
+    connections: Annotated[
+        ConnectionSettings, Option("Limits on accepted connections.")
+    ] = ConnectionSettings()
     policies: Annotated[
         Policies, Option("Policies, all or none named; changed for comparisons only.")
     ] = ENTRY_POLICIES
@@ -175,5 +176,14 @@
     ] = False
     random_state: Annotated[int, Option("Seed of random choices; 0: any.")] = 0
 
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """:returns: what all connections may take together"""
+        return share_out(
+            self.bounds.memory_mb,
+            self.bounds.max_descriptors,
+            max_connections=self.connections.max_connections,
+        )
+
 
 __all__ = ("EntryBounds", "EntryListen", "EntryProcessor", "EntrySettings")
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -26,14 +26,15 @@
     list_leaving,
 )
 from quetzaldeck.entry.view import build_view
-from quetzaldeck.gateway.body_memory import BodyMemory
 from quetzaldeck.gateway.drain import Drain
 from quetzaldeck.gateway.in_flight import InFlightRequests
+from quetzaldeck.gateway.memory_pool import MemoryPool
 from quetzaldeck.gateway.messages import ApplyBundle, Observe, ObserveIncarnations
 from quetzaldeck.gateway.release_task import Release, ReleaseTask
 from quetzaldeck.gateway.settings import ShutdownSettings
 from quetzaldeck.gateway.statement_notes import StatementNotes
-from quetzaldeck.http import parse_listen_address
+from quetzaldeck.http import RequestLimits, parse_listen_address
+from quetzaldeck.routing import CallerLimits
 from quetzaldeck.upstreams import UpstreamError
 
 if TYPE_CHECKING:
@@ -60,6 +61,9 @@
 callers, closing connections and exiting. Operators tolerate aborted requests in the
 last sixth of that time, not before."""
 
+FIRST_LIMITS = CallerLimits(max_header_bytes=65_536)
+"""Limits until a configuration states its own, which may be wider than the usual."""
+
 ABORT_NOTICE_MS = 200
 """Time to notify callers of aborted requests, at the end of the grace period."""
 
@@ -141,12 +145,14 @@
         )
         self.releases = ReleaseTask(self._release_memory, metrics.upstreams)
         self.in_flight = InFlightRequests()
-        self.bodies = BodyMemory(settings.bounds.max_bodies_bytes)
+        limits = settings.process_limits
+        self.bodies = MemoryPool(limits.max_body_bytes)
         metrics.in_flight.set_function(self.in_flight.__len__)
         metrics.placements.watch_slots(dispatch.list_slots_in_use)
         self.drain = Drain(self.in_flight, build_shutdown(settings.bounds), metrics)
         self.past_routes = PastRoutes(clock)
         self._view: RoutingView | None = None
+        self._request_limits = _build_request_limits(None, settings)
         self._has_view = asyncio.Event()
         self._view_watchers: set[Callable[[], None]] = set()
 
@@ -155,6 +161,11 @@
         """:returns: the configuration in force; ``None`` before the first"""
         return self._view
 
+    @property
+    def request_limits(self) -> RequestLimits:
+        """:returns: limits on requests; wide ones until there is a configuration"""
+        return self._request_limits
+
     @property
     def has_fresh_keys(self) -> bool:
         """:returns: whether the key list is recent enough to authenticate requests"""
@@ -247,6 +258,9 @@
         """Use changed bounds for decisions from now on."""
         self.settings = settings
         self.belief.set_bounds(build_belief_bounds(settings.bounds))
+        self._request_limits = _build_request_limits(self._view, settings)
+        limits = settings.process_limits
+        self.bodies.set_max_bytes(limits.max_body_bytes)
 
     def apply_belief(self) -> None:
         """Apply the current fleet state to requests that are not placed yet."""
@@ -257,6 +271,7 @@
             if self._view is not None:
                 self.past_routes.add(self._view)
             self._view = build_view(configuration)
+            self._request_limits = _build_request_limits(self._view, self.settings)
             self._has_view.set()
             self.metrics.bundle_version.set(configuration.version)
             for on_change in tuple(self._view_watchers):
@@ -279,6 +294,20 @@
         self.presumed_crashes.resolve()
 
 
+def _build_request_limits(
+    view: RoutingView | None, settings: EntrySettings
+) -> RequestLimits:
+    limits = FIRST_LIMITS if view is None else view.limits
+    return RequestLimits(
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout_ms=limits.header_timeout_ms,
+        max_header_bytes=limits.max_header_bytes,
+        idle_timeout_ms=limits.idle_timeout_ms,
+        max_empty_lines=settings.connections.max_empty_lines,
+        unread_answer_ms=settings.connections.unread_answer_ms,
+    )
+
+
 def build_shutdown(bounds: EntryBounds) -> ShutdownSettings:
     """:returns: the shutdown phases that fit into the configured grace period"""
     grace_ms = bounds.grace_s * 1_000
--- a/src/quetzaldeck/entry/upstream_connector.py
+++ b/src/quetzaldeck/entry/upstream_connector.py
@@ -31,6 +31,10 @@
 gives up keep-alive probes by it, whatever their count: a shorter time than until the
 last probe would close the connection of a sound upstream that misses one."""
 
+RECEIVE_BYTES = 65_536
+"""Receive buffer of a connection; the kernel takes twice as much. What is written to a
+caller that does not read lies there."""
+
 CONNECT_TIMEOUT_MS = 500.0
 """Hundreds of times the latency between zones, but less than an interactive caller is
 willing to wait."""
@@ -118,6 +122,7 @@
     opened = socket.socket(family, kind, protocol)
     opened.setblocking(False)  # noqa: FBT003 - interface of the standard library
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
--- a/src/quetzaldeck/entry/view.py
+++ b/src/quetzaldeck/entry/view.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from quetzaldeck.http import RequestLimits
 from quetzaldeck.routing import (
     CallerLimits,
     KeyOwner,
@@ -46,12 +45,6 @@
     )
 
 
-def read_caller_limits(view: RoutingView | None) -> RequestLimits:
-    """:returns: limits on requests; the defaults until there is a configuration"""
-    limits = CallerLimits() if view is None else view.limits
-    return RequestLimits(limits.max_body_bytes, limits.header_timeout_ms)
-
-
 def _find_min_gaps_ms(routes: Iterable[Route]) -> dict[str, float]:
     gaps_ms: dict[str, float] = {}
     for route in routes:
@@ -63,4 +56,4 @@
     return gaps_ms
 
 
-__all__ = ("RoutingView", "build_view", "read_caller_limits")
+__all__ = ("RoutingView", "build_view")
--- a/src/quetzaldeck/gateway/completions.py
+++ b/src/quetzaldeck/gateway/completions.py
@@ -31,7 +31,7 @@
     from aiohttp import web
 
     from quetzaldeck.bundle import CustomerSpec
-    from quetzaldeck.gateway.body_memory import HeldBody
+    from quetzaldeck.gateway.memory_pool import HeldMemory
     from quetzaldeck.gateway.state import GatewayState
     from quetzaldeck.upstreams import CompletionCall
 
@@ -54,7 +54,7 @@
             return await self._handle(http_request, request_id, held)
 
     async def _handle(
-        self, http_request: web.Request, request_id: str, held: HeldBody
+        self, http_request: web.Request, request_id: str, held: HeldMemory
     ) -> web.StreamResponse:
         arrived_ms = self._state.clock.now_ms()
         headers = http_request.headers
--- a/src/quetzaldeck/gateway/service.py
+++ b/src/quetzaldeck/gateway/service.py
@@ -22,6 +22,7 @@
     Bound,
     ConnectionGuard,
     HttpServiceBase,
+    OpenConnections,
     RequestLimits,
     Stall,
     json_response,
@@ -47,12 +48,18 @@
 class GatewayService(HttpServiceBase):
     """Serves the requests of callers on one VM."""
 
+    serves_callers = True
+
     def __init__(
         self, settings: GatewaySettings, *, clock: Clock | None = None, **kwargs: Any
     ) -> None:
-        super().__init__(settings.listen, **kwargs)
-        self._settings = settings
         clock = clock or Clock()
+        super().__init__(
+            settings.listen,
+            open_connections=OpenConnections(settings.process_limits, clock),
+            **kwargs,
+        )
+        self._settings = settings
         self._session = GatewaySession(settings, clock)
         self._connection_guard_task: asyncio.Task[None] | None = None
         self._connection_guard = ConnectionGuard(
@@ -96,13 +103,31 @@
     def read_request_limits(self) -> RequestLimits:
         """:returns: the limits in the settings; see the base class"""
         bounds = self._settings.callers
-        return RequestLimits(bounds.max_body_bytes, bounds.request_head_ms)
+        connections = self._settings.connections
+        return RequestLimits(
+            bounds.max_body_bytes,
+            bounds.request_head_ms,
+            max_empty_lines=connections.max_empty_lines,
+            unread_answer_ms=connections.unread_answer_ms,
+        )
 
     def note_over_bound(self, bound: Bound) -> None:
         """Count the connection that was closed; see the base class."""
         why = Stall.NO_REQUEST if bound is Bound.HEAD_TIME else bound
         self._session.metrics.connections_broken.labels(why.value).inc()
 
+    def refuse(self, request: web.BaseRequest) -> web.StreamResponse:
+        """:returns: a response which states that the request was not run"""
+        request_id = uuid.uuid4().hex
+        detail = "no memory for another request in progress"
+        failure = Failure(
+            Reason.QUEUE_FULL, retry_after_ms=RETRY_AFTER_MS, detail=detail
+        )
+        self._note_failure(failure, request_id)
+        response = error_response(failure, request_id)
+        response.force_close()
+        return response
+
     async def drain(self) -> int:
         """Shut down gracefully; see :class:`quetzaldeck.gateway.drain.Drain`."""
         n_aborted = await self._session.state.drain.run()
@@ -140,7 +165,8 @@
                 with self._session.state.in_flight.track(request_id):
                     response = await respond(request, request_id)
                     with suppress(ConnectionError):
-                        await write_whole(request, response)
+                        unread_ms = self._settings.connections.unread_answer_ms
+                        await write_whole(request, response, unread_ms)
             except RequestError as error:
                 assert response is not None
                 self._note_failure(error.failure, request_id)
--- a/src/quetzaldeck/gateway/services.py
+++ b/src/quetzaldeck/gateway/services.py
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     from quetzaldeck.bundle import CustomerSpec, ServiceSpec
-    from quetzaldeck.gateway.body_memory import HeldBody
+    from quetzaldeck.gateway.memory_pool import HeldMemory
     from quetzaldeck.gateway.state import GatewayState
     from quetzaldeck.upstreams import ServiceAnswer
 
@@ -49,7 +49,7 @@
             return await self._handle(http_request, request_id, held)
 
     async def _handle(
-        self, http_request: web.Request, request_id: str, held: HeldBody
+        self, http_request: web.Request, request_id: str, held: HeldMemory
     ) -> web.StreamResponse:
         arrived_ms = self._state.clock.now_ms()
         headers = http_request.headers
--- a/src/quetzaldeck/gateway/settings.py
+++ b/src/quetzaldeck/gateway/settings.py
@@ -7,6 +7,12 @@
 from quetzaldeck.config.option import Option
 from quetzaldeck.decisions.policies import Policies
 from quetzaldeck.http.address import ListenAddress
+from quetzaldeck.http.process_limits import (
+    ConnectionSettings,
+    ProcessLimits,
+    ProcessSettings,
+    share_out,
+)
 from quetzaldeck.upstreams.timeouts import MAX_ANSWER_BYTES
 
 
@@ -113,10 +119,25 @@
     shutdown: Annotated[ShutdownSettings, Option("Graceful shutdown.")] = (
         ShutdownSettings()
     )
+    process: Annotated[
+        ProcessSettings, Option("What the process may take of its machine.")
+    ] = ProcessSettings()
+    connections: Annotated[
+        ConnectionSettings, Option("Limits on accepted connections.")
+    ] = ConnectionSettings()
     policies: Annotated[Policies, Option("Policies.")] = Policies()
     random_state: Annotated[
         int, Option("Seed of random choices; 0: a random seed.")
     ] = 0
 
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """:returns: what all connections may take together"""
+        return share_out(
+            self.process.memory_mb,
+            self.process.max_descriptors,
+            max_connections=self.connections.max_connections,
+        )
+
 
 __all__ = ("CallerBounds", "GatewaySettings", "ShutdownSettings", "UpstreamBounds")
--- a/src/quetzaldeck/gateway/state.py
+++ b/src/quetzaldeck/gateway/state.py
@@ -8,13 +8,13 @@
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
 from quetzaldeck.decisions.placement import CacheCursor
-from quetzaldeck.gateway.body_memory import BodyMemory
 from quetzaldeck.gateway.closed_upstream import build_closed_error
 from quetzaldeck.gateway.customers import CustomerIndex
 from quetzaldeck.gateway.detached_calls import DetachedCalls
 from quetzaldeck.gateway.drain import Drain
 from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.in_flight import InFlightRequests
+from quetzaldeck.gateway.memory_pool import MemoryPool
 from quetzaldeck.gateway.messages import ApplyBundle, ObserveCache
 from quetzaldeck.gateway.statement_notes import StatementNotes
 from quetzaldeck.outcomes import Failure, Reason
@@ -63,7 +63,7 @@
         self.claim_ends = claim_ends
         self.agent_client = agent_client
         self.in_flight = InFlightRequests()
-        self.bodies = BodyMemory(settings.callers.max_bodies_bytes)
+        self.bodies = MemoryPool(settings.callers.max_bodies_bytes)
         self.detached_calls = DetachedCalls(self.in_flight)
         metrics.in_flight.set_function(self.in_flight.__len__)
         self.drain = Drain(self.in_flight, settings.shutdown, metrics)
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from http import HTTPStatus
+from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING, Self
 
 from aiohttp import web
 
 from quetzaldeck.early_listener import MAX_QUEUED_CONNECTIONS
-from quetzaldeck.http.bounded_server import (
+from quetzaldeck.http.bounded_server import BoundedRunner
+from quetzaldeck.http.open_connections import OpenConnections
+from quetzaldeck.http.request_limits import (
     MAX_BODY_BYTES,
+    RECEIVE_BYTES,
     Bound,
-    BoundedRunner,
     RequestLimits,
+    ServerHooks,
 )
 from quetzaldeck.http.shedding import SheddingSite
+from quetzaldeck.telemetry.repeated_event import RepeatedEvent
 
 if TYPE_CHECKING:
     from socket import socket
@@ -26,14 +32,18 @@
     from quetzaldeck.http.address import ListenAddress
     from quetzaldeck.http.shedding import ConnectionShedder
 
-MAX_HEADER_BYTES = 16_384
-"""Maximum length of a request line or header; twice the usual limit of servers."""
-KEEP_ALIVE_S = 75.0
-"""Time for which an idle connection of a caller is kept open; longer than load
-balancers usually keep theirs."""
 SHORT_SHUTDOWN_TIMEOUT_S = 0.1
 """For services whose clients go elsewhere as soon as a connection is closed."""
 
+CALLERS_SHARE = 0.9
+"""Share of the memory for requests in progress that those of callers may take, so that
+readiness checks and other VMs are answered meanwhile."""
+
+BACKLOG_SHARE = 0.5
+OTHER_BACKLOG_RATIO = 0.125
+"""Connections that may wait to be accepted, for each that may be open, and for each of
+the callers' address. They are accepted before others can be closed for them."""
+
 SHUTDOWN_TIMEOUT_S = 1.0
 """Default of ``HttpServiceBase.shutdown_timeout_s``."""
 
@@ -47,6 +57,7 @@
 
     :param listen: address and port to listen on
     :param listener: socket that is open already; it belongs to the service from then on
+    :param open_connections: those of the whole process; ``None``: without limits
     """
 
     shutdown_timeout_s = SHUTDOWN_TIMEOUT_S
@@ -58,15 +69,27 @@
     max_body_bytes = MAX_BODY_BYTES
     """Limit on the body of a request."""
 
+    serves_callers = False
+    """Whether it serves requests of callers, which leave memory for other requests."""
+
+    weight = 1.0
+    """Its part of the connections of the process, relative to its other services."""
+
     _runner: web.AppRunner | None = None
     _site: web.BaseSite | None = None
     _port = 0
 
     def __init__(
-        self, listen: ListenAddress, *, listener: socket | None = None
+        self,
+        listen: ListenAddress,
+        *,
+        listener: socket | None = None,
+        open_connections: OpenConnections | None = None,
     ) -> None:
         self._listen = listen
         self._listener = listener
+        self.open_connections = open_connections or OpenConnections()
+        self._over_bound = RepeatedEvent("request_over_bound")
 
     async def __aenter__(self) -> Self:
         await self.start()
@@ -132,22 +155,33 @@
     ) -> None:
         """Record that a request was read and never handled, as its caller had left."""
 
-    def note_over_bound(self, bound: Bound) -> None:  # noqa: B027 - it is logged already
-        """Record that a connection was closed whose request exceeds a bound."""
+    def note_over_bound(  # noqa: B027 - it is logged already
+        self, bound: Bound
+    ) -> None:
+        """Record that a connection was closed, or its request refused, by a bound."""
+
+    def refuse(self, request: web.BaseRequest) -> web.StreamResponse:
+        """:returns: the response to a request for which there is no memory"""
+        response = web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        response.force_close()
+        return response
 
     async def start(self) -> None:
         """Open the application and listen."""
         application = await self.open()
+        hooks = ServerHooks(
+            self.read_request_limits,
+            self._log_over_bound,
+            self.refuse,
+            CALLERS_SHARE if self.serves_callers else 1.0,
+        )
         self._runner = BoundedRunner(
             application,
-            self.read_request_limits,
-            self.note_over_bound,
+            hooks,
+            self.open_connections.open_group(self.weight),
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=KEEP_ALIVE_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
             shutdown_timeout=self.shutdown_timeout_s,
         )
         await self._runner.setup()
@@ -157,6 +191,7 @@
         """Start to listen; after :meth:`stop_listening`, on the same port as before."""
         assert self._runner is not None
         listener, self._listener = self._listener, None
+        backlog = self._read_backlog()
         if self.shedder is not None:
             self._site = SheddingSite(
                 self._runner,
@@ -165,25 +200,46 @@
                 self.note_unhandled,
                 self._listen.host,
                 self._port or self._listen.port,
-                backlog=MAX_QUEUED_CONNECTIONS,
+                backlog=backlog,
                 sock=listener,
             )
         elif listener is not None:
-            self._site = web.SockSite(
-                self._runner, listener, backlog=MAX_QUEUED_CONNECTIONS
-            )
+            self._site = web.SockSite(self._runner, listener, backlog=backlog)
         else:
             port = self._port or self._listen.port
             self._site = web.TCPSite(
                 self._runner,
                 self._listen.host,
                 port,
-                backlog=MAX_QUEUED_CONNECTIONS,
+                backlog=backlog,
                 reuse_address=True,
             )
         await self._site.start()
+        self._limit_receive_buffers()
         self._port = int(self._runner.addresses[0][1])
 
+    def _limit_receive_buffers(self) -> None:
+        """Let the kernel hold little of what is not read; connections inherit it."""
+        server = getattr(self._site, "_server", None)
+        if self.open_connections.limits is None or server is None:
+            return
+        for sock in server.sockets:
+            sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BYTES)
+
+    def _read_backlog(self) -> int:
+        """:returns: connections that may wait to be accepted, all of them at once"""
+        limits = self.open_connections.limits
+        if limits is None:
+            return MAX_QUEUED_CONNECTIONS
+        n_waiting = round(limits.max_connections * BACKLOG_SHARE)
+        if not self.serves_callers:
+            n_waiting = round(n_waiting * OTHER_BACKLOG_RATIO)
+        return max(1, min(n_waiting, MAX_QUEUED_CONNECTIONS))
+
+    def _log_over_bound(self, bound: Bound, limit: float, seen: float) -> None:
+        self._over_bound.note(bound.value, bound=limit, seen=seen)
+        self.note_over_bound(bound)
+
     async def stop_listening(self) -> None:
         """Close the listening socket; open connections stay open."""
         if self._site is not None:
@@ -194,7 +250,8 @@
         """Stop listening, close all connections, then call :meth:`close`."""
         if self._runner is not None:
             await self._runner.cleanup()
+        self._over_bound.flush()
         await self.close()
 
 
-__all__ = ("MAX_HEADER_BYTES", "SHORT_SHUTDOWN_TIMEOUT_S", "HttpServiceBase")
+__all__ = ("SHORT_SHUTDOWN_TIMEOUT_S", "HttpServiceBase")
--- a/src/quetzaldeck/http/shedding.py
+++ b/src/quetzaldeck/http/shedding.py
@@ -18,7 +18,7 @@
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
 
-from quetzaldeck.http.bounded_server import BoundedConnection
+from quetzaldeck.http.bounded_connection import BoundedConnection
 from quetzaldeck.http.socket_wait import read_wait_ms
 
 if TYPE_CHECKING:
@@ -37,6 +37,9 @@
 INTERVAL_MS = 500.0
 """How long connections have to wait longer than that, without exception."""
 
+MAX_UNHANDLED = 8
+"""Requests of one connection that are reported as unhandled, of those not begun."""
+
 
 class ConnectionShedder:
     """Decides which new connections to close.
@@ -158,6 +161,8 @@
             if isinstance(message, RawRequestMessage):
                 self._on_unhandled(message.headers)
         self._messages.clear()
+        for head in self.take_ahead(MAX_UNHANDLED):
+            self._on_unhandled(head.headers)
         super().connection_lost(exc)
 
     def _handle_request(
--- a/src/quetzaldeck/routing/caller_limits.py
+++ b/src/quetzaldeck/routing/caller_limits.py
@@ -8,7 +8,7 @@
 class CallerLimits(NamedTuple):
     """Limits that apply to every caller.
 
-    :param max_header_bytes: maximum length of the request line or a header
+    :param max_header_bytes: maximum length of the request line, and of all headers
     :param max_body_bytes: maximum length of a request body
     :param header_timeout_ms: time within which the complete request head must arrive
     :param idle_timeout_ms: time after which a connection without a request is closed
--- a/tests/entry/test_endless_requests.py
+++ b/tests/entry/test_endless_requests.py
@@ -28,7 +28,11 @@
 MAX_BODY_BYTES = 100_000
 """As in the configuration of the site."""
 
-MAX_UNUSED_BYTES = 256 * KIB
+MAX_HEADER_BYTES = 16 * KIB
+"""As the limits of the configuration are by default."""
+
+MAX_UNUSED_BYTES = 2 * MAX_HEADER_BYTES
+MAX_EMPTY_BYTES = 64
 SLACK_BYTES = 256 * KIB
 """What is under way when a connection is closed."""
 
@@ -185,20 +189,29 @@
     run_site(test, is_virtual=False)
 
 
+CLOSED_FOR = {
+    "empty_lines": (HEADS["blank lines"], MAX_EMPTY_BYTES),
+    "head_bytes": (HEADS["many fields"], MAX_UNUSED_BYTES),
+    "unused_bytes": (BODIES["trailers"], MAX_UNUSED_BYTES),
+}
+
+
+@pytest.mark.parametrize("kind", CLOSED_FOR)
 def test_log_names_the_bound_and_what_was_seen(
-    capsys: pytest.CaptureFixture[str],
+    capsys: pytest.CaptureFixture[str], kind: str
 ) -> None:
     """Guards against a closed connection whose cause operators cannot see."""
+    flood, bound = CLOSED_FOR[kind]
 
     async def test(site: Site) -> None:
-        await pour(site, HEADS["blank lines"], is_fast=True)
+        await pour(site, flood, is_fast=True)
         broken = site.entry.session.state.metrics.connections_broken
-        assert broken.labels("unused_bytes")._value.get() == 1
+        assert broken.labels(kind)._value.get() == 1
 
     run_site(test)
     lines = capsys.readouterr().err.splitlines()
     (line,) = [line for line in lines if "event=request_over_bound" in line]
-    assert f"kind=unused_bytes bound={MAX_UNUSED_BYTES} seen=" in line
+    assert f"kind={kind} n_connections=1 bound={bound} seen=" in line
 
 
 SOUND = {
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -9,8 +9,7 @@
 from tests.support.platform.replica import event
 from tests.support.platform.site import BOOK_PATH, PLAN_PATH, run_site
 
-from quetzaldeck.entry.service import SHED_LOG_INTERVAL_MS
-from quetzaldeck.entry.settings import EntryBounds
+from quetzaldeck.telemetry.repeated_event import INTERVAL_MS
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -18,12 +17,11 @@
     from tests.support.platform.replica import Arrival, Connection
     from tests.support.platform.site import Answer, Site
 
-    from quetzaldeck.clock import ManualClock
-
 N_CALLS = 60
 N_SLOTS = 8
 RUN_S = 0.4
 DEADLINE_MS = 1_500
+MAX_BODIES_BYTES = 300_000
 EARLY_S = 0.5
 """Requests that are refused on admission have their response within this time, a third
 of the deadline."""
@@ -71,23 +69,25 @@
 
 
 def test_connections_closed_unread_are_logged_together(
-    monkeypatch: pytest.MonkeyPatch, clock: ManualClock
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A request ends without a line, or each one costs a VM that is short of time."""
     lines: list[int] = []
     monkeypatch.setattr(
-        "quetzaldeck.entry.service.log_event",
+        "quetzaldeck.telemetry.repeated_event.log_event",
         lambda event, *, level, n_connections: lines.append(n_connections),
     )
 
     async def test(site: Site) -> None:
-        site.entry._clock = clock
         for _ in range(3):
             site.entry.note_shed()
         assert lines == [1]
-        clock.advance(SHED_LOG_INTERVAL_MS)
+        await asyncio.sleep(INTERVAL_MS / 1_000 + 0.01)
+        assert lines == [1, 2]
         site.entry.note_shed()
-        assert lines == [1, 3]
+        assert lines == [1, 2]
+        await site.entry.stop()
+        assert lines == [1, 2, 1]
 
     run_site(test)
 
@@ -96,7 +96,6 @@
 def test_callers_of_many_long_bodies_are_all_answered(*, has_length: bool) -> None:
     """Guards against a process that ends as bodies, each allowed, fill its memory."""
     body = b"x" * 90_000
-    bounds = EntryBounds(memory_mb=2.0)
 
     async def send_parts() -> AsyncIterator[bytes]:
         for begin in range(0, len(body), 10_000):
@@ -109,6 +108,7 @@
 
     async def test(site: Site) -> None:
         memory = site.entry.session.state.bodies
+        memory.set_max_bytes(MAX_BODIES_BYTES)
         most = 0
 
         async def call() -> int:
@@ -121,7 +121,7 @@
         statuses = await asyncio.gather(*(call() for _ in range(20)))
         assert set(statuses) <= {200, 503}
         assert statuses.count(200) >= 2
-        assert 0 < most <= bounds.max_bodies_bytes
+        assert 0 < most <= MAX_BODIES_BYTES
         assert memory.n_held == 0
 
-    run_site(test, desks=(answer,), bounds=bounds)
+    run_site(test, desks=(answer,))
--- a/tests/gateway/test_body.py
+++ b/tests/gateway/test_body.py
@@ -15,12 +15,12 @@
 from tests.support.virtual_time import run_virtual
 
 from quetzaldeck.gateway.body import read_body
-from quetzaldeck.gateway.body_memory import (
+from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.gateway.memory_pool import (
     MAX_WAIT_MS,
-    BodyMemory,
-    BodyMemoryError,
+    MemoryPool,
+    NoMemoryError,
 )
-from quetzaldeck.gateway.errors import RequestError
 from quetzaldeck.gateway.settings import CallerBounds
 from quetzaldeck.outcomes import Reason
 
@@ -50,7 +50,7 @@
     async def handle(request: web.Request) -> web.StreamResponse:
         has_begun.set_result(time.monotonic())
         try:
-            with BodyMemory(1_000).open() as held:
+            with MemoryPool(1_000).open() as held:
                 reading.set_result(await read_body(request, bounds, held))
         except RequestError as error:
             reading.set_exception(error)
@@ -104,7 +104,7 @@
 @pytest.mark.parametrize("hold_s", [0.1, 2.0])
 def test_bodies_wait_for_memory_and_are_refused_in_time(hold_s: float) -> None:
     """Guards against bodies that exceed the memory together, and a long wait."""
-    memory = BodyMemory(100)
+    memory = MemoryPool(100)
 
     async def hold(n_bytes: int) -> int:
         with memory.open() as held:
@@ -117,7 +117,7 @@
         results = await asyncio.gather(
             *(hold(60) for _ in range(3)), return_exceptions=True
         )
-        n_refused = sum(isinstance(result, BodyMemoryError) for result in results)
+        n_refused = sum(isinstance(result, NoMemoryError) for result in results)
         assert n_refused == (0 if hold_s < MAX_WAIT_MS / 1_000 else 2)
         assert {r for r in results if not isinstance(r, Exception)} == {60}
         assert memory.n_held == 0
@@ -127,11 +127,11 @@
 
 def test_body_that_grows_never_waits_for_others() -> None:
     """Guards against bodies that each wait for the memory of the others."""
-    memory = BodyMemory(100)
+    memory = MemoryPool(100)
     with memory.open() as first, memory.open() as second:
         first.grow_to(50)
         second.grow_to(50)
-        with pytest.raises(BodyMemoryError, match="100 of 100 are held"):
+        with pytest.raises(NoMemoryError, match="100 of 100 are held"):
             first.grow_to(51)
     with memory.open() as alone:
         alone.grow_to(500)
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -60,12 +60,14 @@
         while True:
             try:
                 transport, protocol = await loop.create_connection(
-                    lambda: _Client(reads=self._habit.reads), self._host, self._port
+                    _Client, self._host, self._port
                 )
             except OSError:
                 await asyncio.sleep(RECONNECT_S)
                 continue
             self.n_connections += 1
+            if not self._habit.reads:
+                transport.pause_reading()
             try:
                 await self._send(transport, protocol)
             finally:
@@ -89,16 +91,11 @@
 class _Client(asyncio.Protocol):
     """One connection; what is received is dropped."""
 
-    def __init__(self, *, reads: bool) -> None:
-        self._reads = reads
+    def __init__(self) -> None:
         self.closed = asyncio.get_running_loop().create_future()
         self._writable = asyncio.Event()
         self._writable.set()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        if not self._reads:
-            transport.pause_reading()  # type: ignore[attr-defined]
-
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.closed.done():
             self.closed.set_result(None)
--- a/tests/support/platform/vm_process.py
+++ b/tests/support/platform/vm_process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import resource
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -136,9 +135,8 @@
         path = self._write_settings()
         self.process = ProgramProcess("entry", path, f"http://{self.callers}")
         self._stack.callback(self.process.end)
+        self.process.max_descriptors = self._max_descriptors
         self.process.start()
-        if self._max_descriptors is not None:
-            limit_descriptors(self.process, self._max_descriptors)
         ports = tuple(int(a.rpartition(":")[2]) for a in self.addresses.values())
         self.gauge = Gauge(self.process, ports)
         await wait_ready(f"http://{self.addresses['readiness']}")
@@ -196,10 +194,4 @@
         return path
 
 
-def limit_descriptors(process: ProgramProcess, n_descriptors: int) -> None:
-    """Set how many descriptors the kernel lets a process open."""
-    limit = (n_descriptors, n_descriptors)
-    resource.prlimit(process.process_id, resource.RLIMIT_NOFILE, limit)
-
-
-__all__ = ("Gauge", "Usage", "VmProcess", "limit_descriptors")
+__all__ = ("Gauge", "Usage", "VmProcess")
--- a/tests/system/processes.py
+++ b/tests/system/processes.py
@@ -51,7 +51,10 @@
 
 
 class ProcessFleetSettings(NamedTuple):
-    """Size and parameters of a fleet of processes."""
+    """Size and parameters of a fleet of processes.
+
+    :param max_descriptors: of each process; ``None``: unchanged
+    """
 
     n_vms: int = 2
     n_engines: int = 2
@@ -60,6 +63,7 @@
     profile: EngineProfile = FAST_ENGINE
     shutdown: ShutdownSettings = ShutdownSettings(balancer_lag_ms=500)
     vm_list_lag_ms: int = 200
+    max_descriptors: int | None = None
 
 
 class VmProcesses(NamedTuple):
@@ -232,6 +236,7 @@
         path = self._directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(to_yaml(to_plain(settings))))
         process = ProgramProcess(program, path, _url_of(listen))
+        process.max_descriptors = self._settings.max_descriptors
         self._stack.callback(process.end)
         return process
 
--- a/tests/system/program_process.py
+++ b/tests/system/program_process.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import resource
 import signal
 import subprocess
 import sys
@@ -29,6 +30,8 @@
         self._settings_path = settings_path
         self._process: subprocess.Popen[bytes] | None = None
         self.address = address
+        self.max_descriptors: int | None = None
+        """Limit of the kernel from the start on; ``None``: unchanged."""
         self.log_path = settings_path.with_suffix(".log")
 
     @property
@@ -72,6 +75,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if self.max_descriptors is not None:
+            limit = (self.max_descriptors, self.max_descriptors)
+            resource.prlimit(self.process_id, resource.RLIMIT_NOFILE, limit)
 
     async def wait_launched(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
         """Wait until SIGHUP does not end the process any more, by the kernel's word.
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -14,7 +14,7 @@
 import uvloop
 from tests.support.crowd import Crowd, Habit
 from tests.support.platform.site import HOST, KEY, LOOK_PATH
-from tests.support.platform.vm_process import Gauge, VmProcess, limit_descriptors
+from tests.support.platform.vm_process import Gauge, VmProcess
 from tests.system.processes import ProcessFleet, ProcessFleetSettings, wait_ready
 
 if TYPE_CHECKING:
@@ -165,10 +165,9 @@
     """Guards against connections that keep the programs of a VM from one another."""
 
     async def test() -> None:
-        settings = ProcessFleetSettings(n_vms=1)
+        settings = ProcessFleetSettings(n_vms=1, max_descriptors=MAX_DESCRIPTORS)
         async with ProcessFleet(tmp_path, settings) as fleet:
             process = getattr(fleet.vms["entry-1"], program)
-            limit_descriptors(process, MAX_DESCRIPTORS)
             address = process.address.removeprefix("http://")
             gauge = Gauge(process, (int(address.rpartition(":")[2]),))
             async with Crowd(address, N_PROGRAM_CONNECTIONS, Habit()):
