Wait for memory before an answer is read, of a bound for all answers together

What was seen: 30 callers that never read their answers of 900 kB take a VM to 288 MB of 100.

Cause: a response is held whole until its caller has taken it, and nothing counts all of them.

An answer may stay unread for 5 s after the deadline of its request (`connections.unread_answer_ms`; at a gateway, where callers state no deadline to the writer, for `callers.body_total_ms`). The gateway's services do the same; its bodies keep to the memory of the process.

--- a/src/quetzaldeck/entry/attempt_run.py
+++ b/src/quetzaldeck/entry/attempt_run.py
@@ -212,7 +212,9 @@
             return data
 
         max_bytes = self._state.settings.bounds.max_answer_bytes
-        return await read_body(opened.response, max_bytes, read=read)
+        return await read_body(
+            opened.response, max_bytes, read=read, reserve=self._call.answer.reserve
+        )
 
     def _note_data(self) -> None:
         self._note_heard()
--- a/src/quetzaldeck/entry/call.py
+++ b/src/quetzaldeck/entry/call.py
@@ -12,6 +12,7 @@
 from quetzaldeck.entry.admission import Admitted, recheck_call
 from quetzaldeck.entry.call_head import CallHead
 from quetzaldeck.entry.handover_head import HandoverHead
+from quetzaldeck.gateway.memory_pool import HeldMemory
 from quetzaldeck.platform.caller_timeouts import stream_idle_timeout_ms
 from quetzaldeck.routing import RequestKind, Route
 
@@ -31,6 +32,7 @@
     :param arrived_ms: monotonic time of its arrival
     :param fingerprint: hash of what a replica runs; equal for repeated requests
     :param headers: the caller's headers
+    :param answer: memory of its answer
     :param handover: what the VM states that has handed it over; ``None``: the caller
         sent it to this VM
     """
@@ -43,6 +45,7 @@
     arrived_ms: float
     fingerprint: int
     headers: CIMultiDict[str]
+    answer: HeldMemory
     handover: HandoverHead | None = None
 
 
--- a/src/quetzaldeck/entry/explain_endpoint.py
+++ b/src/quetzaldeck/entry/explain_endpoint.py
@@ -113,6 +113,7 @@
         arrived_ms=arrived_ms,
         fingerprint=0,
         headers=http_request.headers.copy(),
+        answer=state.answers.open(),
     )
     request = build_request(call, view)
     try:
--- a/src/quetzaldeck/entry/handler.py
+++ b/src/quetzaldeck/entry/handler.py
@@ -43,6 +43,7 @@
     from quetzaldeck.entry.handover_head import HandoverHead
     from quetzaldeck.entry.state import EntryState
     from quetzaldeck.entry.view import RoutingView
+    from quetzaldeck.gateway.memory_pool import HeldMemory
 
 
 class CallProgress:
@@ -50,11 +51,13 @@
 
     :param call_id: the caller's id
     :param arrived_ms: when its bytes arrived
+    :param answer: memory of its answer
     """
 
-    def __init__(self, call_id: str, arrived_ms: float) -> None:
+    def __init__(self, call_id: str, arrived_ms: float, answer: HeldMemory) -> None:
         self.call_id = call_id
         self.arrived_ms = arrived_ms
+        self.answer = answer
         self.deadline_ms = arrived_ms
         self.route = ""
         self.is_read = False
@@ -89,13 +92,14 @@
         arrived_ms = self._state.clock.now_ms() - wait_ms
         request_id = uuid.uuid4().hex
         call_id = http_request.headers.get(CALL_ID, "")
-        progress = CallProgress(call_id, arrived_ms)
+        answer = self._state.answers.open()
+        progress = CallProgress(call_id, arrived_ms, answer)
         kind = "call" if handover is None else "handed_over"
         self._state.metrics.requests.labels(kind).inc()
         response: web.StreamResponse | None = None
         try:
             # A response that is still being written is in progress, too.
-            with self._state.in_flight.track(request_id, call_id=call_id):
+            with self._state.in_flight.track(request_id, call_id=call_id), answer:
                 response = await self._respond(
                     http_request, request_id, progress, handover
                 )
@@ -444,6 +448,7 @@
         remove_handover_fields(http_request.headers)
         if handover is not None
         else CIMultiDict(http_request.headers),
+        progress.answer,
         handover,
     )
 
--- a/src/quetzaldeck/entry/handover/client.py
+++ b/src/quetzaldeck/entry/handover/client.py
@@ -284,7 +284,9 @@
             )
             await claim()
             return await relay.finish()
-        body = await read_body(response, self._read_max_bytes())
+        body = await read_body(
+            response, self._read_max_bytes(), reserve=call.answer.reserve
+        )
         if relay.response is not None:
             detail = (
                 f"{peer}: status {response.status} in place of the rest of a stream"
--- a/src/quetzaldeck/entry/state.py
+++ b/src/quetzaldeck/entry/state.py
@@ -147,6 +147,7 @@
         self.in_flight = InFlightRequests()
         limits = settings.process_limits
         self.bodies = MemoryPool(limits.max_body_bytes)
+        self.answers = MemoryPool(limits.max_answer_bytes, max_wait_ms=None)
         metrics.in_flight.set_function(self.in_flight.__len__)
         metrics.placements.watch_slots(dispatch.list_slots_in_use)
         self.drain = Drain(self.in_flight, build_shutdown(settings.bounds), metrics)
@@ -261,6 +262,7 @@
         self._request_limits = _build_request_limits(self._view, settings)
         limits = settings.process_limits
         self.bodies.set_max_bytes(limits.max_body_bytes)
+        self.answers.set_max_bytes(limits.max_answer_bytes)
 
     def apply_belief(self) -> None:
         """Apply the current fleet state to requests that are not placed yet."""
--- a/src/quetzaldeck/gateway/memory_pool.py
+++ b/src/quetzaldeck/gateway/memory_pool.py
@@ -12,6 +12,8 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
+from aiohttp import web
+
 from quetzaldeck.running_timeout import RunningTimeout
 
 if TYPE_CHECKING:
@@ -144,6 +146,7 @@
     def __init__(self, memory: MemoryPool) -> None:
         self._memory = memory
         self._n_held = 0
+        self._is_closed = False
 
     def __enter__(self) -> HeldMemory:
         return self
@@ -154,6 +157,7 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        self._is_closed = True
         n_held, self._n_held = self._n_held, 0
         if n_held:
             self._memory.release(n_held)
@@ -161,10 +165,17 @@
     async def reserve(self, n_bytes: int) -> None:
         """Wait for memory, in addition to what is held.
 
+        A call that goes on without its caller holds none.
+
         :raises NoMemoryError: if there is none in time
         """
+        if self._is_closed:
+            return
         await self._memory.acquire(n_bytes)
-        self._n_held += n_bytes
+        if self._is_closed:
+            self._memory.release(n_bytes)
+        else:
+            self._n_held += n_bytes
 
     def grow_to(self, n_bytes: int) -> None:
         """Take memory for what has arrived of a body whose length is not known.
@@ -176,4 +187,7 @@
             self._n_held = n_bytes
 
 
-__all__ = ("HeldMemory", "MemoryPool", "NoMemoryError")
+ANSWER_MEMORY = web.RequestKey("answer_memory", HeldMemory)
+"""Where the memory of the answer to a request is found."""
+
+__all__ = ("ANSWER_MEMORY", "HeldMemory", "MemoryPool", "NoMemoryError")
--- a/src/quetzaldeck/gateway/service.py
+++ b/src/quetzaldeck/gateway/service.py
@@ -13,6 +13,7 @@
 from quetzaldeck.decisions.admission.startup_wait import startup_wait_ms
 from quetzaldeck.gateway.completions import CompletionHandler
 from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.gateway.memory_pool import ANSWER_MEMORY
 from quetzaldeck.gateway.request_headers import MAX_DEADLINE_MS, read_deadline_ms
 from quetzaldeck.gateway.responses import error_response
 from quetzaldeck.gateway.services import ServiceHandler
@@ -162,11 +163,13 @@
             response: web.StreamResponse | None = None
             try:
                 # A response that is still being written is in progress, too.
-                with self._session.state.in_flight.track(request_id):
+                state = self._session.state
+                with state.in_flight.track(request_id), state.answers.open() as held:
+                    request[ANSWER_MEMORY] = held
                     response = await respond(request, request_id)
                     with suppress(ConnectionError):
-                        unread_ms = self._settings.connections.unread_answer_ms
-                        await write_whole(request, response, unread_ms)
+                        max_ms = self._settings.callers.body_total_ms
+                        await write_whole(request, response, max_ms)
             except RequestError as error:
                 assert response is not None
                 self._note_failure(error.failure, request_id)
--- a/src/quetzaldeck/gateway/services.py
+++ b/src/quetzaldeck/gateway/services.py
@@ -15,6 +15,7 @@
 from quetzaldeck.gateway.body import read_body
 from quetzaldeck.gateway.claimed_call import ClaimedCall, new_claim_request_id
 from quetzaldeck.gateway.errors import RequestError
+from quetzaldeck.gateway.memory_pool import ANSWER_MEMORY
 from quetzaldeck.gateway.request_headers import read_deadline_ms, read_idempotency_key
 from quetzaldeck.gateway.responses import REQUEST_ID_HEADER
 from quetzaldeck.gateway.service_path import may_repeat, strip_prefix
@@ -66,7 +67,13 @@
             *_list_forwarded_headers(http_request),
             (REQUEST_ID_HEADER, request_id),
         )
-        call = ServiceCall(http_request.method, path, forwarded_headers, body)
+        call = ServiceCall(
+            http_request.method,
+            path,
+            forwarded_headers,
+            body,
+            http_request[ANSWER_MEMORY].reserve,
+        )
         request = Request(
             request_id=request_id,
             customer=customer.name,
--- a/src/quetzaldeck/gateway/settings.py
+++ b/src/quetzaldeck/gateway/settings.py
@@ -27,10 +27,20 @@
     ] = 5_000
     max_bodies_bytes: Annotated[
         int,
-        Option("Bodies of all requests in progress.", unit="bytes", minimum=1),
+        Option(
+            "Bodies of all requests in progress; less if the memory of the process is "
+            "small.",
+            unit="bytes",
+            minimum=1,
+        ),
     ] = 67_108_864
     body_total_ms: Annotated[
-        int, Option("Timeout for reading a whole body.", unit="ms", minimum=10)
+        int,
+        Option(
+            "Timeout for reading a whole body, and for a caller to read an answer.",
+            unit="ms",
+            minimum=10,
+        ),
     ] = 60_000
     request_head_ms: Annotated[
         int,
--- a/src/quetzaldeck/gateway/state.py
+++ b/src/quetzaldeck/gateway/state.py
@@ -63,7 +63,11 @@
         self.claim_ends = claim_ends
         self.agent_client = agent_client
         self.in_flight = InFlightRequests()
-        self.bodies = MemoryPool(settings.callers.max_bodies_bytes)
+        limits = settings.process_limits
+        self.bodies = MemoryPool(
+            min(settings.callers.max_bodies_bytes, limits.max_body_bytes)
+        )
+        self.answers = MemoryPool(limits.max_answer_bytes, max_wait_ms=None)
         self.detached_calls = DetachedCalls(self.in_flight)
         metrics.in_flight.set_function(self.in_flight.__len__)
         self.drain = Drain(self.in_flight, settings.shutdown, metrics)
--- a/src/quetzaldeck/http/answer_bounds.py
+++ b/src/quetzaldeck/http/answer_bounds.py
@@ -102,17 +102,24 @@
     max_bytes: int,
     *,
     read: Callable[[], Coroutine[Any, Any, bytes]] | None = None,
+    reserve: Callable[[int], Coroutine[Any, Any, None]] | None = None,
 ) -> bytes:
     """Read a whole body, and close the connection if it is too long.
 
     :param read: reads the next bytes, ``b""`` at the end
+    :param reserve: waits for memory for some more bytes
     :raises OverBoundError: if it is longer than ``max_bytes``
     """
     bound = ByteBound("body", max_bytes)
     if response.content_length is not None and response.content_length > max_bytes:
         response.close()
         raise OverBoundError("body", max_bytes, response.content_length)
+    n_reserved = 0
+    if reserve is not None and response.content_length:
+        n_reserved = response.content_length
+        await reserve(n_reserved)
     parts = []
+    n_bytes = 0
     while data := await (read or response.content.readany)():
         try:
             bound.add(len(data))
@@ -120,6 +127,10 @@
             response.close()
             raise
         parts.append(data)
+        n_bytes += len(data)
+        if reserve is not None and n_bytes > n_reserved:
+            await reserve(n_bytes - n_reserved)
+            n_reserved = n_bytes
     return b"".join(parts)
 
 
--- a/src/quetzaldeck/http/process_limits.py
+++ b/src/quetzaldeck/http/process_limits.py
@@ -68,7 +68,7 @@
             unit="ms",
             minimum=100,
         ),
-    ] = 15_000.0
+    ] = 5_000.0
 
 
 class ProcessLimits(NamedTuple):
--- a/src/quetzaldeck/http/request_limits.py
+++ b/src/quetzaldeck/http/request_limits.py
@@ -48,7 +48,7 @@
     max_header_bytes: int = MAX_HEADER_BYTES
     idle_timeout_ms: float = IDLE_TIMEOUT_MS
     max_empty_lines: int = 32
-    unread_answer_ms: float = 15_000.0
+    unread_answer_ms: float = 5_000.0
 
 
 class ServerHooks(NamedTuple):
--- a/src/quetzaldeck/upstreams/call.py
+++ b/src/quetzaldeck/upstreams/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
 
@@ -39,12 +40,15 @@
 
     :param path: path without the service's prefix, with the query string
     :param headers: headers to forward
+    :param reserve: waits for memory for more bytes of the answer; ``None``: there is
+        enough
     """
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    reserve: Callable[[int], Coroutine[Any, Any, None]] | None = None
 
 
 class ServiceAnswer(NamedTuple):
--- a/src/quetzaldeck/upstreams/http_service.py
+++ b/src/quetzaldeck/upstreams/http_service.py
@@ -68,7 +68,7 @@
                 return data
 
             max_bytes = self._timeouts.max_answer_bytes
-            body = await read_body(response, max_bytes, read=read)
+            body = await read_body(response, max_bytes, read=read, reserve=call.reserve)
             headers = tuple(
                 (name, value)
                 for name, value in response.headers.items()
