--- a/tests/soak/entry/__main__.py
+++ b/tests/soak/entry/__main__.py
@@ -10,6 +10,7 @@
 import uvloop
 from tests.soak.entry.faults import FAULTS, plan_faults
 from tests.soak.entry.run import RATE_PER_S, run_soak
+from tests.soak.entry.world import MEMORY_MB
 
 
 @click.command()
@@ -18,6 +19,7 @@
 @click.option("--seconds", default=12.0, help="Duration of a run.")
 @click.option("--vms", default=3, help="Number of entry VMs.")
 @click.option("--rate", default=RATE_PER_S, help="Calls per second.")
+@click.option("--memory", default=MEMORY_MB, help="Memory of each VM, in MB.")
 @click.option(
     "--fault",
     "faults",
@@ -37,6 +39,7 @@
     seconds: float,
     vms: int,
     rate: float,
+    memory: float,
     faults: tuple[str, ...],
     logs: Path | None,
 ) -> None:
@@ -45,7 +48,14 @@
     n_failed = 0
     for seed in range(start, start + seeds):
         plan = plan_faults(random.Random(seed), seconds, faults or tuple(FAULTS))
-        soak = run_soak(seed, duration_s=seconds, n_vms=vms, rate_per_s=rate, plan=plan)
+        soak = run_soak(
+            seed,
+            duration_s=seconds,
+            n_vms=vms,
+            rate_per_s=rate,
+            memory_mb=memory,
+            plan=plan,
+        )
         result = uvloop.run(soak)
         click.echo(
             f"seed {seed}: {len(result.faults)} faults, {result.n_answered} of "
--- a/tests/soak/entry/checks.py
+++ b/tests/soak/entry/checks.py
@@ -448,6 +448,17 @@
     )
 
 
+@register
+def crowds_fit_into_memory(history: History) -> Iterator[str]:
+    """Clients that keep no limit take no more than the memory of a VM."""
+    for crowd in history.crowds:
+        if crowd.peak_mb > crowd.memory_mb:
+            yield (
+                f"{crowd.habit} at {crowd.vm}: {crowd.peak_mb:.0f} MB of "
+                f"{crowd.memory_mb:.0f}"
+            )
+
+
 def check_history(history: History) -> list[str]:
     """:returns: violated invariants, each with the name of its check"""
     return [
--- a/tests/soak/entry/faults.py
+++ b/tests/soak/entry/faults.py
@@ -11,6 +11,7 @@
 from tests.soak.entry.culprits import BadParts, Culprits
 from tests.soak.entry.endless import Endless, Flood, read_memory_kb, sample_memory
 from tests.soak.entry.history import (
+    CrowdRecord,
     Evacuation,
     FaultInterval,
     Partition,
@@ -22,6 +23,7 @@
 from tests.soak.entry.misleading import Misleading
 from tests.soak.entry.world import GRACE_S, LEAVING_MS
 from tests.soak.own.link import LinkMode, PathMode
+from tests.support.crowd import Crowd, build_habits
 from tests.support.platform.site import DESK, ENGINES, build_configuration
 from tests.support.platform.skewed_callers import SkewedCallers
 
@@ -49,6 +51,8 @@
 MAX_SILENCES = 4
 ENDLESS_S = (3.0, 4.0)
 EVACUATION_S = (2.5, 4.0)
+CROWD_S = (2.0, 4.0)
+N_CROWD = 150
 REST_S = (3.0, 5.0)
 """How long replicas ask for rest, or say that they leave before their entry is gone."""
 VERSION_INTERVAL_S = (0.5, 1.5)
@@ -531,6 +535,24 @@
     world.history.floods.append(flood)
 
 
+@register
+async def send_crowd(world: SoakWorld, random_state: random.Random) -> None:
+    """Clients that keep no limit are at one address of a VM."""
+    vm = choose_vm(world, random_state)
+    habits = build_habits(random_state.choice(sorted(world.keys)))
+    name = random_state.choice(sorted(habits))
+    address = random_state.choice(vm.list_addresses())
+    peak_kb: dict[str, int] = {}
+    async with record_fault(world, "send_crowd", vm.name):
+        sampling = asyncio.create_task(sample_memory((vm,), peak_kb))
+        async with Crowd(address, N_CROWD, habits[name]):
+            await asyncio.sleep(random_state.uniform(*CROWD_S))
+        sampling.cancel()
+    peak_mb = peak_kb.get(vm.name, 0) * 1_024 / 1_000_000
+    record = CrowdRecord(name, vm.name, peak_mb, world.memory_mb)
+    world.history.crowds.append(record)
+
+
 def plan_faults(
     random_state: random.Random, duration_s: float, names: Sequence[str]
 ) -> tuple[PlannedFault, ...]:
--- a/tests/soak/entry/history.py
+++ b/tests/soak/entry/history.py
@@ -133,6 +133,20 @@
     answered: tuple[tuple[float, bool], ...]
 
 
+class CrowdRecord(NamedTuple):
+    """Clients that keep no limit were at one VM for a while.
+
+    :param habit: what they did
+    :param peak_mb: greatest memory of the VM meanwhile
+    :param memory_mb: memory that it may take
+    """
+
+    habit: str
+    vm: str
+    peak_mb: float
+    memory_mb: float
+
+
 class History:
     """Everything that the checks read.
 
@@ -168,6 +182,7 @@
         self.part_crashes = CrashRecord(N_PART_CRASHES)
         self.skews: list[Skew] = []
         self.floods: list[Flood] = []
+        self.crowds: list[CrowdRecord] = []
         self.rate_limits: defaultdict[str, ReplicaRecord] = defaultdict(ReplicaRecord)
 
     def max_loop_stall_ms(self, begin_ms: float, end_ms: float) -> float:
@@ -225,6 +240,7 @@
 __all__ = (
     "NOT_RUN_STATUSES",
     "CallRecord",
+    "CrowdRecord",
     "Culprit",
     "Evacuation",
     "Execution",
--- a/tests/soak/entry/run.py
+++ b/tests/soak/entry/run.py
@@ -15,7 +15,7 @@
 from tests.soak.entry.history import record_loop_stalls
 from tests.soak.entry.leaving_checks import check_leaving, list_cut_calls
 from tests.soak.entry.log_checks import check_logs
-from tests.soak.entry.world import FREE_MS, SoakWorld
+from tests.soak.entry.world import FREE_MS, MEMORY_MB, SoakWorld
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -50,16 +50,18 @@
     duration_s: float,
     n_vms: int = 3,
     rate_per_s: float = RATE_PER_S,
+    memory_mb: float = MEMORY_MB,
     plan: Sequence[PlannedFault] | None = None,
 ) -> SoakResult:
     """Run VMs under faults, let them settle, and check the recorded history.
 
+    :param memory_mb: memory of each VM
     :param plan: faults to inject; drawn from the seed among all faults if not given
     """
     if plan is None:
         plan = plan_faults(random.Random(seed), duration_s, tuple(FAULTS))
     with tempfile.TemporaryDirectory() as directory:
-        world = SoakWorld(Path(directory), seed=seed, n_vms=n_vms)
+        world = SoakWorld(Path(directory), seed=seed, n_vms=n_vms, memory_mb=memory_mb)
         async with world:
             async with Callers(world) as callers:
                 polling = asyncio.gather(
--- a/tests/soak/entry/test_short_run.py
+++ b/tests/soak/entry/test_short_run.py
@@ -49,6 +49,7 @@
         "announce_leaving",
         "mislead",
         "hang_up_while_starting",
+        "send_crowd",
     }
 )
 """Faults added after these, for the same reason apart from ``NEWER_SEEDS``."""
@@ -340,3 +341,18 @@
     result = uvloop.run(run_soak(1, duration_s=4.0, rate_per_s=20.0, plan=plan))
     assert result.findings == ()
     assert result.n_calls > 100
+
+
+def test_crowds_take_no_vm_with_them_while_vms_restart_and_settings_change() -> None:
+    """Guards against clients without limits that end a VM which starts or drains."""
+    plan = (
+        *(PlannedFault(0.5 + 1.5 * n, "send_crowd", 40 + n) for n in range(6)),
+        PlannedFault(2.0, "kill_vm", 1),
+        PlannedFault(3.5, "stop_vm", 2),
+        PlannedFault(5.0, "hang_up_while_starting", 3),
+        PlannedFault(6.0, "change_routes", 4),
+    )
+    soak = run_soak(1, duration_s=10.0, n_vms=4, memory_mb=100.0, plan=plan)
+    result = uvloop.run(soak)
+    assert result.findings == ()
+    assert result.n_calls > 200
--- a/tests/soak/entry/world.py
+++ b/tests/soak/entry/world.py
@@ -34,6 +34,7 @@
 """Longer than ``LEAVING_MS``, so that the intervals of polls do not depend on it."""
 GRACE_S = 3.0
 FREE_MS = 1_500.0
+MEMORY_MB = 300.0
 RESTART_S = (0.5, 1.5)
 """How long a replica takes to start again after a crash."""
 EXPIRY_S = (2.5, 3.6)
@@ -76,6 +77,13 @@
         """:returns: id of the most recently started process"""
         return self.process.process_id
 
+    def list_addresses(self) -> tuple[str, ...]:
+        """:returns: all addresses on which it listens"""
+        others = (
+            f"{self.host}:{port}" for port in (self.peer_port, self.handover_port)
+        )
+        return (self.address, self.readiness, *others)
+
     def start(self) -> None:
         """Start the process, unless another fault has already started it."""
         if not self.process.is_running:
@@ -96,10 +104,14 @@
     """Owns the store, replicas, links and VMs as a context manager.
 
     :param directory: directory for settings and logs
+    :param memory_mb: memory of each VM
     """
 
-    def __init__(self, directory: Path, *, seed: int, n_vms: int) -> None:
+    def __init__(
+        self, directory: Path, *, seed: int, n_vms: int, memory_mb: float = MEMORY_MB
+    ) -> None:
         self._directory = directory
+        self.memory_mb = memory_mb
         self._stack = AsyncExitStack()
         self._n_replicas = 0
         self._n_calls = 0
@@ -285,6 +297,7 @@
                 "evacuation_ms": EVACUATION_MS,
                 "grace_s": GRACE_S,
                 "free_ms": FREE_MS,
+                "memory_mb": self.memory_mb,
             },
         }
         path = self._directory / f"{vm.name}.yaml"
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from tests.support.platform.site import HOST, LOOK_PATH
+
 if TYPE_CHECKING:
     from types import TracebackType
 
@@ -27,6 +29,48 @@
     reads: bool = True
 
 
+def build_request(key: str = "") -> bytes:
+    """:returns: the head of a look-up, but for its last lines
+
+    :param key: the caller's; ``""``: it has none
+    """
+    start = f"POST {LOOK_PATH} HTTP/1.1\r\nHost: {HOST}\r\n"
+    if key:
+        start += "Quetzaldeck-Attempt-Id: a\r\nQuetzaldeck-Deadline-Ms: 5000\r\n"
+        start += f"Quetzaldeck-Key: {key}\r\n"
+    return start.encode()
+
+
+def build_habits(key: str) -> dict[str, Habit]:
+    """:returns: what clients without limits do, by name
+
+    :param key: a valid one
+    """
+    start, keyed = build_request(), build_request(key)
+    whole = keyed + b"Content-Length: 0\r\n\r\n"
+    chunked = keyed + b"Transfer-Encoding: chunked\r\n\r\n"
+    field, short = b"X-Field: " + b"a" * 16_000 + b"\r\n", b"X-Field: a\r\n"
+    body = keyed + b"Content-Length: 100000\r\n\r\n"
+    return {
+        "held_heads": Habit(start + field * 15),
+        "fields_without_end": Habit(start, short),
+        "many_small_fields": Habit(
+            start + b"a:\r\n" * 3_500 + b"Content-Length: 0\r\n\r\n"
+        ),
+        "request_line_without_end": Habit(b"GET /", b"a"),
+        "one_field_without_end": Habit(start + b"X-Field: ", b"a"),
+        "trailers_without_end": Habit(chunked + b"5\r\nhello\r\n0\r\n", short),
+        "noise": Habit(b"", bytes(range(128, 256))),
+        "empty_lines": Habit(b"", b"\r\n", unit_s=0.05),
+        "empty_lines_between_requests": Habit(b"", whole + b"\r\n" * 100_000),
+        "requests_without_end": Habit(b"", whole, reads=False),
+        "held_bodies": Habit(body + b"a" * 99_999),
+        "slow_bodies": Habit(body, b"a", unit_s=0.5),
+        "unread_answers": Habit(whole * 20, reads=False),
+        "connections": Habit(),
+    }
+
+
 class Crowd:
     """Clients of one habit, which reconnect when they are closed; a context manager."""
 
@@ -113,4 +157,4 @@
         await self._writable.wait()
 
 
-__all__ = ("Crowd", "Habit")
+__all__ = ("Crowd", "Habit", "build_habits")
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -12,8 +12,8 @@
 
 import pytest
 import uvloop
-from tests.support.crowd import Crowd, Habit
-from tests.support.platform.site import HOST, KEY, LOOK_PATH
+from tests.support.crowd import Crowd, Habit, build_habits
+from tests.support.platform.site import KEY
 from tests.support.platform.vm_process import Gauge, VmProcess
 from tests.system.processes import ProcessFleet, ProcessFleetSettings, wait_ready
 
@@ -30,18 +30,7 @@
 
 ANSWER_BYTES = 900_000
 
-START = f"POST {LOOK_PATH} HTTP/1.1\r\nHost: {HOST}\r\n".encode()
-KEYED = (
-    START
-    + (
-        f"Quetzaldeck-Attempt-Id: a\r\nQuetzaldeck-Deadline-Ms: 5000\r\n"
-        f"Quetzaldeck-Key: {KEY}\r\n"
-    ).encode()
-)
-WHOLE = KEYED + b"Content-Length: 0\r\n\r\n"
-CHUNKED = KEYED + b"Transfer-Encoding: chunked\r\n\r\n"
-FIELD = b"X-Field: " + b"a" * 16_000 + b"\r\n"
-HELD_HEAD = Habit(START + FIELD * 15)
+HABITS = build_habits(KEY)
 
 
 class Case(NamedTuple):
@@ -52,28 +41,26 @@
     address: str = "callers"
 
 
+N_CLIENTS = {
+    "held_heads": 200,
+    "fields_without_end": 200,
+    "request_line_without_end": 200,
+    "one_field_without_end": 200,
+    "trailers_without_end": 200,
+    "noise": 200,
+    "empty_lines_between_requests": 100,
+    "requests_without_end": 200,
+    "held_bodies": 1_000,
+    "many_small_fields": 200,
+    "unread_answers": 30,
+}
+ADDRESSES = ("readiness", "metrics", "peers", "handover")
 MEMORY = {
-    "held_heads": Case(200, HELD_HEAD),
-    "held_heads_at_readiness": Case(200, HELD_HEAD, "readiness"),
-    "held_heads_at_metrics": Case(200, HELD_HEAD, "metrics"),
-    "held_heads_at_peers": Case(200, HELD_HEAD, "peers"),
-    "held_heads_at_handover": Case(200, HELD_HEAD, "handover"),
-    "fields_without_end": Case(200, Habit(START, b"X-Field: a\r\n")),
-    "request_line_without_end": Case(200, Habit(b"GET /", b"a")),
-    "one_field_without_end": Case(200, Habit(START + b"X-Field: ", b"a")),
-    "trailers_without_end": Case(
-        200, Habit(CHUNKED + b"5\r\nhello\r\n0\r\n", b"X-Field: a\r\n")
-    ),
-    "noise": Case(200, Habit(b"", bytes(range(128, 256)))),
-    "empty_lines_between_requests": Case(100, Habit(b"", WHOLE + b"\r\n" * 100_000)),
-    "requests_without_end": Case(200, Habit(b"", WHOLE, reads=False)),
-    "held_bodies": Case(
-        1_000, Habit(KEYED + b"Content-Length: 100000\r\n\r\n" + b"a" * 99_999)
-    ),
-    "many_small_fields": Case(
-        200, Habit(START + b"a:\r\n" * 3_500 + b"Content-Length: 0\r\n\r\n")
-    ),
-    "unread_answers": Case(30, Habit(WHOLE * 20, reads=False)),
+    **{name: Case(n_clients, HABITS[name]) for name, n_clients in N_CLIENTS.items()},
+    **{
+        f"held_heads_at_{address}": Case(200, HABITS["held_heads"], address)
+        for address in ADDRESSES
+    },
 }
 
 
@@ -104,15 +91,14 @@
 """Descriptors that are left for upstreams, the store and ordinary callers."""
 
 DESCRIPTORS = {
-    "connections": Case(500, Habit()),
-    "connections_at_readiness": Case(500, Habit(), "readiness"),
-    "connections_at_metrics": Case(500, Habit(), "metrics"),
-    "connections_at_peers": Case(500, Habit(), "peers"),
-    "connections_at_handover": Case(500, Habit(), "handover"),
-    "empty_lines": Case(500, Habit(b"", b"\r\n", unit_s=0.05)),
-    "slow_bodies": Case(
-        500, Habit(KEYED + b"Content-Length: 1000\r\n\r\n", b"a", unit_s=0.5)
-    ),
+    **{
+        name: Case(500, HABITS[name])
+        for name in ("connections", "empty_lines", "slow_bodies")
+    },
+    **{
+        f"connections_at_{address}": Case(500, HABITS["connections"], address)
+        for address in ADDRESSES
+    },
 }
 
 
@@ -152,7 +138,7 @@
             process = getattr(fleet.vms["entry-1"], program)
             address = process.address.removeprefix("http://")
             gauge = Gauge(process, (int(address.rpartition(":")[2]),))
-            async with Crowd(address, N_HELD_HEADS, HELD_HEAD):
+            async with Crowd(address, N_HELD_HEADS, HABITS["held_heads"]):
                 await gauge.watch(CROWD_S)
             assert process.is_running
             assert gauge.peak.memory_mb <= PROGRAM_MEMORY_MB
@@ -173,7 +159,7 @@
             process = getattr(fleet.vms["entry-1"], program)
             address = process.address.removeprefix("http://")
             gauge = Gauge(process, (int(address.rpartition(":")[2]),))
-            async with Crowd(address, N_PROGRAM_CONNECTIONS, Habit()):
+            async with Crowd(address, N_PROGRAM_CONNECTIONS, HABITS["connections"]):
                 await gauge.watch(CROWD_S)
                 await wait_ready(process.address)
             assert process.is_running
