Count closed connections at all addresses, and show what connections take

Cause: only connections at the callers' address were counted, and the number of open ones and their memory could not be seen.

Change: connections_broken counts all addresses of a program, also the agent's; new gauges open_connections and connection_memory_bytes{kind}. The line request_over_bound names the address.

--- a/src/quetzaldeck/agent/service.py
+++ b/src/quetzaldeck/agent/service.py
@@ -59,6 +59,7 @@
         self._settings = settings
         self._middlewares = middlewares
         self._session = AgentSession(settings, clock)
+        self._session.metrics.connections.watch(self.open_connections)
         self.leaves_on_stop = True
 
     @property
--- a/src/quetzaldeck/entry/service.py
+++ b/src/quetzaldeck/entry/service.py
@@ -12,7 +12,6 @@
 from quetzaldeck.entry.session import EntrySession
 from quetzaldeck.http import (
     SHORT_SHUTDOWN_TIMEOUT_S,
-    Bound,
     ConnectionShedder,
     HttpServiceBase,
     OpenConnections,
@@ -52,6 +51,7 @@
         )
         self._session = EntrySession(settings, clock)
         self._shed = RepeatedEvent("connections_shed")
+        self._session.metrics.connections.watch(self.open_connections)
         self.shedder = ConnectionShedder(clock)
 
     @property
@@ -92,10 +92,6 @@
         """:returns: the limits of the configuration in force; see the base class"""
         return self._session.state.request_limits
 
-    def note_over_bound(self, bound: Bound) -> None:
-        """Count the connection that was closed; see the base class."""
-        self._session.metrics.connections_broken.labels(bound.value).inc()
-
     async def drain(self) -> int:
         """Drain requests; see :class:`quetzaldeck.gateway.drain.Drain`."""
         return await self._session.state.drain.run()
--- a/src/quetzaldeck/gateway/service.py
+++ b/src/quetzaldeck/gateway/service.py
@@ -63,6 +63,9 @@
         )
         self._settings = settings
         self._session = GatewaySession(settings, clock)
+        self._session.metrics.connections.watch(
+            self.open_connections, names={Bound.HEAD_TIME: Stall.NO_REQUEST}
+        )
         self._connection_guard_task: asyncio.Task[None] | None = None
         self._connection_guard = ConnectionGuard(
             lambda: self.connections,
@@ -113,11 +116,6 @@
             unread_answer_ms=connections.unread_answer_ms,
         )
 
-    def note_over_bound(self, bound: Bound) -> None:
-        """Count the connection that was closed; see the base class."""
-        why = Stall.NO_REQUEST if bound is Bound.HEAD_TIME else bound
-        self._session.metrics.connections_broken.labels(why.value).inc()
-
     def refuse(self, headers: CIMultiDictProxy[str]) -> web.StreamResponse:
         """:returns: a response which states that the request was not run"""
         request_id = uuid.uuid4().hex
--- a/src/quetzaldeck/http/open_connections.py
+++ b/src/quetzaldeck/http/open_connections.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from quetzaldeck.http.process_limits import ProcessLimits
 
@@ -58,11 +59,13 @@
     :param n_connections: open connections
     :param n_head_bytes: memory of incomplete heads, and of what waits for its turn
     :param n_request_bytes: memory of requests in progress
+    :param n_answer_bytes: answers that are not read, but for those to callers
     """
 
     n_connections: int
     n_head_bytes: int
     n_request_bytes: int
+    n_answer_bytes: int
 
 
 class OpenConnections:
@@ -76,6 +79,8 @@
     ) -> None:
         self.limits = limits
         self.clock = clock or Clock()
+        self.on_over_bound: Callable[[str], None] | None = None
+        """Called with the name of the bound for which a connection is closed."""
         self.turns = Turns()
         self._groups: list[ConnectionGroup] = []
         self._n_connections = 0
@@ -91,7 +96,12 @@
     @property
     def room(self) -> Room:
         """:returns: what is taken now"""
-        return Room(self._n_connections, self._n_head_bytes, self._n_request_bytes)
+        return Room(
+            self._n_connections,
+            self._n_head_bytes,
+            self._n_request_bytes,
+            self._n_answer_bytes,
+        )
 
     def open_group(self, weight: float) -> ConnectionGroup:
         """:returns: the connections of one more address
--- a/src/quetzaldeck/http/service.py
+++ b/src/quetzaldeck/http/service.py
@@ -155,11 +155,6 @@
     ) -> None:
         """Record that a request was read and never handled, as its caller had left."""
 
-    def note_over_bound(  # noqa: B027 - it is logged already
-        self, bound: Bound
-    ) -> None:
-        """Record that a connection was closed, or its request refused, by a bound."""
-
     def refuse(self, headers: CIMultiDictProxy[str]) -> web.StreamResponse:
         """:returns: the response to a request for which there is no memory"""
         response = web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
@@ -171,7 +166,7 @@
         application = await self.open()
         hooks = ServerHooks(
             self.read_request_limits,
-            self._log_over_bound,
+            self._note_over_bound,
             self.refuse,
             CALLERS_SHARE if self.serves_callers else 1.0,
         )
@@ -236,9 +231,12 @@
             n_waiting = round(n_waiting * OTHER_BACKLOG_RATIO)
         return max(1, min(n_waiting, MAX_QUEUED_CONNECTIONS))
 
-    def _log_over_bound(self, bound: Bound, limit: float, seen: float) -> None:
-        self._over_bound.note(bound.value, bound=limit, seen=seen)
-        self.note_over_bound(bound)
+    def _note_over_bound(self, bound: Bound, limit: float, seen: float) -> None:
+        """Log and count a connection that is closed for a bound."""
+        address = f"{self._listen.host}:{self._port}"
+        self._over_bound.note(bound.value, bound=limit, seen=seen, address=address)
+        if self.open_connections.on_over_bound is not None:
+            self.open_connections.on_over_bound(bound.value)
 
     async def stop_listening(self) -> None:
         """Close the listening socket; open connections stay open."""
--- a/src/quetzaldeck/telemetry/agent_metrics.py
+++ b/src/quetzaldeck/telemetry/agent_metrics.py
@@ -4,6 +4,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from quetzaldeck.telemetry.connection_metrics import ConnectionMetrics
+
 _CLAIM_BUCKETS = (0.001, 0.002, 0.004, 0.008, 0.016, 0.05, 0.2, 0.4, 1)
 
 
@@ -12,6 +14,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.connections = ConnectionMetrics(self.registry, prefix="quetzaldeck_agent")
         self.bundle_version = Gauge(
             "quetzaldeck_agent_bundle_version",
             "Version of the bundle in force",
--- a/src/quetzaldeck/telemetry/gateway_metrics.py
+++ b/src/quetzaldeck/telemetry/gateway_metrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from quetzaldeck.outcomes import Reason
+from quetzaldeck.telemetry.connection_metrics import ConnectionMetrics
 from quetzaldeck.telemetry.peer_metrics import PeerMetrics
 from quetzaldeck.telemetry.placement_metrics import PlacementMetrics
 from quetzaldeck.telemetry.upstream_metrics import UpstreamMetrics
@@ -78,12 +79,8 @@
             "Requests that a stop of this gateway cut off",
             registry=self.registry,
         )
-        self.connections_broken = Counter(
-            "quetzaldeck_connections_broken",
-            "Callers' connections broken because nothing moved on them",
-            ["why"],
-            registry=self.registry,
-        )
+        self.connections = ConnectionMetrics(self.registry)
+        self.connections_broken = self.connections.broken
         self.attempt_faults = Counter(
             "quetzaldeck_attempt_faults",
             "Failed attempts by evidence; each may be retried",
