Close those that hold much memory first, idle connections last, and say why

Cause: memory was taken back from whom has held it for the longest, which was an idle connection with what it kept of its last request, 10 kB, beside heads of over 1 MB. The line gave the number of connections as its bound, whatever was short.

Change: what waits for its turn goes first, then incomplete requests that hold as much as the mean of them, the oldest first, then idle connections. The line says `connections` or `memory`, with the bound that was reached.

--- a/src/quetzaldeck/http/bounded_connection.py
+++ b/src/quetzaldeck/http/bounded_connection.py
@@ -21,7 +21,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from quetzaldeck.clock.clock import MS_PER_SECOND
-from quetzaldeck.http.open_connections import Phase
+from quetzaldeck.http.open_connections import Phase, Shortage
 from quetzaldeck.http.request_limits import RECEIVE_BYTES, Bound
 from quetzaldeck.http.socket_wait import count_unsent
 
@@ -148,7 +148,7 @@
             self._is_done = True
             transport.abort()  # type: ignore[attr-defined]
             n_open = owner.room.n_connections
-            self._hooks.note_over_bound(Bound.NO_ROOM, n_open, n_open + 1)
+            self._hooks.note_over_bound(Bound.CONNECTIONS, n_open, n_open + 1)
             return
         super().connection_made(transport)
 
@@ -189,15 +189,20 @@
             sock = self.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, n_bytes)
 
-    def close_for_room(self) -> None:
+    def close_for_room(self, shortage: Shortage) -> None:
         """Close the connection; see :class:`Holder`."""
-        room = self._group.owner.room
-        self._close_over(Bound.NO_ROOM, room.n_connections, room.n_head_bytes)
+        owner = self._group.owner
+        assert owner.limits is not None
+        if shortage is Shortage.CONNECTIONS:
+            limit, seen = owner.limits.max_connections, owner.room.n_connections
+            self._close_over(Bound.CONNECTIONS, limit, seen + 1)
+        else:
+            limit, seen = owner.limits.max_head_bytes, owner.room.n_head_bytes
+            self._close_over(Bound.MEMORY, limit, seen)
 
     def drop_ahead(self) -> None:
         """Read nothing more than the request in progress; see :class:`Holder`."""
         self._ahead.clear()
-        self._group.owner.hold_ahead(self, 0)
         self.close()
         self._is_done = True
 
@@ -444,7 +449,7 @@
             self._n_retained_bytes = self._head_cost
             if not self._is_done and self._is_whole():
                 self._group.move(self, Phase.IDLE)
-                owner.hold(self, self._n_retained_bytes)
+                owner.hold_idle(self, self._n_retained_bytes)
             if keeps:
                 self._loop.call_soon(self._go_on)
 
--- a/src/quetzaldeck/http/open_connections.py
+++ b/src/quetzaldeck/http/open_connections.py
@@ -13,7 +13,7 @@
 
 import gc
 from collections import deque
-from enum import IntEnum
+from enum import Enum, IntEnum
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from quetzaldeck.clock import Clock
@@ -43,10 +43,17 @@
     WHOLE = 3
 
 
+class Shortage(Enum):
+    """What a connection is closed for, so that there is room for others."""
+
+    CONNECTIONS = "connections"
+    MEMORY = "memory"
+
+
 class Holder(Protocol):
     """A connection that can give up what it holds."""
 
-    def close_for_room(self) -> None:
+    def close_for_room(self, shortage: Shortage) -> None:
         """Close the connection, on which no request has arrived whole."""
 
     def drop_ahead(self) -> None:
@@ -68,6 +75,31 @@
     n_answer_bytes: int
 
 
+class HeldBytes:
+    """Memory of some kind, by the connection that holds it, the oldest first."""
+
+    def __init__(self) -> None:
+        self._bytes: dict[Holder, int] = {}
+        self.n_bytes = 0
+
+    def set(self, connection: Holder, n_bytes: int) -> None:
+        """Update what a connection holds; its place among the others stays."""
+        self.n_bytes += n_bytes - self._bytes.get(connection, 0)
+        if n_bytes:
+            self._bytes[connection] = n_bytes
+        else:
+            self._bytes.pop(connection, None)
+
+    def find_oldest(self) -> Holder:
+        """:returns: who has held memory for the longest"""
+        return next(iter(self._bytes))
+
+    def find_oldest_large(self) -> Holder:
+        """:returns: who has, of those that hold as much as the mean"""
+        mean = self.n_bytes // len(self._bytes)
+        return next(key for key, n_bytes in self._bytes.items() if n_bytes >= mean)
+
+
 class OpenConnections:
     """Counts the connections of all addresses of a process.
 
@@ -84,13 +116,11 @@
         self.turns = Turns()
         self._groups: list[ConnectionGroup] = []
         self._n_connections = 0
-        self._held: dict[Holder, int] = {}
-        self._ahead: dict[Holder, int] = {}
-        self._requests: dict[Holder, int] = {}
-        self._answers: dict[Holder, int] = {}
-        self._n_head_bytes = 0
-        self._n_request_bytes = 0
-        self._n_answer_bytes = 0
+        self._ahead = HeldBytes()
+        self._incomplete = HeldBytes()
+        self._idle = HeldBytes()
+        self._requests = HeldBytes()
+        self._answers = HeldBytes()
         self._n_closed = 0
 
     @property
@@ -99,8 +129,8 @@
         return Room(
             self._n_connections,
             self._n_head_bytes,
-            self._n_request_bytes,
-            self._n_answer_bytes,
+            self._requests.n_bytes,
+            self._answers.n_bytes,
         )
 
     def open_group(self, weight: float) -> ConnectionGroup:
@@ -122,7 +152,7 @@
             oldest = self._find_least()
             if oldest is None:
                 return False
-            self._close(oldest)
+            self._close(oldest, Shortage.CONNECTIONS)
         self._n_connections += 1
         group.begin(connection, self.clock.now_ms())
         return True
@@ -132,22 +162,31 @@
         if not group.end(connection):
             return
         self._n_connections -= 1
-        self.hold(connection, 0)
-        self.hold_ahead(connection, 0)
-        self.end_request(connection)
-        self._n_answer_bytes -= self._answers.pop(connection, 0)
+        for held in (self._ahead, self._incomplete, self._idle):
+            held.set(connection, 0)
+        self._requests.set(connection, 0)
+        self._answers.set(connection, 0)
 
     def hold(self, connection: Holder, n_bytes: int) -> None:
         """Note the memory of a request that is not complete; 0: there is none.
 
-        Who has held memory for the longest may have to go, whether it still sends or
-        not.
+        Of those that hold as much as the others, or more, the one goes first that has
+        held memory for the longest, whether it still sends or not.
         """
-        self._note_memory(self._held, connection, n_bytes)
+        self._idle.set(connection, 0)
+        self._incomplete.set(connection, n_bytes)
+        self._make_room()
+
+    def hold_idle(self, connection: Holder, n_bytes: int) -> None:
+        """Note the memory that a connection keeps of its last request."""
+        self._incomplete.set(connection, 0)
+        self._idle.set(connection, n_bytes)
+        self._make_room()
 
     def hold_ahead(self, connection: Holder, n_bytes: int) -> None:
         """Note the memory of what has arrived behind a request in progress."""
-        self._note_memory(self._ahead, connection, n_bytes)
+        self._ahead.set(connection, n_bytes)
+        self._make_room()
 
     def hold_answer(self, connection: Holder, n_bytes: int) -> None:
         """Note the memory of an answer that is not read yet; 0: it is.
@@ -156,15 +195,11 @@
         memory of their own, for which they wait before they are read from an upstream,
         so that none of them is lost.
         """
-        limits = self.limits
-        self._n_answer_bytes += n_bytes - self._answers.pop(connection, 0)
-        if not n_bytes:
+        self._answers.set(connection, n_bytes)
+        if self.limits is None:
             return
-        self._answers[connection] = n_bytes
-        while limits is not None and self._n_answer_bytes > limits.max_answer_bytes:
-            oldest = next(iter(self._answers))
-            self._n_answer_bytes -= self._answers.pop(oldest)
-            self._close(oldest)
+        while self._answers.n_bytes > self.limits.max_answer_bytes:
+            self._close(self._answers.find_oldest(), Shortage.MEMORY)
 
     def begin_request(self, connection: Holder, n_bytes: int, share: float) -> bool:
         """Note the memory of a request that is to be served.
@@ -172,45 +207,38 @@
         :param share: of the memory that it may be in
         :returns: whether there is room for it
         """
+        n_after = self._requests.n_bytes + n_bytes
         limits = self.limits
-        n_after = self._n_request_bytes + n_bytes
         if limits is not None and n_after > limits.max_request_bytes * share:
             return False
-        self._n_request_bytes = n_after
-        self._requests[connection] = n_bytes
+        self._requests.set(connection, n_bytes)
         return True
 
     def end_request(self, connection: Holder) -> None:
         """Forget the request of a connection, if there is one."""
-        self._n_request_bytes -= self._requests.pop(connection, 0)
+        self._requests.set(connection, 0)
 
-    def _note_memory(
-        self, holders: dict[Holder, int], connection: Holder, n_bytes: int
-    ) -> None:
-        """Update the memory of one connection; its place among the others stays."""
-        self._n_head_bytes += n_bytes - holders.get(connection, 0)
-        if n_bytes:
-            holders[connection] = n_bytes
-            self._make_room()
-        else:
-            holders.pop(connection, None)
+    @property
+    def _n_head_bytes(self) -> int:
+        return self._ahead.n_bytes + self._incomplete.n_bytes + self._idle.n_bytes
 
     def _make_room(self) -> None:
-        limits = self.limits
-        if limits is None:
+        if self.limits is None:
             return
-        while self._n_head_bytes > limits.max_head_bytes:
-            if self._ahead:
-                next(iter(self._ahead)).drop_ahead()
-            elif self._held:
-                self._close(next(iter(self._held)))
+        while self._n_head_bytes > self.limits.max_head_bytes:
+            if self._ahead.n_bytes:
+                oldest = self._ahead.find_oldest()
+                self._ahead.set(oldest, 0)
+                oldest.drop_ahead()
+            elif self._incomplete.n_bytes:
+                self._close(self._incomplete.find_oldest_large(), Shortage.MEMORY)
             else:
-                return
+                self._close(self._idle.find_oldest(), Shortage.MEMORY)
 
-    def _close(self, connection: Holder) -> None:
+    def _close(self, connection: Holder, shortage: Shortage) -> None:
         for group in self._groups:
             self.remove(group, connection)
-        connection.close_for_room()
+        connection.close_for_room(shortage)
         self._n_closed += 1
         if self._n_closed % CLOSED_PER_COLLECTION == 0:
             gc.collect()
@@ -310,4 +338,4 @@
             loop.call_soon(self._grant, loop)
 
 
-__all__ = ("ConnectionGroup", "OpenConnections", "Phase", "Room")
+__all__ = ("ConnectionGroup", "OpenConnections", "Phase", "Room", "Shortage")
--- a/src/quetzaldeck/http/request_limits.py
+++ b/src/quetzaldeck/http/request_limits.py
@@ -32,7 +32,8 @@
     UNUSED_BYTES = "unused_bytes"
     REQUEST_BYTES = "request_bytes"
     HEAD_TIME = "head_time_ms"
-    NO_ROOM = "no_room"
+    CONNECTIONS = "connections"
+    MEMORY = "memory"
     UNREAD_TIME = "unread_answer_ms"
 
 
