Forget a closed connection in all accounts, and drop the callbacks of its head timer

A connection that is not counted any more could be charged again, and closing it for room would then free nothing, without end. It is forgotten whether it was counted or not.

--- a/src/quetzaldeck/http/head_timer.py
+++ b/src/quetzaldeck/http/head_timer.py
@@ -30,7 +30,7 @@
         *,
         read_timeout_ms: Callable[[], float],
         is_serving: Callable[[], bool],
-        on_end: Callable[[], None],
+        on_end: Callable[[], object],
     ) -> None:
         self._loop = loop
         self._read_timeout_ms = read_timeout_ms
@@ -56,6 +56,11 @@
             self._timer.cancel()
             self._timer = None
 
+    def close(self) -> None:
+        """Stop for good, and forget the callbacks: they refer to the connection."""
+        self.cancel()
+        self._is_serving = self._on_end = _do_nothing
+
     def _wait_step(self) -> None:
         step_s = self._read_timeout_ms() / N_STEPS / MS_PER_SECOND
         self._timer = self._loop.call_later(step_s, self._end_step)
@@ -71,4 +76,9 @@
         self._on_end()
 
 
+def _do_nothing() -> bool:
+    """Take the place of a callback that is not called any more."""
+    return False
+
+
 __all__ = ("HeadTimer",)
--- a/src/quetzaldeck/http/open_connections.py
+++ b/src/quetzaldeck/http/open_connections.py
@@ -28,7 +28,6 @@
 """How long a connection is spared while older ones can go: the time within which a
 client expects that its connection is established and its request read."""
 
-
 CLOSED_PER_COLLECTION = 512
 """Connections that are closed for others between two collections of garbage: some are
 part of reference cycles, in which they hold what they have received."""
@@ -121,6 +120,13 @@
         self._idle = HeldBytes()
         self._requests = HeldBytes()
         self._answers = HeldBytes()
+        self._all_held = (
+            self._ahead,
+            self._incomplete,
+            self._idle,
+            self._requests,
+            self._answers,
+        )
         self._n_closed = 0
 
     @property
@@ -159,13 +165,10 @@
 
     def remove(self, group: ConnectionGroup, connection: Holder) -> None:
         """Forget a connection that is closed, or is about to be."""
-        if not group.end(connection):
-            return
-        self._n_connections -= 1
-        for held in (self._ahead, self._incomplete, self._idle):
+        if group.end(connection):
+            self._n_connections -= 1
+        for held in self._all_held:
             held.set(connection, 0)
-        self._requests.set(connection, 0)
-        self._answers.set(connection, 0)
 
     def hold(self, connection: Holder, n_bytes: int) -> None:
         """Note the memory of a request that is not complete; 0: there is none.
--- a/src/quetzaldeck/http/reading_connection.py
+++ b/src/quetzaldeck/http/reading_connection.py
@@ -128,7 +128,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection; see the base class."""
-        self._head_timer.cancel()
+        self._head_timer.close()
         self._drop_all()
         self._group.owner.remove(self._group, self)
         super().connection_lost(exc)
