Close a connection after a request to upgrade it

Cause: the parser stops after each request now, before it says that it would change the protocol, so that it waits for bytes of the new one afterwards.

Change: such a request ends its connection, as no other protocol is spoken. The test fails on the commit before.

--- a/src/quetzaldeck/http/reading_connection.py
+++ b/src/quetzaldeck/http/reading_connection.py
@@ -281,6 +281,10 @@
             self._messages.pop()
             self._refuse_head(excess)
             return
+        if message.upgrade:
+            # No other protocol is spoken; what follows belongs to none.
+            message = message._replace(should_close=True)
+            self._messages[-1] = (message, self._body)
         self._is_busy = True
         self._group.owner.hold(self, 0)
         self._take_memory(message)
--- a/tests/entry/test_caller_limits.py
+++ b/tests/entry/test_caller_limits.py
@@ -137,6 +137,19 @@
     run_site(test)
 
 
+def test_connection_is_closed_after_a_request_to_upgrade() -> None:
+    """Guards against a connection on which nothing is answered any more."""
+    head = HEAD.replace(EMPTY, b"Connection: upgrade\r\nUpgrade: websocket\r\n" + EMPTY)
+
+    async def test(site: Site) -> None:
+        received = await send(site, Request((head,)), Request((HEAD,)))
+        assert received.count(b"HTTP/1.1 200") == 1
+        assert b"Connection: close" in received
+        assert (await site.call(LOOK_PATH)).status == 200
+
+    run_site(test)
+
+
 OUTSIDE = {
     "head": Request((pad(HEAD, MAX_HEADER_BYTES + len(LINE) + 100),)),
     "short fields": Request((pad_shortly(HEAD, MAX_HEADER_BYTES + len(LINE) + 100),)),
